--- a/core/src/grants.rs
+++ b/core/src/grants.rs
@@ -10,9 +10,6 @@
 /// The window over which the spend rate is averaged.
 const RATE_WINDOW_MS: u64 = 20_000;
 
-/// A router keeps this much of its own spending when others ask for a transfer.
-const KEEP_FOR_OWN_SPEND_S: u64 = 5;
-
 /// One budget, as this router holds it.
 #[derive(Clone, Debug)]
 pub struct Account {
@@ -113,10 +110,10 @@
         self.free_tokens().saturating_sub(keep).min(self.granted_tokens - self.returning_tokens)
     }
 
-    /// What may be given to another holder that lacks tokens now.
-    pub fn spare_tokens(&self) -> u64 {
-        let own = self.rate_tokens_per_s().saturating_mul(KEEP_FOR_OWN_SPEND_S);
-        self.free_tokens().saturating_sub(own.min(self.settings.minimum_grant_tokens))
+    /// What may be given to another holder that lacks tokens for a request that waits now: all that
+    /// no request waits for here. `yields` settles it where both have waiting requests.
+    pub fn spare_tokens(&self, yields: bool) -> u64 {
+        if self.shortage_tokens == 0 || yields { self.free_tokens() } else { 0 }
     }
 
     /// This holder's last word on the budget.
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -8,7 +8,7 @@
 use rand::rngs;
 
 /// The shortest time between two reports of what was served.
-const REPORT_EVERY_MS: u64 = 2_000;
+const REPORT_EVERY_MS: u64 = 5_000;
 /// The shortest time between two refills that no request waits for.
 const REFILL_EVERY_MS: u64 = 300;
 /// How often an empty budget is looked at for a payment while no request asks.
--- a/core/src/log_writer.rs
+++ b/core/src/log_writer.rs
@@ -13,7 +13,7 @@
 const BACKOFF_BASE_MS: u64 = 20;
 const BACKOFF_LIMIT_MS: u64 = 2_000;
 /// How long entries that nobody waits for may gather.
-const GATHER_MS: u64 = 200;
+const GATHER_MS: u64 = 1_000;
 
 /// Who waits for an entry to become durable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -1,6 +1,6 @@
 //! What routers say to each other. Every frame carries [`PROTOCOL`]; another one is not decoded.
 
-use crate::{ids, log_index, members};
+use crate::{ids, log_index, members, servers};
 use serde::{Deserialize, Serialize};
 
 /// The version of these types. It changes with every change of their layout.
@@ -64,6 +64,15 @@
         /// The store's value.
         value: Vec<u8>,
     },
+    /// Asks for the list of VMs, because the platform gives none.
+    VmsAsk,
+    /// The list of VMs as the sender knows it.
+    Vms {
+        /// Its index.
+        index: u64,
+        /// The VMs.
+        vms: Vec<servers::Vm>,
+    },
 }
 
 /// A datagram between two routers.
@@ -75,6 +84,8 @@
     pub kind: GossipKind,
     /// The configuration version in force at the sender.
     pub config_version: u64,
+    /// The index of the list of VMs that the sender follows.
+    pub vms_index: u64,
     /// What the sender heard lately of some others.
     pub news: Vec<members::Record>,
     /// Backend server VMs that are leaving, with the index of the list that said so.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -91,6 +91,7 @@
     config: Option<config::Published>,
     vms: collections::HashMap<String, servers::Vm>,
     vms_index: u64,
+    vms_heard_ms: u64,
     leaving: collections::BTreeMap<String, u64>,
     grants: grants::Table,
     servers: servers::Table,
@@ -153,6 +154,7 @@
             config: None,
             vms: Default::default(),
             vms_index: 0,
+            vms_heard_ms: 0,
             leaving: Default::default(),
             grants: grants::Table::default(),
             servers: servers::Table::default(),
@@ -252,18 +254,21 @@
             self.logs =
                 (0..layout.log_shards).map(|shard| log_writer::Writer::new(shard, own)).collect();
         }
-        if self.lifecycle == Lifecycle::Starting {
-            self.lifecycle = Lifecycle::Ready;
-        }
         let version = published.version;
         self.config = Some(published);
+        self.become_ready();
         self.actions.push(Action::ConfigInForce { version });
         true
     }
 
     /// Follows the platform's list of VMs. An older list than the last one is ignored.
-    pub fn offer_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
-        if index < self.vms_index {
+    pub fn offer_vms(&mut self, index: u64, vms: Vec<servers::Vm>, now_ms: u64) {
+        self.vms_heard_ms = now_ms;
+        self.follow_vms(index, vms);
+    }
+
+    fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
+        if index <= self.vms_index {
             return;
         }
         self.vms_index = index;
@@ -281,6 +286,15 @@
         for ledger in &mut self.ledgers {
             ledger.poke();
         }
+        self.become_ready();
+    }
+
+    /// Requests are taken once both the configuration and the servers are known.
+    fn become_ready(&mut self) {
+        let known = self.config.is_some() && self.vms_index > 0;
+        if known && self.lifecycle == Lifecycle::Starting {
+            self.lifecycle = Lifecycle::Ready;
+        }
     }
 
     /// Takes in a load report of a server, and gives waiting requests what room it shows.
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -13,7 +13,7 @@
 /// How long the store is waited for before peers are asked as well.
 const STORE_FIRST_MS: u64 = 60;
 /// How long a vain search for tokens settles the matter for like requests.
-const EXHAUSTED_FOR_MS: u64 = 500;
+const EXHAUSTED_FOR_MS: u64 = 100;
 /// How long the home of a claim may take before this router appends the claim itself.
 const HOME_WAIT_MS: u64 = 400;
 /// How often a request looks for the outcome of another attempt at its id.
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -3,6 +3,8 @@
 use super::{Action, Node};
 use crate::{config, ids, log_index, log_writer, message, outbox, servers};
 
+/// After this long without the platform's list of VMs, peers are asked for theirs.
+const PLATFORM_SILENT_MS: u64 = 3_000;
 /// The most leaving VMs that one datagram names.
 const LEAVING_ITEMS: usize = 16;
 
@@ -33,6 +35,12 @@
             message::Message::TransferNone { budget } => self.note_answer(from, &budget, now_ms),
             message::Message::ConfigAsk => self.send_config(from),
             message::Message::Config { value, .. } => self.take_config(&value, now_ms),
+            message::Message::VmsAsk => {
+                let mut vms: Vec<servers::Vm> = self.vms.values().cloned().collect();
+                vms.sort_by(|one, other| one.vm.cmp(&other.vm));
+                self.send(from, message::Message::Vms { index: self.vms_index, vms });
+            }
+            message::Message::Vms { index, vms } => self.follow_vms(index, vms),
         }
     }
 
@@ -43,8 +51,11 @@
             self.hear_leaving(leaving);
         }
         if gossip.config_version > self.config_version() {
-            let to = gossip.from.id;
-            self.send(to, message::Message::ConfigAsk);
+            self.send(gossip.from.id, message::Message::ConfigAsk);
+        }
+        let silent_ms = now_ms.saturating_sub(self.vms_heard_ms);
+        if gossip.vms_index > self.vms_index && silent_ms >= PLATFORM_SILENT_MS {
+            self.send(gossip.from.id, message::Message::VmsAsk);
         }
         if gossip.kind == message::GossipKind::Ping {
             let mut news = self.members.news();
@@ -118,6 +129,7 @@
             from: self.members.own().clone(),
             kind,
             config_version: self.config_version(),
+            vms_index: self.vms_index,
             news,
             leaving: leaving.collect(),
         };
@@ -154,7 +166,9 @@
     fn give(&mut self, to: ids::Incarnation, budget: &str, tokens: u64, now_ms: u64) {
         let slot = self.grants.find(budget);
         let ready = self.lifecycle == super::Lifecycle::Ready;
-        let spare = slot.map_or(0, |slot| self.grants.account(slot).spare_tokens());
+        // Of two routers that both lack tokens, those of the higher id go to the lower one.
+        let yields = to < self.settings.incarnation;
+        let spare = slot.map_or(0, |slot| self.grants.account(slot).spare_tokens(yields));
         let given = if ready { spare.min(tokens) } else { 0 };
         let Some(slot) = slot.filter(|_| given > 0 && self.members.find(to).is_some()) else {
             self.send(to, message::Message::TransferNone { budget: budget.to_owned() });
--- a/src/control.rs
+++ b/src/control.rs
@@ -235,7 +235,8 @@
             let pause = match result {
                 Ok(list) => {
                     control.vms_index = list.index;
-                    control.node.offer_vms(list.index, list.vms);
+                    let now_ms = control.now_ms();
+                    control.node.offer_vms(list.index, list.vms, now_ms);
                     control.carry_out(context);
                     Duration::from_millis(20)
                 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -84,6 +84,9 @@
     assert_eq!(version(&fleet, 2), 2);
     let refused = fleet.complete(2, "hello", 10, false).unwrap();
     assert_eq!(refused.code(), "invalid_max_tokens", "{refused:?}");
+    // It has no grant of its own yet; the others give it some of theirs.
+    let answer = fleet.complete(2, "hello", 9, false).unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
 }
 
 #[test]
