--- /dev/null
+++ b/core/tests/node.rs
@@ -0,0 +1,91 @@
+//! Single decisions of a node.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod world;
+
+use doorswitch_core::{config, node};
+use world::{End, Shape, World};
+
+#[test]
+fn an_older_configuration_is_never_adopted() {
+    let mut world = World::new(Shape::default(), 1);
+    let old = world.routers[0].node.config().unwrap().clone();
+    let new = config::Published::next(Some(&old), "next", old.document.clone());
+    assert!(world.routers[0].node.offer_config(new, 0));
+    assert!(!world.routers[0].node.offer_config(old, 0));
+    assert_eq!(world.routers[0].node.config_version(), 2);
+}
+
+#[test]
+fn a_request_that_nobody_can_cover_is_refused_at_once() {
+    let mut world = World::new(Shape::default(), 1);
+    world.run_ms(2_000);
+    let place = world.admit(0, 0, 1, 10_001, 1, false).unwrap();
+    world.run_ms(500);
+    assert_eq!(world.given[place].end, Some(End::Refused(node::Reason::BudgetExhausted)));
+}
+
+#[test]
+fn the_last_tokens_of_a_budget_are_found_wherever_they_are() {
+    let mut world = World::new(Shape::default(), 1);
+    world.run_ms(2_000);
+    // Each of four routers holds a part; one request wants nearly all.
+    let place = world.admit(2, 0, 1, 9_900, 9_900, false).unwrap();
+    world.run_ms(3_000);
+    assert_eq!(world.given[place].end, Some(End::Closed { safe: true }));
+}
+
+#[test]
+fn after_an_outage_the_routers_do_not_return_in_step() {
+    let shape = Shape { routers: 8, ..Shape::default() };
+    let mut world = World::new(shape, 1);
+    world.run_ms(3_000);
+    world.faults.store_out = true;
+    for key in 0..200 {
+        world.admit(key as usize % 8, 0, key, 20, 20, key % 5 == 0);
+        world.run_ms(100);
+    }
+    world.faults.store_out = false;
+    let mut most = 0;
+    for _ in 0..50 {
+        let before = world.store_calls.1;
+        world.run_ms(200);
+        most = most.max(world.store_calls.1 - before);
+    }
+    // The platform takes 100 writes a second; a burst of each router's bucket may come on top.
+    assert!(most <= 20 + 8 * 5, "{most} writes in 200 ms");
+}
+
+#[test]
+fn the_platform_is_called_within_its_rates_by_eight_busy_routers() {
+    let shape = Shape { routers: 8, paid_tokens: 10_000_000, ..Shape::default() };
+    let mut world = World::new(shape, 1);
+    world.run_ms(3_000);
+    let before = world.store_calls;
+    for key in 0..2_000 {
+        world.admit(key as usize % 8, key as usize % 2, key, 200, 150, key % 4 == 0);
+        world.run_ms(20);
+    }
+    let seconds = 40;
+    let reads = (world.store_calls.0 - before.0) / seconds;
+    let writes = (world.store_calls.1 - before.1) / seconds;
+    assert!(writes <= 100 && reads <= 2_000, "{reads} reads and {writes} writes a second");
+}
+
+#[test]
+fn membership_costs_a_router_no_more_in_a_larger_fleet() {
+    let sent_a_second = |routers: usize| {
+        let shape = Shape { routers, ..Shape::default() };
+        let mut world = World::new(shape, 1);
+        world.run_ms(20_000);
+        let before: u64 =
+            world.routers.iter().map(|router| router.node.counters().gossip_sent).sum();
+        world.run_ms(10_000);
+        let after: u64 =
+            world.routers.iter().map(|router| router.node.counters().gossip_sent).sum();
+        (after - before) as f64 / 10.0 / routers as f64
+    };
+    let (small, large) = (sent_a_second(4), sent_a_second(32));
+    assert!(large <= small * 1.2, "{small} datagrams a second at 4 routers, {large} at 32");
+}
