Measure slopes for the capacity page; keep a tick's cost off the number of budgets

Change: accounts are listed by shard once, writers look through theirs every 100 ms unless a request waits, and shortages touch only accounts that are short. A settlement that nobody else has is written at once instead of gathering for a second: a router alone closed each answer after a second.

--- /dev/null
+++ b/benches/capacity/control.rs
@@ -0,0 +1,220 @@
+//! One node's control state: the cost of a tick and of a decision, and the bytes that things take.
+
+use crate::{allocated_bytes, nanoseconds};
+use doorswitch_core::{config, ids, members, message, node, servers, store};
+
+const SIZES: [usize; 4] = [10, 100, 1_000, 10_000];
+
+/// What a node is given to know.
+#[derive(Clone, Copy, Default)]
+struct Size {
+    budgets: usize,
+    /// Of those, the budgets that are in use here.
+    active: usize,
+    members: usize,
+    servers: usize,
+    requests: usize,
+}
+
+pub fn show() {
+    println!("\ncontrol state of one node: time of a tick, bytes held");
+    println!(
+        "{:<28} {:>8} {:>12} {:>14} {:>12}",
+        "what grows", "count", "tick ns", "bytes", "bytes each"
+    );
+    let base = Size { budgets: 10, active: 10, members: 8, servers: 10, requests: 0 };
+    row("budgets, none in use", |count| Size { budgets: count, active: 0, ..base });
+    row("budgets, all in use", |count| Size { budgets: count, active: count, ..base });
+    row("members", |count| Size { members: count, ..base });
+    row("servers", |count| Size { servers: count, ..base });
+    row("requests in flight", |count| Size { requests: count, servers: 1_000, ..base });
+    decisions();
+}
+
+fn row(what: &str, size: impl Fn(usize) -> Size) {
+    for count in SIZES {
+        let before = allocated_bytes();
+        let mut node = build(size(count));
+        let bytes = allocated_bytes() - before;
+        let mut now_ms = 1_000_000;
+        let tick = nanoseconds(|| {
+            now_ms += 20;
+            node.tick(now_ms);
+            answer_store(&mut node, now_ms);
+        });
+        println!("{what:<28} {count:>8} {tick:>12.0} {bytes:>14} {:>12}", bytes / count);
+    }
+}
+
+/// Decisions a second that one node's core makes: admit, dispatch, finish.
+fn decisions() {
+    println!("\ndecisions of one core: admit, dispatch, finish");
+    println!("{:<28} {:>8} {:>12} {:>14}", "servers", "count", "ns each", "a second");
+    for servers in [10, 32, 100, 1_000] {
+        let size = Size { budgets: 10, active: 10, members: 8, servers, requests: 0 };
+        let mut node = build(size);
+        let mut number = 0;
+        let each = nanoseconds(|| {
+            number += 1;
+            let slot = node.admit(wanted(number, 0), 1_000_000);
+            let ending = node::Ending::Ran { consumed_tokens: 1, outcome: None, healthy: true };
+            node.finish(slot, ending, 1_000_000);
+            acknowledge(&mut node);
+        });
+        println!("{:<28} {servers:>8} {each:>12.0} {:>14.0}", "", 1e9 / each);
+    }
+}
+
+fn settings() -> node::Settings {
+    node::Settings {
+        incarnation: ids::Incarnation(1),
+        vm: "entry-0".to_owned(),
+        address: "10.0.0.1:7100".to_owned(),
+        failure_domain: "a".to_owned(),
+        region: "r".to_owned(),
+        seeds: Vec::new(),
+        platform_reads_per_s: 2_000,
+        platform_writes_per_s: 100,
+        budget_wait_ms: 500,
+        claim_wait_ms: 3_000,
+        handover_wait_ms: 1_000,
+    }
+}
+
+fn build(size: Size) -> node::Node {
+    let mut node = node::Node::new(settings(), 1, 0);
+    node.offer_vms(1, vms(size.servers), 0);
+    node.offer_config(published(size), 0);
+    for number in 0..size.members {
+        node.gossip(&gossip(number), 1);
+    }
+    let mut now_ms = 1_000;
+    for _ in 0..200 {
+        now_ms += 100;
+        node.tick(now_ms);
+        answer_store(&mut node, now_ms);
+    }
+    for number in 0..size.requests {
+        node.admit(wanted(1_000_000 + number as u64, number % 10), now_ms);
+    }
+    node.take_actions();
+    node
+}
+
+fn published(size: Size) -> config::Published {
+    let budget = |number: usize| config::Budget {
+        name: format!("b{number}"),
+        cover_s: 60,
+        minimum_grant_tokens: if number < size.active { 100_000 } else { 0 },
+    };
+    let service = config::Service {
+        name: "service".to_owned(),
+        kind: config::Kind::Model,
+        policy: "policy".to_owned(),
+        models: Vec::new(),
+        answer_tokens_max: 1,
+        call_tokens: 0,
+        unrepeatable: Vec::new(),
+        queue_length: 100_000,
+        queue_age_ms: 600_000,
+        answer_time_ms: 1,
+    };
+    let document = config::Document {
+        layout: config::Layout { ledger_shards: 16, log_shards: 16 },
+        workspaces: vec![config::Workspace {
+            name: "w".to_owned(),
+            keys: Vec::new(),
+            budgets: (0..size.budgets).map(budget).collect(),
+        }],
+        services: vec![service],
+        policies: Vec::new(),
+    };
+    config::Published::next(None, "bench", document)
+}
+
+fn vms(servers: usize) -> Vec<servers::Vm> {
+    let vm = |number: usize| servers::Vm {
+        vm: format!("server-{number}"),
+        service: "service".to_owned(),
+        address: format!("10.2.{}.{}:8000", number / 250, number % 250),
+        class: "new".to_owned(),
+        failure_domain: "a".to_owned(),
+        state: servers::VmState::Live,
+    };
+    (0..servers).map(vm).collect()
+}
+
+pub fn record(number: usize) -> members::Record {
+    members::Record {
+        id: ids::Incarnation(1_000 + number as u64 * 7_919),
+        address: format!("10.1.{}.{}:7100", number / 250, number % 250),
+        vm: format!("entry-{number}"),
+        failure_domain: format!("domain-{}", number % 9),
+        beat: 0,
+        health: members::Health::Alive,
+    }
+}
+
+pub fn gossip(number: usize) -> message::Gossip {
+    message::Gossip {
+        from: record(number),
+        kind: message::GossipKind::Ack,
+        config_version: 1,
+        vms_index: 1,
+        news: Vec::new(),
+        leaving: Vec::new(),
+    }
+}
+
+fn wanted(key: u64, budget: usize) -> node::Wanted {
+    node::Wanted {
+        key: ids::RequestKey { high: key, low: key },
+        body_hash: 1,
+        budget: format!("w/b{budget}"),
+        service: "service".to_owned(),
+        classes: Vec::new(),
+        priority: 5,
+        bound_tokens: 1,
+        unrepeatable: false,
+        prefix_hash: Some(key),
+        deadline_ms: u64::MAX,
+    }
+}
+
+/// A store in which every budget has plenty, and every write works.
+fn answer_store(node: &mut node::Node, now_ms: u64) {
+    use doorswitch_core::ledger;
+    for action in node.take_actions() {
+        let node::Action::Store { call, request } = action else { continue };
+        let reply = match request {
+            store::Request::Read { key } if key.contains("ledger") => {
+                let mut shard = ledger::Shard::default();
+                let names: Vec<String> =
+                    node.grants().iter().map(|(_, account)| account.name.clone()).collect();
+                for (slot, name) in names.iter().enumerate() {
+                    shard.pay(name, "paid", 1 << 40).unwrap();
+                    let _ = slot;
+                    let found = node.grants().find(name).unwrap();
+                    let granted = node.grants().account(found).granted_tokens;
+                    shard.draw(name, ids::Incarnation(1), granted);
+                }
+                store::Reply::Found { index: now_ms, value: shard.encode() }
+            }
+            store::Request::Read { .. } => store::Reply::Missing,
+            store::Request::Write { .. } => store::Reply::Written,
+        };
+        node.store_reply(call, reply, now_ms);
+    }
+}
+
+/// Acknowledges settlements as a peer's log does.
+fn acknowledge(node: &mut node::Node) {
+    for action in node.take_actions() {
+        if let node::Action::Send { to, message: message::Message::Settle(settlement), .. } = action
+        {
+            let durable = message::Message::SettleDurable(settlement.attempt);
+            node.message(to, durable, 1_000_000);
+        }
+    }
+    node.take_actions();
+}
--- /dev/null
+++ b/benches/capacity/main.rs
@@ -0,0 +1,47 @@
+//! Measures the slopes that `docs/CAPACITY.md` multiplies: time, memory and bytes at several sizes.
+//!
+//! `cargo bench --bench capacity` prints the tables. Times are of this machine; what counts is how
+//! they grow, and their ratio to one another in the same run.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod control;
+mod messages;
+mod path;
+mod values;
+
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
+/// Bytes that are allocated now.
+pub fn allocated_bytes() -> usize {
+    let stats = ALLOCATOR.stats();
+    stats.bytes_allocated.saturating_sub(stats.bytes_deallocated)
+}
+
+/// The time of one run of `work`, in nanoseconds, over enough runs to tell.
+pub fn nanoseconds(mut work: impl FnMut()) -> f64 {
+    const ENOUGH: std::time::Duration = std::time::Duration::from_millis(150);
+    let begin = std::time::Instant::now();
+    let mut runs = 0_u32;
+    while begin.elapsed() < ENOUGH {
+        work();
+        runs += 1;
+    }
+    begin.elapsed().as_nanos() as f64 / f64::from(runs)
+}
+
+fn main() {
+    let wanted: Vec<String> = std::env::args().skip(1).filter(|it| !it.starts_with("--")).collect();
+    let parts: [(&str, fn()); 4] = [
+        ("control", control::show),
+        ("messages", messages::show),
+        ("values", values::show),
+        ("path", path::show),
+    ];
+    for (name, show) in parts {
+        if wanted.is_empty() || wanted.iter().any(|it| it == name) {
+            show();
+        }
+    }
+}
--- /dev/null
+++ b/benches/capacity/messages.rs
@@ -0,0 +1,55 @@
+//! Bytes of what routers say to each other.
+
+use crate::control;
+use doorswitch::peers;
+use doorswitch_core::{ids, log_index, message};
+
+pub fn show() {
+    println!("\nmessages between routers, bytes with the protocol's version");
+    for (name, bytes) in sizes() {
+        println!("{name:<40} {bytes:>8}");
+    }
+}
+
+fn sizes() -> Vec<(&'static str, usize)> {
+    let claim = log_index::Claim {
+        key: ids::RequestKey { high: u64::MAX, low: u64::MAX },
+        attempt: ids::AttemptId(u64::MAX),
+        body_hash: u64::MAX,
+    };
+    let settlement = log_index::Settlement {
+        key: claim.key,
+        attempt: claim.attempt,
+        body_hash: u64::MAX,
+        budget: "workspace-1234/main".to_owned(),
+        region: "region-1".to_owned(),
+        consumed_tokens: 1_000,
+        outcome: None,
+    };
+    let send = |message| {
+        peers::encode(&peers::Envelope { from: ids::Incarnation(u64::MAX), message }).len()
+    };
+    let with_news = |items: usize| {
+        let mut gossip = control::gossip(0);
+        gossip.news = (0..items).map(control::record).collect();
+        peers::encode(&gossip).len()
+    };
+    let transfer = message::Message::Transfer {
+        number: 1_000,
+        budget: settlement.budget.clone(),
+        tokens: 100_000,
+    };
+    vec![
+        ("gossip without news", with_news(0)),
+        ("gossip with 8 news items", with_news(8)),
+        ("claim", send(message::Message::Claim(claim))),
+        (
+            "claim reply",
+            send(message::Message::ClaimReply { claim, verdict: log_index::Verdict::Granted }),
+        ),
+        ("settlement", send(message::Message::Settle(settlement))),
+        ("settlement stored", send(message::Message::SettleStored(claim.attempt))),
+        ("settlement durable", send(message::Message::SettleDurable(claim.attempt))),
+        ("transfer", send(transfer)),
+    ]
+}
--- a/core/benches/measures/scenario.rs
+++ b/core/benches/measures/scenario.rs
@@ -101,7 +101,8 @@
 
     /// The router that dies at this second.
     pub fn dies(self, site: Site, at_s: u64) -> Option<usize> {
-        let due = self == Self::Deaths && at_s >= FAULT_BEGINS_S && at_s % DEATH_EVERY_S == 0;
+        let due =
+            self == Self::Deaths && at_s >= FAULT_BEGINS_S && at_s.is_multiple_of(DEATH_EVERY_S);
         due.then_some((at_s / DEATH_EVERY_S) as usize % site.routers())
     }
 
--- a/core/src/grants.rs
+++ b/core/src/grants.rs
@@ -157,9 +157,16 @@
 pub struct Table {
     accounts: slotmap::SlotMap<ids::BudgetSlot, Account>,
     by_name: collections::HashMap<String, ids::BudgetSlot>,
+    by_shard: Vec<Vec<ids::BudgetSlot>>,
+    short: Vec<ids::BudgetSlot>,
 }
 
 impl Table {
+    /// An empty table over a ledger with this many shards.
+    pub fn new(shards: u32) -> Self {
+        Self { by_shard: vec![Vec::new(); shards.max(1) as usize], ..Self::default() }
+    }
+
     /// Adds a budget or changes its settings.
     pub fn declare(&mut self, name: &str, settings: config::Cover, now_ms: u64) -> ids::BudgetSlot {
         if let Some(slot) = self.by_name.get(name) {
@@ -168,6 +175,10 @@
         }
         let slot = self.accounts.insert(Account::new(name, settings, now_ms));
         self.by_name.insert(name.to_owned(), slot);
+        let shard = ledger::shard_of(name, self.by_shard.len() as u32);
+        if let Some(slots) = self.by_shard.get_mut(shard as usize) {
+            slots.push(slot);
+        }
         slot
     }
 
@@ -191,9 +202,21 @@
         self.accounts.iter()
     }
 
-    /// All accounts, to change them.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (ids::BudgetSlot, &mut Account)> {
-        self.accounts.iter_mut()
+    /// The accounts whose budgets lie in a shard of the ledger.
+    pub fn in_shard(&self, shard: u32) -> &[ids::BudgetSlot] {
+        self.by_shard.get(shard as usize).map_or(&[], Vec::as_slice)
+    }
+
+    /// Notes what waiting requests lack, by budget, in place of what was noted before.
+    pub fn note_shortages(&mut self, waiting: impl Iterator<Item = (ids::BudgetSlot, u64)>) {
+        for slot in self.short.drain(..) {
+            self.accounts[slot].shortage_tokens = 0;
+        }
+        for (slot, tokens) in waiting {
+            let account = &mut self.accounts[slot];
+            account.shortage_tokens = account.shortage_tokens.saturating_add(tokens);
+            self.short.push(slot);
+        }
     }
 
     /// Sets tokens apart for a request, if that many are free.
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -211,3 +211,16 @@
         lost
     }
 }
+
+/// The key of a shard's value.
+pub fn key(shard: u32) -> String {
+    format!("doorswitch/ledger/{shard}")
+}
+
+/// The shard that holds a budget (FNV-1a over its name).
+pub fn shard_of(budget: &str, shards: u32) -> u32 {
+    let hash = budget.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash % u64::from(shards.max(1))) as u32
+}
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -11,24 +11,13 @@
 const REPORT_EVERY_MS: u64 = 5_000;
 /// The shortest time between two refills that no request waits for.
 const REFILL_EVERY_MS: u64 = 300;
+/// How often the accounts are looked through while nothing is urgent.
+const LOOK_EVERY_MS: u64 = 100;
 /// How often an empty budget is looked at for a payment while no request asks.
 const EMPTY_CHECK_EVERY_MS: u64 = 10_000;
 const BACKOFF_BASE_MS: u64 = 20;
 const BACKOFF_LIMIT_MS: u64 = 5_000;
 
-/// The key of a shard's value.
-pub fn key(shard: u32) -> String {
-    format!("doorswitch/ledger/{shard}")
-}
-
-/// The shard that holds a budget (FNV-1a over its name).
-pub fn shard_of(budget: &str, shards: u32) -> u32 {
-    let hash = budget.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    (hash % u64::from(shards.max(1))) as u32
-}
-
 /// What the writer must know of its router.
 #[allow(missing_debug_implementations)]
 pub struct Context<'a> {
@@ -40,8 +29,6 @@
     pub description: &'a ledger::Holder,
     /// How many routers share what remains.
     pub routers: u64,
-    /// Number of ledger shards.
-    pub shards: u32,
     /// The router stops: close what is settled.
     pub stopping: bool,
     /// Tells whether a holder can certainly not run any more.
@@ -84,6 +71,7 @@
     not_before_ms: u64,
     reported_ms: u64,
     seen_index: u64,
+    looked_ms: u64,
     dead_in_draft: Vec<Event>,
     urgent: bool,
     stale: bool,
@@ -100,6 +88,7 @@
             not_before_ms: 0,
             reported_ms: 0,
             seen_index: 0,
+            looked_ms: 0,
             dead_in_draft: Vec::new(),
             urgent: false,
             stale: true,
@@ -122,23 +111,27 @@
     }
 
     /// Whether there is something to read or write now.
-    pub fn due(&self, table: &grants::Table, context: &Context<'_>) -> bool {
+    pub fn due(&mut self, table: &grants::Table, context: &Context<'_>) -> bool {
         if !matches!(self.state, State::Idle) || context.now_ms < self.not_before_ms {
             return false;
         }
         if self.urgent || self.stale || self.unsettled_index.is_some() {
             return true;
         }
+        if context.now_ms < self.looked_ms + LOOK_EVERY_MS {
+            return false;
+        }
+        self.looked_ms = context.now_ms;
         let since_ms = context.now_ms.saturating_sub(self.reported_ms);
-        self.own_accounts(table, context)
-            .any(|(_, account)| account_due(account, since_ms, context))
+        let mut accounts = table.in_shard(self.shard).iter().map(|slot| table.account(*slot));
+        accounts.any(|account| account_due(account, since_ms, context))
     }
 
     /// Starts a round by reading the shard.
     pub fn start(&mut self, call: ids::CallId) -> store::Request {
         self.urgent = false;
         self.state = State::Reading(call);
-        store::Request::Read { key: key(self.shard) }
+        store::Request::Read { key: ledger::key(self.shard) }
     }
 
     /// Takes a reply; returns the next call to make, if there is one, and what happened.
@@ -269,15 +262,6 @@
         self.not_before_ms = now_ms + self.backoff.next_delay_ms(rng);
     }
 
-    fn own_accounts<'a>(
-        &self,
-        table: &'a grants::Table,
-        context: &Context<'_>,
-    ) -> impl Iterator<Item = (ids::BudgetSlot, &'a grants::Account)> {
-        let (own, shards) = (self.shard, context.shards);
-        table.iter().filter(move |(_, account)| shard_of(&account.name, shards) == own)
-    }
-
     fn follow(
         &mut self,
         shard: &ledger::Shard,
@@ -286,11 +270,8 @@
         context: &Context<'_>,
     ) -> Vec<Event> {
         let mut events = Vec::new();
-        let (own, shards) = (self.shard, context.shards);
-        for (_, account) in table.iter_mut() {
-            if shard_of(&account.name, shards) != own {
-                continue;
-            }
+        for slot in table.in_shard(self.shard).to_vec() {
+            let account = table.account_mut(slot);
             let budget = shard.budgets.get(&account.name);
             let row = budget.and_then(|budget| budget.grants.get(&context.holder));
             if account.has_row && row.is_none() && !context.stopping {
@@ -319,16 +300,12 @@
                 self.dead_in_draft.push(Event::ClosedDead { holder: *id, written_off_tokens });
             }
         }
-        let (own, shards) = (self.shard, context.shards);
         let mut holds = false;
-        for (_, account) in table.iter_mut() {
-            if shard_of(&account.name, shards) == own {
-                self.draft_account(&mut draft, account, context);
-                holds |= draft
-                    .budgets
-                    .get(&account.name)
-                    .is_some_and(|budget| budget.grants.contains_key(&context.holder));
-            }
+        for slot in table.in_shard(self.shard).to_vec() {
+            let account = table.account_mut(slot);
+            self.draft_account(&mut draft, account, context);
+            let budget = draft.budgets.get(&account.name);
+            holds |= budget.is_some_and(|budget| budget.grants.contains_key(&context.holder));
         }
         if holds {
             draft.holders.insert(context.holder, context.description.clone());
--- a/core/src/log_writer.rs
+++ b/core/src/log_writer.rs
@@ -26,6 +26,15 @@
     Outbox,
 }
 
+/// How soon an entry is to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// A caller waits for it.
+    Waited,
+    /// It may gather with others for a while: another router has it too.
+    Gather,
+}
+
 /// An entry that became durable, or that the log already answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Done {
@@ -41,7 +50,7 @@
 struct Pending {
     entry: log_index::Entry,
     waiter: Waiter,
-    since_ms: u64,
+    due_ms: u64,
 }
 
 #[derive(Debug)]
@@ -104,17 +113,29 @@
         !self.caught_up
     }
 
-    /// Adds an entry. A claim that the log already decides is answered at once.
-    pub fn append(&mut self, entry: log_index::Entry, waiter: Waiter, now_ms: u64) -> Option<Done> {
+    /// Adds an entry, to be written soon, or at once if a caller waits for it. A claim that the log
+    /// already decides is answered right away.
+    pub fn append(
+        &mut self,
+        entry: log_index::Entry,
+        waiter: Waiter,
+        urgency: Urgency,
+        now_ms: u64,
+    ) -> Option<Done> {
         match self.answer(&entry, waiter) {
             // The holder may have ended since this router last read: read on before saying so.
             Some(done) if done.verdict == Some(log_index::Verdict::Taken) => self.caught_up = false,
             Some(done) => return Some(done),
             None => {}
         }
-        let known = self.pending.iter().any(|other| other.entry == entry && other.waiter == waiter);
-        if !known {
-            self.pending.push(Pending { entry, waiter, since_ms: now_ms });
+        let due_ms = match urgency {
+            Urgency::Waited => now_ms,
+            Urgency::Gather => now_ms + GATHER_MS,
+        };
+        let mut same = self.pending.iter_mut().filter(|other| other.waiter == waiter);
+        match same.find(|other| other.entry == entry) {
+            Some(known) => known.due_ms = known.due_ms.min(due_ms),
+            None => self.pending.push(Pending { entry, waiter, due_ms }),
         }
         None
     }
@@ -132,10 +153,8 @@
         if self.unsettled.is_some() {
             return true;
         }
-        self.pending
-            .iter()
-            .any(|pending| is_waited_for(&pending.entry) || now_ms >= pending.since_ms + GATHER_MS)
-            || self.pending.len() >= SEGMENT_ENTRIES
+        self.pending.len() >= SEGMENT_ENTRIES
+            || self.pending.iter().any(|pending| now_ms >= pending.due_ms)
     }
 
     /// The next call: read on until the end of the log is reached, then create a segment.
@@ -268,12 +287,3 @@
         Some(Done { entry: entry.clone(), waiter, verdict })
     }
 }
-
-/// Whether a caller may be waiting: for its claim, or for the answer that another caller got.
-fn is_waited_for(entry: &log_index::Entry) -> bool {
-    match entry {
-        log_index::Entry::Claim(_) => true,
-        log_index::Entry::Release { .. } => false,
-        log_index::Entry::Settle(settlement) => settlement.outcome.is_some(),
-    }
-}
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -241,19 +241,20 @@
         if published.version <= self.config_version() {
             return false;
         }
-        for workspace in &published.document.workspaces {
-            for budget in &workspace.budgets {
-                let name = config::budget_name(&workspace.name, &budget.name);
-                self.grants.declare(&name, budget.cover(), now_ms);
-            }
-        }
         if self.config.is_none() {
             let layout = published.document.layout;
             let own = self.settings.incarnation;
+            self.grants = grants::Table::new(layout.ledger_shards);
             self.ledgers = (0..layout.ledger_shards).map(ledger_writer::Writer::new).collect();
             self.logs =
                 (0..layout.log_shards).map(|shard| log_writer::Writer::new(shard, own)).collect();
         }
+        for workspace in &published.document.workspaces {
+            for budget in &workspace.budgets {
+                let name = config::budget_name(&workspace.name, &budget.name);
+                self.grants.declare(&name, budget.cover(), now_ms);
+            }
+        }
         let version = published.version;
         self.config = Some(published);
         self.become_ready();
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, Answer, Ask, Node, QueuePlace, Reason, Request, Stage, Wanted};
 use crate::node::types::Lifecycle;
-use crate::{config, ids, ledger_writer, log_index, log_writer, message, rendezvous, servers};
+use crate::{config, ids, ledger, log_index, log_writer, message, rendezvous, servers};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 
@@ -304,7 +304,8 @@
             *appended = true;
             *taken_ms = taken_ms.map(|_| now_ms);
         }
-        self.append(log_index::Entry::Claim(claim), log_writer::Waiter::Local(slot), now_ms);
+        let (entry, waiter) = (log_index::Entry::Claim(claim), log_writer::Waiter::Local(slot));
+        self.append(entry, waiter, log_writer::Urgency::Waited, now_ms);
     }
 
     fn claim_of(&self, slot: ids::RequestSlot) -> Option<log_index::Claim> {
@@ -369,7 +370,8 @@
             log.forget(slot);
         }
         let release = log_index::Entry::Release { key, attempt };
-        self.append(release, log_writer::Waiter::Outbox, now_ms);
+        let waiter = log_writer::Waiter::Outbox;
+        self.append(release, waiter, log_writer::Urgency::Gather, now_ms);
     }
 
     fn want_tokens(&mut self, slot: ids::RequestSlot, now_ms: u64) {
@@ -390,7 +392,7 @@
 
     pub(super) fn ledger_shard(&self, budget: ids::BudgetSlot) -> usize {
         let name = &self.grants.account(budget).name;
-        ledger_writer::shard_of(name, self.ledgers.len() as u32) as usize
+        ledger::shard_of(name, self.ledgers.len() as u32) as usize
     }
 
     /// Looks further for tokens: the store first, then peers; refuses when neither can help.
@@ -435,16 +437,9 @@
 
     /// Notes what waiting requests lack, for the draws and the transfers.
     fn sum_shortages(&mut self) {
-        for (_, account) in self.grants.iter_mut() {
-            account.shortage_tokens = 0;
-        }
-        for request in self.requests.values() {
-            if matches!(request.stage, Stage::WaitingBudget) {
-                let account = self.grants.account_mut(request.budget);
-                account.shortage_tokens =
-                    account.shortage_tokens.saturating_add(request.wanted.bound_tokens);
-            }
-        }
+        let waiting = self.requests.values().filter(|it| matches!(it.stage, Stage::WaitingBudget));
+        let lacking = waiting.map(|request| (request.budget, request.wanted.bound_tokens));
+        self.grants.note_shortages(lacking);
     }
 
     fn retry_after_ms(&self, slot: ids::RequestSlot, reason: Reason) -> u64 {
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -14,7 +14,8 @@
         match message {
             message::Message::Claim(claim) => {
                 let entry = log_index::Entry::Claim(claim);
-                self.append(entry, log_writer::Waiter::Peer(from), now_ms);
+                let waiter = log_writer::Waiter::Peer(from);
+                self.append(entry, waiter, log_writer::Urgency::Waited, now_ms);
             }
             message::Message::ClaimReply { claim, verdict } => {
                 self.claim_decided(&claim, verdict, now_ms);
@@ -158,8 +159,13 @@
         }
         let attempt = settlement.attempt;
         self.send(from, message::Message::SettleStored(attempt));
+        // Callers that repeat an unrepeatable request wait for its recorded outcome.
+        let urgency = match settlement.outcome.is_some() {
+            true => log_writer::Urgency::Waited,
+            false => log_writer::Urgency::Gather,
+        };
         let entry = log_index::Entry::Settle(settlement);
-        self.append(entry, log_writer::Waiter::Peer(from), now_ms);
+        self.append(entry, log_writer::Waiter::Peer(from), urgency, now_ms);
     }
 
     /// Gives a peer what it lacks, as far as this router can spare it.
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -43,16 +43,26 @@
         limiter.try_take(now_ms)
     }
 
-    fn ledger_due(&self, shard: usize, now_ms: u64) -> bool {
+    fn ledger_due(&mut self, shard: usize, now_ms: u64) -> bool {
         if self.lifecycle == Lifecycle::Fenced {
             return false;
         }
         let description = self.ledger_holder();
-        let never = |_: ids::Incarnation, _: &ledger::Holder| false;
-        let context = self.context(&description, &never, now_ms);
+        let context = ledger_writer::Context {
+            now_ms,
+            holder: self.settings.incarnation,
+            description: &description,
+            routers: self.members.live_count(),
+            stopping: self.stopping(),
+            gone: &|_, _| false,
+        };
         self.ledgers[shard].due(&self.grants, &context)
     }
 
+    fn stopping(&self) -> bool {
+        matches!(self.lifecycle, Lifecycle::Stopping | Lifecycle::Stopped)
+    }
+
     fn ledger_reply(&mut self, shard: usize, call: ids::CallId, reply: store::Reply, now_ms: u64) {
         let description = self.ledger_holder();
         let vms = self.vms.clone();
@@ -68,8 +78,7 @@
             holder: self.settings.incarnation,
             description: &description,
             routers: self.members.live_count(),
-            shards: self.ledgers.len() as u32,
-            stopping: matches!(self.lifecycle, Lifecycle::Stopping | Lifecycle::Stopped),
+            stopping: self.stopping(),
             gone: &gone,
         };
         let (write, events) =
@@ -79,7 +88,7 @@
             self.ledgers[shard].writing(call);
             // A write that follows its read is paid for without waiting: the read was the limit.
             self.writes.try_take(now_ms);
-            let key = ledger_writer::key(shard as u32);
+            let key = ledger::key(shard as u32);
             self.push_store(call, store::Request::Write { key, expected_index, value });
         }
         for event in events {
@@ -111,13 +120,7 @@
     }
 
     fn note_followed(&mut self, shard: usize, now_ms: u64) {
-        let shards = self.ledgers.len() as u32;
-        let budgets: Vec<ids::BudgetSlot> = self
-            .grants
-            .iter()
-            .filter(|(_, account)| ledger_writer::shard_of(&account.name, shards) as usize == shard)
-            .map(|(slot, _)| slot)
-            .collect();
+        let budgets = self.grants.in_shard(shard as u32).to_vec();
         for budget in budgets {
             self.asks.entry(budget).or_default().followed_ms = now_ms;
         }
@@ -129,21 +132,4 @@
             self.log_done(item, now_ms);
         }
     }
-
-    fn context<'a>(
-        &self,
-        description: &'a ledger::Holder,
-        gone: &'a dyn Fn(ids::Incarnation, &ledger::Holder) -> bool,
-        now_ms: u64,
-    ) -> ledger_writer::Context<'a> {
-        ledger_writer::Context {
-            now_ms,
-            holder: self.settings.incarnation,
-            description,
-            routers: self.members.live_count(),
-            shards: self.ledgers.len() as u32,
-            stopping: matches!(self.lifecycle, Lifecycle::Stopping | Lifecycle::Stopped),
-            gone,
-        }
-    }
 }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -82,11 +82,12 @@
         &mut self,
         entry: log_index::Entry,
         waiter: log_writer::Waiter,
+        urgency: log_writer::Urgency,
         now_ms: u64,
     ) {
         let shard = entry.key().shard(self.logs.len() as u32) as usize;
         let Some(log) = self.logs.get_mut(shard) else { return };
-        if let Some(done) = log.append(entry, waiter, now_ms) {
+        if let Some(done) = log.append(entry, waiter, urgency, now_ms) {
             self.log_done(done, now_ms);
         }
     }
@@ -192,7 +193,11 @@
         let helpless = !safe && tries >= TRIES_BEFORE_OWN_APPEND;
         if committer.is_none() || helpless || late {
             let entry = log_index::Entry::Settle(settlement);
-            self.append(entry, log_writer::Waiter::Outbox, now_ms);
+            let urgency = match safe {
+                true => log_writer::Urgency::Gather,
+                false => log_writer::Urgency::Waited,
+            };
+            self.append(entry, log_writer::Waiter::Outbox, urgency, now_ms);
         }
     }
 
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -32,7 +32,7 @@
 
 impl Bench {
     fn new(paid_tokens: u64) -> Self {
-        let mut table = grants::Table::default();
+        let mut table = grants::Table::new(1);
         let cover = config::Cover { cover_s: 10, minimum_grant_tokens: 1_000 };
         let budget = table.declare("w/main", cover, 0);
         let mut shard = ledger::Shard::default();
@@ -66,7 +66,6 @@
             holder: OWN,
             description: &description,
             routers: 1,
-            shards: 1,
             stopping: self.stopping,
             gone: &|_, _| false,
         };
--- a/core/tests/log.rs
+++ b/core/tests/log.rs
@@ -45,7 +45,7 @@
     }
 
     fn append(&mut self, at: usize, entry: log_index::Entry) -> Option<log_writer::Done> {
-        self.writers[at].append(entry, log_writer::Waiter::Outbox, 0)
+        self.writers[at].append(entry, log_writer::Waiter::Outbox, log_writer::Urgency::Waited, 0)
     }
 
     fn start(&mut self, at: usize) -> (ids::CallId, store::Request) {
@@ -145,6 +145,15 @@
     assert_eq!(index.verdict(&claim(2)), Some(log_index::Verdict::Granted));
 }
 
+#[test]
+fn of_two_claims_in_the_log_the_first_one_holds() {
+    let mut index = log_index::Index::default();
+    index.apply(&log_index::Entry::Claim(claim(1)));
+    index.apply(&log_index::Entry::Claim(claim(2)));
+    assert_eq!(index.verdict(&claim(1)), Some(log_index::Verdict::Granted));
+    assert_eq!(index.verdict(&claim(2)), Some(log_index::Verdict::Taken));
+}
+
 #[test]
 fn a_release_does_not_void_anothers_claim() {
     let mut index = log_index::Index::default();
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -11,9 +11,7 @@
 
 pub use faults::Faults;
 
-use doorswitch_core::{
-    config, ids, ledger, ledger_writer, log_index, message, node, servers, store,
-};
+use doorswitch_core::{config, ids, ledger, log_index, message, node, servers, store};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -276,7 +274,7 @@
     pub fn pay(&mut self, budget: usize, tokens: u64) {
         self.operations += 1;
         let name = self.budget_name(budget);
-        let key = ledger_writer::key(ledger_writer::shard_of(&name, 2));
+        let key = ledger::key(ledger::shard_of(&name, 2));
         let (_, value) = self.store.get(&key).cloned().unwrap_or_default();
         let mut shard = match value.is_empty() {
             true => ledger::Shard::default(),
@@ -359,7 +357,7 @@
 
     pub fn ledger(&self, budget: usize) -> ledger::Budget {
         let name = self.budget_name(budget);
-        let key = ledger_writer::key(ledger_writer::shard_of(&name, 2));
+        let key = ledger::key(ledger::shard_of(&name, 2));
         let Some((_, value)) = self.store.get(&key) else { return ledger::Budget::default() };
         ledger::Shard::decode(value).unwrap().budgets.get(&name).cloned().unwrap_or_default()
     }
--- a/src/cmd/budget.rs
+++ b/src/cmd/budget.rs
@@ -2,7 +2,7 @@
 
 use super::{Error, OperatorError};
 use crate::{platform, publish};
-use doorswitch_core::{config, ledger, ledger_writer, log_index};
+use doorswitch_core::{config, ledger, log_index};
 use serde::Serialize;
 use std::collections;
 
@@ -103,7 +103,7 @@
         }
     }
     for shard in 0..document.layout.ledger_shards {
-        if let Some(entry) = platform.read(&ledger_writer::key(shard)).await? {
+        if let Some(entry) = platform.read(&ledger::key(shard)).await? {
             let shard = ledger::Shard::decode(&entry.value)?;
             for (name, budget) in &shard.budgets {
                 let row = rows.entry(name.clone()).or_insert_with(Row::default);
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -3,7 +3,7 @@
 //! Each carries an operation id, so that a lost reply never makes a second change.
 
 use crate::platform;
-use doorswitch_core::{config, ledger, ledger_writer};
+use doorswitch_core::{config, ledger};
 use snafu::ResultExt;
 use std::time::{Duration, Instant};
 
@@ -129,7 +129,7 @@
     });
     snafu::ensure!(declared, NoBudgetSnafu { workspace, budget });
     let name = config::budget_name(workspace, budget);
-    let key = ledger_writer::key(ledger_writer::shard_of(&name, shards));
+    let key = ledger::key(ledger::shard_of(&name, shards));
     let deadline = Instant::now() + patience;
     loop {
         match try_pay(platform, &key, &name, tokens, operation).await {
