--- a/src/router.rs
+++ b/src/router.rs
@@ -112,6 +112,7 @@
         .workers(settings.callers.traffic_threads as usize)
         .max_connections(settings.limits.connections_max as usize)
         .client_request_timeout(Duration::from_millis(settings.limits.head_read_ms))
+        .tcp_nodelay(true)
         .disable_signals()
         .shutdown_timeout(5)
         .listen(listener)?;
@@ -123,7 +124,13 @@
         let shared = shared.clone();
         App::new().configure(move |config| operator::routes(config, shared))
     });
-    Ok(server.workers(1).disable_signals().shutdown_timeout(1).listen(listener)?.run())
+    Ok(server
+        .workers(1)
+        .tcp_nodelay(true)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .listen(listener)?
+        .run())
 }
 
 async fn wait_for_stop(stop: &StopHandle) {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -270,7 +270,7 @@
         false => request.prompt.clone(),
     };
     let place = take_place(&shared).await;
-    tokio::time::sleep(Duration::from_millis(mode.prompt_ms)).await;
+    pause(mode.prompt_ms).await;
     let run = Run {
         place,
         mode,
@@ -288,6 +288,13 @@
         .streaming(stream::unfold(run, |run| run.next()))
 }
 
+/// A pause of 0 is none: the timer's grain is a millisecond.
+async fn pause(time_ms: u64) {
+    if time_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(time_ms)).await;
+    }
+}
+
 enum Stage {
     Tokens,
     Done,
@@ -317,7 +324,7 @@
                 Some((Err(io::Error::other("broken")), self))
             }
             Stage::Tokens if self.position < self.end => {
-                tokio::time::sleep(Duration::from_millis(self.mode.token_ms)).await;
+                pause(self.mode.token_ms).await;
                 let text = token(&self.prompt, self.position);
                 self.position += 1;
                 self.place.shared.lock().counts.made_tokens += 1;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -31,6 +31,7 @@
                         .configure(|config| routes(config))
                 })
                 .workers(2)
+                .tcp_nodelay(true)
                 .shutdown_timeout(0)
                 .disable_signals()
                 .bind(address);
