--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -73,6 +73,7 @@
         failure_domain: "a".to_owned(),
         region: "r".to_owned(),
         seeds: Vec::new(),
+        started_s: 0,
         platform_reads_per_s: 2_000,
         platform_writes_per_s: 100,
         budget_wait_ms: 500,
@@ -120,7 +121,7 @@
         answer_time_ms: 1,
     };
     let document = config::Document {
-        layout: config::Layout { ledger_shards: 16, log_shards: 16 },
+        layout: config::Layout { ledger_shards: 16, log_shards: 16, ..config::Layout::default() },
         workspaces: vec![config::Workspace {
             name: "w".to_owned(),
             keys: Vec::new(),
@@ -169,6 +170,7 @@
 fn wanted(key: u64, budget: usize) -> node::Wanted {
     node::Wanted {
         key: ids::RequestKey { high: key, low: key },
+        keyed: false,
         body_hash: 1,
         budget: format!("w/b{budget}"),
         service: "service".to_owned(),
@@ -201,7 +203,7 @@
                 store::Reply::Found { index: now_ms, value: shard.encode() }
             }
             store::Request::Read { .. } => store::Reply::Missing,
-            store::Request::Write { .. } => store::Reply::Written,
+            _ => store::Reply::Written,
         };
         node.store_reply(call, reply, now_ms);
     }
--- a/benches/capacity/messages.rs
+++ b/benches/capacity/messages.rs
@@ -20,6 +20,9 @@
     let settlement = log_index::Settlement {
         key: claim.key,
         attempt: claim.attempt,
+        origin: ids::Incarnation(u64::MAX),
+        number: 100_000,
+        keyed: true,
         body_hash: u64::MAX,
         budget: "workspace-1234/main".to_owned(),
         region: "region-1".to_owned(),
--- a/benches/capacity/values.rs
+++ b/benches/capacity/values.rs
@@ -104,6 +104,9 @@
         log_index::Entry::Settle(log_index::Settlement {
             key: ids::RequestKey { high: u64::MAX - number as u64, low: u64::MAX },
             attempt: ids::AttemptId(u64::MAX - number as u64),
+            origin: ids::Incarnation(u64::MAX),
+            number: number as u64,
+            keyed: true,
             body_hash: u64::MAX,
             budget: format!("workspace-{}/main", number % 100),
             region: "region-1".to_owned(),
@@ -114,6 +117,7 @@
     log_index::Segment {
         writer: ids::Incarnation(u64::MAX),
         nonce: u64::MAX,
+        written_s: 1_800_000_000,
         entries: (first..first + entries).map(entry).collect(),
     }
 }
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -67,11 +67,18 @@
     pub ledger_shards: u32,
     /// Logs that the request ids are spread over.
     pub log_shards: u32,
+    /// Segments of a log between two checkpoints; they are cleared together.
+    #[serde(default = "default_log_epoch_segments")]
+    pub log_epoch_segments: u64,
+}
+
+fn default_log_epoch_segments() -> u64 {
+    256
 }
 
 impl Default for Layout {
     fn default() -> Self {
-        Self { ledger_shards: 4, log_shards: 4 }
+        Self { ledger_shards: 4, log_shards: 4, log_epoch_segments: default_log_epoch_segments() }
     }
 }
 
@@ -350,6 +357,7 @@
         let shards = u64::from(SHARDS_MAX);
         self.range("layout.ledger_shards", u64::from(layout.ledger_shards), 1, shards);
         self.range("layout.log_shards", u64::from(layout.log_shards), 1, shards);
+        self.range("layout.log_epoch_segments", layout.log_epoch_segments, 4, 100_000);
         if earlier.is_some_and(|earlier| earlier != layout) {
             self.report("layout", Fault::LayoutChanged);
         }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -98,6 +98,8 @@
     members: members::Table,
     ledgers: Vec<ledger_writer::Writer>,
     logs: Vec<log_writer::Writer>,
+    /// This router's settlements, counted for each shard of the log.
+    settled_in_shard: Vec<u64>,
     requests: slotmap::SlotMap<ids::RequestSlot, Request>,
     by_key: collections::HashMap<ids::RequestKey, ids::RequestSlot>,
     by_attempt: collections::HashMap<ids::AttemptId, ids::RequestSlot>,
@@ -161,6 +163,7 @@
             members,
             ledgers: Vec::new(),
             logs: Vec::new(),
+            settled_in_shard: Vec::new(),
             requests: Default::default(),
             by_key: Default::default(),
             by_attempt: Default::default(),
@@ -245,9 +248,11 @@
             let layout = published.document.layout;
             let own = self.settings.incarnation;
             self.grants = grants::Table::new(layout.ledger_shards);
+            self.settled_in_shard = vec![0; layout.log_shards as usize];
             self.ledgers = (0..layout.ledger_shards).map(ledger_writer::Writer::new).collect();
-            self.logs =
-                (0..layout.log_shards).map(|shard| log_writer::Writer::new(shard, own)).collect();
+            self.logs = (0..layout.log_shards)
+                .map(|shard| log_writer::Writer::new(shard, own, layout.log_epoch_segments))
+                .collect();
         }
         for workspace in &published.document.workspaces {
             for budget in &workspace.budgets {
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -24,7 +24,8 @@
         for shard in 0..self.logs.len() {
             if self.logs[shard].due(now_ms) && self.may_call_log(shard, now_ms) {
                 let call = self.call(Purpose::Log(shard));
-                let request = self.logs[shard].start(call, &mut self.rng);
+                let clock_s = self.settings.started_s + now_ms / 1_000;
+                let request = self.logs[shard].start(call, clock_s, &mut self.rng);
                 self.push_store(call, request);
             }
         }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -153,9 +153,15 @@
     ) {
         let Some(request) = self.requests.get(slot) else { return };
         let attempt = request.attempt;
+        let shard = request.wanted.key.shard(self.logs.len() as u32) as usize;
+        let Some(number) = self.settled_in_shard.get_mut(shard) else { return };
+        *number += 1;
         let settlement = log_index::Settlement {
             key: request.wanted.key,
             attempt,
+            origin: self.settings.incarnation,
+            number: *number,
+            keyed: request.wanted.keyed,
             body_hash: request.wanted.body_hash,
             budget: request.wanted.budget.clone(),
             region: self.settings.region.clone(),
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -21,6 +21,8 @@
     pub region: String,
     /// Addresses where other routers may be found.
     pub seeds: Vec<String>,
+    /// The wall clock at time 0, in seconds since 1970. It only stamps the log, for forgetting ids.
+    pub started_s: u64,
     /// Reads that the platform takes from all callers together.
     pub platform_reads_per_s: u64,
     /// Writes that the platform takes from all callers together.
@@ -54,6 +56,8 @@
 pub struct Wanted {
     /// The caller's id for it, with the workspace.
     pub key: ids::RequestKey,
+    /// Whether the caller chose the id, and may come back with it.
+    pub keyed: bool,
     /// A digest of the request.
     pub body_hash: u64,
     /// The budget's name in the ledger.
--- a/core/src/store.rs
+++ b/core/src/store.rs
@@ -17,12 +17,17 @@
         /// The new value.
         value: Vec<u8>,
     },
+    /// Deletes all keys under a prefix; answered by `Written`.
+    DeletePrefix {
+        /// The prefix.
+        prefix: String,
+    },
 }
 
 impl Request {
     /// Whether the call counts as a write.
     pub fn is_write(&self) -> bool {
-        matches!(self, Self::Write { .. })
+        matches!(self, Self::Write { .. } | Self::DeletePrefix { .. })
     }
 }
 
--- a/core/tests/log.rs
+++ b/core/tests/log.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use std::collections::BTreeMap;
 
+const EPOCH_SEGMENTS: u64 = 8;
 const KEY: ids::RequestKey = ids::RequestKey { high: 0, low: 7 };
 
 fn claim(attempt: u64) -> log_index::Claim {
@@ -17,6 +18,9 @@
     log_index::Settlement {
         key: KEY,
         attempt: ids::AttemptId(attempt),
+        origin: ids::Incarnation(attempt),
+        number: 1,
+        keyed: true,
         body_hash: 1,
         budget: "w/main".to_owned(),
         region: "r".to_owned(),
@@ -27,7 +31,8 @@
 
 /// A store of segments and some writers that race for them.
 struct Bench {
-    values: BTreeMap<String, Vec<u8>>,
+    values: BTreeMap<String, (u64, Vec<u8>)>,
+    index: u64,
     writers: Vec<log_writer::Writer>,
     calls: u64,
     rng: StdRng,
@@ -35,9 +40,10 @@
 
 impl Bench {
     fn new(writers: u64) -> Self {
-        let writer = |id| log_writer::Writer::new(0, ids::Incarnation(id));
+        let writer = |id| log_writer::Writer::new(0, ids::Incarnation(id), EPOCH_SEGMENTS);
         Self {
             values: BTreeMap::new(),
+            index: 0,
             writers: (1..=writers).map(writer).collect(),
             calls: 0,
             rng: StdRng::seed_from_u64(3),
@@ -51,20 +57,25 @@
     fn start(&mut self, at: usize) -> (ids::CallId, store::Request) {
         self.calls += 1;
         let call = ids::CallId(self.calls);
-        (call, self.writers[at].start(call, &mut self.rng))
+        (call, self.writers[at].start(call, 0, &mut self.rng))
     }
 
     fn apply(&mut self, request: store::Request) -> store::Reply {
         match request {
             store::Request::Read { key } => match self.values.get(&key) {
-                Some(value) => store::Reply::Found { index: 1, value: value.clone() },
+                Some((index, value)) => store::Reply::Found { index: *index, value: value.clone() },
                 None => store::Reply::Missing,
             },
-            store::Request::Write { key, value, .. } => {
-                if self.values.contains_key(&key) {
+            store::Request::Write { key, expected_index, value } => {
+                if self.values.get(&key).map_or(0, |(index, _)| *index) != expected_index {
                     return store::Reply::Conflict;
                 }
-                self.values.insert(key, value);
+                self.index += 1;
+                self.values.insert(key, (self.index, value));
+                store::Reply::Written
+            }
+            store::Request::DeletePrefix { prefix } => {
+                self.values.retain(|key, _| !key.starts_with(&prefix));
                 store::Reply::Written
             }
         }
@@ -196,3 +207,72 @@
     index.apply(&log_index::Entry::Settle(settlement(1, 5)));
     assert_eq!(index.verdict(&other), Some(log_index::Verdict::Conflict));
 }
+
+/// Writes segments of one settlement each, through one writer.
+fn write_segments(bench: &mut Bench, at: usize, numbers: std::ops::RangeInclusive<u64>) {
+    for number in numbers {
+        let mut settlement = settlement(77, 1);
+        settlement.number = number;
+        settlement.key = ids::RequestKey { high: 0, low: 1_000 + number };
+        bench.append(at, log_index::Entry::Settle(settlement));
+        bench.finish(at);
+    }
+    // Saves and clears what is due by now.
+    for _ in 0..10 {
+        if bench.writers[at].due(0) {
+            bench.call(at);
+        }
+    }
+}
+
+#[test]
+fn old_segments_give_way_to_a_checkpoint_that_says_the_same() {
+    let mut bench = Bench::new(2);
+    write_segments(&mut bench, 0, 1..=40);
+    let segments = bench.values.keys().filter(|key| key.contains("/log/")).count() as u64;
+    assert!(segments < 2 * EPOCH_SEGMENTS, "{segments} segments are left");
+    bench.append(1, log_index::Entry::Claim(claim(5)));
+    assert_eq!(verdict(&bench.finish(1)), Some(log_index::Verdict::Granted));
+    let (_, _, totals) = bench.writers[1].index().totals().next().unwrap();
+    assert_eq!((totals.billed_requests, totals.billed_tokens), (40, 40));
+    // Numbers that the checkpoint holds are still known.
+    let mut again = settlement(77, 1);
+    again.number = 3;
+    again.key = ids::RequestKey { high: 0, low: 1_003 };
+    assert!(bench.append(1, log_index::Entry::Settle(again)).is_some());
+}
+
+#[test]
+fn a_writer_that_slept_past_a_checkpoint_runs_nothing_by_a_cleared_segment() {
+    let mut bench = Bench::new(2);
+    write_segments(&mut bench, 0, 1..=7);
+    // The sleeper knows the log up to its end, and goes to sleep with a claim.
+    let mut other = settlement(9, 1);
+    other.key = ids::RequestKey { high: 0, low: 999 };
+    bench.append(1, log_index::Entry::Settle(other));
+    bench.finish(1);
+    bench.append(1, log_index::Entry::Claim(claim(2)));
+    // Meanwhile another claim wins, and the segments around it are cleared.
+    bench.append(0, log_index::Entry::Claim(claim(1)));
+    bench.finish(0);
+    write_segments(&mut bench, 0, 8..=40);
+    assert!(!bench.values.contains_key(&log_index::key(0, 8, EPOCH_SEGMENTS)));
+    let done = bench.finish(1);
+    assert_ne!(verdict(&done), Some(log_index::Verdict::Granted));
+}
+
+#[test]
+fn an_id_is_forgotten_only_after_its_time() {
+    let mut index = log_index::Index::default();
+    let segment = |written_s, entries| log_index::Segment {
+        writer: ids::Incarnation(1),
+        nonce: 0,
+        written_s,
+        entries,
+    };
+    index.apply_segment(&segment(1_000, vec![log_index::Entry::Claim(claim(1))]));
+    index.apply_segment(&segment(999 + log_index::REMEMBER_S, Vec::new()));
+    assert_eq!(index.verdict(&claim(2)), Some(log_index::Verdict::Taken));
+    index.apply_segment(&segment(1_000 + log_index::REMEMBER_S, Vec::new()));
+    assert_eq!(index.verdict(&claim(2)), None);
+}
--- a/core/tests/world/faults.rs
+++ b/core/tests/world/faults.rs
@@ -122,6 +122,10 @@
                 self.store.insert(key, (self.index, value));
                 store::Reply::Written
             }
+            store::Request::DeletePrefix { prefix } => {
+                self.store.retain(|key, _| !key.starts_with(&prefix));
+                store::Reply::Written
+            }
         }
     }
 
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -238,6 +238,7 @@
         let key = ids::RequestKey { high: key, low: budget as u64 };
         let wanted = node::Wanted {
             key,
+            keyed: true,
             body_hash: 1,
             budget: self.budget_name(budget),
             service: "service".to_owned(),
@@ -364,9 +365,20 @@
 
     pub fn log(&self) -> log_index::Index {
         let mut index = log_index::Index::default();
-        for (_, (_, value)) in self.store.range("doorswitch/log/".to_owned()..) {
-            let Ok(segment) = log_index::Segment::decode(value) else { continue };
-            segment.entries.iter().for_each(|entry| index.apply(entry));
+        for shard in 0..2 {
+            let checkpoint = self.store.get(&log_index::checkpoint_key(shard));
+            let checkpoint =
+                checkpoint.map(|(_, value)| log_index::Checkpoint::decode(value).unwrap());
+            let upto = checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.upto);
+            let mut own = checkpoint.map(log_index::Checkpoint::restore).unwrap_or_default();
+            let prefix = log_index::prefix(shard);
+            let values = self.store.range(prefix.clone()..);
+            for (key, (_, value)) in values.take_while(|(key, _)| key.starts_with(&prefix)) {
+                if log_index::segment_number(key).unwrap() >= upto {
+                    own.apply_segment(&log_index::Segment::decode(value).unwrap());
+                }
+            }
+            index.merge(own);
         }
         index
     }
@@ -381,6 +393,7 @@
             failure_domain: format!("domain-{place}"),
             region: format!("region-{}", place % self.shape.regions),
             seeds,
+            started_s: 0,
             platform_reads_per_s: 2_000,
             platform_writes_per_s: self.shape.writes_per_s,
             budget_wait_ms: 500,
@@ -565,7 +578,7 @@
 
 fn document(shape: &Shape) -> config::Document {
     config::Document {
-        layout: config::Layout { ledger_shards: 2, log_shards: 2 },
+        layout: config::Layout { ledger_shards: 2, log_shards: 2, log_epoch_segments: 8 },
         workspaces: vec![config::Workspace {
             name: "workspace".to_owned(),
             keys: Vec::new(),
--- a/src/cmd/budget.rs
+++ b/src/cmd/budget.rs
@@ -113,12 +113,7 @@
         }
     }
     for shard in 0..document.layout.log_shards {
-        let mut index = log_index::Index::default();
-        for entry in platform.list(&log_index::prefix(shard)).await? {
-            for entry in log_index::Segment::decode(&entry.value)?.entries {
-                index.apply(&entry);
-            }
-        }
+        let index = read_log(platform, shard).await?;
         for (name, region, totals) in index.totals() {
             let row = rows.entry(name.to_owned()).or_insert_with(Row::default);
             fill_from_log(row, region, totals);
@@ -127,6 +122,26 @@
     Ok(rows.into_values().collect())
 }
 
+/// The segments first: a checkpoint that is read after them covers those that were cleared meanwhile.
+async fn read_log(platform: &platform::Client, shard: u32) -> Result<log_index::Index, Error> {
+    let segments = platform.list(&log_index::prefix(shard)).await?;
+    let checkpoint = platform.read(&log_index::checkpoint_key(shard)).await?;
+    let (mut index, upto) = match checkpoint {
+        Some(entry) => {
+            let checkpoint = log_index::Checkpoint::decode(&entry.value)?;
+            let upto = checkpoint.upto;
+            (checkpoint.restore(), upto)
+        }
+        None => (log_index::Index::default(), 0),
+    };
+    for entry in segments {
+        if log_index::segment_number(&entry.key)? >= upto {
+            index.apply_segment(&log_index::Segment::decode(&entry.value)?);
+        }
+    }
+    Ok(index)
+}
+
 fn fill_from_ledger(row: &mut Row, budget: &ledger::Budget) {
     row.paid_tokens = budget.paid_tokens;
     row.remaining_tokens = budget.remaining_tokens().unwrap_or(0);
--- a/src/control.rs
+++ b/src/control.rs
@@ -402,6 +402,11 @@
     response.json::<servers::Load>().await.ok()
 }
 
+fn unix_time_s() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
+
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::random_range(0.5..1.5))
 }
@@ -413,6 +418,7 @@
         address: settings.advertised().to_string(),
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
+        started_s: unix_time_s(),
         seeds: settings.peers.seeds.iter().map(ToString::to_string).collect(),
         platform_reads_per_s: settings.platform.reads_per_s,
         platform_writes_per_s: settings.platform.writes_per_s,
--- a/src/front.rs
+++ b/src/front.rs
@@ -16,6 +16,8 @@
 
 /// Pieces of an answer that wait for a slow caller.
 const PIECES_WAITING: usize = 64;
+/// The header by which a caller names a request.
+const ID_HEADER: &str = "idempotency-key";
 /// The longest id that a caller may give a request.
 const ID_BYTES_MAX: usize = 256;
 
@@ -179,6 +181,7 @@
         let (mut wanted, priority) = wanted(&caller, service, &facts, &id, deadline_ms)?;
         wanted.body_hash = body_hash(endpoint.path(), &body);
         wanted.prefix_hash = Some(request.prefix_hash);
+        wanted.keyed = http.headers().contains_key(ID_HEADER);
         let (stream, include_usage) = (request.stream, request.include_usage);
         let entrance = self.shared.answers.enter(wanted.key, wanted.body_hash).await;
         let place = match entrance {
@@ -247,7 +250,7 @@
             ..policy::Facts::default()
         };
         let unrepeatable = is_unrepeatable(service, http.method(), &path);
-        if unrepeatable && !http.headers().contains_key("idempotency-key") {
+        if unrepeatable && !http.headers().contains_key(ID_HEADER) {
             let message = "this call runs at most once: an Idempotency-Key header is needed";
             return Err(Rejection::invalid("id_missing", message));
         }
@@ -258,6 +261,7 @@
         let target = format!("{path}{query}");
         wanted.body_hash = body_hash(&format!("{} {target}", http.method()), &body);
         wanted.unrepeatable = unrepeatable;
+        wanted.keyed = http.headers().contains_key(ID_HEADER);
         let open = self.shared.published.open_answer();
         let placement = match upstream::admit(&self.shared.control, wanted).await {
             upstream::Admission::Placed(placement) => placement,
@@ -314,7 +318,7 @@
     }
 
     fn request_id(&self, request: &HttpRequest) -> Result<String, Rejection> {
-        let Some(value) = request.headers().get("idempotency-key") else {
+        let Some(value) = request.headers().get(ID_HEADER) else {
             return Ok(uuid::Uuid::new_v4().to_string());
         };
         let id = value.to_str().ok().filter(|id| (1..=ID_BYTES_MAX).contains(&id.len()));
@@ -348,6 +352,7 @@
         policy::Decision::Allow { budget, priority, classes } => {
             let wanted = node::Wanted {
                 key: request_key(&caller.workspace.name, id),
+                keyed: true,
                 body_hash: 0,
                 budget: config::budget_name(&caller.workspace.name, &budget),
                 service: service.name.clone(),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -97,6 +97,9 @@
                     false => store::Reply::Conflict,
                 })
             }
+            store::Request::DeletePrefix { prefix } => {
+                self.delete_prefix(&prefix).await.map(|()| store::Reply::Written)
+            }
         };
         reply.unwrap_or(store::Reply::Unknown)
     }
@@ -132,6 +135,15 @@
         self.json(response).await
     }
 
+    /// Deletes all keys under a prefix.
+    pub async fn delete_prefix(&self, prefix: &str) -> Result<(), Error> {
+        let url = format!("{}/v1/kv/{prefix}?recurse", self.inner.url);
+        let request = self.inner.http.delete(url).timeout(self.inner.timeout);
+        let response = request.send().await.map_err(unreachable)?;
+        let _: bool = self.json(response).await?;
+        Ok(())
+    }
+
     /// Waits until the list of VMs has an index above `index`, or some seconds have passed.
     pub async fn vms(&self, index: u64) -> Result<VmList, Error> {
         let url = format!("{}/v1/vms?index={index}&wait={WATCH_S}s", self.inner.url);
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: a key-value service with compare-and-swap and watches, and the list of VMs.
 //!
 //! The key-value part speaks a subset of the Consul HTTP API: `GET /v1/kv/<key>` (with `index` and
-//! `wait` for a watch, `recurse` for a prefix) and `PUT /v1/kv/<key>?cas=<index>`. `GET /v1/vms`
+//! `wait` for a watch, `recurse` for a prefix) and `PUT /v1/kv/<key>?cas=<index>`, `DELETE`. `GET /v1/vms`
 //! gives the list of VMs. It can be out, slow, lose replies after a write took effect, and limit
 //! its rates.
 
@@ -132,6 +132,7 @@
                 .app_data(data.clone())
                 .route("/v1/kv/{key:.*}", web::get().to(get))
                 .route("/v1/kv/{key:.*}", web::put().to(put))
+                .route("/v1/kv/{key:.*}", web::delete().to(delete))
                 .route("/v1/vms", web::get().to(vms))
                 .route("/v1/vms", web::put().to(put_vms))
                 .route("/mode", web::put().to(set_mode))
@@ -316,6 +317,23 @@
     HttpResponse::Ok().json(written)
 }
 
+async fn delete(
+    shared: web::Data<Shared>,
+    key: web::Path<String>,
+    query: web::Query<HashMap<String, String>>,
+) -> HttpResponse {
+    let mode = match shared.lock().admit_write() {
+        Ok(mode) => mode,
+        Err(refused) => return *refused,
+    };
+    pause(mode).await;
+    let recurse = query.contains_key("recurse");
+    let gone = |name: &String| *name == *key || (recurse && name.starts_with(key.as_str()));
+    shared.lock().values.retain(|name, _| !gone(name));
+    shared.changed.notify_waiters();
+    HttpResponse::Ok().json(true)
+}
+
 async fn vms(
     shared: web::Data<Shared>,
     query: web::Query<HashMap<String, String>>,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -165,7 +165,7 @@
 pub fn document(options: &Options) -> config::Document {
     let yaml = format!(
         r#"
-layout: {{ ledger_shards: 2, log_shards: 2 }}
+layout: {{ ledger_shards: 2, log_shards: 2, log_epoch_segments: 8 }}
 workspaces:
   - name: kitchen
     keys: [{{ name: one, sha256: {kitchen} }}]
@@ -508,10 +508,19 @@
     /// The log as it lies in the store.
     pub fn log(&self) -> log_index::Index {
         let mut index = log_index::Index::default();
-        for (_, value) in self.platform.values("doorswitch/log/") {
-            for entry in log_index::Segment::decode(&value).unwrap().entries {
-                index.apply(&entry);
+        for shard in 0..2 {
+            let segments = self.platform.values(&log_index::prefix(shard));
+            let checkpoint = self.platform.values(&log_index::checkpoint_key(shard)).pop();
+            let checkpoint =
+                checkpoint.map(|(_, value)| log_index::Checkpoint::decode(&value).unwrap());
+            let upto = checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.upto);
+            let mut own = checkpoint.map(log_index::Checkpoint::restore).unwrap_or_default();
+            for (key, value) in segments {
+                if log_index::segment_number(&key).unwrap() >= upto {
+                    own.apply_segment(&log_index::Segment::decode(&value).unwrap());
+                }
             }
+            index.merge(own);
         }
         index
     }
