--- a/benches/capacity/path.rs
+++ b/benches/capacity/path.rs
@@ -16,7 +16,9 @@
   - { name: p, program: 'allow("main", 5, [])' }
 "#;
 const PATIENCE: Duration = Duration::from_secs(20);
-const REQUESTS: u32 = 600;
+const REQUESTS: u32 = 300;
+/// Lengths of the answers: the difference shows what a token costs.
+const TOKENS: [u64; 2] = [16, 512];
 /// Ports for callers, operators and peers, below the range that the kernel gives out by itself.
 const PORTS: [[u16; 3]; 2] = [[11_871, 11_872, 11_873], [11_881, 11_882, 11_883]];
 
@@ -73,16 +75,27 @@
     publish::pay(&client, "w", "main", 1 << 40, "bench", PATIENCE).await.unwrap();
     let through = local(PORTS[0][0]);
     let ready = Instant::now();
-    while once(through).await.is_err() {
+    while once(through, 1).await.is_err() {
         assert!(ready.elapsed() < PATIENCE, "the router never served");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    println!("\none whole answer of 16 tokens, {REQUESTS} in turn each way, interleaved");
+    for tokens in TOKENS {
+        compare_length(engine, through, tokens).await?;
+    }
+    Ok(())
+}
+
+async fn compare_length(
+    engine: SocketAddr,
+    through: SocketAddr,
+    tokens: u64,
+) -> Result<(), String> {
+    println!("\none whole answer of {tokens} tokens, {REQUESTS} in turn each way, interleaved");
     let mut histograms = [histogram(), histogram()];
     for _ in 0..REQUESTS {
         for (address, histogram) in [engine, through].into_iter().zip(&mut histograms) {
             let begin = Instant::now();
-            once(address).await?;
+            once(address, tokens).await?;
             histogram.record(begin.elapsed().as_micros() as u64).unwrap();
         }
     }
@@ -101,12 +114,12 @@
     hdrhistogram::Histogram::new(3).unwrap()
 }
 
-async fn once(address: SocketAddr) -> Result<(), String> {
+async fn once(address: SocketAddr, tokens: u64) -> Result<(), String> {
     let client = thread_client();
     let body = serde_json::json!({
         "model": "roast-7b",
         "messages": [{ "role": "user", "content": "hello there" }],
-        "max_tokens": 16,
+        "max_tokens": tokens,
     });
     let request = client.post(format!("http://{address}/v1/chat/completions")).bearer_auth("k");
     let mut response = request.send_json(&body).await.map_err(|error| error.to_string())?;
--- a/benches/capacity/values.rs
+++ b/benches/capacity/values.rs
@@ -124,7 +124,10 @@
 
 fn documents() {
     println!("\na configuration document");
-    println!("{:>11} {:>8} {:>12} {:>14}", "workspaces", "budgets", "bytes", "decode us");
+    println!(
+        "{:>11} {:>8} {:>12} {:>14} {:>14}",
+        "workspaces", "budgets", "bytes", "decode us", "held bytes"
+    );
     for workspaces in [10, 100, 1_000, 2_600] {
         let published = config::Published::next(None, "bench", document(workspaces));
         let value = serde_json::to_vec(&published).unwrap();
@@ -132,7 +135,15 @@
             serde_json::from_slice::<config::Published>(&value).unwrap();
         });
         let budgets = workspaces * 8;
-        println!("{workspaces:>11} {budgets:>8} {:>12} {:>14.1}", value.len(), decode / 1e3);
+        let before = crate::allocated_bytes();
+        let held: config::Published = serde_json::from_slice(&value).unwrap();
+        let held_bytes = crate::allocated_bytes() - before;
+        drop(held);
+        println!(
+            "{workspaces:>11} {budgets:>8} {:>12} {:>14.1} {held_bytes:>14}",
+            value.len(),
+            decode / 1e3
+        );
     }
 }
 
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -110,17 +110,21 @@
         self.backoff.failures()
     }
 
+    /// Whether `due` is worth asking: a cheap look first, since this is asked each tick.
+    pub fn may_be_due(&self, now_ms: u64) -> bool {
+        let pressing = self.urgent || self.stale || self.unsettled_index.is_some();
+        let looks = pressing || now_ms >= self.looked_ms + LOOK_EVERY_MS;
+        looks && matches!(self.state, State::Idle) && now_ms >= self.not_before_ms
+    }
+
     /// Whether there is something to read or write now.
     pub fn due(&mut self, table: &grants::Table, context: &Context<'_>) -> bool {
-        if !matches!(self.state, State::Idle) || context.now_ms < self.not_before_ms {
+        if !self.may_be_due(context.now_ms) {
             return false;
         }
         if self.urgent || self.stale || self.unsettled_index.is_some() {
             return true;
         }
-        if context.now_ms < self.looked_ms + LOOK_EVERY_MS {
-            return false;
-        }
         self.looked_ms = context.now_ms;
         let since_ms = context.now_ms.saturating_sub(self.reported_ms);
         let mut accounts = table.in_shard(self.shard).iter().map(|slot| table.account(*slot));
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -45,7 +45,7 @@
     }
 
     fn ledger_due(&mut self, shard: usize, now_ms: u64) -> bool {
-        if self.lifecycle == Lifecycle::Fenced {
+        if self.lifecycle == Lifecycle::Fenced || !self.ledgers[shard].may_be_due(now_ms) {
             return false;
         }
         let description = self.ledger_holder();
