Choose servers by exact own load and averaged others; keep a share for the lowest priority

Corrections of a late report by what was sent since it came count requests that the report already knows, or miss some. Found by a new test: under a stream of high priority the lowest was always the one shed, so it starved although each tenth place was the oldest's.

Change: a router counts its own requests exactly and others' on average over 16 reports; the one that waits longest is never shed.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -27,8 +27,9 @@
     row("budgets, all in use", |count| Size { budgets: count, active: count, ..base });
     row("members", |count| Size { members: count, ..base });
     row("servers", |count| Size { servers: count, ..base });
-    row("requests in flight", |count| Size { requests: count, servers: 1_000, ..base });
+    row("requests in flight", |count| Size { requests: count, servers: count, ..base });
     decisions();
+    refusals();
 }
 
 fn row(what: &str, size: impl Fn(usize) -> Size) {
@@ -65,6 +66,22 @@
     }
 }
 
+/// What a refusal costs beside an accepted request: the queue is full, all servers are busy.
+fn refusals() {
+    let mut node = build(Size { budgets: 10, active: 10, members: 8, servers: 1, requests: 0 });
+    for key in 0..200 {
+        node.admit(wanted(key, 0), 1_000_000);
+    }
+    node.take_actions();
+    let mut key = 1_000;
+    let each = nanoseconds(|| {
+        key += 1;
+        node.admit(wanted(key, 0), 1_000_000);
+        node.take_actions();
+    });
+    println!("a refusal with a full queue: {each:.0} ns");
+}
+
 fn settings() -> node::Settings {
     node::Settings {
         incarnation: ids::Incarnation(1),
@@ -116,7 +133,7 @@
         answer_tokens_max: 1,
         call_tokens: 0,
         unrepeatable: Vec::new(),
-        queue_length: 100_000,
+        queue_length: 64,
         queue_age_ms: 600_000,
         answer_time_ms: 1,
     };
--- a/core/benches/measures/scenario.rs
+++ b/core/benches/measures/scenario.rs
@@ -190,6 +190,7 @@
         servers: site.servers(),
         slots: 64,
         writes_per_s: 100,
+        queue_length: 1_000,
     };
     let mut world = World::new(shape, 5);
     world.serve_ms = SERVE_MS;
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -250,12 +250,23 @@
             slot,
         };
         self.waiting_servers.insert(place);
+        self.shed(&service, most, now_ms);
+    }
+
+    /// Refuses the lowest priority if too many wait, but never the one that has waited longest: with
+    /// each tenth place that goes to it, the lowest priority gets a small share.
+    fn shed(&mut self, service: &str, most: usize, now_ms: u64) {
         let queue: Vec<&QueuePlace> =
             self.waiting_servers.iter().filter(|place| place.service == service).collect();
-        if queue.len() > most
-            && let Some(last) = queue.last().map(|place| place.slot)
-        {
-            self.refuse(last, Reason::Overloaded, now_ms);
+        if queue.len() <= most {
+            return;
+        }
+        let oldest =
+            queue.iter().min_by_key(|place| (place.since_ms, place.slot)).map(|place| place.slot);
+        let spared = |place: &&&QueuePlace| most > 0 && Some(place.slot) == oldest;
+        let last = queue.iter().rev().find(|place| !spared(place)).map(|place| place.slot);
+        if let Some(slot) = last {
+            self.refuse(slot, Reason::Overloaded, now_ms);
         }
     }
 
@@ -263,7 +274,7 @@
         let mut queue = self.waiting_servers.iter().filter(|place| place.service == service);
         let dequeued = self.drained.get(service).map_or(0, |drain| drain.dequeued);
         if dequeued % OLDEST_EVERY == OLDEST_EVERY - 1 {
-            return queue.min_by_key(|place| place.since_ms).cloned();
+            return queue.min_by_key(|place| (place.since_ms, place.slot)).cloned();
         }
         queue.next().cloned()
     }
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -1,12 +1,12 @@
 //! Backend servers as one router sees them, and the choice among them.
 //!
-//! Reports of load come late, so the router adds what it has sent since. Of two candidates drawn at
-//! random the better one is taken: routers with the same old view then do not all pick the same
-//! server.
+//! Reports of load come late. The router knows its own requests exactly and takes from the reports
+//! only what others have there, on average. Of two candidates drawn at random the better one is taken:
+//! routers with the same old view then do not all pick the same server.
 
 use crate::{ids, rendezvous};
-use rand::RngExt;
 use rand::rngs;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use std::collections;
 
@@ -22,6 +22,11 @@
 const AFFINITY_MARGIN_PERCENT: u64 = 150;
 /// Prefixes remembered, over all servers.
 const PREFIXES_REMEMBERED: usize = 4_096;
+/// A report counts for one part in so many of the average load.
+const REPORT_WEIGHT: u64 = 16;
+/// Of a hundred servers with room, so many are compared; at least two.
+const DRAWN_PERCENT: usize = 50;
+const DRAWN_MIN: usize = 2;
 /// Until a server's pace is known, this is assumed.
 const DEFAULT_ANSWER_MS: u64 = 500;
 
@@ -72,10 +77,10 @@
     pub load: Option<Load>,
     /// This router's requests on it.
     pub in_flight: u64,
-    /// Of those, the ones sent since the report was made.
-    sent_since_report: u64,
-    /// This router's requests that ended since the report.
-    ended_since_report: u64,
+    /// All requests on it, averaged over reports, in thousandths.
+    all_milli: u64,
+    /// This router's requests on it when reports came, averaged alike.
+    own_milli: u64,
     answer_ms: u64,
     failures: u32,
     set_aside_until_ms: u64,
@@ -88,8 +93,8 @@
             vm,
             load: None,
             in_flight: 0,
-            sent_since_report: 0,
-            ended_since_report: 0,
+            all_milli: 0,
+            own_milli: 0,
             answer_ms: DEFAULT_ANSWER_MS,
             failures: 0,
             set_aside_until_ms: 0,
@@ -102,11 +107,10 @@
         self.load.map_or(DEFAULT_SLOTS, |load| load.slots.max(1))
     }
 
-    /// Requests that are on the server now, as far as can be told.
+    /// Requests that are on the server now, as far as can be told: this router's own, which it knows,
+    /// and those of others, which late reports show only on average.
     pub fn estimated_load(&self) -> u64 {
-        let reported = self.load.map_or(0, |load| load.running + load.queued);
-        let corrected = (reported + self.sent_since_report).saturating_sub(self.ended_since_report);
-        corrected.max(self.in_flight)
+        self.in_flight + self.all_milli.saturating_sub(self.own_milli) / 1_000
     }
 
     fn has_room(&self, now_ms: u64) -> bool {
@@ -202,7 +206,7 @@
         }
         let open: Vec<ids::ServerSlot> =
             fitting.into_iter().filter(|slot| self.servers[*slot].has_room(now_ms)).collect();
-        let better = self.better_of_two(&open, rng).ok_or(Lack::Full)?;
+        let better = self.best_of_some(&open, rng).ok_or(Lack::Full)?;
         let chosen = self.with_affinity(better, &open, wanted.prefix_hash);
         self.started(chosen);
         if let Some(hash) = wanted.prefix_hash {
@@ -215,7 +219,6 @@
     pub fn ended(&mut self, slot: ids::ServerSlot) {
         if let Some(server) = self.servers.get_mut(slot) {
             server.in_flight = server.in_flight.saturating_sub(1);
-            server.ended_since_report += 1;
         }
     }
 
@@ -243,8 +246,8 @@
     pub fn reported(&mut self, slot: ids::ServerSlot, load: Load) {
         if let Some(server) = self.servers.get_mut(slot) {
             server.load = Some(load);
-            server.sent_since_report = 0;
-            server.ended_since_report = 0;
+            server.all_milli = averaged(server.all_milli, load.running + load.queued);
+            server.own_milli = averaged(server.own_milli, server.in_flight);
         }
     }
 
@@ -300,19 +303,14 @@
         slots.iter().filter(fits).copied().collect()
     }
 
-    fn better_of_two(
+    /// The cheapest of some that are drawn at random.
+    fn best_of_some(
         &self,
         open: &[ids::ServerSlot],
         rng: &mut rngs::StdRng,
     ) -> Option<ids::ServerSlot> {
-        if open.is_empty() {
-            return None;
-        }
-        let one = open[rng.random_range(0..open.len())];
-        let other = open[rng.random_range(0..open.len())];
-        let better =
-            if self.servers[one].cost() <= self.servers[other].cost() { one } else { other };
-        Some(better)
+        let drawn = open.sample(rng, (open.len() * DRAWN_PERCENT).div_ceil(100).max(DRAWN_MIN));
+        drawn.min_by_key(|slot| self.servers[**slot].cost()).copied()
     }
 
     fn with_affinity(
@@ -336,7 +334,6 @@
     fn started(&mut self, slot: ids::ServerSlot) {
         let server = &mut self.servers[slot];
         server.in_flight += 1;
-        server.sent_since_report += 1;
         // A server that was set aside is tried with one request before it gets more.
         server.probing = server.failures >= FAILURES_TO_SET_ASIDE;
     }
@@ -353,6 +350,10 @@
     }
 }
 
+fn averaged(average_milli: u64, requests: u64) -> u64 {
+    (average_milli * (REPORT_WEIGHT - 1) + requests * 1_000) / REPORT_WEIGHT
+}
+
 fn name_hash(name: &str) -> u64 {
     name.bytes().fold(0, |hash, byte| rendezvous::mix(hash ^ u64::from(byte)))
 }
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -89,3 +89,55 @@
     let (small, large) = (sent_a_second(4), sent_a_second(32));
     assert!(large <= small * 1.2, "{small} datagrams a second at 4 routers, {large} at 32");
 }
+
+/// Fills one server and its queue with requests of a priority; returns their places.
+fn fill(world: &mut World, count: u64, priority: u8) -> Vec<usize> {
+    let first = 1_000 * (1 + world.given.len() as u64);
+    world.priority = priority;
+    (0..count).filter_map(|it| world.admit(0, 0, first + it, 1, 1, false)).collect()
+}
+
+fn crowded() -> World {
+    let shape = Shape { routers: 1, servers: 1, queue_length: 4, ..Shape::default() };
+    let mut world = World::new(shape, 1);
+    world.run_ms(2_000);
+    world
+}
+
+#[test]
+fn of_too_many_the_lowest_priority_is_refused_at_once() {
+    let mut world = crowded();
+    fill(&mut world, 10, 5);
+    let low = fill(&mut world, 4, 1);
+    let high = fill(&mut world, 3, 8);
+    let refused =
+        |place: &usize| world.given[*place].end == Some(End::Refused(node::Reason::Overloaded));
+    // One place is kept for the request that has waited longest.
+    assert!(low[1..].iter().all(refused), "{:?}", world.given);
+    assert!(!high.iter().any(refused), "{:?}", world.given);
+}
+
+#[test]
+fn the_lowest_priority_is_served_also_while_higher_ones_keep_coming() {
+    let mut world = crowded();
+    fill(&mut world, 10, 5);
+    let low = fill(&mut world, 1, 1);
+    for round in 0..60 {
+        world.priority = 8;
+        world.admit(0, 0, 500_000 + round, 1, 1, false);
+        world.run_ms(40);
+    }
+    assert_eq!(world.given[low[0]].end, Some(End::Closed { safe: true }));
+}
+
+#[test]
+fn a_request_whose_deadline_passes_in_the_queue_is_refused_as_not_run() {
+    let mut world = crowded();
+    world.serve_ms = 5_000;
+    fill(&mut world, 10, 5);
+    world.deadline_ms = 1_000;
+    let late = fill(&mut world, 1, 5);
+    world.run_ms(1_500);
+    let end = world.given[late[0]].end.clone();
+    assert_eq!(end, Some(End::Refused(node::Reason::DeadlineTooClose)));
+}
--- /dev/null
+++ b/core/tests/servers.rs
@@ -0,0 +1,146 @@
+//! The choice among backend servers.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use doorswitch_core::{ids, servers};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+struct Bench {
+    table: servers::Table,
+    rng: StdRng,
+    now_ms: u64,
+}
+
+fn vm(name: &str, class: &str, state: servers::VmState) -> servers::Vm {
+    servers::Vm {
+        vm: name.to_owned(),
+        service: "service".to_owned(),
+        address: format!("{name}:1"),
+        class: class.to_owned(),
+        failure_domain: "a".to_owned(),
+        state,
+    }
+}
+
+impl Bench {
+    fn new(vms: &[servers::Vm]) -> Self {
+        let mut table = servers::Table::default();
+        table.follow(vms);
+        Self { table, rng: StdRng::seed_from_u64(1), now_ms: 1_000 }
+    }
+
+    fn two() -> Self {
+        let live = servers::VmState::Live;
+        Self::new(&[vm("one", "new", live), vm("two", "old", live)])
+    }
+
+    fn choose_for(
+        &mut self,
+        classes: &[String],
+        prefix_hash: Option<u64>,
+        not: &[ids::ServerSlot],
+    ) -> Result<ids::ServerSlot, servers::Lack> {
+        let wanted = servers::Wanted { service: "service", classes, prefix_hash, not };
+        self.table.choose(&wanted, self.now_ms, &mut self.rng)
+    }
+
+    fn choose(&mut self) -> Result<ids::ServerSlot, servers::Lack> {
+        self.choose_for(&[], None, &[])
+    }
+
+    fn name(&self, slot: ids::ServerSlot) -> String {
+        self.table.get(slot).unwrap().vm.vm.clone()
+    }
+}
+
+#[test]
+fn only_the_allowed_classes_are_chosen() {
+    let mut bench = Bench::two();
+    for _ in 0..8 {
+        let slot = bench.choose_for(&["old".to_owned()], None, &[]).unwrap();
+        assert_eq!(bench.name(slot), "two");
+        bench.table.ended(slot);
+    }
+    let none = bench.choose_for(&["other".to_owned()], None, &[]);
+    assert_eq!(none, Err(servers::Lack::None));
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new_and_stays_leaving_in_an_older_list() {
+    let mut bench = Bench::two();
+    bench.table.leaving("one");
+    let live = servers::VmState::Live;
+    bench.table.follow(&[vm("one", "new", live), vm("two", "old", live)]);
+    for _ in 0..8 {
+        let slot = bench.choose().unwrap();
+        assert_eq!(bench.name(slot), "two");
+    }
+}
+
+#[test]
+fn full_servers_are_told_from_none() {
+    let mut bench = Bench::two();
+    let chosen = (0..1_000).map_while(|_| bench.choose().ok()).count();
+    assert_eq!(chosen, 20, "eight slots and a quarter more, on each of two");
+    assert_eq!(bench.choose(), Err(servers::Lack::Full));
+    bench.table.follow(&[]);
+    assert_eq!(bench.choose(), Err(servers::Lack::None));
+}
+
+#[test]
+fn a_failing_server_is_set_aside_and_tried_again_with_one_request() {
+    let mut bench = Bench::two();
+    let bad = bench.choose().unwrap();
+    for _ in 0..3 {
+        bench.table.failed(bad, bench.now_ms);
+    }
+    for _ in 0..5 {
+        assert_ne!(bench.choose().unwrap(), bad);
+    }
+    bench.now_ms += 60_000;
+    let tries = (0..12).filter(|_| bench.choose() == Ok(bad)).count();
+    assert_eq!(tries, 1);
+    bench.table.succeeded(bad, 10);
+    let tries = (0..4).filter(|_| bench.choose() == Ok(bad)).count();
+    assert!(tries > 0);
+}
+
+#[test]
+fn a_server_that_failed_the_request_is_not_chosen_for_it_again() {
+    let mut bench = Bench::two();
+    let first = bench.choose().unwrap();
+    for _ in 0..5 {
+        assert_ne!(bench.choose_for(&[], None, &[first]).unwrap(), first);
+    }
+}
+
+#[test]
+fn a_prefix_goes_where_it_went_unless_that_server_is_much_busier() {
+    let mut bench = Bench::two();
+    let first = bench.choose_for(&[], Some(9), &[]).unwrap();
+    bench.table.ended(first);
+    for _ in 0..6 {
+        let slot = bench.choose_for(&[], Some(9), &[]).unwrap();
+        assert_eq!(slot, first);
+        bench.table.ended(slot);
+    }
+    for _ in 0..40 {
+        bench.table.reported(first, servers::Load { running: 7, queued: 0, slots: 8 });
+    }
+    assert_ne!(bench.choose_for(&[], Some(9), &[]).unwrap(), first);
+}
+
+#[test]
+fn the_polled_subset_is_bounded_and_stays_the_same() {
+    let vms: Vec<servers::Vm> =
+        (0..100).map(|it| vm(&format!("vm-{it}"), "new", servers::VmState::Live)).collect();
+    let bench = Bench::new(&vms);
+    let names = |own: u64| -> Vec<String> {
+        let subset = bench.table.subset(ids::Incarnation(own), 8);
+        subset.into_iter().map(|(_, server)| server.vm.vm.clone()).collect()
+    };
+    assert_eq!(names(1).len(), 8);
+    assert_eq!(names(1), names(1));
+    assert_ne!(names(1), names(2));
+}
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -76,6 +76,7 @@
     pub servers: usize,
     pub slots: u64,
     pub writes_per_s: u64,
+    pub queue_length: usize,
 }
 
 impl Default for Shape {
@@ -93,6 +94,7 @@
             servers: 4,
             slots: 16,
             writes_per_s: 100,
+            queue_length: 1_000,
         }
     }
 }
@@ -130,6 +132,10 @@
     pub refusals: Vec<usize>,
     /// Milliseconds that a request runs at an engine.
     pub serve_ms: u64,
+    /// The priority of requests that are admitted from now on.
+    pub priority: u8,
+    /// How long callers wait, from now on.
+    pub deadline_ms: u64,
     pub vms_lag_ms: u64,
     by_slot: HashMap<(ids::Incarnation, ids::RequestSlot), usize>,
     events: BTreeMap<(u64, u64), Event>,
@@ -159,6 +165,8 @@
             notices: Vec::new(),
             refusals: Vec::new(),
             serve_ms: 200,
+            priority: 5,
+            deadline_ms: 60_000,
             vms_lag_ms: 2_000,
             by_slot: HashMap::new(),
             events: BTreeMap::new(),
@@ -243,11 +251,11 @@
             budget: self.budget_name(budget),
             service: "service".to_owned(),
             classes: Vec::new(),
-            priority: 5,
+            priority: self.priority,
             bound_tokens,
             unrepeatable,
             prefix_hash: None,
-            deadline_ms: self.now_ms + 60_000,
+            deadline_ms: self.now_ms + self.deadline_ms,
         };
         let life = router.life;
         let slot = self.routers[at].node.admit(wanted, self.now_ms);
@@ -592,7 +600,7 @@
             answer_tokens_max: 1 << 30,
             call_tokens: 0,
             unrepeatable: Vec::new(),
-            queue_length: 1_000,
+            queue_length: shape.queue_length,
             queue_age_ms: 10_000,
             answer_time_ms: 60_000,
         }],
