Wait at the router, not at the engine: no more than its slots, half a second, a share for the lowest

The lowest priority was still shed before it became the oldest.

The tenth place now goes to the lowest priority that waits and one place in the queue is kept for it (the_lowest_priority_is_served_also_while_higher_ones_keep_coming failed first).

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -191,7 +191,7 @@
 }
 
 fn default_queue_age_ms() -> u64 {
-    2_000
+    500
 }
 
 fn default_answer_time_ms() -> u64 {
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -18,8 +18,8 @@
 const HOME_WAIT_MS: u64 = 400;
 /// How often a request looks for the outcome of another attempt at its id.
 const LOOK_AGAIN_MS: u64 = 250;
-/// Every so many dequeued requests, the longest waiting goes first whatever its priority.
-const OLDEST_EVERY: u64 = 10;
+/// Every so many dequeued requests, one of the lowest priority that waits goes first.
+const LOWEST_EVERY: u64 = 10;
 
 const RETRY_AFTER_SHORT_MS: u64 = 1_000;
 const RETRY_AFTER_EXHAUSTED_MS: u64 = 10_000;
@@ -253,30 +253,36 @@
         self.shed(&service, most, now_ms);
     }
 
-    /// Refuses the lowest priority if too many wait, but never the one that has waited longest: with
-    /// each tenth place that goes to it, the lowest priority gets a small share.
+    /// Refuses the last in order if too many wait, but never the one that the lowest priority's share
+    /// is kept for.
     fn shed(&mut self, service: &str, most: usize, now_ms: u64) {
-        let queue: Vec<&QueuePlace> =
-            self.waiting_servers.iter().filter(|place| place.service == service).collect();
+        let queue: Vec<&QueuePlace> = self.queue(service).collect();
         if queue.len() <= most {
             return;
         }
-        let oldest =
-            queue.iter().min_by_key(|place| (place.since_ms, place.slot)).map(|place| place.slot);
-        let spared = |place: &&&QueuePlace| most > 0 && Some(place.slot) == oldest;
-        let last = queue.iter().rev().find(|place| !spared(place)).map(|place| place.slot);
-        if let Some(slot) = last {
+        let spared = self.longest_waiting_of_lowest(service).map(|place| place.slot);
+        let spared = spared.filter(|_| most > 0);
+        let last = queue.iter().rev().find(|place| Some(place.slot) != spared);
+        if let Some(slot) = last.map(|place| place.slot) {
             self.refuse(slot, Reason::Overloaded, now_ms);
         }
     }
 
+    fn queue<'a>(&'a self, service: &'a str) -> impl DoubleEndedIterator<Item = &'a QueuePlace> {
+        self.waiting_servers.iter().filter(move |place| place.service == service)
+    }
+
+    fn longest_waiting_of_lowest<'a>(&'a self, service: &'a str) -> Option<&'a QueuePlace> {
+        let lowest = self.queue(service).next_back()?.priority;
+        self.queue(service).find(|place| place.priority == lowest)
+    }
+
     fn next_in_queue(&self, service: &str) -> Option<QueuePlace> {
-        let mut queue = self.waiting_servers.iter().filter(|place| place.service == service);
         let dequeued = self.drained.get(service).map_or(0, |drain| drain.dequeued);
-        if dequeued % OLDEST_EVERY == OLDEST_EVERY - 1 {
-            return queue.min_by_key(|place| (place.since_ms, place.slot)).cloned();
+        if dequeued % LOWEST_EVERY == LOWEST_EVERY - 1 {
+            return self.longest_waiting_of_lowest(service).cloned();
         }
-        queue.next().cloned()
+        self.queue(service).next().cloned()
     }
 
     fn placed(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot, now_ms: u64) {
@@ -466,7 +472,7 @@
 
     /// How long the queue of a service takes to drain, at the rate measured lately.
     fn drain_time_ms(&self, service: &str) -> u64 {
-        let waiting = self.waiting_servers.iter().filter(|place| place.service == service).count();
+        let waiting = self.queue(service).count();
         let per_s = self.drained.get(service).map_or(0, |drain| drain.per_s).max(1);
         (waiting as u64 * 1_000 / per_s).clamp(RETRY_AFTER_SHORT_MS, RETRY_AFTER_MAX_MS)
     }
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -12,8 +12,6 @@
 
 /// Requests at once on a server that has not reported its slots.
 const DEFAULT_SLOTS: u64 = 8;
-/// A server may be given a quarter more than its slots: its own queue bridges the way to it.
-const EXTRA_SLOTS_DIVISOR: u64 = 4;
 /// After this many failures in a row a server is set aside.
 const FAILURES_TO_SET_ASIDE: u32 = 3;
 const SET_ASIDE_BASE_MS: u64 = 500;
@@ -114,8 +112,7 @@
     }
 
     fn has_room(&self, now_ms: u64) -> bool {
-        let limit = self.slots() + self.slots() / EXTRA_SLOTS_DIVISOR;
-        self.usable(now_ms) && self.estimated_load() < limit
+        self.usable(now_ms) && self.estimated_load() < self.slots()
     }
 
     fn usable(&self, now_ms: u64) -> bool {
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -112,7 +112,7 @@
     let high = fill(&mut world, 3, 8);
     let refused =
         |place: &usize| world.given[*place].end == Some(End::Refused(node::Reason::Overloaded));
-    // One place is kept for the request that has waited longest.
+    // One place is kept for the lowest priority.
     assert!(low[1..].iter().all(refused), "{:?}", world.given);
     assert!(!high.iter().any(refused), "{:?}", world.given);
 }
