Split the admission, the callers' address and the test fleet by job

Change: node/tokens.rs and node/queue.rs hold what requests wait for, reply.rs the answers towards callers, tests/fleet/http.rs the test's caller; the ledger context is built in one place. An unused macro of the test fleet is gone. No behaviour changes; the tests kept their assertions and pass.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -1,14 +1,16 @@
 //! One router's control state: tables, and the systems that run over them each tick.
 //!
 //! [`Node`] takes events as method calls and leaves what is to be done in a list of [`Action`]s. The
-//! systems live in the modules beside this one: `admit` (budget, server, claim), `settle` (ends of
-//! requests) and `peers` (messages).
+//! systems live in the modules beside this one: `admit` (from request to dispatch), `tokens` and `queue`
+//! (what requests wait for), `settle` (their ends), `platform` (calls to the store), `peers` (messages).
 
 mod admit;
 mod dump;
 mod peers;
 mod platform;
+mod queue;
 mod settle;
+mod tokens;
 mod types;
 
 pub use types::*;
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -1,29 +1,17 @@
 //! From a request to its dispatch: tokens, then a server, then (if unrepeatable) the claim.
 
-use super::{Action, Answer, Ask, Node, QueuePlace, Reason, Request, Stage, Wanted};
+use super::{Action, Answer, Node, Reason, Request, Stage, Wanted};
 use crate::node::types::Lifecycle;
-use crate::{config, ids, ledger, log_index, log_writer, message, rendezvous, servers};
+use crate::{config, ids, log_index, log_writer, message, rendezvous, servers};
 use rand::RngExt;
-use rand::seq::IndexedRandom;
 
-/// The most peers that are asked for a transfer at once.
-const PEERS_ASKED: usize = 8;
-/// How long peers may take to answer.
-const PEER_WAIT_MS: u64 = 150;
-/// How long the store is waited for before peers are asked as well.
-const STORE_FIRST_MS: u64 = 60;
-/// How long a vain search for tokens settles the matter for like requests.
-const EXHAUSTED_FOR_MS: u64 = 100;
 /// How long the home of a claim may take before this router appends the claim itself.
 const HOME_WAIT_MS: u64 = 400;
 /// How often a request looks for the outcome of another attempt at its id.
 const LOOK_AGAIN_MS: u64 = 250;
-/// Every so many dequeued requests, one of the lowest priority that waits goes first.
-const LOWEST_EVERY: u64 = 10;
 
-const RETRY_AFTER_SHORT_MS: u64 = 1_000;
+pub(super) const RETRY_AFTER_SHORT_MS: u64 = 1_000;
 const RETRY_AFTER_EXHAUSTED_MS: u64 = 10_000;
-const RETRY_AFTER_MAX_MS: u64 = 30_000;
 
 impl Node {
     /// Takes a request; its answer comes as an action, often at once.
@@ -82,40 +70,6 @@
         self.answer_dispatch(slot, next);
     }
 
-    pub(super) fn tick_waiting_budget(&mut self, now_ms: u64) {
-        let waiting: Vec<ids::RequestSlot> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| matches!(request.stage, Stage::WaitingBudget))
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in &waiting {
-            if !self.try_reserve(*slot, now_ms) {
-                self.search_tokens(*slot, now_ms);
-            }
-        }
-        self.sum_shortages();
-    }
-
-    pub(super) fn tick_waiting_servers(&mut self, now_ms: u64) {
-        let places: Vec<QueuePlace> = self.waiting_servers.iter().cloned().collect();
-        for place in &places {
-            let Some(request) = self.requests.get(place.slot) else { continue };
-            let age_ms = now_ms.saturating_sub(place.since_ms);
-            let most_ms = self.service(&place.service).map_or(0, |service| service.queue_age_ms);
-            if request.wanted.deadline_ms <= now_ms {
-                self.refuse(place.slot, Reason::DeadlineTooClose, now_ms);
-            } else if age_ms >= most_ms {
-                self.refuse(place.slot, Reason::Overloaded, now_ms);
-            }
-        }
-        let mut services: Vec<String> = places.into_iter().map(|place| place.service).collect();
-        services.dedup();
-        for service in services {
-            self.drain_queue(&service, now_ms);
-        }
-    }
-
     pub(super) fn tick_waiting_claims(&mut self, now_ms: u64) {
         let mut late = Vec::new();
         let mut taken = Vec::new();
@@ -169,24 +123,6 @@
         self.end_unsent(slot, refusal(reason, retry_after_ms), now_ms);
     }
 
-    pub(super) fn drain_queue(&mut self, service: &str, now_ms: u64) {
-        loop {
-            let Some(place) = self.next_in_queue(service) else { return };
-            let Some(request) = self.requests.get(place.slot) else {
-                self.waiting_servers.remove(&place);
-                continue;
-            };
-            match choose(&mut self.servers, request, now_ms, &mut self.rng) {
-                Ok(server) => {
-                    self.waiting_servers.remove(&place);
-                    self.drained.entry(service.to_owned()).or_default().dequeued += 1;
-                    self.placed(place.slot, server, now_ms);
-                }
-                Err(_) => return,
-            }
-        }
-    }
-
     pub(super) fn service(&self, name: &str) -> Option<&config::Service> {
         self.config.as_ref()?.document.service(name)
     }
@@ -218,7 +154,7 @@
         running.then_some(Reason::InProgress)
     }
 
-    fn try_reserve(&mut self, slot: ids::RequestSlot, now_ms: u64) -> bool {
+    pub(super) fn try_reserve(&mut self, slot: ids::RequestSlot, now_ms: u64) -> bool {
         let Some(request) = self.requests.get_mut(slot) else { return true };
         let Some(reservation) = self.grants.reserve(request.budget, request.wanted.bound_tokens)
         else {
@@ -239,53 +175,7 @@
         }
     }
 
-    fn enqueue(&mut self, slot: ids::RequestSlot, now_ms: u64) {
-        let Some(request) = self.requests.get(slot) else { return };
-        let service = request.wanted.service.clone();
-        let most = self.service(&service).map_or(0, |service| service.queue_length);
-        let place = QueuePlace {
-            service: service.clone(),
-            priority: std::cmp::Reverse(request.wanted.priority),
-            since_ms: now_ms,
-            slot,
-        };
-        self.waiting_servers.insert(place);
-        self.shed(&service, most, now_ms);
-    }
-
-    /// Refuses the last in order if too many wait, but never the one that the lowest priority's share
-    /// is kept for.
-    fn shed(&mut self, service: &str, most: usize, now_ms: u64) {
-        let queue: Vec<&QueuePlace> = self.queue(service).collect();
-        if queue.len() <= most {
-            return;
-        }
-        let spared = self.longest_waiting_of_lowest(service).map(|place| place.slot);
-        let spared = spared.filter(|_| most > 0);
-        let last = queue.iter().rev().find(|place| Some(place.slot) != spared);
-        if let Some(slot) = last.map(|place| place.slot) {
-            self.refuse(slot, Reason::Overloaded, now_ms);
-        }
-    }
-
-    fn queue<'a>(&'a self, service: &'a str) -> impl DoubleEndedIterator<Item = &'a QueuePlace> {
-        self.waiting_servers.iter().filter(move |place| place.service == service)
-    }
-
-    fn longest_waiting_of_lowest<'a>(&'a self, service: &'a str) -> Option<&'a QueuePlace> {
-        let lowest = self.queue(service).next_back()?.priority;
-        self.queue(service).find(|place| place.priority == lowest)
-    }
-
-    fn next_in_queue(&self, service: &str) -> Option<QueuePlace> {
-        let dequeued = self.drained.get(service).map_or(0, |drain| drain.dequeued);
-        if dequeued % LOWEST_EVERY == LOWEST_EVERY - 1 {
-            return self.longest_waiting_of_lowest(service).cloned();
-        }
-        self.queue(service).next().cloned()
-    }
-
-    fn placed(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot, now_ms: u64) {
+    pub(super) fn placed(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot, now_ms: u64) {
         let Some(request) = self.requests.get_mut(slot) else { return };
         let stage = std::mem::replace(&mut request.stage, Stage::Ending);
         let Stage::WaitingServer { reservation } = stage else {
@@ -391,74 +281,6 @@
         self.append(release, waiter, log_writer::Urgency::Gather, now_ms);
     }
 
-    fn want_tokens(&mut self, slot: ids::RequestSlot, now_ms: u64) {
-        self.sum_shortages();
-        let Some(request) = self.requests.get(slot) else { return };
-        let (budget, bound) = (request.budget, request.wanted.bound_tokens);
-        let ask = self.asks.entry(budget).or_default();
-        if now_ms < ask.refused_until_ms && bound >= ask.refused_tokens {
-            self.refuse(slot, Reason::BudgetExhausted, now_ms);
-            return;
-        }
-        let shard = self.ledger_shard(budget);
-        if let Some(ledger) = self.ledgers.get_mut(shard) {
-            ledger.poke();
-        }
-        self.tick_platform(now_ms);
-    }
-
-    pub(super) fn ledger_shard(&self, budget: ids::BudgetSlot) -> usize {
-        let name = &self.grants.account(budget).name;
-        ledger::shard_of(name, self.ledgers.len() as u32) as usize
-    }
-
-    /// Looks further for tokens: the store first, then peers; refuses when neither can help.
-    fn search_tokens(&mut self, slot: ids::RequestSlot, now_ms: u64) {
-        let Some(request) = self.requests.get(slot) else { return };
-        let (budget, since_ms) = (request.budget, request.stage_since_ms);
-        let bound = request.wanted.bound_tokens;
-        let deadline_ms = request.wanted.deadline_ms;
-        let waited_ms = now_ms.saturating_sub(since_ms);
-        let ask = self.asks.entry(budget).or_default();
-        let followed = ask.followed_ms >= since_ms && ask.followed_ms > 0;
-        let asked = ask.asked_ms >= since_ms && ask.asked_ms > 0;
-        let answered =
-            asked && (ask.unanswered.is_empty() || now_ms >= ask.asked_ms + PEER_WAIT_MS);
-        if !asked && (followed || waited_ms >= STORE_FIRST_MS) {
-            self.ask_peers(budget, now_ms);
-        } else if followed && answered {
-            ask.refused_until_ms = now_ms + EXHAUSTED_FOR_MS;
-            ask.refused_tokens = bound;
-            self.refuse(slot, Reason::BudgetExhausted, now_ms);
-        } else if waited_ms >= self.settings.budget_wait_ms || now_ms >= deadline_ms {
-            let reason = if followed { Reason::BudgetExhausted } else { Reason::BudgetUnreachable };
-            self.refuse(slot, reason, now_ms);
-        }
-    }
-
-    fn ask_peers(&mut self, budget: ids::BudgetSlot, now_ms: u64) {
-        let account = self.grants.account(budget);
-        let lacking = account.shortage_tokens.saturating_sub(account.free_tokens());
-        let name = account.name.clone();
-        let live: Vec<ids::Incarnation> = self.members.live().map(|record| record.id).collect();
-        let asked: Vec<ids::Incarnation> =
-            live.sample(&mut self.rng, PEERS_ASKED).copied().collect();
-        let ask = self.asks.entry(budget).or_default();
-        ask.asked_ms = now_ms.max(1);
-        ask.unanswered = asked.iter().copied().collect();
-        for peer in asked {
-            let message = message::Message::TransferAsk { budget: name.clone(), tokens: lacking };
-            self.send(peer, message);
-        }
-    }
-
-    /// Notes what waiting requests lack, for the draws and the transfers.
-    fn sum_shortages(&mut self) {
-        let waiting = self.requests.values().filter(|it| matches!(it.stage, Stage::WaitingBudget));
-        let lacking = waiting.map(|request| (request.budget, request.wanted.bound_tokens));
-        self.grants.note_shortages(lacking);
-    }
-
     fn retry_after_ms(&self, slot: ids::RequestSlot, reason: Reason) -> u64 {
         match reason {
             Reason::BudgetExhausted => RETRY_AFTER_EXHAUSTED_MS,
@@ -469,16 +291,9 @@
             _ => RETRY_AFTER_SHORT_MS,
         }
     }
-
-    /// How long the queue of a service takes to drain, at the rate measured lately.
-    fn drain_time_ms(&self, service: &str) -> u64 {
-        let waiting = self.queue(service).count();
-        let per_s = self.drained.get(service).map_or(0, |drain| drain.per_s).max(1);
-        (waiting as u64 * 1_000 / per_s).clamp(RETRY_AFTER_SHORT_MS, RETRY_AFTER_MAX_MS)
-    }
 }
 
-fn choose(
+pub(super) fn choose(
     table: &mut servers::Table,
     request: &Request,
     now_ms: u64,
@@ -496,10 +311,3 @@
 fn refusal(reason: Reason, retry_after_ms: u64) -> Answer {
     Answer::Refuse { reason, retry_after_ms }
 }
-
-impl Ask {
-    /// Notes that a peer answered, with tokens or without.
-    pub(super) fn answered(&mut self, peer: ids::Incarnation) {
-        self.unanswered.remove(&peer);
-    }
-}
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -49,15 +49,24 @@
             return false;
         }
         let description = self.ledger_holder();
-        let context = ledger_writer::Context {
+        let context = self.ledger_context(&description, &|_, _| false, now_ms);
+        self.ledgers[shard].due(&self.grants, &context)
+    }
+
+    fn ledger_context<'a>(
+        &self,
+        description: &'a ledger::Holder,
+        gone: &'a dyn Fn(ids::Incarnation, &ledger::Holder) -> bool,
+        now_ms: u64,
+    ) -> ledger_writer::Context<'a> {
+        ledger_writer::Context {
             now_ms,
             holder: self.settings.incarnation,
-            description: &description,
+            description,
             routers: self.members.live_count(),
             stopping: self.stopping(),
-            gone: &|_, _| false,
-        };
-        self.ledgers[shard].due(&self.grants, &context)
+            gone,
+        }
     }
 
     fn stopping(&self) -> bool {
@@ -74,14 +83,7 @@
         let gone = move |_: ids::Incarnation, holder: &ledger::Holder| {
             holder.address == address || (listed && holder.listed && !vms.contains_key(&holder.vm))
         };
-        let context = ledger_writer::Context {
-            now_ms,
-            holder: self.settings.incarnation,
-            description: &description,
-            routers: self.members.live_count(),
-            stopping: self.stopping(),
-            gone: &gone,
-        };
+        let context = self.ledger_context(&description, &gone, now_ms);
         let (write, events) =
             self.ledgers[shard].reply(call, reply, &mut self.grants, &context, &mut self.rng);
         if let Some((expected_index, value)) = write {
--- /dev/null
+++ b/core/src/node/queue.rs
@@ -0,0 +1,100 @@
+//! Requests that wait for a server: in order of priority, bounded by length and age.
+
+use super::{Node, QueuePlace, Reason, admit};
+use crate::ids;
+
+/// Every so many dequeued requests, one of the lowest priority that waits goes first.
+const LOWEST_EVERY: u64 = 10;
+const RETRY_AFTER_MAX_MS: u64 = 30_000;
+
+impl Node {
+    pub(super) fn tick_waiting_servers(&mut self, now_ms: u64) {
+        let places: Vec<QueuePlace> = self.waiting_servers.iter().cloned().collect();
+        for place in &places {
+            let Some(request) = self.requests.get(place.slot) else { continue };
+            let age_ms = now_ms.saturating_sub(place.since_ms);
+            let most_ms = self.service(&place.service).map_or(0, |service| service.queue_age_ms);
+            if request.wanted.deadline_ms <= now_ms {
+                self.refuse(place.slot, Reason::DeadlineTooClose, now_ms);
+            } else if age_ms >= most_ms {
+                self.refuse(place.slot, Reason::Overloaded, now_ms);
+            }
+        }
+        let mut services: Vec<String> = places.into_iter().map(|place| place.service).collect();
+        services.dedup();
+        for service in services {
+            self.drain_queue(&service, now_ms);
+        }
+    }
+
+    pub(super) fn drain_queue(&mut self, service: &str, now_ms: u64) {
+        loop {
+            let Some(place) = self.next_in_queue(service) else { return };
+            let Some(request) = self.requests.get(place.slot) else {
+                self.waiting_servers.remove(&place);
+                continue;
+            };
+            match admit::choose(&mut self.servers, request, now_ms, &mut self.rng) {
+                Ok(server) => {
+                    self.waiting_servers.remove(&place);
+                    self.drained.entry(service.to_owned()).or_default().dequeued += 1;
+                    self.placed(place.slot, server, now_ms);
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(super) fn enqueue(&mut self, slot: ids::RequestSlot, now_ms: u64) {
+        let Some(request) = self.requests.get(slot) else { return };
+        let service = request.wanted.service.clone();
+        let most = self.service(&service).map_or(0, |service| service.queue_length);
+        let place = QueuePlace {
+            service: service.clone(),
+            priority: std::cmp::Reverse(request.wanted.priority),
+            since_ms: now_ms,
+            slot,
+        };
+        self.waiting_servers.insert(place);
+        self.shed(&service, most, now_ms);
+    }
+
+    /// Refuses the last in order if too many wait, but never the one that the lowest priority's share
+    /// is kept for.
+    fn shed(&mut self, service: &str, most: usize, now_ms: u64) {
+        let queue: Vec<&QueuePlace> = self.queue(service).collect();
+        if queue.len() <= most {
+            return;
+        }
+        let spared = self.longest_waiting_of_lowest(service).map(|place| place.slot);
+        let spared = spared.filter(|_| most > 0);
+        let last = queue.iter().rev().find(|place| Some(place.slot) != spared);
+        if let Some(slot) = last.map(|place| place.slot) {
+            self.refuse(slot, Reason::Overloaded, now_ms);
+        }
+    }
+
+    fn queue<'a>(&'a self, service: &'a str) -> impl DoubleEndedIterator<Item = &'a QueuePlace> {
+        self.waiting_servers.iter().filter(move |place| place.service == service)
+    }
+
+    fn longest_waiting_of_lowest<'a>(&'a self, service: &'a str) -> Option<&'a QueuePlace> {
+        let lowest = self.queue(service).next_back()?.priority;
+        self.queue(service).find(|place| place.priority == lowest)
+    }
+
+    fn next_in_queue(&self, service: &str) -> Option<QueuePlace> {
+        let dequeued = self.drained.get(service).map_or(0, |drain| drain.dequeued);
+        if dequeued % LOWEST_EVERY == LOWEST_EVERY - 1 {
+            return self.longest_waiting_of_lowest(service).cloned();
+        }
+        self.queue(service).next().cloned()
+    }
+
+    /// How long the queue of a service takes to drain, at the rate measured lately.
+    pub(super) fn drain_time_ms(&self, service: &str) -> u64 {
+        let waiting = self.queue(service).count();
+        let per_s = self.drained.get(service).map_or(0, |drain| drain.per_s).max(1);
+        (waiting as u64 * 1_000 / per_s).clamp(admit::RETRY_AFTER_SHORT_MS, RETRY_AFTER_MAX_MS)
+    }
+}
--- /dev/null
+++ b/core/src/node/tokens.rs
@@ -0,0 +1,106 @@
+//! Where the tokens of a waiting request come from: the store first, then peers.
+
+use super::{Ask, Node, Reason, Stage};
+use crate::{ids, ledger, message};
+use rand::seq::IndexedRandom;
+
+/// The most peers that are asked for a transfer at once.
+const PEERS_ASKED: usize = 8;
+/// How long peers may take to answer.
+const PEER_WAIT_MS: u64 = 150;
+/// How long the store is waited for before peers are asked as well.
+const STORE_FIRST_MS: u64 = 60;
+/// How long a vain search for tokens settles the matter for like requests.
+const EXHAUSTED_FOR_MS: u64 = 100;
+
+impl Node {
+    pub(super) fn tick_waiting_budget(&mut self, now_ms: u64) {
+        let waiting: Vec<ids::RequestSlot> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| matches!(request.stage, Stage::WaitingBudget))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in &waiting {
+            if !self.try_reserve(*slot, now_ms) {
+                self.search_tokens(*slot, now_ms);
+            }
+        }
+        self.sum_shortages();
+    }
+
+    pub(super) fn want_tokens(&mut self, slot: ids::RequestSlot, now_ms: u64) {
+        self.sum_shortages();
+        let Some(request) = self.requests.get(slot) else { return };
+        let (budget, bound) = (request.budget, request.wanted.bound_tokens);
+        let ask = self.asks.entry(budget).or_default();
+        if now_ms < ask.refused_until_ms && bound >= ask.refused_tokens {
+            self.refuse(slot, Reason::BudgetExhausted, now_ms);
+            return;
+        }
+        let shard = self.ledger_shard(budget);
+        if let Some(ledger) = self.ledgers.get_mut(shard) {
+            ledger.poke();
+        }
+        self.tick_platform(now_ms);
+    }
+
+    pub(super) fn ledger_shard(&self, budget: ids::BudgetSlot) -> usize {
+        let name = &self.grants.account(budget).name;
+        ledger::shard_of(name, self.ledgers.len() as u32) as usize
+    }
+
+    /// Looks further for tokens: the store first, then peers; refuses when neither can help.
+    fn search_tokens(&mut self, slot: ids::RequestSlot, now_ms: u64) {
+        let Some(request) = self.requests.get(slot) else { return };
+        let (budget, since_ms) = (request.budget, request.stage_since_ms);
+        let bound = request.wanted.bound_tokens;
+        let deadline_ms = request.wanted.deadline_ms;
+        let waited_ms = now_ms.saturating_sub(since_ms);
+        let ask = self.asks.entry(budget).or_default();
+        let followed = ask.followed_ms >= since_ms && ask.followed_ms > 0;
+        let asked = ask.asked_ms >= since_ms && ask.asked_ms > 0;
+        let answered =
+            asked && (ask.unanswered.is_empty() || now_ms >= ask.asked_ms + PEER_WAIT_MS);
+        if !asked && (followed || waited_ms >= STORE_FIRST_MS) {
+            self.ask_peers(budget, now_ms);
+        } else if followed && answered {
+            ask.refused_until_ms = now_ms + EXHAUSTED_FOR_MS;
+            ask.refused_tokens = bound;
+            self.refuse(slot, Reason::BudgetExhausted, now_ms);
+        } else if waited_ms >= self.settings.budget_wait_ms || now_ms >= deadline_ms {
+            let reason = if followed { Reason::BudgetExhausted } else { Reason::BudgetUnreachable };
+            self.refuse(slot, reason, now_ms);
+        }
+    }
+
+    fn ask_peers(&mut self, budget: ids::BudgetSlot, now_ms: u64) {
+        let account = self.grants.account(budget);
+        let lacking = account.shortage_tokens.saturating_sub(account.free_tokens());
+        let name = account.name.clone();
+        let live: Vec<ids::Incarnation> = self.members.live().map(|record| record.id).collect();
+        let asked: Vec<ids::Incarnation> =
+            live.sample(&mut self.rng, PEERS_ASKED).copied().collect();
+        let ask = self.asks.entry(budget).or_default();
+        ask.asked_ms = now_ms.max(1);
+        ask.unanswered = asked.iter().copied().collect();
+        for peer in asked {
+            let message = message::Message::TransferAsk { budget: name.clone(), tokens: lacking };
+            self.send(peer, message);
+        }
+    }
+
+    /// Notes what waiting requests lack, for the draws and the transfers.
+    fn sum_shortages(&mut self) {
+        let waiting = self.requests.values().filter(|it| matches!(it.stage, Stage::WaitingBudget));
+        let lacking = waiting.map(|request| (request.budget, request.wanted.bound_tokens));
+        self.grants.note_shortages(lacking);
+    }
+}
+
+impl Ask {
+    /// Notes that a peer answered, with tokens or without.
+    pub(super) fn answered(&mut self, peer: ids::Incarnation) {
+        self.unanswered.remove(&peer);
+    }
+}
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,14 +1,13 @@
 //! The address for callers: checks a request, asks the control thread, carries it.
 
 use crate::{
-    answers, api_error, auth, completion, control, model, plain, policy, settings, snapshot,
+    answers, api_error, auth, completion, control, model, plain, policy, reply, settings, snapshot,
     telemetry, upstream,
 };
 use actix::prelude::Addr;
 use actix_web::http::{Method, StatusCode, header};
 use actix_web::{HttpRequest, HttpResponse, web};
 use doorswitch_core::{config, ids, node};
-use futures_util::stream;
 use sha2::Digest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -187,7 +186,7 @@
         let place = match entrance {
             answers::Entrance::First(place) => place,
             answers::Entrance::Given(recorded) => {
-                return Ok(given_again(&request, stream, &recorded));
+                return Ok(reply::given_again(&request, stream, &recorded));
             }
             answers::Entrance::Conflict => {
                 return Err(api_error::refusal(node::Reason::IdConflict, 0));
@@ -220,8 +219,8 @@
             call.run(placement, sender).await
         });
         match stream {
-            true => Ok(streamed(envelope, include_usage, pieces, run)),
-            false => whole(envelope, pieces, run).await,
+            true => Ok(reply::streamed(envelope, include_usage, pieces, run)),
+            false => reply::whole(envelope, pieces, run).await,
         }
     }
 
@@ -368,97 +367,6 @@
     }
 }
 
-fn streamed(
-    envelope: completion::Envelope,
-    include_usage: bool,
-    pieces: mpsc::Receiver<model::Piece>,
-    run: actix_web::rt::task::JoinHandle<Result<(), model::Failure>>,
-) -> HttpResponse {
-    let state = (envelope, pieces, Some(run));
-    let events = stream::unfold(state, move |(envelope, mut pieces, run)| async move {
-        let run = run?;
-        let event = match pieces.recv().await {
-            Some(model::Piece::Text(text, finish)) => envelope.chunk(&text, finish.as_deref()),
-            Some(model::Piece::End(usage)) => {
-                let mut last = String::new();
-                if include_usage {
-                    last.push_str(&envelope.usage_chunk(usage));
-                }
-                last.push_str(completion::DONE);
-                return Some((Ok(bytes::Bytes::from(last)), (envelope, pieces, None)));
-            }
-            None => {
-                let event = completion::event(&failure_body(run).await);
-                return Some((Ok(bytes::Bytes::from(event)), (envelope, pieces, None)));
-            }
-        };
-        Some((Ok::<_, actix_web::Error>(bytes::Bytes::from(event)), (envelope, pieces, Some(run))))
-    });
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .insert_header(("Cache-Control", "no-cache"))
-        .streaming(events)
-}
-
-async fn whole(
-    envelope: completion::Envelope,
-    mut pieces: mpsc::Receiver<model::Piece>,
-    run: actix_web::rt::task::JoinHandle<Result<(), model::Failure>>,
-) -> Result<HttpResponse, Rejection> {
-    let mut answer = String::new();
-    let mut reason = "stop".to_owned();
-    while let Some(piece) = pieces.recv().await {
-        match piece {
-            model::Piece::Text(text, finish) => {
-                answer.push_str(&text);
-                reason = finish.unwrap_or(reason);
-            }
-            model::Piece::End(usage) => {
-                return Ok(HttpResponse::Ok().json(envelope.whole(&answer, &reason, usage)));
-            }
-        }
-    }
-    Err(failure(run).await)
-}
-
-/// The answer to a request that was answered before.
-fn given_again(
-    request: &completion::Request,
-    stream: bool,
-    recorded: &answers::Recorded,
-) -> HttpResponse {
-    let envelope = completion::Envelope {
-        id: recorded.id.clone(),
-        model: request.model.clone(),
-        endpoint: request.endpoint,
-    };
-    let mut response = HttpResponse::Ok();
-    response.insert_header(("Doorswitch-Replayed", "true"));
-    if !stream {
-        let whole = envelope.whole(&recorded.text, &recorded.finish_reason, recorded.usage);
-        return response.json(whole);
-    }
-    let mut events = envelope.chunk(&recorded.text, Some(&recorded.finish_reason));
-    if request.include_usage {
-        events.push_str(&envelope.usage_chunk(recorded.usage));
-    }
-    events.push_str(completion::DONE);
-    response.content_type("text/event-stream").body(events)
-}
-
-async fn failure_body(
-    run: actix_web::rt::task::JoinHandle<Result<(), model::Failure>>,
-) -> serde_json::Value {
-    failure(run).await.body()
-}
-
-async fn failure(run: actix_web::rt::task::JoinHandle<Result<(), model::Failure>>) -> Rejection {
-    match run.await {
-        Ok(Err(failure)) => failure.error,
-        _ => Rejection::closing(),
-    }
-}
-
 fn is_unrepeatable(service: &config::Service, method: &Method, path: &str) -> bool {
     let matches = |call: &config::Call| {
         call.method.eq_ignore_ascii_case(method.as_str()) && path.starts_with(&call.path_prefix)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod platform;
 pub mod policy;
 pub mod publish;
+pub mod reply;
 pub mod router;
 pub mod settings;
 pub mod snapshot;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,11 +1,14 @@
 //! A small fleet for integration tests: real router processes behind faulty networks, with the
 //! stand-ins in the test's own process.
 
-#![allow(dead_code, clippy::unwrap_used, missing_docs)]
+#![allow(dead_code, clippy::unwrap_used, missing_docs, unused_imports)]
+
+mod http;
+
+pub use http::{Answer, call, parse, send};
 
 use doorswitch_core::{config, ledger, log_index};
 use doorswitch_standins::{engine, network, platform, service};
-use std::io::Read;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -17,19 +20,6 @@
 
 pub const OPERATOR_KEY: &str = "test-operator-key";
 
-/// Names test cases: each becomes a test function that calls `$body` with its arguments.
-#[macro_export]
-macro_rules! cases {
-    ($body:ident: $($name:ident => ($($argument:expr),* $(,)?)),+ $(,)?) => {
-        $(
-            #[test]
-            fn $name() {
-                $body($($argument),*);
-            }
-        )+
-    };
-}
-
 pub struct Options {
     pub routers: usize,
     pub engines: usize,
@@ -79,49 +69,6 @@
     net: [u8; 2],
 }
 
-/// An answer as a caller sees it.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: String,
-}
-
-impl Answer {
-    pub fn json(&self) -> serde_json::Value {
-        serde_json::from_str(&self.body).unwrap_or(serde_json::Value::Null)
-    }
-
-    pub fn code(&self) -> String {
-        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
-    }
-
-    pub fn ran(&self) -> String {
-        self.json()["error"]["ran"].as_str().unwrap_or_default().to_owned()
-    }
-
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let mut headers = self.headers.iter();
-        headers.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
-    }
-
-    /// The answer's text, whole or streamed.
-    pub fn text(&self) -> String {
-        if let Some(text) = self.json()["choices"][0]["message"]["content"].as_str() {
-            return text.to_owned();
-        }
-        let events = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
-        let chunks = events.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
-        let texts = chunks
-            .filter_map(|it| it["choices"][0]["delta"]["content"].as_str().map(str::to_owned));
-        texts.collect()
-    }
-
-    pub fn done(&self) -> bool {
-        self.body.ends_with("data: [DONE]\n\n")
-    }
-}
-
 /// Waits until a condition holds.
 pub fn eventually(what: &str, condition: impl FnMut() -> bool) {
     assert!(holds_within(PATIENCE, condition), "never came true: {what}");
@@ -589,76 +536,3 @@
 {
     thread::spawn(move || actix_web::rt::System::new().block_on(work())).join().unwrap()
 }
-
-/// One call over HTTP; `None` if the connection failed before an answer began.
-pub fn call(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    key: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<Answer> {
-    let mut stream = send(address, method, path, key, headers, body)?;
-    let mut received = Vec::new();
-    let ended = stream.read_to_end(&mut received);
-    if ended.is_err() && received.is_empty() {
-        return None;
-    }
-    parse(&received)
-}
-
-/// Sends a request and leaves its answer to be read.
-pub fn send(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    key: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<std::net::TcpStream> {
-    use std::io::Write;
-    let mut stream = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(60))).ok()?;
-    let extra: String = headers.iter().map(|(key, value)| format!("{key}: {value}\r\n")).collect();
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\
-         Authorization: Bearer {key}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n{extra}\r\n",
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).ok()?;
-    stream.write_all(body.as_bytes()).ok()?;
-    Some(stream)
-}
-
-pub fn parse(received: &[u8]) -> Option<Answer> {
-    let split = received.windows(4).position(|window| window == b"\r\n\r\n")?;
-    let head = String::from_utf8_lossy(&received[..split]).into_owned();
-    let mut lines = head.lines();
-    let status = lines.next()?.split_whitespace().nth(1)?.parse().ok()?;
-    let headers: Vec<(String, String)> = lines
-        .filter_map(|line| line.split_once(": "))
-        .map(|(key, value)| (key.to_owned(), value.to_owned()))
-        .collect();
-    let chunked = headers.iter().any(|(key, value)| {
-        key.eq_ignore_ascii_case("transfer-encoding") && value.contains("chunked")
-    });
-    let body = &received[split + 4..];
-    let body = if chunked { unchunk(body) } else { body.to_vec() };
-    Some(Answer { status, headers, body: String::from_utf8_lossy(&body).into_owned() })
-}
-
-fn unchunk(mut body: &[u8]) -> Vec<u8> {
-    let mut whole = Vec::new();
-    while let Some(end) = body.windows(2).position(|window| window == b"\r\n") {
-        let length = std::str::from_utf8(&body[..end]).ok();
-        let length = length.and_then(|text| usize::from_str_radix(text.trim(), 16).ok());
-        let Some(length) = length.filter(|length| *length > 0) else { break };
-        let start = end + 2;
-        let stop = (start + length).min(body.len());
-        whole.extend_from_slice(&body[start..stop]);
-        body = &body[(stop + 2).min(body.len())..];
-    }
-    whole
-}
