--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -97,12 +97,20 @@
         assert!(elsewhere.status == 200 || elsewhere.ran() == "unknown", "{elsewhere:?}");
         fleet.signal(0, "CONT");
         drop(stream);
-        eventually("it has run", || fleet.executions(&id) == 1);
+        // The woken router either runs it or gives its claim up as too old; then a retry may run it.
+        eventually("it runs, or its outcome is given again", || {
+            let place = fleet.executions(&id) as usize % 3;
+            fleet.release(place, &id, "{}").is_some_and(|answer| answer.status == 200)
+        });
+        assert_eq!(fleet.executions(&id), 1);
+    }
+    fleet.platform.set_mode(platform::Mode::default());
+    for round in 0..3 {
+        let id = format!("hold-{round}");
+        let answers = release_everywhere(&fleet, &id);
+        assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+        assert_eq!(fleet.executions(&id), 1);
     }
-    eventually("the woken router serves", || {
-        fleet.release(0, "hold-0", "{}").is_some_and(|answer| answer.status == 200)
-    });
-    assert!((0..3).all(|round| fleet.executions(&format!("hold-{round}")) == 1));
 }
 
 #[test]
