--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -6,8 +6,9 @@
 mod fleet;
 
 use doorswitch_standins::engine;
-use fleet::{Fleet, Options, eventually};
+use fleet::{Fleet, Options, completion_body, eventually};
 use std::thread;
+use std::time::Duration;
 
 fn breaking(after: u64) -> engine::Mode {
     engine::Mode { break_after_tokens: after, ..engine::Mode::default() }
@@ -106,3 +107,56 @@
     let billed = fleet.totals("kitchen").billed_tokens;
     assert!(billed >= 5 && billed <= fleet.made_tokens() + 2, "billed {billed}");
 }
+
+#[test]
+fn callers_that_leave_at_any_moment_leave_nothing_reserved() {
+    let fleet = Fleet::start("answers-leave-early", Options::default());
+    let body = completion_body("hello there", 40, true);
+    let callers = fleet.routers[0].callers;
+    thread::scope(|scope| {
+        for caller in 0..8_u64 {
+            let body = &body;
+            scope.spawn(move || {
+                for turn in 0..60 {
+                    let path = "/v1/chat/completions";
+                    let stream = fleet::send(callers, "POST", path, "kitchen-key", &[], body);
+                    thread::sleep(Duration::from_micros((caller * 60 + turn) * 7));
+                    drop(stream);
+                }
+            });
+        }
+    });
+    eventually("nothing is left of them", || {
+        let dump = fleet.dump(0);
+        let reserved = &dump["budgets"]["kitchen/main"]["reserved_tokens"];
+        *reserved == 0 && dump["requests"].as_array().is_some_and(Vec::is_empty)
+    });
+}
+
+#[test]
+fn streams_that_run_while_regions_and_the_platform_are_cut_end_whole_and_are_billed() {
+    let slow = engine::Mode { token_ms: 20, ..engine::Mode::default() };
+    let options = Options { routers: 4, regions: 2, engine_mode: slow, ..Options::default() };
+    let fleet = Fleet::start("answers-region", options);
+    thread::scope(|scope| {
+        for caller in 0..8 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let prompt = format!("crash group {caller}");
+                let answer = fleet.complete(caller % 4, &prompt, 60, true).unwrap();
+                assert_eq!(answer.text(), engine::answer(&prompt, 60), "{answer:?}");
+                assert!(answer.done());
+            });
+        }
+        eventually("all run", || {
+            fleet.engines.iter().map(engine::Engine::running).sum::<usize>() == 8
+        });
+        fleet.cut_routers(&[0, 2], &[1, 3], true);
+        fleet.cut_platform(&[1, 3], true);
+    });
+    fleet.cut_routers(&[0, 2], &[1, 3], false);
+    fleet.cut_platform(&[1, 3], false);
+    eventually("each is billed once", || fleet.totals("kitchen").billed_requests == 8);
+    assert_eq!(fleet.totals("kitchen").billed_tokens, 8 * 63);
+    assert_eq!(fleet.totals("kitchen").repeated_tokens, 0);
+}
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -4,7 +4,7 @@
 
 mod fleet;
 
-use doorswitch_standins::engine;
+use doorswitch_standins::{engine, platform};
 use fleet::{Fleet, Options, eventually};
 use std::io::Read;
 
@@ -90,3 +90,26 @@
 fn knows_leaving(fleet: &Fleet, place: usize) -> bool {
     fleet.dump(place)["servers"]["engine-0"]["vm"]["state"] == "leaving"
 }
+
+#[test]
+fn a_planned_stop_during_an_outage_finishes_its_streams_and_ends_once_all_is_handed_back() {
+    let mut fleet =
+        Fleet::start("stops-outage", Options { engine_mode: slow(), ..Options::default() });
+    let body = fleet::completion_body(PROMPT, 40, true);
+    let path = "/v1/chat/completions";
+    let callers = fleet.routers[0].callers;
+    let mut stream = fleet::send(callers, "POST", path, "kitchen-key", &[], &body).unwrap();
+    eventually("it runs", || fleet.made_tokens() > 0);
+    fleet.platform.set_mode(platform::Mode { out: true, ..platform::Mode::default() });
+    fleet.signal(0, "TERM");
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).unwrap();
+    let answer = fleet::parse(&received).unwrap();
+    assert_eq!(answer.text(), engine::answer(PROMPT, 40));
+    assert!(answer.done());
+    fleet.platform.set_mode(platform::Mode::default());
+    assert!(fleet.wait_stopped(0), "{}", fleet.log_text(0));
+    assert_eq!(fleet.ledger("kitchen").grants.len(), 2);
+    assert_eq!(fleet.ledger("kitchen").written_off_tokens, 0);
+    eventually("it is billed", || fleet.totals("kitchen").billed_tokens == 43);
+}
