End the demonstration on SIGTERM too

Cause: a demonstration that was sent SIGTERM stopped its routers and went on holding its ports, so the next one could not start.

--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -34,7 +34,7 @@
         .collect::<Result<Vec<_>, Failure>>()?;
     let system = actix_rt::System::new();
     system.block_on(show())?;
-    system.block_on(tokio::signal::ctrl_c())?;
+    system.block_on(until_signal())?;
     for stop in stops {
         stop.stop();
     }
@@ -44,6 +44,15 @@
     Ok(())
 }
 
+async fn until_signal() -> std::io::Result<()> {
+    use tokio::signal::unix;
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    tokio::select! {
+        interrupted = tokio::signal::ctrl_c() => interrupted,
+        _ = terminate.recv() => Ok(()),
+    }
+}
+
 fn local(port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
