--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -8,13 +8,15 @@
 
 mod checks;
 mod faults;
+mod lives;
+mod sample;
 
 pub use faults::Faults;
 
 use doorswitch_core::{config, ids, ledger, log_index, message, node, servers, store};
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 pub const TICK_MS: u64 = 20;
 const STORE_TIMEOUT_MS: u64 = 1_000;
@@ -150,7 +152,7 @@
 
 impl World {
     pub fn new(shape: Shape, seed: u64) -> Self {
-        let document = document(&shape);
+        let document = sample::document(&shape);
         let mut world = Self {
             now_ms: 1_000,
             routers: Vec::new(),
@@ -172,7 +174,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             index: 0,
-            vms: backend_vms(&shape),
+            vms: sample::backend_vms(&shape),
             vms_index: 1,
             document,
             operations: 0,
@@ -307,63 +309,6 @@
         self.store.insert(config::KEY.to_owned(), (self.index, value));
     }
 
-    /// Kills a router; its streams may go on at the engines.
-    pub fn kill(&mut self, at: usize) {
-        if !self.routers[at].alive {
-            return;
-        }
-        self.deaths += 1;
-        self.routers[at].alive = false;
-        self.routers[at].held.clear();
-        let life = self.routers[at].life;
-        for given in self.given.iter_mut().filter(|given| given.life == life && given.running) {
-            given.running = false;
-            let truth = &mut self.truth[given.budget];
-            truth.outstanding_tokens -= given.bound_tokens;
-            truth.served_tokens += given.actual_tokens;
-        }
-    }
-
-    /// Starts a killed router again: at its old address, or on a new VM while the old one goes.
-    pub fn restart(&mut self, at: usize, same_address: bool) {
-        if self.routers[at].alive {
-            return;
-        }
-        let old = (self.routers[at].vm.clone(), self.routers[at].address.clone());
-        let (vm, address) = match same_address {
-            true => old,
-            false => {
-                let gone = Event::VmGone { vm: old.0 };
-                self.after(self.vms_lag_ms, gone);
-                let number: u64 = self.rng.random();
-                (format!("vm-{number}"), format!("10.1.{}.{}:1", number % 250, number / 250 % 250))
-            }
-        };
-        self.routers[at] = self.new_router(at, vm, address);
-        self.list_routers();
-    }
-
-    pub fn pause(&mut self, at: usize) {
-        self.routers[at].paused = true;
-    }
-
-    pub fn resume(&mut self, at: usize) {
-        if !self.routers[at].paused {
-            return;
-        }
-        self.routers[at].paused = false;
-        for event in std::mem::take(&mut self.routers[at].held) {
-            self.deliver(event);
-        }
-    }
-
-    pub fn stop(&mut self, at: usize) {
-        if self.routers[at].alive && !self.routers[at].paused {
-            self.routers[at].node.stop(self.now_ms);
-            self.carry_out(at);
-        }
-    }
-
     pub fn ledger(&self, budget: usize) -> ledger::Budget {
         let name = self.budget_name(budget);
         let key = ledger::key(ledger::shard_of(&name, 2));
@@ -391,64 +336,6 @@
         index
     }
 
-    fn new_router(&mut self, place: usize, vm: String, address: String) -> Router {
-        let life = ids::Incarnation(self.rng.random());
-        let seeds = self.routers.iter().map(|it| it.address.clone()).collect();
-        let settings = node::Settings {
-            incarnation: life,
-            vm: vm.clone(),
-            address: address.clone(),
-            failure_domain: format!("domain-{place}"),
-            region: format!("region-{}", place % self.shape.regions),
-            seeds,
-            started_s: 0,
-            platform_reads_per_s: 2_000,
-            platform_writes_per_s: self.shape.writes_per_s,
-            budget_wait_ms: 500,
-            claim_wait_ms: 3_000,
-            handover_wait_ms: 1_000,
-        };
-        Router {
-            node: node::Node::new(settings, self.rng.random(), self.now_ms),
-            life,
-            vm,
-            address,
-            region: place % self.shape.regions,
-            alive: true,
-            paused: false,
-            held: Vec::new(),
-            version_seen: 0,
-        }
-    }
-
-    fn list_routers(&mut self) {
-        let routers = self.routers.iter().map(|router| servers::Vm {
-            vm: router.vm.clone(),
-            service: node::ROUTER_SERVICE.to_owned(),
-            address: router.address.clone(),
-            class: "entry".to_owned(),
-            failure_domain: "a".to_owned(),
-            state: servers::VmState::Live,
-        });
-        let listed: BTreeSet<String> = self.vms.iter().map(|vm| vm.vm.clone()).collect();
-        let new: Vec<servers::Vm> = routers.filter(|vm| !listed.contains(&vm.vm)).collect();
-        self.vms.extend(new);
-        self.vms_index += 1;
-    }
-
-    fn tell_platform_news(&mut self, place: usize) {
-        if self.faults.store_out || self.faults.store_cut.contains(&place) {
-            return;
-        }
-        let router = &mut self.routers[place];
-        if let Some((_, value)) = self.store.get(config::KEY) {
-            let published = serde_json::from_slice(value).unwrap();
-            router.node.offer_config(published, self.now_ms);
-        }
-        router.node.offer_vms(self.vms_index, self.vms.clone(), self.now_ms);
-        self.carry_out(place);
-    }
-
     fn after(&mut self, delay_ms: u64, event: Event) {
         self.next_event += 1;
         self.events.insert((self.now_ms + delay_ms, self.next_event), event);
@@ -571,39 +458,3 @@
         }
     }
 }
-
-fn backend_vms(shape: &Shape) -> Vec<servers::Vm> {
-    let vm = |place| servers::Vm {
-        vm: format!("server-{place}"),
-        service: "service".to_owned(),
-        address: format!("10.2.0.{place}:1"),
-        class: "new".to_owned(),
-        failure_domain: "a".to_owned(),
-        state: servers::VmState::Live,
-    };
-    (0..shape.servers).map(vm).collect()
-}
-
-fn document(shape: &Shape) -> config::Document {
-    config::Document {
-        layout: config::Layout { ledger_shards: 2, log_shards: 2, log_epoch_segments: 8 },
-        workspaces: vec![config::Workspace {
-            name: "workspace".to_owned(),
-            keys: Vec::new(),
-            budgets: shape.budgets.clone(),
-        }],
-        services: vec![config::Service {
-            name: "service".to_owned(),
-            kind: config::Kind::Model,
-            policy: "policy".to_owned(),
-            models: vec!["model".to_owned()],
-            answer_tokens_max: 1 << 30,
-            call_tokens: 0,
-            unrepeatable: Vec::new(),
-            queue_length: shape.queue_length,
-            queue_age_ms: 10_000,
-            answer_time_ms: 60_000,
-        }],
-        policies: vec![config::Policy { name: "policy".to_owned(), program: String::new() }],
-    }
-}
