Count a VM as gone only by a list that is no older than the one that showed it

Cause: found on reading the whole change. A holder noted only that it had seen its VM listed. A router with an older list, in which that VM was not yet, took the live holder for gone, wrote its grant off and so fenced it.

Change: the ledger notes the first list index in which a holder saw its VM; only a list of that index or later that lacks the VM shows it gone. An empty list still shows nothing.

Proof: a_router_with_an_older_list_does_not_count_a_new_vm_as_gone failed first (Fenced instead of Ready) and passes.

--- a/benches/capacity/values.rs
+++ b/benches/capacity/values.rs
@@ -42,7 +42,7 @@
         let description = ledger::Holder {
             vm: format!("entry-{holder}"),
             address: format!("10.1.{}.{}:7100", holder / 250, holder % 250),
-            listed: true,
+            listed_index: 1,
         };
         shard.holders.insert(id, description);
     }
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -50,8 +50,9 @@
     pub vm: String,
     /// The address that it listens on for peers; two live processes cannot both have it.
     pub address: String,
-    /// Whether it has seen its own VM in the platform's list.
-    pub listed: bool,
+    /// The first index of the platform's list in which it saw its own VM; 0 if it has not. Only a list that
+    /// is no older, and lacks the VM, shows that it is gone.
+    pub listed_index: u64,
 }
 
 /// One prepaid budget.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -94,6 +94,8 @@
     vms: collections::HashMap<String, servers::Vm>,
     vms_index: u64,
     vms_heard_ms: u64,
+    /// The first list in which this router saw its own VM; 0 before that.
+    listed_index: u64,
     leaving: collections::BTreeMap<String, u64>,
     grants: grants::Table,
     servers: servers::Table,
@@ -159,6 +161,7 @@
             vms: Default::default(),
             vms_index: 0,
             vms_heard_ms: 0,
+            listed_index: 0,
             leaving: Default::default(),
             grants: grants::Table::default(),
             servers: servers::Table::default(),
@@ -289,6 +292,9 @@
             vms.iter().filter(|vm| vm.service != ROUTER_SERVICE).cloned().collect();
         self.servers.follow(&backends);
         self.vms = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
+        if self.listed_index == 0 && self.vms.contains_key(&self.settings.vm) {
+            self.listed_index = index;
+        }
         let (vms, leaving) = (&self.vms, &mut self.leaving);
         leaving.retain(|vm, _| vms.contains_key(vm));
         for ledger in &mut self.ledgers {
@@ -391,7 +397,7 @@
         ledger::Holder {
             vm: self.settings.vm.clone(),
             address: self.settings.address.clone(),
-            listed: self.vms.contains_key(&self.settings.vm),
+            listed_index: self.listed_index,
         }
     }
 }
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -77,11 +77,13 @@
         let description = self.ledger_holder();
         let vms = self.vms.clone();
         let address = self.settings.address.clone();
-        let listed = !vms.is_empty();
-        // Nothing of a holder can still run if its VM was listed and is gone from the list, or if
-        // this process has bound its address. A lapsed lease or silence proves nothing.
+        let vms_index = self.vms_index;
+        // Nothing of a holder can still run if its VM was listed and is gone from a list that is no
+        // older, or if this process has bound its address. A lapsed lease or silence proves nothing.
         let gone = move |_: ids::Incarnation, holder: &ledger::Holder| {
-            holder.address == address || (listed && holder.listed && !vms.contains_key(&holder.vm))
+            let was_listed = holder.listed_index > 0 && holder.listed_index <= vms_index;
+            let gone = was_listed && !vms.is_empty() && !vms.contains_key(&holder.vm);
+            holder.address == address || gone
         };
         let context = self.ledger_context(&description, &gone, now_ms);
         let (write, events) =
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -60,7 +60,7 @@
         reply: store::Reply,
     ) -> (Option<Sent>, Vec<ledger_writer::Event>) {
         let description =
-            ledger::Holder { vm: "a".to_owned(), address: "a:1".to_owned(), listed: true };
+            ledger::Holder { vm: "a".to_owned(), address: "a:1".to_owned(), listed_index: 1 };
         let context = ledger_writer::Context {
             now_ms: self.now_ms,
             holder: OWN,
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -141,3 +141,18 @@
     let end = world.given[late[0]].end.clone();
     assert_eq!(end, Some(End::Refused(node::Reason::DeadlineTooClose)));
 }
+
+#[test]
+fn a_router_with_an_older_list_does_not_count_a_new_vm_as_gone() {
+    let mut world = World::new(Shape::default(), 1);
+    world.run_ms(3_000);
+    world.vms_stale.insert(0);
+    world.kill(3);
+    world.restart(3, false);
+    world.run_ms(1_400);
+    // The one with the older list reads the ledger, in which the new one holds a grant.
+    world.admit(0, 0, 1, 4_000, 10, false);
+    world.admit(0, 1, 2, 4_000, 10, false);
+    world.run_ms(5_000);
+    assert_eq!(world.routers[3].node.lifecycle(), node::Lifecycle::Ready);
+}
--- a/core/tests/world/lives.rs
+++ b/core/tests/world/lives.rs
@@ -117,7 +117,9 @@
             let published = serde_json::from_slice(value).unwrap();
             router.node.offer_config(published, self.now_ms);
         }
-        router.node.offer_vms(self.vms_index, self.vms.clone(), self.now_ms);
+        if !self.vms_stale.contains(&place) {
+            router.node.offer_vms(self.vms_index, self.vms.clone(), self.now_ms);
+        }
         self.carry_out(place);
     }
 }
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -139,6 +139,8 @@
     /// How long callers wait, from now on.
     pub deadline_ms: u64,
     pub vms_lag_ms: u64,
+    /// Routers that get no newer list of VMs from the platform.
+    pub vms_stale: std::collections::BTreeSet<usize>,
     by_slot: HashMap<(ids::Incarnation, ids::RequestSlot), usize>,
     events: BTreeMap<(u64, u64), Event>,
     next_event: u64,
@@ -170,6 +172,7 @@
             priority: 5,
             deadline_ms: 60_000,
             vms_lag_ms: 2_000,
+            vms_stale: Default::default(),
             by_slot: HashMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
