--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,11 +3,13 @@
 
 #![allow(dead_code, clippy::unwrap_used, missing_docs, unused_imports)]
 
+mod faults;
 mod http;
+mod observe;
 
 pub use http::{Answer, call, parse, send};
 
-use doorswitch_core::{config, ledger, log_index};
+use doorswitch_core::config;
 use doorswitch_standins::{engine, network, platform, service};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -382,125 +384,6 @@
         let path = "/services/payments/release/7";
         call(self.routers[place].callers, "POST", path, "kitchen-key", &headers, body)
     }
-
-    pub fn signal(&self, place: usize, signal: &str) {
-        let child = self.routers[place].child.as_ref().unwrap();
-        let status =
-            Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-        assert!(status.unwrap().success());
-    }
-
-    pub fn kill(&mut self, place: usize) {
-        if let Some(mut child) = self.routers[place].child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Waits for a planned stop to end; returns whether it ended well.
-    pub fn wait_stopped(&mut self, place: usize) -> bool {
-        let mut child = self.routers[place].child.take().unwrap();
-        let mut status = None;
-        eventually("the planned stop ends", || {
-            status = child.try_wait().unwrap();
-            status.is_some()
-        });
-        status.is_some_and(|status| status.success())
-    }
-
-    /// Cuts two sets of routers off from each other.
-    pub fn cut_routers(&self, one: &[usize], other: &[usize], cut: bool) {
-        for (near, far) in [(one, other), (other, one)] {
-            for place in near {
-                self.routers[*place].proxy.change(|faults| {
-                    for source in far {
-                        let ip = self.routers[*source].ip;
-                        if cut {
-                            faults.cut.insert(ip);
-                        } else {
-                            faults.cut.remove(&ip);
-                        }
-                    }
-                });
-            }
-        }
-    }
-
-    /// Cuts routers off from the platform.
-    pub fn cut_platform(&self, places: &[usize], cut: bool) {
-        self.platform_proxy.change(|faults| {
-            for place in places {
-                let ip = self.routers[*place].ip;
-                if cut {
-                    faults.cut.insert(ip);
-                } else {
-                    faults.cut.remove(&ip);
-                }
-            }
-        });
-    }
-
-    pub fn ledger(&self, workspace: &str) -> ledger::Budget {
-        let name = config::budget_name(workspace, "main");
-        let mut found = ledger::Budget::default();
-        for (_, value) in self.platform.values("doorswitch/ledger/") {
-            let shard = ledger::Shard::decode(&value).unwrap();
-            if let Some(budget) = shard.budgets.get(&name) {
-                found = budget.clone();
-            }
-        }
-        found
-    }
-
-    /// The log as it lies in the store.
-    pub fn log(&self) -> log_index::Index {
-        let mut index = log_index::Index::default();
-        for shard in 0..2 {
-            let segments = self.platform.values(&log_index::prefix(shard));
-            let checkpoint = self.platform.values(&log_index::checkpoint_key(shard)).pop();
-            let checkpoint =
-                checkpoint.map(|(_, value)| log_index::Checkpoint::decode(&value).unwrap());
-            let upto = checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.upto);
-            let mut own = checkpoint.map(log_index::Checkpoint::restore).unwrap_or_default();
-            for (key, value) in segments {
-                if log_index::segment_number(&key).unwrap() >= upto {
-                    own.apply_segment(&log_index::Segment::decode(&value).unwrap());
-                }
-            }
-            index.merge(own);
-        }
-        index
-    }
-
-    pub fn totals(&self, workspace: &str) -> log_index::Totals {
-        let name = config::budget_name(workspace, "main");
-        let mut sum = log_index::Totals::default();
-        for (budget, _, totals) in self.log().totals() {
-            if budget == name {
-                sum.billed_tokens += totals.billed_tokens;
-                sum.billed_requests += totals.billed_requests;
-                sum.repeated_tokens += totals.repeated_tokens;
-            }
-        }
-        sum
-    }
-
-    pub fn made_tokens(&self) -> u64 {
-        self.engines.iter().map(|engine| engine.counts().made_tokens).sum()
-    }
-
-    pub fn started_requests(&self) -> u64 {
-        self.engines.iter().map(|engine| engine.counts().started).sum()
-    }
-
-    pub fn executions(&self, id: &str) -> u64 {
-        let counts = self.services.iter().map(|it| it.executions().get(id).copied().unwrap_or(0));
-        counts.sum()
-    }
-
-    pub fn log_text(&self, place: usize) -> String {
-        fs::read_to_string(self.folder.join(format!("router-{place}.log"))).unwrap_or_default()
-    }
 }
 
 impl Drop for Fleet {
--- /dev/null
+++ b/tests/fleet/observe.rs
@@ -0,0 +1,69 @@
+//! What a fleet has truly done: the store as it is, the engines and the services.
+
+use super::Fleet;
+use doorswitch_core::{config, ledger, log_index};
+use std::fs;
+
+impl Fleet {
+    pub fn ledger(&self, workspace: &str) -> ledger::Budget {
+        let name = config::budget_name(workspace, "main");
+        let mut found = ledger::Budget::default();
+        for (_, value) in self.platform.values("doorswitch/ledger/") {
+            let shard = ledger::Shard::decode(&value).unwrap();
+            if let Some(budget) = shard.budgets.get(&name) {
+                found = budget.clone();
+            }
+        }
+        found
+    }
+
+    /// The log as it lies in the store.
+    pub fn log(&self) -> log_index::Index {
+        let mut index = log_index::Index::default();
+        for shard in 0..2 {
+            let segments = self.platform.values(&log_index::prefix(shard));
+            let checkpoint = self.platform.values(&log_index::checkpoint_key(shard)).pop();
+            let checkpoint =
+                checkpoint.map(|(_, value)| log_index::Checkpoint::decode(&value).unwrap());
+            let upto = checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.upto);
+            let mut own = checkpoint.map(log_index::Checkpoint::restore).unwrap_or_default();
+            for (key, value) in segments {
+                if log_index::segment_number(&key).unwrap() >= upto {
+                    own.apply_segment(&log_index::Segment::decode(&value).unwrap());
+                }
+            }
+            index.merge(own);
+        }
+        index
+    }
+
+    pub fn totals(&self, workspace: &str) -> log_index::Totals {
+        let name = config::budget_name(workspace, "main");
+        let mut sum = log_index::Totals::default();
+        for (budget, _, totals) in self.log().totals() {
+            if budget == name {
+                sum.billed_tokens += totals.billed_tokens;
+                sum.billed_requests += totals.billed_requests;
+                sum.repeated_tokens += totals.repeated_tokens;
+            }
+        }
+        sum
+    }
+
+    pub fn made_tokens(&self) -> u64 {
+        self.engines.iter().map(|engine| engine.counts().made_tokens).sum()
+    }
+
+    pub fn started_requests(&self) -> u64 {
+        self.engines.iter().map(|engine| engine.counts().started).sum()
+    }
+
+    pub fn executions(&self, id: &str) -> u64 {
+        let counts = self.services.iter().map(|it| it.executions().get(id).copied().unwrap_or(0));
+        counts.sum()
+    }
+
+    pub fn log_text(&self, place: usize) -> String {
+        fs::read_to_string(self.folder.join(format!("router-{place}.log"))).unwrap_or_default()
+    }
+}
