--- a/core/src/grants.rs
+++ b/core/src/grants.rs
@@ -11,8 +11,11 @@
 /// more or less would make routers draw and return in turn.
 const RATE_WINDOW_MIN_MS: u64 = 20_000;
 const RATE_WINDOW_MAX_MS: u64 = 600_000;
-/// The shortest window where holders keep a share in hand anyway.
-const RATE_WINDOW_SHORT_MS: u64 = 4_000;
+/// The windows where holders keep a share in hand anyway: the usual one, and that of the first average.
+const SHARE_WINDOW_MS: u64 = 10_000;
+const SHARE_WINDOW_FIRST_MS: u64 = 3_000;
+/// One part in so many of the share is divided evenly, the rest by the rates.
+const EVEN_PART: u64 = 4;
 
 /// What a configuration says is paid in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +63,8 @@
     pub confirm_version: u64,
     /// Routers that share the budget.
     pub routers: u64,
+    /// What the other holders spend a second, as the store showed last.
+    pub others_rate_tokens_per_s: u64,
     rate_milli_tokens_per_s: u64,
     spending_since_ms: u64,
     measured_tokens: u64,
@@ -86,6 +91,7 @@
             overdrawn: false,
             confirm_version: 0,
             routers: 1,
+            others_rate_tokens_per_s: 0,
             rate_milli_tokens_per_s: 0,
             spending_since_ms: now_ms,
             measured_tokens: 0,
@@ -115,8 +121,13 @@
             return wanted;
         }
         // The share follows what is unspent, so that a loss of all routers costs a part of it only.
-        let share = self.unspent_tokens() / 100 * self.settings.held_percent / self.routers.max(1);
-        wanted.max(share).min(share.saturating_mul(2))
+        let shared = self.unspent_tokens() / 100 * self.settings.held_percent;
+        let even = shared / EVEN_PART / self.routers.max(1);
+        let own_rate = self.rate_tokens_per_s();
+        let all_rates = own_rate.saturating_add(self.others_rate_tokens_per_s).max(1);
+        let by_rate =
+            u128::from(shared - shared / EVEN_PART) * u128::from(own_rate) / u128::from(all_rates);
+        wanted.max(even).min(even.saturating_add(by_rate as u64))
     }
 
     /// What of the budget was not spent when the store was last read.
@@ -207,11 +218,10 @@
         let spent = self.consumed_tokens - self.measured_tokens;
         let rate = spent.saturating_mul(1_000_000) / elapsed_ms;
         let window_ms = self.settings.cover_s.saturating_mul(500);
-        let least_ms = match self.settings.held_percent {
-            0 => RATE_WINDOW_MIN_MS,
-            _ => RATE_WINDOW_SHORT_MS,
+        let (window_ms, least_ms) = match self.settings.held_percent {
+            0 => (window_ms.clamp(RATE_WINDOW_MIN_MS, RATE_WINDOW_MAX_MS), RATE_WINDOW_MIN_MS),
+            _ => (SHARE_WINDOW_MS, SHARE_WINDOW_FIRST_MS),
         };
-        let window_ms = window_ms.clamp(least_ms, RATE_WINDOW_MAX_MS);
         if spent > 0 && self.rate_milli_tokens_per_s == 0 {
             self.spending_since_ms = self.measured_ms;
         }
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -93,6 +93,12 @@
     pub granted_tokens: u64,
     /// What it had served when it last wrote.
     pub consumed_tokens: u64,
+    /// What it had free for new requests when it last wrote.
+    #[serde(default)]
+    pub free_tokens: u64,
+    /// What it spent a second when it last wrote, averaged.
+    #[serde(default)]
+    pub rate_tokens_per_s: u64,
 }
 
 /// A holder's last word on one budget.
@@ -212,12 +218,15 @@
         left.checked_sub(self.closed_spent_tokens)
     }
 
-    /// What live holders may still spend, as far as they reported.
+    /// What live holders had free for new requests when they last wrote.
     pub fn held_tokens(&self) -> u64 {
-        self.grants
-            .values()
-            .map(|grant| grant.granted_tokens.saturating_sub(grant.consumed_tokens))
-            .sum()
+        self.grants.values().map(|grant| grant.free_tokens).sum()
+    }
+
+    /// What the other holders spend a second.
+    pub fn rate_beside(&self, holder: ids::Incarnation) -> u64 {
+        let others = self.grants.iter().filter(|(id, _)| **id != holder);
+        others.map(|(_, grant)| grant.rate_tokens_per_s).sum()
     }
 
     /// What holders reported as served, live and closed.
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -15,6 +15,8 @@
 const LOOK_EVERY_MS: u64 = 100;
 /// How often an empty budget is looked at for a payment while no request asks.
 const EMPTY_CHECK_EVERY_MS: u64 = 10_000;
+/// After so many the writer backs off before it writes again.
+const OVERTAKEN_MAX: u32 = 3;
 const BACKOFF_BASE_MS: u64 = 20;
 const BACKOFF_LIMIT_MS: u64 = 5_000;
 
@@ -75,6 +77,10 @@
     dead_in_draft: Vec<Event>,
     urgent: bool,
     stale: bool,
+    /// What lies in the store, where the last reply said so: the next write needs no read.
+    known: Option<(u64, ledger::Shard)>,
+    /// Writes in a row that another router's write came before.
+    overtaken: u32,
 }
 
 impl Writer {
@@ -92,6 +98,8 @@
             dead_in_draft: Vec::new(),
             urgent: false,
             stale: true,
+            known: None,
+            overtaken: 0,
         }
     }
 
@@ -131,11 +139,27 @@
         accounts.any(|account| account_due(account, since_ms, context))
     }
 
-    /// Starts a round by reading the shard.
-    pub fn start(&mut self, call: ids::CallId) -> store::Request {
+    /// Starts a round: by a write, if it is known what lies there and something is to be changed, or
+    /// else by reading the shard.
+    pub fn start(
+        &mut self,
+        call: ids::CallId,
+        table: &mut grants::Table,
+        context: &Context<'_>,
+    ) -> store::Request {
         self.urgent = false;
+        let key = ledger::key(self.shard);
+        let usable = !self.stale && self.unsettled_index.is_none();
+        if let Some((base_index, shard)) = self.known.take().filter(|_| usable) {
+            let draft = self.draft(&shard, table, context);
+            if draft != shard {
+                let value = draft.encode();
+                self.state = State::Writing { call, base_index, draft: Box::new(draft) };
+                return store::Request::Write { key, expected_index: base_index, value };
+            }
+        }
         self.state = State::Reading(call);
-        store::Request::Read { key: ledger::key(self.shard) }
+        store::Request::Read { key }
     }
 
     /// Takes a reply; returns the next call to make, if there is one, and what happened.
@@ -151,9 +175,15 @@
             State::Reading(expected) if expected == call => {
                 self.on_read(reply, table, context, rng)
             }
-            State::Writing { call: expected, base_index, draft } if expected == call => {
-                (None, self.on_written(reply, base_index, *draft, table, context, rng))
-            }
+            State::Writing { call: expected, base_index, draft } if expected == call => match reply
+            {
+                store::Reply::Overtaken { index, value } if self.overtaken < OVERTAKEN_MAX => {
+                    self.overtaken += 1;
+                    self.unsettled_index = self.unsettled_index.or(Some(base_index));
+                    self.on_read(store::Reply::Found { index, value }, table, context, rng)
+                }
+                reply => (None, self.on_written(reply, base_index, *draft, table, context, rng)),
+            },
             // A late reply to a call that was given up.
             other => {
                 self.state = other;
@@ -206,6 +236,7 @@
         self.backoff.reset();
         let draft = self.draft(&shard, table, context);
         if draft == shard && self.unsettled_index.is_none() {
+            self.known = Some((index, shard));
             self.succeed(context.now_ms);
             events.push(Event::Followed);
             return (None, events);
@@ -250,7 +281,12 @@
         rng: &mut rngs::StdRng,
     ) -> Vec<Event> {
         match reply {
-            store::Reply::Written => {
+            store::Reply::Written | store::Reply::WrittenAt { .. } => {
+                if let store::Reply::WrittenAt { index } = reply {
+                    self.seen_index = index;
+                    self.known = Some((index, draft.clone()));
+                }
+                self.overtaken = 0;
                 self.unsettled_index = None;
                 self.reported_ms = context.now_ms;
                 self.succeed(context.now_ms);
@@ -259,7 +295,8 @@
                 events.push(Event::Followed);
                 events
             }
-            store::Reply::Conflict => {
+            store::Reply::Conflict | store::Reply::Overtaken { .. } => {
+                self.overtaken = 0;
                 // This write lost; an earlier one with no reply may be what it lost to.
                 self.unsettled_index = self.unsettled_index.or(Some(base_index));
                 self.urgent = true;
@@ -306,6 +343,8 @@
             account.remaining_tokens =
                 Some(budget.and_then(ledger::Budget::remaining_tokens).unwrap_or(0));
             account.held_tokens = budget.map_or(0, ledger::Budget::held_tokens);
+            account.others_rate_tokens_per_s =
+                budget.map_or(0, |budget| budget.rate_beside(context.holder));
             account.overdrawn = budget.is_some_and(|budget| budget.remaining_tokens().is_none());
             if budget.is_some_and(|budget| budget.paid_version >= account.confirm_version) {
                 account.confirm_version = 0;
@@ -370,6 +409,7 @@
         let remaining = budget.remaining_tokens().unwrap_or(0);
         account.remaining_tokens = Some(remaining);
         account.held_tokens = budget.held_tokens();
+        account.others_rate_tokens_per_s = budget.rate_beside(context.holder);
         let drawn = account.draw_tokens(remaining, context.routers);
         if drawn > 0 {
             draft.draw(&name, context.holder, drawn);
@@ -384,6 +424,8 @@
         }
         if let Some(grant) = budget.grants.get_mut(&context.holder) {
             grant.consumed_tokens = account.consumed_tokens;
+            grant.free_tokens = account.free_tokens() + drawn;
+            grant.rate_tokens_per_s = account.rate_tokens_per_s();
         }
     }
 }
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -9,7 +9,9 @@
         let Some(purpose) = self.calls.remove(&call) else { return };
         match reply {
             store::Reply::Unknown => self.counters.platform_unknown += 1,
-            store::Reply::Conflict => self.counters.platform_conflicts += 1,
+            store::Reply::Conflict | store::Reply::Overtaken { .. } => {
+                self.counters.platform_conflicts += 1;
+            }
             _ => {}
         }
         match purpose {
@@ -31,13 +33,37 @@
         }
         for shard in 0..self.ledgers.len() {
             if self.ledger_due(shard, now_ms) && self.reads.try_take(now_ms) {
-                let call = self.call(Purpose::Ledger(shard));
-                let request = self.ledgers[shard].start(call);
-                self.push_store(call, request);
+                self.start_ledger_round(shard, now_ms);
             }
         }
     }
 
+    fn start_ledger_round(&mut self, shard: usize, now_ms: u64) {
+        let call = self.call(Purpose::Ledger(shard));
+        let description = self.ledger_holder();
+        let gone = self.gone();
+        let context = self.ledger_context(&description, &gone, now_ms);
+        let request = self.ledgers[shard].start(call, &mut self.grants, &context);
+        if request.is_write() {
+            self.writes.try_take(now_ms);
+        }
+        self.push_store(call, request);
+    }
+
+    /// Tells whether a holder can certainly not run any more: its VM was listed and is gone from a list
+    /// that is no older, or this process has bound its address. A lapsed lease or silence proves
+    /// nothing.
+    fn gone(&self) -> impl Fn(ids::Incarnation, &ledger::Holder) -> bool + use<> {
+        let vms = self.vms.clone();
+        let address = self.settings.address.clone();
+        let vms_index = self.vms_index;
+        move |_, holder| {
+            let was_listed = holder.listed_index > 0 && holder.listed_index <= vms_index;
+            let gone = was_listed && !vms.is_empty() && !vms.contains_key(&holder.vm);
+            holder.address == address || gone
+        }
+    }
+
     fn may_call_log(&mut self, shard: usize, now_ms: u64) -> bool {
         let limiter =
             if self.logs[shard].reads_next() { &mut self.reads } else { &mut self.writes };
@@ -75,16 +101,7 @@
 
     fn ledger_reply(&mut self, shard: usize, call: ids::CallId, reply: store::Reply, now_ms: u64) {
         let description = self.ledger_holder();
-        let vms = self.vms.clone();
-        let address = self.settings.address.clone();
-        let vms_index = self.vms_index;
-        // Nothing of a holder can still run if its VM was listed and is gone from a list that is no
-        // older, or if this process has bound its address. A lapsed lease or silence proves nothing.
-        let gone = move |_: ids::Incarnation, holder: &ledger::Holder| {
-            let was_listed = holder.listed_index > 0 && holder.listed_index <= vms_index;
-            let gone = was_listed && !vms.is_empty() && !vms.contains_key(&holder.vm);
-            holder.address == address || gone
-        };
+        let gone = self.gone();
         let context = self.ledger_context(&description, &gone, now_ms);
         let (write, events) =
             self.ledgers[shard].reply(call, reply, &mut self.grants, &context, &mut self.rng);
@@ -132,7 +149,7 @@
     }
 
     fn log_reply(&mut self, shard: usize, call: ids::CallId, reply: store::Reply, now_ms: u64) {
-        let done = self.logs[shard].reply(call, reply, now_ms, &mut self.rng);
+        let done = self.logs[shard].reply(call, reply.plain(), now_ms, &mut self.rng);
         for item in done {
             self.log_done(item, now_ms);
         }
--- a/core/src/store.rs
+++ b/core/src/store.rs
@@ -31,6 +31,17 @@
     }
 }
 
+impl Reply {
+    /// The reply without what only some stores say.
+    pub fn plain(self) -> Self {
+        match self {
+            Self::WrittenAt { .. } => Self::Written,
+            Self::Overtaken { .. } => Self::Conflict,
+            other => other,
+        }
+    }
+}
+
 /// What came back, or that nothing did.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -45,8 +56,20 @@
     Missing,
     /// The compare-and-swap took effect.
     Written,
+    /// The compare-and-swap took effect, and the value now has this index.
+    WrittenAt {
+        /// The modification index of the value.
+        index: u64,
+    },
     /// The compare-and-swap did not take effect, and never will.
     Conflict,
+    /// The compare-and-swap did not take effect, and never will; this is what lies there.
+    Overtaken {
+        /// The modification index of the value.
+        index: u64,
+        /// The value.
+        value: Vec<u8>,
+    },
     /// No reply: the call may have taken effect, may do so later, or never.
     Unknown,
 }
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -30,6 +30,25 @@
     value: Vec<u8>,
 }
 
+fn description() -> ledger::Holder {
+    ledger::Holder { vm: "a".to_owned(), address: "a:1".to_owned(), listed_index: 1 }
+}
+
+fn context(
+    description: &ledger::Holder,
+    now_ms: u64,
+    stopping: bool,
+) -> ledger_writer::Context<'_> {
+    ledger_writer::Context {
+        now_ms,
+        holder: OWN,
+        description,
+        routers: 1,
+        stopping,
+        gone: &|_, _| false,
+    }
+}
+
 impl Bench {
     fn new(paid_tokens: u64) -> Self {
         let mut table = grants::Table::new(1);
@@ -59,16 +78,8 @@
         call: ids::CallId,
         reply: store::Reply,
     ) -> (Option<Sent>, Vec<ledger_writer::Event>) {
-        let description =
-            ledger::Holder { vm: "a".to_owned(), address: "a:1".to_owned(), listed_index: 1 };
-        let context = ledger_writer::Context {
-            now_ms: self.now_ms,
-            holder: OWN,
-            description: &description,
-            routers: 1,
-            stopping: self.stopping,
-            gone: &|_, _| false,
-        };
+        let description = description();
+        let context = context(&description, self.now_ms, self.stopping);
         let (write, events) =
             self.writer.reply(call, reply, &mut self.table, &context, &mut self.rng);
         self.calls += 1;
@@ -85,11 +96,18 @@
         self.now_ms += 10_000;
         self.calls += 1;
         let call = ids::CallId(self.calls);
-        self.writer.start(call);
+        self.start(call);
         let found = store::Reply::Found { index: self.index, value: self.shard.encode() };
         self.reply(call, found)
     }
 
+    /// Starts a round; returns the first call.
+    fn start(&mut self, call: ids::CallId) -> store::Request {
+        let description = description();
+        let context = context(&description, self.now_ms, self.stopping);
+        self.writer.start(call, &mut self.table, &context)
+    }
+
     /// The store takes a write, now or late.
     fn apply(&mut self, sent: &Sent) -> store::Reply {
         if sent.expected_index != self.index {
@@ -226,7 +244,7 @@
 fn an_unreadable_ledger_is_left_alone() {
     let mut bench = Bench::new(100);
     let call = ids::CallId(77);
-    bench.writer.start(call);
+    bench.start(call);
     let found = store::Reply::Found { index: 9, value: b"{".to_vec() };
     let (sent, events) = bench.reply(call, found);
     assert!(sent.is_none());
@@ -279,3 +297,42 @@
         ledger::Shard::decode(&shard.encode()).unwrap() == shard
     }
 }
+
+/// Starts a second round after a first one whose reply told the index of the value.
+fn second_round(bench: &mut Bench) -> (ids::CallId, store::Request) {
+    let (sent, _) = bench.read();
+    let sent = sent.unwrap();
+    assert_eq!(bench.apply(&sent), store::Reply::Written);
+    bench.reply(sent.call, store::Reply::WrittenAt { index: bench.index });
+    let slot = bench.budget;
+    let reservation = bench.table.reserve(slot, 1_000).unwrap().dispatch();
+    bench.table.settle(reservation, 1_000);
+    bench.now_ms += 1_000;
+    let call = ids::CallId(500);
+    (call, bench.start(call))
+}
+
+#[test]
+fn a_value_whose_index_is_known_is_written_without_reading_it() {
+    let mut bench = Bench::new(100_000);
+    let (_, request) = second_round(&mut bench);
+    let store::Request::Write { expected_index, .. } = request else {
+        panic!("a write, not {request:?}");
+    };
+    assert_eq!(expected_index, bench.index);
+}
+
+#[test]
+fn a_write_that_was_overtaken_goes_on_from_what_lies_there() {
+    let mut bench = Bench::new(100_000);
+    let (call, _) = second_round(&mut bench);
+    bench.shard.draw("w/main", OTHER, 90_000);
+    bench.index += 1;
+    let overtaken = store::Reply::Overtaken { index: bench.index, value: bench.shard.encode() };
+    let (sent, _) = bench.reply(call, overtaken);
+    let sent = sent.unwrap();
+    assert_eq!(sent.expected_index, bench.index);
+    let draft = ledger::Shard::decode(&sent.value).unwrap();
+    assert_eq!(draft.budgets["w/main"].grants[&OTHER].granted_tokens, 90_000);
+    assert!(draft.budgets["w/main"].remaining_tokens().is_some());
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -238,9 +238,12 @@
 
     fn publish_config(&mut self, version: u64) {
         let Some(published) = self.node.config().cloned() else { return };
+        let workspaces = published.document.workspaces.iter();
+        let budgets = workspaces.flat_map(|workspace| &workspace.budgets);
+        let prepaid_tokens: u64 = budgets.filter_map(|budget| budget.prepaid_tokens).sum();
         let snapshot = snapshot::Snapshot::new(published);
         self.published.snapshot.store(Some(Arc::new(snapshot)));
-        log::info!("event=config_in_force version={version}");
+        log::info!("event=config_in_force version={version} prepaid_tokens={prepaid_tokens}");
     }
 
     fn wait_for(&mut self, slot: ids::RequestSlot) -> Reply {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -69,10 +69,14 @@
         let body = read_body(body, limit).await?;
         let (wanted, cost, event_tokens) = self.wanted(&head, &parts.method, parts.uri.path())?;
         let id = head.asked.id.clone();
+        let asked = format!(
+            "service={} budget={} bound_tokens={} priority={}",
+            wanted.service, wanted.budget, wanted.bound_tokens, wanted.priority
+        );
         let placement = match upstream::admit(&self.control, wanted).await {
             upstream::Admission::Placed(placement) => placement,
             upstream::Admission::Refused(error) => {
-                log::info!("event=refused id={id} code={}", error.code);
+                log::info!("event=refused id={id} {asked} code={}", error.code);
                 return Err(error);
             }
             upstream::Admission::Replay(_) => return Err(refusal::outcome_unknown()),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -7,6 +7,8 @@
 
 /// The time between two updates of the metrics.
 const REPORT_EVERY_MS: u64 = 500;
+/// The time between two rounds of log lines about budgets.
+const BALANCES_EVERY_MS: u64 = 5_000;
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -28,6 +30,7 @@
 /// Copies the core's counts into the metrics now and then.
 #[derive(Debug, Default)]
 pub struct Reporter {
+    balances_ms: u64,
     reported_ms: u64,
 }
 
@@ -38,6 +41,10 @@
             return;
         }
         self.reported_ms = now_ms;
+        if now_ms >= self.balances_ms + BALANCES_EVERY_MS {
+            self.balances_ms = now_ms;
+            log_balances(node);
+        }
         let counters = node.counters();
         let counts = [
             ("doorswitch_admitted_total", counters.admitted),
@@ -75,6 +82,23 @@
     }
 }
 
+/// Writes a log line for each budget that was spent from here.
+fn log_balances(node: &node::Node) {
+    for (_, account) in node.grants().iter().filter(|(_, account)| account.consumed_tokens > 0) {
+        log::info!(
+            "event=balance budget={} free_tokens={} target_tokens={} rate_tokens_per_s={} \
+             undrawn_tokens={} held_tokens={} consumed_tokens={}",
+            account.name,
+            account.free_tokens(),
+            account.target_tokens(),
+            account.rate_tokens_per_s(),
+            account.remaining_tokens.unwrap_or(0),
+            account.held_tokens,
+            account.consumed_tokens,
+        );
+    }
+}
+
 /// Writes a log line for something the core noticed.
 pub fn log_notice(notice: &node::Notice) {
     match notice {
