Give every prompt a home: rendezvous hashing over its deepest shared part

Ruled out: another share of a budget held in hand.

Conclusion: a router counts its own unread tokens, a waiting request elsewhere as 3,000 and a reading again at its tokens; a prompt leaves home when that is cheaper.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -205,6 +205,7 @@
         bound_tokens: 1,
         unrepeatable: false,
         prefix_hash: Some(key),
+        parts: Vec::new(),
         deadline_ms: u64::MAX,
     }
 }
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -275,6 +275,7 @@
         bound_tokens: 1_000,
         unrepeatable: false,
         prefix_hash: None,
+        parts: Vec::new(),
         deadline_ms: now_ms + DEADLINE_MS,
     }
 }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -64,6 +64,8 @@
     failed_servers: Vec<ids::ServerSlot>,
     /// Servers on which it may have run and failed.
     attempts: u32,
+    /// Tokens that its server has to read before the first token of the answer.
+    unread_tokens: u64,
 }
 
 /// What was asked of peers for one budget.
@@ -324,6 +326,14 @@
         self.servers.reported(slot, load);
     }
 
+    /// The answer of a dispatched request has begun: its prompt is read.
+    pub fn answering(&mut self, slot: ids::RequestSlot) {
+        let Some(request) = self.requests.get_mut(slot) else { return };
+        let Stage::Running { server, .. } = &request.stage else { return };
+        let tokens = std::mem::take(&mut request.unread_tokens);
+        self.servers.has_read(*server, tokens);
+    }
+
     /// Takes in what a server said of its load on an answer.
     pub fn report_load_of(&mut self, vm: &str, load: servers::Load) {
         if let Some(slot) = self.servers.find(vm) {
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -28,6 +28,7 @@
             stage_since_ms: now_ms,
             failed_servers: Vec::new(),
             attempts: 0,
+            unread_tokens: 0,
             wanted,
         };
         let key = request.wanted.key;
@@ -52,6 +53,8 @@
         let Stage::Running { server, .. } = &request.stage else { return };
         let server = *server;
         self.servers.failed(server, now_ms);
+        let tokens = std::mem::take(&mut request.unread_tokens);
+        self.servers.has_read(server, tokens);
         let service = request.wanted.service.clone();
         request.failed_servers.push(server);
         request.attempts += u32::from(may_have_run);
@@ -67,16 +70,17 @@
         }
         let Some(request) = self.requests.get(slot) else { return };
         let chosen = choose(&mut self.servers, request, now_ms, &mut self.rng);
-        let Ok(next) = chosen else {
+        let Ok(servers::Choice { slot: next, unread_tokens }) = chosen else {
             self.answer(slot, refusal(Reason::NoServer, RETRY_AFTER_SHORT_MS));
             return;
         };
         self.servers.ended(server);
-        if let Some(Request { stage: Stage::Running { server, sent_ms, .. }, .. }) =
-            self.requests.get_mut(slot)
-        {
-            *server = next;
-            *sent_ms = now_ms;
+        if let Some(request) = self.requests.get_mut(slot) {
+            request.unread_tokens = unread_tokens;
+            if let Stage::Running { server, sent_ms, .. } = &mut request.stage {
+                *server = next;
+                *sent_ms = now_ms;
+            }
         }
         self.answer_dispatch(slot, next);
     }
@@ -181,14 +185,16 @@
     fn place(&mut self, slot: ids::RequestSlot, now_ms: u64) {
         let Some(request) = self.requests.get(slot) else { return };
         match choose(&mut self.servers, request, now_ms, &mut self.rng) {
-            Ok(server) => self.placed(slot, server, now_ms),
+            Ok(choice) => self.placed(slot, choice, now_ms),
             Err(servers::Lack::None) => self.refuse(slot, Reason::NoServer, now_ms),
             Err(servers::Lack::Full) => self.enqueue(slot, now_ms),
         }
     }
 
-    pub(super) fn placed(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot, now_ms: u64) {
+    pub(super) fn placed(&mut self, slot: ids::RequestSlot, choice: servers::Choice, now_ms: u64) {
+        let servers::Choice { slot: server, unread_tokens } = choice;
         let Some(request) = self.requests.get_mut(slot) else { return };
+        request.unread_tokens = unread_tokens;
         let stage = std::mem::replace(&mut request.stage, Stage::Ending);
         let Stage::WaitingServer { reservation } = stage else {
             request.stage = stage;
@@ -266,6 +272,7 @@
             Stage::WaitingClaim { reservation, server, .. } => {
                 self.grants.release(reservation);
                 self.servers.ended(server);
+                self.servers.has_read(server, request.unread_tokens);
                 if !matches!(answer, Answer::Replay(_)) {
                     self.release_claim(slot, key, request.attempt, now_ms);
                 }
@@ -310,11 +317,12 @@
     request: &Request,
     now_ms: u64,
     rng: &mut rand::rngs::StdRng,
-) -> Result<ids::ServerSlot, servers::Lack> {
+) -> Result<servers::Choice, servers::Lack> {
     let wanted = servers::Wanted {
         service: &request.wanted.service,
         classes: &request.wanted.classes,
         prefix_hash: request.wanted.prefix_hash,
+        parts: &request.wanted.parts,
         not: &request.failed_servers,
     };
     table.choose(&wanted, now_ms, rng)
--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -35,10 +35,10 @@
                 continue;
             };
             match admit::choose(&mut self.servers, request, now_ms, &mut self.rng) {
-                Ok(server) => {
+                Ok(choice) => {
                     self.waiting_servers.remove(&place);
                     self.drained.entry(service.to_owned()).or_default().dequeued += 1;
-                    self.placed(place.slot, server, now_ms);
+                    self.placed(place.slot, choice, now_ms);
                 }
                 Err(_) => return,
             }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -18,6 +18,7 @@
             return;
         };
         request.stage_since_ms = now_ms;
+        let unread_tokens = std::mem::take(&mut request.unread_tokens);
         let bound_tokens = reservation.bound_tokens();
         let service = request.wanted.service.clone();
         let not_run = matches!(ending, Ending::NotRun);
@@ -36,6 +37,7 @@
         self.grants.settle(reservation, charged_tokens);
         self.counters.consumed_tokens += charged_tokens;
         self.servers.ended(server);
+        self.servers.has_read(server, unread_tokens);
         if !cancelled {
             self.note_health(&service, server, healthy, now_ms.saturating_sub(sent_ms), now_ms);
         }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -1,6 +1,6 @@
 //! What goes into a node and what comes out of it.
 
-use crate::{ids, log_index, message, store};
+use crate::{ids, log_index, message, servers, store};
 use serde::Serialize;
 
 /// The service name under which the platform lists the routers' own VMs.
@@ -76,6 +76,8 @@
     pub attempts_max: u32,
     /// A digest of the prompt's beginning.
     pub prefix_hash: Option<u64>,
+    /// The parts of the prompt, where they are known.
+    pub parts: Vec<servers::Part>,
     /// When the caller stops waiting.
     pub deadline_ms: u64,
 }
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -4,6 +4,10 @@
 //! only what others have there, on average. Of two candidates drawn at random the better one is taken:
 //! routers with the same old view then do not all pick the same server.
 
+mod by_prompt;
+
+pub use by_prompt::{Choice, Part, chain};
+
 use crate::{ids, rendezvous};
 use rand::rngs;
 use rand::seq::IndexedRandom;
@@ -83,6 +87,9 @@
     /// This router's requests on it when reports came, averaged alike.
     own_milli: u64,
     answer_ms: u64,
+    /// Tokens of prompts that this router sent and that are not read yet.
+    unread_tokens: u64,
+    name_hash: u64,
     failures: u32,
     set_aside_until_ms: u64,
     probing: bool,
@@ -91,6 +98,8 @@
 impl Server {
     fn new(vm: Vm) -> Self {
         Self {
+            unread_tokens: 0,
+            name_hash: name_hash(&vm.vm),
             vm,
             load: None,
             in_flight: 0,
@@ -142,6 +151,8 @@
     pub classes: &'a [String],
     /// A digest of the prompt's beginning.
     pub prefix_hash: Option<u64>,
+    /// The parts of the prompt, where they are known.
+    pub parts: &'a [Part],
     /// Servers that failed this request already.
     pub not: &'a [ids::ServerSlot],
 }
@@ -163,6 +174,7 @@
     by_service: collections::HashMap<String, Vec<ids::ServerSlot>>,
     prefixes: collections::HashMap<u64, ids::ServerSlot>,
     prefix_order: collections::VecDeque<u64>,
+    sent: by_prompt::Sent,
 }
 
 impl Table {
@@ -208,7 +220,10 @@
         wanted: &Wanted<'_>,
         now_ms: u64,
         rng: &mut rngs::StdRng,
-    ) -> Result<ids::ServerSlot, Lack> {
+    ) -> Result<Choice, Lack> {
+        if !wanted.parts.is_empty() {
+            return self.choose_for_prompt(wanted, now_ms);
+        }
         let fitting = self.fitting(wanted, now_ms);
         if fitting.is_empty() {
             return Err(Lack::None);
@@ -221,7 +236,7 @@
         if let Some(hash) = wanted.prefix_hash {
             self.remember_prefix(hash, chosen);
         }
-        Ok(chosen)
+        Ok(Choice { slot: chosen, unread_tokens: 0 })
     }
 
     /// Counts a request off a server again.
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -42,8 +42,9 @@
         prefix_hash: Option<u64>,
         not: &[ids::ServerSlot],
     ) -> Result<ids::ServerSlot, servers::Lack> {
-        let wanted = servers::Wanted { service: "service", classes, prefix_hash, not };
-        self.table.choose(&wanted, self.now_ms, &mut self.rng)
+        let parts = &[];
+        let wanted = servers::Wanted { service: "service", classes, prefix_hash, parts, not };
+        self.table.choose(&wanted, self.now_ms, &mut self.rng).map(|choice| choice.slot)
     }
 
     fn choose(&mut self) -> Result<ids::ServerSlot, servers::Lack> {
@@ -145,3 +146,69 @@
     assert_eq!(names(1), names(1));
     assert_ne!(names(1), names(2));
 }
+
+fn many(names: &[&str]) -> Bench {
+    let vms: Vec<servers::Vm> =
+        names.iter().map(|name| vm(name, "new", servers::VmState::Live)).collect();
+    Bench::new(&vms)
+}
+
+/// A prompt of a shared part and one of its own.
+fn prompt(shared: u64, own: u64) -> Vec<servers::Part> {
+    servers::chain([(shared, 6_000), (own, 2_000)].into_iter())
+}
+
+fn choose_for_prompt(bench: &mut Bench, parts: &[servers::Part]) -> servers::Choice {
+    let wanted =
+        servers::Wanted { service: "service", classes: &[], prefix_hash: None, parts, not: &[] };
+    bench.table.choose(&wanted, bench.now_ms, &mut bench.rng).unwrap()
+}
+
+#[test]
+fn routers_agree_on_the_home_of_a_shared_part_whatever_order_they_heard_the_servers_in() {
+    let (mut one, mut other) = (many(&["a", "b", "c", "d"]), many(&["d", "c", "b", "a"]));
+    for shared in 0..50 {
+        let first = choose_for_prompt(&mut one, &prompt(shared, 1)).slot;
+        let second = choose_for_prompt(&mut other, &prompt(shared, 2)).slot;
+        assert_eq!(one.name(first), other.name(second));
+        one.table.has_read(first, u64::MAX);
+        other.table.has_read(second, u64::MAX);
+        one.table.ended(first);
+        other.table.ended(second);
+    }
+}
+
+#[test]
+fn a_home_that_leaves_moves_only_its_own_prompts() {
+    let (mut whole, mut less) = (many(&["a", "b", "c", "d"]), many(&["a", "b", "c"]));
+    for shared in 0..50 {
+        let before = choose_for_prompt(&mut whole, &prompt(shared, 1)).slot;
+        let after = choose_for_prompt(&mut less, &prompt(shared, 1)).slot;
+        let home = whole.name(before);
+        assert!(home == "d" || home == less.name(after));
+        whole.table.has_read(before, u64::MAX);
+        less.table.has_read(after, u64::MAX);
+        whole.table.ended(before);
+        less.table.ended(after);
+    }
+}
+
+#[test]
+fn a_prompt_leaves_its_home_only_when_waiting_there_costs_more_than_reading_again() {
+    let mut bench = many(&["a", "b", "c"]);
+    let first = choose_for_prompt(&mut bench, &prompt(7, 1));
+    assert_eq!(first.unread_tokens, 2_000, "the shared part is taken to be at its home");
+    let second = choose_for_prompt(&mut bench, &prompt(7, 2));
+    assert_eq!(second.slot, first.slot);
+    let mut away = second;
+    for own in 3..10 {
+        away = choose_for_prompt(&mut bench, &prompt(7, own));
+        if away.slot != first.slot {
+            break;
+        }
+    }
+    assert_ne!(away.slot, first.slot, "a hot part gets a second home");
+    assert_eq!(away.unread_tokens, 8_000, "and is read there once more");
+    bench.table.has_read(first.slot, u64::MAX);
+    assert_eq!(choose_for_prompt(&mut bench, &prompt(7, 20)).slot, first.slot);
+}
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -263,6 +263,7 @@
             bound_tokens,
             unrepeatable,
             prefix_hash: None,
+            parts: Vec::new(),
             deadline_ms: self.now_ms + self.deadline_ms,
         };
         let life = router.life;
--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,11 @@
     pub load: servers::Load,
 }
 
+/// The answer of a dispatched request has begun.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Answering(pub ids::RequestSlot);
+
 /// A configuration was read.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -443,6 +448,14 @@
     }
 }
 
+impl Handler<Answering> for Control {
+    type Result = ();
+
+    fn handle(&mut self, answering: Answering, _: &mut Self::Context) {
+        self.node.answering(answering.0);
+    }
+}
+
 impl Handler<OfferConfig> for Control {
     type Result = ();
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -364,6 +364,7 @@
                 unrepeatable: false,
                 attempts_max: u32::MAX,
                 prefix_hash: None,
+                parts: Vec::new(),
                 deadline_ms,
             };
             Ok((wanted, priority))
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,7 +3,7 @@
 use super::{attempt, backends, body, listener, refusal, socket, streaming, ticket};
 use crate::{api_error, policy, snapshot, upstream};
 use bytes::Bytes;
-use doorswitch_core::{config, ids, node, routes};
+use doorswitch_core::{config, ids, node, routes, servers};
 use doorswitch_platform::headers;
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -133,7 +133,7 @@
         let (budget, priority, classes) = self.decide(head, service, method, path, bound_tokens)?;
         let (high, low) = (digest, rand::random());
         let left = head.deadline.saturating_duration_since(Instant::now());
-        let shared = asked.parts.len().checked_sub(2).and_then(|place| asked.parts.get(place));
+        let parts = servers::chain(asked.parts.iter().map(|part| (part.id, part.tokens)));
         let wanted = node::Wanted {
             key: ids::RequestKey { high, low },
             keyed: false,
@@ -145,7 +145,8 @@
             bound_tokens,
             unrepeatable: !head.route.repeatable(),
             attempts_max: head.route.attempts_max,
-            prefix_hash: shared.map(|part| part.id),
+            prefix_hash: None,
+            parts,
             deadline_ms: left.as_millis() as u64,
         };
         let cost =
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -88,6 +88,7 @@
     ) -> End {
         let deadline = time::Instant::from_std(self.call.deadline);
         let mut splitter = events::Splitter::default();
+        let mut begun = false;
         loop {
             let frame = tokio::select! {
                 frame = incoming.frame() => frame,
@@ -100,6 +101,10 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             let Some(batch) = splitter.push(&bytes) else { continue };
+            if !begun {
+                begun = true;
+                self.ticket.answering();
+            }
             self.ticket.cost.answer_tokens += batch.count * self.call.event_tokens;
             if batch.last_id.is_some() {
                 *last_id = batch.last_id;
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -50,6 +50,11 @@
         upstream::retry(&self.control, self.slot, may_have_run).await
     }
 
+    /// The answer has begun.
+    pub fn answering(&self) {
+        self.control.do_send(control::Answering(self.slot));
+    }
+
     /// The server answered; `healthy` tells whether it did so as it should.
     pub fn ran(mut self, healthy: bool) {
         let consumed_tokens = self.cost.whole();
