--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -11,6 +11,8 @@
 const REPORT_EVERY_MS: u64 = 5_000;
 /// The shortest time between two refills that no request waits for.
 const REFILL_EVERY_MS: u64 = 300;
+/// The same where holders keep a share in hand, which lasts for seconds.
+const SHARE_REFILL_EVERY_MS: u64 = 1_000;
 /// How often the accounts are looked through while nothing is urgent.
 const LOOK_EVERY_MS: u64 = 100;
 /// How often an empty budget is looked at for a payment while no request asks.
@@ -445,8 +447,12 @@
     if account.confirm_version > 0 {
         return true;
     }
-    (account.wants_draw() && !empty && since_ms >= REFILL_EVERY_MS)
-        || (account.surplus_tokens() > 0 && since_ms >= REFILL_EVERY_MS)
+    let refill_ms = match account.settings.held_percent {
+        0 => REFILL_EVERY_MS,
+        _ => SHARE_REFILL_EVERY_MS,
+    };
+    (account.wants_draw() && !empty && since_ms >= refill_ms)
+        || (account.surplus_tokens() > 0 && since_ms >= refill_ms)
         || (account.overdrawn && account.surplus_tokens() > 0)
         || ((unreported || unrowed) && since_ms >= REPORT_EVERY_MS)
         || (account.wants_draw() && since_ms >= EMPTY_CHECK_EVERY_MS)
