Read the settings again on SIGHUP instead of ending by it

Now: SIGHUP and a changed file are followed; the platform's rates are taken over; a file that cannot be used is one log line and changes nothing. The new test fails before (the process is gone).

--- a/benches/capacity/path.rs
+++ b/benches/capacity/path.rs
@@ -38,7 +38,7 @@
         let stop = router::StopHandle::default();
         let settings = router_settings(place, platform.address());
         let stopping = stop.clone();
-        (stop, std::thread::spawn(move || router::run(settings, stopping)))
+        (stop, std::thread::spawn(move || router::run(settings, None, stopping)))
     });
     let compared = actix_rt::System::new().block_on(compare(platform.address(), engine.address()));
     for (stop, thread) in routers {
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -341,6 +341,12 @@
         }
     }
 
+    /// Changes what the platform takes from all routers together; in force from the next measurement.
+    pub fn set_platform_rates(&mut self, reads_per_s: u64, writes_per_s: u64) {
+        self.settings.platform_reads_per_s = reads_per_s;
+        self.settings.platform_writes_per_s = writes_per_s;
+    }
+
     /// Adds addresses where other routers may be found.
     pub fn offer_seeds(&mut self, seeds: Vec<String>) {
         self.members.add_seeds(seeds.into_iter());
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -77,7 +77,7 @@
         local(PLATFORM_PORT),
     );
     let settings = settings::Settings::parse(&text, Path::new("demo"))?;
-    Ok(thread::spawn(move || router::run(settings, stop)))
+    Ok(thread::spawn(move || router::run(settings, None, stop)))
 }
 
 fn vms(engines: &[engine::Engine], service: &service::Service) -> Vec<standin::Vm> {
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -12,7 +12,8 @@
 
 pub(super) fn run(matches: &clap::ArgMatches) -> Result<(), Error> {
     logging::start();
-    let settings = settings::Settings::load(&super::path(matches, "settings"))?;
-    router::run(settings, router::StopHandle::default())?;
+    let file = super::path(matches, "settings");
+    let settings = settings::Settings::load(&file)?;
+    router::run(settings, Some(file), router::StopHandle::default())?;
     Ok(())
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -60,6 +60,16 @@
 #[rtype(result = "()")]
 pub struct Answering(pub ids::RequestSlot);
 
+/// The settings now name these rates of the platform.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Rates {
+    /// Reads that it takes a second, from all together.
+    pub reads_per_s: u64,
+    /// Writes that it takes a second, from all together.
+    pub writes_per_s: u64,
+}
+
 /// A configuration was read.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -456,6 +466,14 @@
     }
 }
 
+impl Handler<Rates> for Control {
+    type Result = ();
+
+    fn handle(&mut self, rates: Rates, _: &mut Self::Context) {
+        self.node.set_platform_rates(rates.reads_per_s, rates.writes_per_s);
+    }
+}
+
 impl Handler<OfferConfig> for Control {
     type Result = ();
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod platform;
 pub mod policy;
 pub mod publish;
+pub mod reload;
 pub mod reply;
 pub mod router;
 pub mod settings;
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,10 +1,13 @@
 //! Runs one router: binds its addresses, starts its threads, and joins them at a planned stop.
 
-use crate::{answers, control, front, gateway, logging, operator, settings, snapshot, telemetry};
+use crate::{
+    answers, control, front, gateway, logging, operator, reload, settings, snapshot, telemetry,
+};
 use actix::prelude::{Actor, Addr, Arbiter};
 use actix_web::{App, HttpServer, dev};
 use doorswitch_core::ids;
 use snafu::ResultExt;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
@@ -46,8 +49,13 @@
     }
 }
 
-/// Runs until a signal or `stop` asks for a planned stop, and that is done.
-pub fn run(settings: settings::Settings, stop: StopHandle) -> Result<(), Error> {
+/// Runs until a signal or `stop` asks for a planned stop, and that is done. `file` is the settings file to
+/// follow, if there is one.
+pub fn run(
+    settings: settings::Settings,
+    file: Option<PathBuf>,
+    stop: StopHandle,
+) -> Result<(), Error> {
     telemetry::start();
     // Every address is bound before anything starts: a second process at an address fails here.
     let sockets = bind_peers(&settings)?;
@@ -84,6 +92,9 @@
         }
         let handles: Vec<dev::ServerHandle> = running.iter().map(dev::Server::handle).collect();
         let servers: Vec<_> = running.into_iter().map(actix_web::rt::spawn).collect();
+        if let Some(file) = file {
+            actix::spawn(reload::follow(file, control.clone()));
+        }
         let gateway = clients.map(|listener| start_gateway(listener, &shared));
         wait_for_stop(&stop).await;
         let began = Instant::now();
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -113,3 +113,26 @@
     assert_eq!(fleet.ledger("kitchen").written_off_tokens, 0);
     eventually("it is billed", || fleet.totals("kitchen").billed_tokens == 43);
 }
+
+#[test]
+fn a_hangup_rereads_the_settings_and_cuts_off_nothing() {
+    let fleet = Fleet::start("hangup", Options { engine_mode: slow(), ..Options::default() });
+    let body = fleet::completion_body(PROMPT, 40, true);
+    let path = "/v1/chat/completions";
+    let mut stream =
+        fleet::send(fleet.routers[0].callers, "POST", path, "kitchen-key", &[], &body).unwrap();
+    eventually("it runs", || fleet.engines.iter().map(engine::Engine::running).sum::<usize>() == 1);
+    let settings = std::fs::read_to_string(&fleet.routers[0].settings).unwrap();
+    std::fs::write(&fleet.routers[0].settings, settings.replace("100 }", "90 }")).unwrap();
+    fleet.signal(0, "HUP");
+    eventually("the settings are read", || fleet.log_text(0).contains("writes_per_s=90"));
+    std::fs::write(&fleet.routers[0].settings, "vm: [").unwrap();
+    fleet.signal(0, "HUP");
+    eventually("bad settings are refused", || fleet.log_text(0).contains("settings_refused"));
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).unwrap();
+    let answer = fleet::parse(&received).unwrap();
+    assert_eq!(answer.text(), engine::answer(PROMPT, 40));
+    assert!(answer.done());
+    assert_eq!(fleet.complete(0, PROMPT, 3, false).unwrap().status, 200);
+}
