--- /dev/null
+++ b/standins/src/backend.rs
@@ -0,0 +1,256 @@
+//! A server of the users' platform, byte by byte: each request gets the answer that the test wants,
+//! broken in whatever way.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use std::{net, thread};
+
+/// How long a quiet read lasts before the server looks whether it should end.
+const READ_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// A request as it arrived.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// The method, path and version.
+    pub line: String,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The connection that it came on, counted from 0.
+    pub connection: usize,
+}
+
+impl Seen {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers.find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// A step of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Writes bytes; `{id}` stands for the request's own id.
+    Write(String),
+    /// Waits.
+    Pause(Duration),
+    /// Waits until the client of this server has closed the connection.
+    AwaitClose,
+    /// Ends the connection cleanly.
+    Close,
+    /// Ends the connection with a reset.
+    Reset,
+}
+
+/// Decides over a request; the number counts the requests of this server.
+pub type Script = Box<dyn FnMut(usize, &Seen) -> Vec<Step> + Send>;
+
+/// The running server.
+pub struct Backend {
+    address: net::SocketAddr,
+    shared: Arc<Shared>,
+    acceptor: Option<thread::JoinHandle<()>>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    ended: AtomicBool,
+}
+
+struct State {
+    script: Script,
+    seen: Vec<Seen>,
+    closed_by_client: usize,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Backend {
+    /// Starts a server on a free port of loopback.
+    pub fn start(script: Script) -> io::Result<Self> {
+        let listener = net::TcpListener::bind(("127.0.0.1", 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let state = Mutex::new(State { script, seen: Vec::new(), closed_by_client: 0 });
+        let shared = Arc::new(Shared { state, ended: AtomicBool::new(false) });
+        let accepting = shared.clone();
+        let acceptor = thread::spawn(move || accept(&listener, &accepting));
+        Ok(Self { address, shared, acceptor: Some(acceptor) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// All requests so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.lock().seen.clone()
+    }
+
+    /// How many steps [`Step::AwaitClose`] saw their connection closed.
+    pub fn closed_by_client(&self) -> usize {
+        self.shared.lock().closed_by_client
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+        if let Some(acceptor) = self.acceptor.take() {
+            let _ = acceptor.join();
+        }
+    }
+}
+
+fn accept(listener: &net::TcpListener, shared: &Arc<Shared>) {
+    let mut threads = Vec::new();
+    while !shared.ended.load(Ordering::Relaxed) {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let (shared, connection) = (shared.clone(), threads.len());
+                threads.push(thread::spawn(move || {
+                    let _ = serve(stream, connection, &shared);
+                }));
+            }
+            Err(_) => thread::sleep(Duration::from_millis(2)),
+        }
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+}
+
+fn serve(stream: net::TcpStream, connection: usize, shared: &Shared) -> io::Result<()> {
+    stream.set_nonblocking(false)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut writer = stream;
+    while let Some(mut seen) = read_request(&mut reader, shared)? {
+        seen.connection = connection;
+        let steps = {
+            let mut state = shared.lock();
+            let number = state.seen.len();
+            state.seen.push(seen.clone());
+            (state.script)(number, &seen)
+        };
+        for step in steps {
+            if !carry_out(step, &seen, &mut writer, &mut reader, shared)? {
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Carries out a step; `false` ends the connection.
+fn carry_out(
+    step: Step,
+    seen: &Seen,
+    writer: &mut net::TcpStream,
+    reader: &mut BufReader<net::TcpStream>,
+    shared: &Shared,
+) -> io::Result<bool> {
+    match step {
+        Step::Write(text) => {
+            let id = seen.header("attempt-id").unwrap_or_default();
+            writer.write_all(text.replace("{id}", id).as_bytes())?;
+        }
+        Step::Pause(time) => thread::sleep(time),
+        Step::AwaitClose => {
+            if read_byte(reader, shared)?.is_none() {
+                shared.lock().closed_by_client += 1;
+            }
+            return Ok(false);
+        }
+        Step::Close => return Ok(false),
+        Step::Reset => {
+            socket2::SockRef::from(&*writer).set_linger(Some(Duration::ZERO))?;
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// The next byte; `None` at the end of the connection or of the server.
+fn read_byte(reader: &mut BufReader<net::TcpStream>, shared: &Shared) -> io::Result<Option<u8>> {
+    loop {
+        let mut byte = [0];
+        match reader.read(&mut byte) {
+            Ok(0) => return Ok(None),
+            Ok(_) => return Ok(Some(byte[0])),
+            Err(error) if is_timeout(&error) => {
+                if shared.ended.load(Ordering::Relaxed) {
+                    return Ok(None);
+                }
+            }
+            // A reset is an end too.
+            Err(_) => return Ok(None),
+        }
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
+fn read_request(
+    reader: &mut BufReader<net::TcpStream>,
+    shared: &Shared,
+) -> io::Result<Option<Seen>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match read_byte(reader, shared)? {
+            Some(byte) => head.push(byte),
+            None => return Ok(None),
+        }
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let mut lines = head.trim_end().lines();
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let mut seen = Seen { line, headers, ..Seen::default() };
+    let length = seen.header("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    while seen.body.len() < length {
+        match read_byte(reader, shared)? {
+            Some(byte) => seen.body.push(byte),
+            None => return Ok(None),
+        }
+    }
+    Ok(Some(seen))
+}
+
+/// Reads what one connection of a client receives until it ends or falls quiet for a while.
+pub fn drain(stream: &mut net::TcpStream) -> Vec<u8> {
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+    let mut reader = BufReader::new(stream);
+    let mut received = Vec::new();
+    while let Ok(bytes) = reader.fill_buf().map(<[u8]>::to_vec) {
+        if bytes.is_empty() {
+            break;
+        }
+        reader.consume(bytes.len());
+        received.extend(bytes);
+    }
+    received
+}
+
+/// A whole answer with a length.
+pub fn whole(status: &str, body: &str) -> Step {
+    Step::Write(format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {{id}}\r\nServer-Seal: seal\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each speaks the published form of the real thing, keeps all state in memory and can be told to
 //! misbehave. They are not part of the product.
 
+pub mod backend;
 pub mod cli;
 pub mod engine;
 pub mod network;
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod store;
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,269 @@
+//! The users' platform's store: keys with revisions, conditional transactions, ranges and watches.
+
+use crate::server;
+use actix_web::{HttpResponse, web};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use std::{io, net};
+
+/// How often a waiting watch looks for changes.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It does not.
+    #[default]
+    Well,
+    /// Every call is answered with 503 and nothing is done.
+    Down,
+    /// Writes are done, and their answers never come.
+    LoseAnswers,
+    /// No call is answered or done.
+    Silent,
+}
+
+/// The running store.
+#[derive(Debug)]
+pub struct Store {
+    server: server::Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: Mode,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Changes in order; those before `forgotten` are gone.
+    changes: Vec<Item>,
+    forgotten: u64,
+    calls: u64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Item {
+    private_key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+    revision: u64,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    gone: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct KeyQuery {
+    private_key: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct PrefixQuery {
+    path_prefix: String,
+    #[serde(default)]
+    after_revision: Option<String>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Transaction {
+    #[serde(default)]
+    expected_rev: Vec<Expected>,
+    #[serde(default)]
+    put: Vec<Put>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Expected {
+    private_key: String,
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Put {
+    private_key: String,
+    value: String,
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Option<String>) {
+        self.revision += 1;
+        let gone = value.is_none();
+        let item = Item { private_key: key.to_owned(), value, revision: self.revision, gone };
+        self.changes.push(item.clone());
+        match gone {
+            true => self.items.remove(key),
+            false => self.items.insert(key.to_owned(), item),
+        };
+    }
+
+    fn under(&self, prefix: &str) -> Vec<Item> {
+        let found = self.items.range(prefix.to_owned()..);
+        found.take_while(|(key, _)| key.starts_with(prefix)).map(|(_, item)| item.clone()).collect()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Store {
+    /// Starts an empty store; port 0 takes a free one.
+    pub fn start(address: net::SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let data = web::Data::from(shared.clone());
+        let server = server::Server::start(address, move |config| {
+            config
+                .app_data(data.clone())
+                .route("/kv-key", web::get().to(read))
+                .route("/kv-range", web::get().to(range))
+                .route("/kv-watch", web::get().to(watch))
+                .route("/kv-txn", web::post().to(transact));
+        })?;
+        Ok(Self { server, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.server.address
+    }
+
+    /// Changes how it misbehaves.
+    pub fn set_mode(&self, mode: Mode) {
+        self.shared.lock().mode = mode;
+    }
+
+    /// Writes a key as an operator or a server would.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.shared.lock().write(key, Some(STANDARD.encode(value)));
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.shared.lock().write(key, None);
+    }
+
+    /// Forgets the history so far.
+    pub fn forget(&self) {
+        let mut state = self.shared.lock();
+        state.forgotten = state.revision;
+        state.changes.clear();
+    }
+
+    /// What lies under a key.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.lock();
+        STANDARD.decode(state.items.get(key)?.value.as_ref()?).ok()
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+}
+
+/// Counts a call; an answer means that the store is not well.
+async fn admit(shared: &Shared) -> Option<HttpResponse> {
+    let mode = {
+        let mut state = shared.lock();
+        state.calls += 1;
+        state.mode
+    };
+    match mode {
+        Mode::Well | Mode::LoseAnswers => None,
+        Mode::Down => Some(HttpResponse::ServiceUnavailable().finish()),
+        Mode::Silent => std::future::pending().await,
+    }
+}
+
+async fn read(shared: web::Data<Shared>, query: web::Query<KeyQuery>) -> HttpResponse {
+    if let Some(refused) = admit(&shared).await {
+        return refused;
+    }
+    match shared.lock().items.get(&query.private_key) {
+        Some(item) => HttpResponse::Ok().json(item),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn range(shared: web::Data<Shared>, query: web::Query<PrefixQuery>) -> HttpResponse {
+    if let Some(refused) = admit(&shared).await {
+        return refused;
+    }
+    let state = shared.lock();
+    let items = state.under(&query.path_prefix);
+    HttpResponse::Ok().json(json!({ "items": items, "more": false, "at": state.revision }))
+}
+
+async fn watch(shared: web::Data<Shared>, query: web::Query<PrefixQuery>) -> HttpResponse {
+    if let Some(refused) = admit(&shared).await {
+        return refused;
+    }
+    let after = query.after_revision.as_deref().and_then(|text| text.parse().ok()).unwrap_or(0);
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let state = shared.lock();
+            if after < state.forgotten {
+                return HttpResponse::Gone().finish();
+            }
+            let new = |item: &&Item| {
+                item.revision > after && item.private_key.starts_with(&query.path_prefix)
+            };
+            let events: Vec<&Item> = state.changes.iter().filter(new).collect();
+            if !events.is_empty() || Instant::now() >= until {
+                return HttpResponse::Ok().json(json!({ "events": events, "at": state.revision }));
+            }
+        }
+        actix_rt::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn transact(shared: web::Data<Shared>, body: web::Json<Transaction>) -> HttpResponse {
+    if let Some(refused) = admit(&shared).await {
+        return refused;
+    }
+    let (revision, lost) = {
+        let mut state = shared.lock();
+        let holds = |expected: &Expected| {
+            let item = state.items.get(&expected.private_key);
+            item.map_or(0, |item| item.revision) == expected.revision
+        };
+        if !body.expected_rev.iter().all(holds) {
+            let keys = body.expected_rev.iter().map(|expected| &expected.private_key);
+            let items: Vec<&Item> = keys.filter_map(|key| state.items.get(key)).collect();
+            return HttpResponse::PreconditionFailed().json(json!({ "items": items }));
+        }
+        for put in &body.put {
+            state.write(&put.private_key, Some(put.value.clone()));
+        }
+        for key in &body.remove {
+            state.write(key, None);
+        }
+        (state.revision, state.mode == Mode::LoseAnswers)
+    };
+    if lost {
+        std::future::pending::<()>().await;
+    }
+    HttpResponse::Ok().json(json!({ "revision": revision }))
+}
--- /dev/null
+++ b/tests/http_ends.rs
@@ -0,0 +1,201 @@
+//! The two HTTP ends of the gateway: what is passed on, whole or not at all, and what a client that
+//! leaves stops. One router's process, servers scripted byte by byte.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod fleet;
+mod routes;
+
+use doorswitch_standins::backend::{Step, whole};
+use fleet::eventually;
+use routes::{KEY, Request, STREAM_HEAD, World, answers, event, last_chunk, request};
+use std::io::Write;
+use std::time::Duration;
+
+/// An answer without a length, which ends with its connection.
+fn unframed(body: &str) -> Step {
+    Step::Write(format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {{id}}\r\nServer-Seal: seal\r\nConnection: close\r\n\r\n{body}"
+    ))
+}
+
+#[test]
+fn a_request_is_passed_on_unchanged_with_the_router_s_own_headers_set() {
+    let world = World::start("unchanged", vec![answers("done")]);
+    let mut asked = request("/read/a%20b?c=d&e", "id-1");
+    asked.headers = "X-Own: kept\r\nTenant: forged\r\nConnection: X-Hop\r\nX-Hop: dropped\r\n";
+    asked.body = "the body";
+    let answer = world.ask(0, &asked);
+    assert_eq!((answer.status, answer.text().as_str()), (200, "done"));
+    assert_eq!(answer.header("server-seal").as_deref(), Some("seal"));
+    let seen = &world.backends[0].seen()[0];
+    assert_eq!(seen.line, "POST /read/a%20b?c=d&e HTTP/1.1");
+    assert_eq!(seen.body, b"the body");
+    assert_eq!(seen.header("host"), Some(routes::HOST));
+    assert_eq!(seen.header("attempt-id"), Some("id-1"));
+    assert_eq!(seen.header("x-own"), Some("kept"));
+    assert_eq!(seen.header("tenant"), Some("cafe"));
+    assert_eq!(seen.header("expect-instance"), Some("i-0"));
+    assert_eq!(seen.header("authorization"), None);
+    assert_eq!(seen.header("x-hop"), None);
+    let left_ms: u64 = seen.header("deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=3_000).contains(&left_ms), "{left_ms} ms are left");
+}
+
+#[test]
+fn chunked_bodies_are_taken_and_oversized_ones_refused() {
+    let world = World::start("chunked", vec![answers("done")]);
+    let mut stream = std::net::TcpStream::connect(world.routers[0].clients).unwrap();
+    let head = format!(
+        "POST /read/x HTTP/1.1\r\nHost: {}\r\nAttempt-Id: id-1\r\nAuthorization: Bearer {KEY}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        routes::HOST
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    assert_eq!(routes::read_answer(&mut stream).status, 200);
+    assert_eq!(world.backends[0].seen()[0].body, b"four");
+    let large = "x".repeat(70_000);
+    let answer = world.ask(0, &Request { body: &large, ..request("/read/x", "id-2") });
+    assert_eq!(answer.status, 413);
+    assert_eq!(world.backends[0].seen().len(), 1);
+}
+
+#[test]
+fn unknown_routes_and_keys_are_refused_and_nothing_is_sent() {
+    let world = World::start("unknown", vec![answers("done")]);
+    assert_eq!(world.ask(0, &request("/nowhere/x", "id-1")).status, 404);
+    let wrong = Request { key: "another-key", ..request("/read/x", "id-2") };
+    assert_eq!(world.ask(0, &wrong).status, 401);
+    assert!(world.backends[0].seen().is_empty());
+}
+
+#[test]
+fn an_answer_without_length_is_whole_after_a_clean_end_and_broken_after_a_reset() {
+    let script = Box::new(|number, _: &_| match number {
+        0 => vec![unframed("clean"), Step::Close],
+        _ => vec![unframed("cut"), Step::Pause(Duration::from_millis(50)), Step::Reset],
+    });
+    let world = World::start("unframed", vec![script]);
+    let clean = world.ask(0, &request("/read/x", "id-1"));
+    assert_eq!((clean.status, clean.text().as_str(), clean.whole), (200, "clean", true));
+    let cut = world.ask(0, &request("/read/x", "id-2"));
+    assert_ne!(cut.status, 200, "a body that a reset ended is not whole");
+}
+
+#[test]
+fn a_second_answer_behind_the_first_reaches_nobody() {
+    let glued = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Length: 5\r\n\r\nstray";
+    let script = Box::new(move |number, _: &_| match number {
+        0 => vec![whole("200 OK", "first"), Step::Write(glued.to_owned())],
+        _ => vec![whole("200 OK", "second")],
+    });
+    let world = World::start("surplus", vec![script]);
+    assert_eq!(world.ask(0, &request("/read/x", "id-1")).text(), "first");
+    assert_eq!(world.ask(0, &request("/read/x", "id-2")).text(), "second");
+}
+
+#[test]
+fn an_answer_to_another_request_is_not_passed_on() {
+    let late = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nlate";
+    let script = Box::new(move |number, _: &_| match number {
+        0 => vec![Step::Write(late.to_owned())],
+        _ => vec![whole("200 OK", "own")],
+    });
+    let world = World::start("late", vec![script, answers("own")]);
+    let once = world.ask(0, &request("/pay/x", "id-1"));
+    if world.backends[0].seen().len() == 1 {
+        assert_eq!(once.status, 502, "it may have run, so it does not run again");
+    }
+    assert_eq!(world.ask(0, &request("/read/x", "id-2")).text(), "own");
+}
+
+#[test]
+fn a_client_that_leaves_frees_its_server() {
+    let world = World::start("leaves", vec![Box::new(|_, _| vec![Step::AwaitClose])]);
+    let client = world.send(0, &request("/read/x", "id-1"));
+    eventually("the server has it", || world.backends[0].seen().len() == 1);
+    drop(client);
+    eventually("the server is free", || world.backends[0].closed_by_client() == 1);
+}
+
+#[test]
+fn a_client_that_leaves_with_another_request_behind_frees_its_server() {
+    let world = World::start("pipelined", vec![Box::new(|_, _| vec![Step::AwaitClose])]);
+    let mut client = world.send(0, &request("/read/x", "id-1"));
+    client.write_all(request("/read/x", "id-2").bytes().as_bytes()).unwrap();
+    eventually("the server has it", || world.backends[0].seen().len() == 1);
+    drop(client);
+    eventually("the server is free", || world.backends[0].closed_by_client() == 1);
+    assert_eq!(world.backends[0].seen().len(), 1);
+}
+
+#[test]
+fn a_client_that_leaves_a_quiet_stream_frees_its_server() {
+    let head = Step::Write(STREAM_HEAD.to_owned());
+    let script = Box::new(move |_, _: &_| vec![head.clone(), event(1), Step::AwaitClose]);
+    let world = World::start("quiet", vec![script]);
+    let client = world.send(0, &request("/stream/x", "id-1"));
+    eventually("the server has it", || world.backends[0].seen().len() == 1);
+    std::thread::sleep(Duration::from_millis(50));
+    drop(client);
+    eventually("the server is free", || world.backends[0].closed_by_client() == 1);
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let script = Box::new(|_, seen: &doorswitch_standins::backend::Seen| {
+        vec![whole("200 OK", seen.header("attempt-id").unwrap())]
+    });
+    let world = World::start("order", vec![script]);
+    let mut client = world.send(0, &request("/read/x", "id-1"));
+    client.write_all(request("/read/x", "id-2").bytes().as_bytes()).unwrap();
+    let first = routes::read_answer(&mut client);
+    assert!(first.text().starts_with("id-1"));
+    eventually("both ran", || world.backends[0].seen().len() == 2);
+}
+
+#[test]
+fn a_stream_passes_events_on_as_they_come_and_ends_whole() {
+    let script = Box::new(|_, _: &_| {
+        let pause = Step::Pause(Duration::from_millis(30));
+        vec![Step::Write(STREAM_HEAD.to_owned()), event(1), pause, event(2), last_chunk()]
+    });
+    let world = World::start("stream", vec![script]);
+    let answer = world.ask(0, &request("/stream/x", "id-1"));
+    assert!(answer.whole);
+    assert_eq!(answer.text(), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n");
+}
+
+#[test]
+fn a_stream_that_breaks_does_not_look_complete() {
+    let script = Box::new(|_, _: &_| {
+        let half = Step::Write("8\r\nid: 2\nda\r\n".to_owned());
+        vec![Step::Write(STREAM_HEAD.to_owned()), event(1), half, Step::Reset]
+    });
+    let world = World::start("broken", vec![script]);
+    let answer = world.ask(0, &request("/stream/x", "id-1"));
+    assert!(!answer.whole);
+    assert_eq!(answer.text(), "id: 1\ndata: piece 1\n\n", "no part of an event");
+    assert_eq!(world.backends[0].seen().len(), 1, "it runs at most once");
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_goes_on_at_another_server_without_a_gap() {
+    fn server() -> doorswitch_standins::backend::Script {
+        Box::new(|_, seen| match seen.header("last-event-id") {
+            None => vec![Step::Write(STREAM_HEAD.to_owned()), event(1), event(2), Step::Reset],
+            Some("2") => vec![Step::Write(STREAM_HEAD.to_owned()), event(3), last_chunk()],
+            Some(_) => vec![Step::Reset],
+        })
+    }
+    let world = World::start("resume", vec![server(), server()]);
+    let answer = world.ask(0, &request("/resume/x", "id-1"));
+    assert!(answer.whole);
+    let ids: Vec<String> = answer
+        .text()
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .map(Into::into)
+        .collect();
+    assert_eq!(ids, ["1", "2", "3"]);
+}
--- /dev/null
+++ b/tests/routes/mod.rs
@@ -0,0 +1,347 @@
+//! Routers by routes, before a store and servers of the users' platform.
+
+#![allow(clippy::unwrap_used, missing_docs, dead_code)]
+
+use crate::fleet;
+use doorswitch_standins::{backend, store};
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+pub const HOST: &str = "roastery.example";
+pub const KEY: &str = "cafe-key";
+/// What the tenant of [`KEY`] has paid.
+pub const PREPAID: u64 = 1_000_000;
+
+pub struct World {
+    pub store: store::Store,
+    pub backends: Vec<backend::Backend>,
+    pub routers: Vec<Router>,
+    pub version: u64,
+    folder: PathBuf,
+}
+
+pub struct Router {
+    child: Option<Child>,
+    pub clients: SocketAddr,
+    pub operators: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// An answer as a client read it.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether its framing says that all of it came.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn header(&self, name: &str) -> Option<String> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        let found = lines.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.trim().to_owned())
+    }
+}
+
+/// The configuration of the tests: three routes of one service.
+pub fn configuration(version: u64, keys: &[&str], prepaid: u64) -> Vec<u8> {
+    let route = |name: &str, kind: &str, attempts: u32, resume: bool, timeout_ms: u64| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeType": kind,
+            "timeoutMs": timeout_ms, "targetLatencyMs": 500, "priority": 1, "service": "app",
+            "maxAttempts": attempts, "public": false, "sessionAffinity": false,
+            "streamResume": resume,
+        })
+    };
+    let configuration = json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", 2, false, 3_000),
+            route("pay", "non_idempotent", 2, false, 3_000),
+            route("stream", "streaming", 1, false, 10_000),
+            route("resume", "streaming", 2, true, 10_000),
+            route("brief", "idempotent", 1, false, 300),
+        ],
+        "services": [{
+            "name": "app", "healthPath": "/health", "maxConnections": 100,
+            "engine": { "slots": 8, "stride": 3 },
+        }],
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            { "name": "cafe", "apiKeys": keys, "priority": 1, "prepaid": prepaid },
+            { "name": "school", "apiKeys": ["school-key"], "priority": 0, "prepaid": prepaid },
+        ],
+    });
+    configuration.to_string().into_bytes()
+}
+
+impl World {
+    /// One router that is ready, before servers that follow these scripts.
+    pub fn start(name: &str, scripts: Vec<backend::Script>) -> Self {
+        let mut world = Self::unready(name, scripts);
+        world.publish(&[KEY], PREPAID);
+        world.add_router();
+        world.wait_ready(0);
+        world
+    }
+
+    /// No router and no configuration yet.
+    pub fn unready(name: &str, scripts: Vec<backend::Script>) -> Self {
+        let store = store::Store::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+        let start = |script| backend::Backend::start(script).unwrap();
+        let backends: Vec<backend::Backend> = scripts.into_iter().map(start).collect();
+        let folder = std::env::temp_dir().join(format!("doorswitch-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let world = Self { store, backends, routers: Vec::new(), version: 0, folder };
+        for place in 0..world.backends.len() {
+            world.record_server(place, "ready");
+        }
+        world
+    }
+
+    /// Publishes a newer configuration.
+    pub fn publish(&mut self, keys: &[&str], prepaid: u64) {
+        self.version += 2;
+        self.store.put("op/config", &configuration(self.version, keys, prepaid));
+    }
+
+    /// A server records its state.
+    pub fn record_server(&self, place: usize, state: &str) {
+        let record = json!({
+            "service": "app", "address": self.backends[place].address().to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+        });
+        self.store.put(&format!("servers/i-{place}"), record.to_string().as_bytes());
+    }
+
+    pub fn add_router(&mut self) {
+        let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let [clients, operators, peers] = [(); 3].map(|()| fleet::free_port(ip));
+        self.routers.push(Router { child: None, clients, operators, peers });
+        self.spawn(self.routers.len() - 1);
+    }
+
+    /// Starts a router's process at its addresses, anew if it ran before.
+    pub fn spawn(&mut self, place: usize) {
+        let router = &mut self.routers[place];
+        let settings = format!(
+            "vm: entry-{place}\nregion: r\nfailure_domain: a\n\
+             gateway: {{ listen: \"{}\", drain_ms: 300 }}\n\
+             operators: {{ listen: \"{}\" }}\npeers: {{ listen: \"{}\" }}\n\
+             platform: {{ url: \"http://{}\", protocol: revisions, timeout_ms: 500 }}\n\
+             limits: {{ stop_grace_s: 8 }}\n",
+            router.clients,
+            router.operators,
+            router.peers,
+            self.store.address(),
+        );
+        let file = self.folder.join(format!("router-{place}.yaml"));
+        std::fs::write(&file, settings).unwrap();
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("router-{place}.log")))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_doorswitch"))
+            .args(["router", "--settings"])
+            .arg(&file)
+            .stderr(log)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        router.child = Some(child);
+    }
+
+    pub fn wait_ready(&self, place: usize) {
+        fleet::eventually("the router is ready", || self.ready(place) == Some(200));
+    }
+
+    pub fn ready(&self, place: usize) -> Option<u16> {
+        let answer = fleet::call(self.routers[place].operators, "GET", "/readyz", "", &[], "");
+        answer.map(|answer| answer.status)
+    }
+
+    pub fn metrics(&self, place: usize) -> String {
+        let answer = fleet::call(self.routers[place].operators, "GET", "/metrics", "", &[], "");
+        answer.map(|answer| answer.body).unwrap_or_default()
+    }
+
+    pub fn log(&self, place: usize) -> String {
+        let file = self.folder.join(format!("router-{place}.log"));
+        std::fs::read_to_string(file).unwrap_or_default()
+    }
+
+    pub fn signal(&self, place: usize, signal: &str) {
+        let id = self.routers[place].child.as_ref().unwrap().id();
+        Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status().unwrap();
+    }
+
+    /// Kills a router as a loss of power would.
+    pub fn kill(&mut self, place: usize) {
+        if let Some(mut child) = self.routers[place].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for the end of a router that was told to stop; whether it ended well.
+    pub fn wait_stopped(&mut self, place: usize) -> bool {
+        let mut child = self.routers[place].child.take().unwrap();
+        child.wait().unwrap().success()
+    }
+
+    /// Opens a connection and sends a request; nothing is read yet.
+    pub fn send(&self, place: usize, request: &Request<'_>) -> TcpStream {
+        let mut stream = TcpStream::connect(self.routers[place].clients).unwrap();
+        stream.write_all(request.bytes().as_bytes()).unwrap();
+        stream
+    }
+
+    /// Makes a request on a connection of its own.
+    pub fn ask(&self, place: usize, request: &Request<'_>) -> Answer {
+        let mut stream = self.send(place, request);
+        read_answer(&mut stream)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for place in 0..self.routers.len() {
+            self.kill(place);
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// A request of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub id: &'a str,
+    pub key: &'a str,
+    pub deadline_ms: u64,
+    /// Tokens in, and the most out.
+    pub tokens: Option<(u64, u64)>,
+    pub headers: &'a str,
+    pub body: &'a str,
+}
+
+impl Request<'_> {
+    pub fn bytes(&self) -> String {
+        let tokens = self.tokens.map_or_else(String::new, |(prompt, answer)| {
+            format!("Model: m\r\nToken-Count: {prompt},{answer}\r\nPrompt-Prefix: 5c:{prompt}\r\n")
+        });
+        format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\n\
+             Authorization: Bearer {}\r\n{tokens}{}Content-Length: {}\r\n\r\n{}",
+            self.method,
+            self.path,
+            self.id,
+            self.deadline_ms,
+            self.key,
+            self.headers,
+            self.body.len(),
+            self.body
+        )
+    }
+}
+
+/// A request to a path with a key that is known.
+pub fn request<'a>(path: &'a str, id: &'a str) -> Request<'a> {
+    Request {
+        method: "POST",
+        path,
+        id,
+        key: KEY,
+        deadline_ms: 3_000,
+        tokens: None,
+        headers: "",
+        body: "",
+    }
+}
+
+/// Reads one answer to its end, or to the end of the connection.
+pub fn read_answer(stream: &mut TcpStream) -> Answer {
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut received = Vec::new();
+    loop {
+        if let Some(answer) = parse(&received).filter(|answer| answer.whole) {
+            return answer;
+        }
+        let mut chunk = [0; 4096];
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return parse(&received).unwrap_or_default(),
+            Ok(length) => received.extend_from_slice(&chunk[..length]),
+        }
+    }
+}
+
+fn parse(received: &[u8]) -> Option<Answer> {
+    let end = received.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&received[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut answer = Answer { status, head, body: Vec::new(), whole: false };
+    let rest = &received[end..];
+    if let Some(length) = answer.header("content-length").and_then(|it| it.parse::<usize>().ok()) {
+        answer.whole = rest.len() >= length;
+        answer.body = rest[..rest.len().min(length)].to_vec();
+        return Some(answer);
+    }
+    (answer.body, answer.whole) = unchunk(rest);
+    Some(answer)
+}
+
+/// The data of chunks, and whether the last one came.
+fn unchunk(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut data = Vec::new();
+    while let Some(end) = bytes.windows(2).position(|window| window == b"\r\n") {
+        let text = String::from_utf8_lossy(&bytes[..end]).into_owned();
+        let Ok(length) = usize::from_str_radix(&text, 16) else { break };
+        if length == 0 {
+            return (data, true);
+        }
+        let start = end + 2;
+        if bytes.len() < start + length + 2 {
+            break;
+        }
+        data.extend_from_slice(&bytes[start..start + length]);
+        bytes = &bytes[start + length + 2..];
+    }
+    (data, false)
+}
+
+/// The head of a streamed answer.
+pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n\
+    Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// An event as a chunk.
+pub fn event(number: u64) -> backend::Step {
+    let event = format!("id: {number}\ndata: piece {number}\n\n");
+    backend::Step::Write(format!("{:x}\r\n{event}\r\n", event.len()))
+}
+
+/// The end of a chunked body.
+pub fn last_chunk() -> backend::Step {
+    backend::Step::Write("0\r\n\r\n".to_owned())
+}
+
+/// A server that answers every request with this text.
+pub fn answers(text: &'static str) -> backend::Script {
+    Box::new(move |_, _| vec![backend::whole("200 OK", text)])
+}
