Use servers that were all set aside rather than none

Their own failures had set all three aside at once.

Ruled out: the list of servers (nobody left it then) and connection failures (no attempt_ended with not_run).

The new test fails before.

--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -127,8 +127,8 @@
         self.in_flight + self.all_milli.saturating_sub(self.own_milli) / 1_000
     }
 
-    fn has_room(&self, now_ms: u64) -> bool {
-        self.usable(now_ms) && self.estimated_load() < self.slots()
+    fn has_room(&self) -> bool {
+        self.estimated_load() < self.slots()
     }
 
     fn usable(&self, now_ms: u64) -> bool {
@@ -229,7 +229,7 @@
             return Err(Lack::None);
         }
         let open: Vec<ids::ServerSlot> =
-            fitting.into_iter().filter(|slot| self.servers[*slot].has_room(now_ms)).collect();
+            fitting.into_iter().filter(|slot| self.servers[*slot].has_room()).collect();
         let better = self.best_of_some(&open, rng).ok_or(Lack::Full)?;
         let chosen = self.with_affinity(better, &open, wanted.prefix_hash);
         self.started(chosen);
@@ -322,9 +322,15 @@
         let fits = |slot: &&ids::ServerSlot| {
             let server = &self.servers[**slot];
             let class = wanted.classes.is_empty() || wanted.classes.contains(&server.vm.class);
-            class && server.usable(now_ms) && !wanted.not.contains(slot)
+            class && server.vm.state == VmState::Live && !wanted.not.contains(slot)
         };
-        slots.iter().filter(fits).copied().collect()
+        let live: Vec<ids::ServerSlot> = slots.iter().filter(fits).copied().collect();
+        let usable = |slot: &ids::ServerSlot| self.servers[*slot].usable(now_ms);
+        // Where all were set aside, one that failed lately is better than none.
+        match live.iter().any(usable) {
+            true => live.into_iter().filter(usable).collect(),
+            false => live,
+        }
     }
 
     /// The cheapest of some that are drawn at random.
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -212,3 +212,20 @@
     bench.table.has_read(first.slot, u64::MAX);
     assert_eq!(choose_for_prompt(&mut bench, &prompt(7, 20)).slot, first.slot);
 }
+
+#[test]
+fn servers_that_were_all_set_aside_are_better_than_none() {
+    let mut bench = many(&["a", "b"]);
+    for _ in 0..3 {
+        for _ in 0..2 {
+            let slot = bench.choose().unwrap();
+            bench.table.ended(slot);
+        }
+        let slots: Vec<ids::ServerSlot> = bench.table.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            bench.table.failed(slot, bench.now_ms);
+        }
+    }
+    assert!(bench.choose().is_ok(), "both failed lately, and nobody else is there");
+    assert!(choose_for_prompt(&mut bench, &prompt(1, 1)).unread_tokens > 0);
+}
