--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -3,6 +3,8 @@
 //! One versioned document for the whole fleet. Settings of one process are not here but in its own
 //! file.
 
+mod check;
+
 use crate::routes;
 use serde::{Deserialize, Serialize};
 use std::{collections, fmt};
@@ -360,7 +362,7 @@
 impl Document {
     /// Everything wrong with the document but its policy programs, which the caller compiles.
     pub fn problems(&self, earlier: Option<&Document>) -> Vec<Problem> {
-        let mut checker = Checker::default();
+        let mut checker = check::Checker::default();
         checker.layout(&self.layout, earlier.map(|earlier| &earlier.layout));
         checker.names("workspaces", self.workspaces.iter().map(|it| it.name.as_str()));
         checker.names("services", self.services.iter().map(|it| it.name.as_str()));
@@ -384,85 +386,3 @@
         self.services.iter().find(|service| service.name == name)
     }
 }
-
-#[derive(Default)]
-struct Checker {
-    problems: Vec<Problem>,
-}
-
-impl Checker {
-    fn report(&mut self, place: &str, fault: Fault) {
-        self.problems.push(Problem { place: place.to_owned(), fault });
-    }
-
-    fn range(&mut self, place: &str, found: u64, least: u64, most: u64) {
-        if !(least..=most).contains(&found) {
-            self.report(place, Fault::OutOfRange { found, least, most });
-        }
-    }
-
-    fn names<'a>(&mut self, place: &str, names: impl Iterator<Item = &'a str>) {
-        let mut seen = collections::HashSet::new();
-        for name in names {
-            let good = (1..=64).contains(&name.len())
-                && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
-            if !good {
-                self.report(place, Fault::BadName(name.to_owned()));
-            }
-            if !seen.insert(name) {
-                self.report(place, Fault::Duplicate(name.to_owned()));
-            }
-        }
-    }
-
-    fn layout(&mut self, layout: &Layout, earlier: Option<&Layout>) {
-        let shards = u64::from(SHARDS_MAX);
-        self.range("layout.ledger_shards", u64::from(layout.ledger_shards), 1, shards);
-        self.range("layout.log_shards", u64::from(layout.log_shards), 1, shards);
-        self.range("layout.log_epoch_segments", layout.log_epoch_segments, 4, 100_000);
-        if earlier.is_some_and(|earlier| earlier != layout) {
-            self.report("layout", Fault::LayoutChanged);
-        }
-    }
-
-    fn workspace(&mut self, workspace: &Workspace) {
-        let place = format!("workspaces.{}", workspace.name);
-        self.names(&format!("{place}.keys"), workspace.keys.iter().map(|key| key.name.as_str()));
-        let budgets = workspace.budgets.iter().map(|budget| budget.name.as_str());
-        self.names(&format!("{place}.budgets"), budgets);
-        for key in &workspace.keys {
-            let good = key.sha256.len() == 64 && key.sha256.bytes().all(|b| b.is_ascii_hexdigit());
-            if !good {
-                self.report(&format!("{place}.keys.{}.sha256", key.name), Fault::BadDigest);
-            }
-        }
-        for budget in &workspace.budgets {
-            let place = format!("{place}.budgets.{}", budget.name);
-            let cover = budget.cover();
-            self.range(&format!("{place}.cover_s"), cover.cover_s, 0, COVER_MAX_S);
-            let minimum = cover.minimum_grant_tokens;
-            self.range(&format!("{place}.minimum_grant_tokens"), minimum, 0, TOKENS_MAX);
-        }
-    }
-
-    fn service(&mut self, service: &Service, document: &Document) {
-        let place = format!("services.{}", service.name);
-        if !document.policies.iter().any(|policy| policy.name == service.policy) {
-            self.report(&format!("{place}.policy"), Fault::Unknown(service.policy.clone()));
-        }
-        let twice = |model: &String| {
-            let serving = document.services.iter().filter(|other| other.models.contains(model));
-            serving.count() > 1
-        };
-        for model in service.models.iter().filter(|model| twice(model)) {
-            self.report(&format!("{place}.models"), Fault::Duplicate(model.clone()));
-        }
-        let answer = service.answer_tokens_max;
-        self.range(&format!("{place}.answer_tokens_max"), answer, 1, TOKENS_MAX);
-        self.range(&format!("{place}.call_tokens"), service.call_tokens, 0, TOKENS_MAX);
-        let queue = service.queue_length as u64;
-        self.range(&format!("{place}.queue_length"), queue, 0, 100_000);
-        self.range(&format!("{place}.queue_age_ms"), service.queue_age_ms, 0, 600_000);
-        self.range(&format!("{place}.answer_time_ms"), service.answer_time_ms, 1, 3_600_000);
-    }
-}
--- a/core/src/servers/by_prompt.rs
+++ b/core/src/servers/by_prompt.rs
@@ -81,8 +81,7 @@
         }
         let key = home_key(wanted.parts);
         fitting.sort_by_key(|slot| std::cmp::Reverse(self.home_weight(*slot, key)));
-        let open =
-            fitting.iter().enumerate().filter(|(_, slot)| self.servers[**slot].has_room());
+        let open = fitting.iter().enumerate().filter(|(_, slot)| self.servers[**slot].has_room());
         let considered = open.take(CONSIDERED).map(|(rank, slot)| {
             let unread_tokens = self.unread_tokens(*slot, wanted.parts, rank == 0, now_ms);
             Choice { slot: *slot, unread_tokens }
--- a/src/cmd/policy.rs
+++ b/src/cmd/policy.rs
@@ -38,9 +38,10 @@
         name: format!("{}{model}", super::text(matches, "service")),
     })?;
     let workspace = super::text(matches, "workspace");
-    if !document.workspaces.iter().any(|known| known.name == workspace) {
+    let declared = document.workspaces.iter().find(|known| known.name == workspace);
+    let Some(declared) = declared else {
         return Err(OperatorError::NotDeclared { kind: "workspace", name: workspace }.into());
-    }
+    };
     let max_tokens = matches.get_one::<u64>("max-tokens").copied().unwrap_or_default();
     let facts = policy::Facts {
         workspace,
@@ -50,6 +51,7 @@
         path: super::text(matches, "path"),
         max_tokens,
         bound_tokens: max_tokens,
+        workspace_priority: declared.priority,
         ..policy::Facts::default()
     };
     for policy in document.policies.iter().filter(|policy| policy.name == service.policy) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,13 @@
 //! The control thread: an actor that owns the core's state and all platform and peer traffic.
 
+mod handlers;
+mod messages;
+mod stores;
+
+pub use messages::*;
+
 use crate::{feed, logging, peers, platform, settings, snapshot, telemetry};
-use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
+use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
 use doorswitch_core::{config, ids, node, servers};
 use doorswitch_platform::store;
 use futures_util::future;
@@ -15,90 +21,7 @@
 /// After a failed watch the next one waits about this long.
 const WATCH_AGAIN: Duration = Duration::from_millis(500);
 /// The answers to requests in the order asked; the sender side lives in the actor.
-type Reply = oneshot::Receiver<node::Answer>;
-
-/// Asks to admit a request. The reply names its slot, for what follows.
-#[derive(Debug, Message)]
-#[rtype(result = "(ids::RequestSlot, Reply)")]
-pub struct Admit {
-    /// The request; its deadline is a time left, in milliseconds.
-    pub wanted: node::Wanted,
-}
-
-/// Reports the end of a dispatched request. The reply comes when its end is safe.
-#[derive(Debug, Message)]
-#[rtype(result = "Reply")]
-pub struct Finish {
-    /// The request.
-    pub slot: ids::RequestSlot,
-    /// How it ended.
-    pub ending: node::Ending,
-}
-
-/// Asks for another server after one failed.
-#[derive(Debug, Message)]
-#[rtype(result = "Reply")]
-pub struct Retry {
-    /// The request.
-    pub slot: ids::RequestSlot,
-    /// Whether it may have run where it failed.
-    pub may_have_run: bool,
-}
-
-/// A server said on an answer how loaded it is.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct Reported {
-    /// The server's VM.
-    pub vm: String,
-    /// Its load.
-    pub load: servers::Load,
-}
-
-/// The answer of a dispatched request has begun.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct Answering(pub ids::RequestSlot);
-
-/// The settings now name these rates of the platform.
-#[derive(Clone, Copy, Debug, Message)]
-#[rtype(result = "()")]
-pub struct Rates {
-    /// Reads that it takes a second, from all together.
-    pub reads_per_s: u64,
-    /// Writes that it takes a second, from all together.
-    pub writes_per_s: u64,
-}
-
-/// A configuration was read.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct OfferConfig(pub config::Published);
-
-/// The list of VMs was read or changed.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct OfferVms {
-    /// Grows with every change.
-    pub index: u64,
-    /// All VMs.
-    pub vms: Vec<servers::Vm>,
-}
-
-/// Addresses were found where other routers may be.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct OfferSeeds(pub Vec<String>);
-
-/// Asks for the whole state.
-#[derive(Debug, Message)]
-#[rtype(result = "serde_json::Value")]
-pub struct Dump;
-
-/// Starts a planned stop.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct Stop;
+pub type Reply = oneshot::Receiver<node::Answer>;
 
 /// What the control thread is made of.
 pub struct Parts {
@@ -112,38 +35,6 @@
     pub incarnation: ids::Incarnation,
 }
 
-/// The platform's store, by the protocol that the settings name.
-#[derive(Clone)]
-enum Store {
-    Consul(platform::Client),
-    Revisions(store::Client),
-}
-
-impl Store {
-    fn new(settings: &settings::Settings) -> Self {
-        let (url, timeout_ms) = (&settings.platform.url, settings.platform.timeout_ms);
-        let local = Some(settings.peers.listen.ip());
-        match settings.platform.protocol {
-            settings::Protocol::Consul => {
-                Self::Consul(platform::Client::new(url, timeout_ms, local))
-            }
-            settings::Protocol::Revisions => {
-                Self::Revisions(store::Client::new(url, timeout_ms, local))
-            }
-        }
-    }
-
-    async fn call(
-        &self,
-        request: doorswitch_core::store::Request,
-    ) -> doorswitch_core::store::Reply {
-        match self {
-            Self::Consul(client) => client.call(request).await,
-            Self::Revisions(client) => client.call(request).await,
-        }
-    }
-}
-
 /// The actor.
 pub struct Control {
     settings: Arc<settings::Settings>,
@@ -151,7 +42,7 @@
     sockets: Option<(net::TcpListener, net::UdpSocket)>,
     incarnation: ids::Incarnation,
     node: node::Node,
-    platform: Store,
+    platform: stores::Store,
     http: awc::Client,
     peers: Option<peers::Peers>,
     waiters: collections::HashMap<ids::RequestSlot, oneshot::Sender<node::Answer>>,
@@ -167,7 +58,7 @@
     pub fn new(parts: Parts) -> Self {
         let settings = parts.settings;
         let local = settings.peers.listen.ip();
-        let platform = Store::new(&settings);
+        let platform = stores::Store::new(&settings);
         let core_settings = core_settings(&settings, parts.incarnation);
         Self {
             node: node::Node::new(core_settings, rand::random(), 0),
@@ -380,149 +271,17 @@
         }
         context.run_interval(TICK, Control::tick);
         match self.platform.clone() {
-            Store::Consul(client) => {
+            stores::Store::Consul(client) => {
                 self.watch_config(client.clone(), context);
                 self.watch_vms(client, context);
                 let poll = Duration::from_millis(self.settings.limits.load_poll_ms);
                 context.run_interval(poll, Control::poll_loads);
             }
-            Store::Revisions(client) => self.start_feeds(client, context),
+            stores::Store::Revisions(client) => self.start_feeds(client, context),
         }
     }
 }
 
-impl peers::Receiver for Control {}
-
-impl Handler<peers::Arrived> for Control {
-    type Result = ();
-
-    fn handle(&mut self, arrived: peers::Arrived, context: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        self.node.message(arrived.0.from, arrived.0.message, now_ms);
-        self.carry_out(context);
-    }
-}
-
-impl Handler<peers::GossipArrived> for Control {
-    type Result = ();
-
-    fn handle(&mut self, arrived: peers::GossipArrived, context: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        self.node.gossip(&arrived.0, now_ms);
-        self.carry_out(context);
-    }
-}
-
-impl Handler<Admit> for Control {
-    type Result = actix::MessageResult<Admit>;
-
-    fn handle(&mut self, mut admit: Admit, context: &mut Self::Context) -> Self::Result {
-        let now_ms = self.now_ms();
-        admit.wanted.deadline_ms = admit.wanted.deadline_ms.saturating_add(now_ms);
-        let slot = self.node.admit(admit.wanted, now_ms);
-        let reply = self.wait_for(slot);
-        self.carry_out(context);
-        actix::MessageResult((slot, reply))
-    }
-}
-
-impl Handler<Finish> for Control {
-    type Result = actix::MessageResult<Finish>;
-
-    fn handle(&mut self, finish: Finish, context: &mut Self::Context) -> Self::Result {
-        let now_ms = self.now_ms();
-        let reply = self.wait_for(finish.slot);
-        self.node.finish(finish.slot, finish.ending, now_ms);
-        self.carry_out(context);
-        actix::MessageResult(reply)
-    }
-}
-
-impl Handler<Retry> for Control {
-    type Result = actix::MessageResult<Retry>;
-
-    fn handle(&mut self, retry: Retry, context: &mut Self::Context) -> Self::Result {
-        let now_ms = self.now_ms();
-        let reply = self.wait_for(retry.slot);
-        self.node.retry(retry.slot, retry.may_have_run, now_ms);
-        self.carry_out(context);
-        actix::MessageResult(reply)
-    }
-}
-
-impl Handler<Reported> for Control {
-    type Result = ();
-
-    fn handle(&mut self, reported: Reported, _: &mut Self::Context) {
-        self.node.report_load_of(&reported.vm, reported.load);
-    }
-}
-
-impl Handler<Answering> for Control {
-    type Result = ();
-
-    fn handle(&mut self, answering: Answering, _: &mut Self::Context) {
-        self.node.answering(answering.0);
-    }
-}
-
-impl Handler<Rates> for Control {
-    type Result = ();
-
-    fn handle(&mut self, rates: Rates, _: &mut Self::Context) {
-        self.node.set_platform_rates(rates.reads_per_s, rates.writes_per_s);
-    }
-}
-
-impl Handler<OfferConfig> for Control {
-    type Result = ();
-
-    fn handle(&mut self, offer: OfferConfig, context: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        self.node.offer_config(offer.0, now_ms);
-        self.carry_out(context);
-    }
-}
-
-impl Handler<OfferVms> for Control {
-    type Result = ();
-
-    fn handle(&mut self, offer: OfferVms, context: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        self.node.offer_vms(offer.index, offer.vms, now_ms);
-        self.carry_out(context);
-    }
-}
-
-impl Handler<OfferSeeds> for Control {
-    type Result = ();
-
-    fn handle(&mut self, offer: OfferSeeds, _: &mut Self::Context) {
-        self.node.offer_seeds(offer.0);
-    }
-}
-
-impl Handler<Dump> for Control {
-    type Result = actix::MessageResult<Dump>;
-
-    fn handle(&mut self, _: Dump, _: &mut Self::Context) -> Self::Result {
-        let mut dump = self.node.dump(self.now_ms());
-        dump["open_answers"] = self.published.open_answers().into();
-        actix::MessageResult(dump)
-    }
-}
-
-impl Handler<Stop> for Control {
-    type Result = ();
-
-    fn handle(&mut self, _: Stop, context: &mut Self::Context) {
-        log::info!("event=stopping");
-        let now_ms = self.now_ms();
-        self.node.stop(now_ms);
-        self.carry_out(context);
-    }
-}
-
 /// Asks the control thread and waits for the answer; `None` if the thread is gone.
 pub async fn ask(reply: Result<Reply, actix::MailboxError>) -> Option<node::Answer> {
     match reply {
--- /dev/null
+++ b/src/control/handlers.rs
@@ -0,0 +1,137 @@
+//! What the actor does with each message.
+
+use super::{Control, messages};
+use crate::peers;
+use actix::prelude::Handler;
+
+impl peers::Receiver for Control {}
+
+impl Handler<peers::Arrived> for Control {
+    type Result = ();
+
+    fn handle(&mut self, arrived: peers::Arrived, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.message(arrived.0.from, arrived.0.message, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<peers::GossipArrived> for Control {
+    type Result = ();
+
+    fn handle(&mut self, arrived: peers::GossipArrived, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.gossip(&arrived.0, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<messages::Admit> for Control {
+    type Result = actix::MessageResult<messages::Admit>;
+
+    fn handle(&mut self, mut admit: messages::Admit, context: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        admit.wanted.deadline_ms = admit.wanted.deadline_ms.saturating_add(now_ms);
+        let slot = self.node.admit(admit.wanted, now_ms);
+        let reply = self.wait_for(slot);
+        self.carry_out(context);
+        actix::MessageResult((slot, reply))
+    }
+}
+
+impl Handler<messages::Finish> for Control {
+    type Result = actix::MessageResult<messages::Finish>;
+
+    fn handle(&mut self, finish: messages::Finish, context: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        let reply = self.wait_for(finish.slot);
+        self.node.finish(finish.slot, finish.ending, now_ms);
+        self.carry_out(context);
+        actix::MessageResult(reply)
+    }
+}
+
+impl Handler<messages::Retry> for Control {
+    type Result = actix::MessageResult<messages::Retry>;
+
+    fn handle(&mut self, retry: messages::Retry, context: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        let reply = self.wait_for(retry.slot);
+        self.node.retry(retry.slot, retry.may_have_run, now_ms);
+        self.carry_out(context);
+        actix::MessageResult(reply)
+    }
+}
+
+impl Handler<messages::Reported> for Control {
+    type Result = ();
+
+    fn handle(&mut self, reported: messages::Reported, _: &mut Self::Context) {
+        self.node.report_load_of(&reported.vm, reported.load);
+    }
+}
+
+impl Handler<messages::Answering> for Control {
+    type Result = ();
+
+    fn handle(&mut self, answering: messages::Answering, _: &mut Self::Context) {
+        self.node.answering(answering.0);
+    }
+}
+
+impl Handler<messages::Rates> for Control {
+    type Result = ();
+
+    fn handle(&mut self, rates: messages::Rates, _: &mut Self::Context) {
+        self.node.set_platform_rates(rates.reads_per_s, rates.writes_per_s);
+    }
+}
+
+impl Handler<messages::OfferConfig> for Control {
+    type Result = ();
+
+    fn handle(&mut self, offer: messages::OfferConfig, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.offer_config(offer.0, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<messages::OfferVms> for Control {
+    type Result = ();
+
+    fn handle(&mut self, offer: messages::OfferVms, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.offer_vms(offer.index, offer.vms, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<messages::OfferSeeds> for Control {
+    type Result = ();
+
+    fn handle(&mut self, offer: messages::OfferSeeds, _: &mut Self::Context) {
+        self.node.offer_seeds(offer.0);
+    }
+}
+
+impl Handler<messages::Dump> for Control {
+    type Result = actix::MessageResult<messages::Dump>;
+
+    fn handle(&mut self, _: messages::Dump, _: &mut Self::Context) -> Self::Result {
+        let mut dump = self.node.dump(self.now_ms());
+        dump["open_answers"] = self.published.open_answers().into();
+        actix::MessageResult(dump)
+    }
+}
+
+impl Handler<messages::Stop> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: messages::Stop, context: &mut Self::Context) {
+        log::info!("event=stopping");
+        let now_ms = self.now_ms();
+        self.node.stop(now_ms);
+        self.carry_out(context);
+    }
+}
--- /dev/null
+++ b/src/control/messages.rs
@@ -0,0 +1,88 @@
+//! What the control thread is told and asked.
+
+use super::Reply;
+use actix::prelude::Message;
+use doorswitch_core::{config, ids, node, servers};
+
+/// Asks to admit a request. The reply names its slot, for what follows.
+#[derive(Debug, Message)]
+#[rtype(result = "(ids::RequestSlot, Reply)")]
+pub struct Admit {
+    /// The request; its deadline is a time left, in milliseconds.
+    pub wanted: node::Wanted,
+}
+
+/// Reports the end of a dispatched request. The reply comes when its end is safe.
+#[derive(Debug, Message)]
+#[rtype(result = "Reply")]
+pub struct Finish {
+    /// The request.
+    pub slot: ids::RequestSlot,
+    /// How it ended.
+    pub ending: node::Ending,
+}
+
+/// Asks for another server after one failed.
+#[derive(Debug, Message)]
+#[rtype(result = "Reply")]
+pub struct Retry {
+    /// The request.
+    pub slot: ids::RequestSlot,
+    /// Whether it may have run where it failed.
+    pub may_have_run: bool,
+}
+
+/// A server said on an answer how loaded it is.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Reported {
+    /// The server's VM.
+    pub vm: String,
+    /// Its load.
+    pub load: servers::Load,
+}
+
+/// The answer of a dispatched request has begun.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Answering(pub ids::RequestSlot);
+
+/// The settings now name these rates of the platform.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Rates {
+    /// Reads that it takes a second, from all together.
+    pub reads_per_s: u64,
+    /// Writes that it takes a second, from all together.
+    pub writes_per_s: u64,
+}
+
+/// A configuration was read.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct OfferConfig(pub config::Published);
+
+/// The list of VMs was read or changed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct OfferVms {
+    /// Grows with every change.
+    pub index: u64,
+    /// All VMs.
+    pub vms: Vec<servers::Vm>,
+}
+
+/// Addresses were found where other routers may be.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct OfferSeeds(pub Vec<String>);
+
+/// Asks for the whole state.
+#[derive(Debug, Message)]
+#[rtype(result = "serde_json::Value")]
+pub struct Dump;
+
+/// Starts a planned stop.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Stop;
--- /dev/null
+++ b/src/control/stores.rs
@@ -0,0 +1,34 @@
+//! The platform's store, whichever protocol it speaks.
+
+use crate::{platform, settings};
+use doorswitch_core::store as core_store;
+use doorswitch_platform::store;
+
+/// The platform's store, by the protocol that the settings name.
+#[derive(Clone)]
+pub(super) enum Store {
+    Consul(platform::Client),
+    Revisions(store::Client),
+}
+
+impl Store {
+    pub(super) fn new(settings: &settings::Settings) -> Self {
+        let (url, timeout_ms) = (&settings.platform.url, settings.platform.timeout_ms);
+        let local = Some(settings.peers.listen.ip());
+        match settings.platform.protocol {
+            settings::Protocol::Consul => {
+                Self::Consul(platform::Client::new(url, timeout_ms, local))
+            }
+            settings::Protocol::Revisions => {
+                Self::Revisions(store::Client::new(url, timeout_ms, local))
+            }
+        }
+    }
+
+    pub(super) async fn call(&self, request: core_store::Request) -> core_store::Reply {
+        match self {
+            Self::Consul(client) => client.call(request).await,
+            Self::Revisions(client) => client.call(request).await,
+        }
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -81,7 +81,8 @@
             }
             upstream::Admission::Replay(_) => return Err(refusal::outcome_unknown()),
         };
-        let ticket = ticket::Ticket::new(self.control.clone(), placement.slot, cost);
+        let ticket = ticket::Ticket::new(self.control.clone(), placement.slot, cost, id);
+        log::info!("event=placed id={} {asked} vm={} attempt=1", head.asked.id, placement.vm);
         let call = attempt::Call {
             method: parts.method,
             uri: parts.uri,
@@ -244,7 +245,11 @@
                 return Err(refusal::outcome_unknown());
             }
             match ticket.retry(may_have_run).await {
-                upstream::Admission::Placed(next) => place = next,
+                upstream::Admission::Placed(next) => {
+                    let id = &call.asked.id;
+                    log::info!("event=placed_again id={id} vm={} after={}", next.vm, place.vm);
+                    place = next;
+                }
                 refused => return give_up(ticket, failure, may_have_run, refused),
             }
         }
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -3,6 +3,7 @@
 use crate::{control, upstream};
 use actix::prelude::Addr;
 use doorswitch_core::{ids, node};
+use std::time::Instant;
 
 /// Tokens that a server may make between a client's leaving and its own noticing.
 const UNSEEN_TOKENS: u64 = 30;
@@ -36,13 +37,20 @@
     slot: ids::RequestSlot,
     /// What it costs.
     pub cost: Cost,
+    id: String,
+    admitted: Instant,
     open: bool,
 }
 
 impl Ticket {
     /// A request that was admitted.
-    pub fn new(control: Addr<control::Control>, slot: ids::RequestSlot, cost: Cost) -> Self {
-        Self { control, slot, cost, open: true }
+    pub fn new(
+        control: Addr<control::Control>,
+        slot: ids::RequestSlot,
+        cost: Cost,
+        id: String,
+    ) -> Self {
+        Self { control, slot, cost, id, admitted: Instant::now(), open: true }
     }
 
     /// Asks for another server; `may_have_run` tells whether the failed try counts as an attempt.
@@ -73,6 +81,18 @@
 
     fn end(&mut self, ending: node::Ending) {
         self.open = false;
+        let (outcome, tokens) = match &ending {
+            node::Ending::NotRun => ("not_run", 0),
+            node::Ending::Ran { consumed_tokens, healthy: true, .. } => ("ran", *consumed_tokens),
+            node::Ending::Ran { consumed_tokens, .. } => ("failed", *consumed_tokens),
+            node::Ending::Cancelled { consumed_tokens } => ("client_left", *consumed_tokens),
+            node::Ending::Unknown => ("unknown", self.cost.bound_tokens),
+        };
+        log::info!(
+            "event=request_ended id={} outcome={outcome} tokens={tokens} took_ms={}",
+            self.id,
+            self.admitted.elapsed().as_millis(),
+        );
         self.control.do_send(control::Finish { slot: self.slot, ending });
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -242,3 +242,17 @@
     assert!(served * 8_000 <= PREPAID, "{served} ran; {one} and {other} at the end");
     assert!(served * 8_000 + 30_000 > PREPAID, "{served} ran: tokens lie idle");
 }
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request() {
+    let mut world = World::unready("unread", vec![answers("done"), answers("done")]);
+    world.publish(&[KEY], PREPAID);
+    world.unread_logs = true;
+    world.add_router();
+    world.wait_ready(0);
+    // Each request leaves two lines of some hundred bytes; a pipe holds 64 KiB.
+    for number in 0..800 {
+        let answer = world.ask(0, &request("/read/x", &format!("id-{number}")));
+        assert_eq!(answer.status, 200, "request {number}");
+    }
+}
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -21,6 +21,8 @@
     pub backends: Vec<backend::Backend>,
     pub routers: Vec<Router>,
     pub version: u64,
+    /// Routers' logs go to a pipe that nobody reads.
+    pub unread_logs: bool,
     folder: PathBuf,
 }
 
@@ -105,7 +107,8 @@
         let backends: Vec<backend::Backend> = scripts.into_iter().map(start).collect();
         let folder = std::env::temp_dir().join(format!("doorswitch-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let world = Self { store, backends, routers: Vec::new(), version: 0, folder };
+        let world =
+            Self { store, backends, routers: Vec::new(), version: 0, unread_logs: false, folder };
         for place in 0..world.backends.len() {
             world.record_server(place, "ready");
         }
@@ -158,7 +161,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_doorswitch"))
             .args(["router", "--settings"])
             .arg(&file)
-            .stderr(log)
+            .stderr(if self.unread_logs { Stdio::piped() } else { Stdio::from(log) })
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
