--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -115,6 +115,8 @@
     drained: collections::HashMap<String, Drain>,
     asks: collections::HashMap<ids::BudgetSlot, Ask>,
     retries: collections::HashMap<String, retry::Budget>,
+    /// The most routers that were live at once in this life: those that are cut off still count.
+    most_routers: u64,
     outbox: outbox::Outbox,
     calls: collections::HashMap<ids::CallId, Purpose>,
     next_call: u64,
@@ -180,6 +182,7 @@
             drained: Default::default(),
             asks: Default::default(),
             retries: Default::default(),
+            most_routers: 1,
             outbox: outbox::Outbox::default(),
             calls: Default::default(),
             next_call: 0,
@@ -377,6 +380,7 @@
         }
         self.measured_ms = now_ms;
         let routers = self.members.live_count();
+        self.most_routers = self.most_routers.max(routers);
         self.grants.measure_rates(now_ms, routers);
         let share = |rate_per_s: u64| (rate_per_s * PLATFORM_SHARE_PERCENT / 100 / routers).max(1);
         self.reads.set_rate(share(self.settings.platform_reads_per_s));
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -64,7 +64,8 @@
             self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
             return;
         }
-        if !self.retries.entry(service).or_default().try_spend() {
+        let routers = self.most_routers;
+        if !self.retries.entry(service).or_default().try_spend(routers) {
             self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
             return;
         }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -128,7 +128,8 @@
         self.drained.entry(service.to_owned()).or_default().ended += 1;
         if healthy {
             self.servers.succeeded(server, took_ms);
-            self.retries.entry(service.to_owned()).or_default().earn();
+            let routers = self.most_routers;
+            self.retries.entry(service.to_owned()).or_default().earn(routers);
         } else {
             self.servers.failed(server, now_ms);
         }
