Address messages between routers to a life, not to an address only

Cause: a transfer is sent again until it is acknowledged, to the receiver's address. A router that applied one, spent it and died without its word getting through left an open transfer at the sender, and the next life at its address applied it too: the same tokens twice, an overspend.

Ruled out: dropping open transfers when a member dies (the sender learns of it later than the new life starts). Now every message names the life it is meant for, and another one drops it.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -239,10 +239,11 @@
 /// Acknowledges settlements as a peer's log does.
 fn acknowledge(node: &mut node::Node) {
     for action in node.take_actions() {
-        if let node::Action::Send { to, message: message::Message::Settle(settlement), .. } = action
-        {
+        let node::Action::Send { envelope, .. } = action else { continue };
+        if let message::Message::Settle(settlement) = envelope.message {
             let durable = message::Message::SettleDurable(settlement.attempt);
-            node.message(to, durable, 1_000_000);
+            let (from, to) = (envelope.to, envelope.from);
+            node.message(message::Envelope { from, to, message: durable }, 1_000_000);
         }
     }
     node.take_actions();
--- a/benches/capacity/messages.rs
+++ b/benches/capacity/messages.rs
@@ -30,7 +30,8 @@
         outcome: None,
     };
     let send = |message| {
-        peers::encode(&peers::Envelope { from: ids::Incarnation(u64::MAX), message }).len()
+        let id = ids::Incarnation(u64::MAX);
+        peers::encode(&message::Envelope { from: id, to: id, message }).len()
     };
     let with_news = |items: usize| {
         let mut gossip = control::gossip(0);
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -4,7 +4,18 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of these types. It changes with every change of their layout.
-pub const PROTOCOL: u16 = 2;
+pub const PROTOCOL: u16 = 3;
+
+/// A message with its sender and the life that it is meant for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sender.
+    pub from: ids::Incarnation,
+    /// The receiver. Another life at its address must not take the message for its own.
+    pub to: ids::Incarnation,
+    /// The message.
+    pub message: Message,
+}
 
 /// A message over a connection. It may be lost, repeated or late; the core copes with all three.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -10,7 +10,12 @@
 
 impl Node {
     /// Takes a message from a peer.
-    pub fn message(&mut self, from: ids::Incarnation, message: message::Message, now_ms: u64) {
+    pub fn message(&mut self, envelope: message::Envelope, now_ms: u64) {
+        let message::Envelope { from, to, message } = envelope;
+        if to != self.settings.incarnation {
+            // Meant for an earlier life at this address: what that one did with it is not known.
+            return;
+        }
         match message {
             message::Message::Claim(claim) => {
                 let entry = log_index::Entry::Claim(claim);
@@ -112,7 +117,8 @@
         let Some(record) = self.members.find(to) else { return };
         let address = record.address.clone();
         self.counters.messages_sent += 1;
-        self.actions.push(Action::Send { to, address, message });
+        let envelope = message::Envelope { from: self.settings.incarnation, to, message };
+        self.actions.push(Action::Send { address, envelope });
     }
 
     fn push_gossip(
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -178,12 +178,10 @@
     },
     /// Sends to a peer; may get lost.
     Send {
-        /// The receiver.
-        to: ids::Incarnation,
         /// The receiver's address.
         address: String,
         /// What to send.
-        message: message::Message,
+        envelope: message::Envelope,
     },
     /// Sends a datagram to a peer; may get lost.
     Gossip {
--- a/core/tests/world/faults.rs
+++ b/core/tests/world/faults.rs
@@ -129,22 +129,19 @@
         }
     }
 
-    pub(super) fn send(
-        &mut self,
-        at: usize,
-        from: ids::Incarnation,
-        to: ids::Incarnation,
-        message: message::Message,
-    ) {
-        let Some(place) = self.routers.iter().position(|router| router.life == to) else { return };
-        if !self.connected(at, place) || self.chance(self.faults.lose_messages_percent) {
+    /// Delivers to whatever life has the address when the message arrives, as a network does.
+    pub(super) fn send(&mut self, at: usize, address: &str, envelope: message::Envelope) {
+        let Some(to) = self.routers.iter().position(|router| router.address == address) else {
+            return;
+        };
+        if !self.connected(at, to) || self.chance(self.faults.lose_messages_percent) {
             return;
         }
         let times = if self.chance(self.faults.repeat_messages_percent) { 2 } else { 1 };
         for _ in 0..times {
             let delay_ms = self.delay_ms();
-            let message = message.clone();
-            self.after(delay_ms, Event::Message { from, to: place, life: to, message });
+            let envelope = envelope.clone();
+            self.after(delay_ms, Event::Message { to, envelope });
         }
     }
 
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -26,7 +26,7 @@
 enum Event {
     StoreArrives { from: usize, life: ids::Incarnation, call: ids::CallId, request: store::Request },
     StoreReplies { to: usize, life: ids::Incarnation, call: ids::CallId, reply: store::Reply },
-    Message { from: ids::Incarnation, to: usize, life: ids::Incarnation, message: message::Message },
+    Message { to: usize, envelope: message::Envelope },
     Gossip { to: usize, gossip: message::Gossip },
     Served { at: usize, life: ids::Incarnation, slot: ids::RequestSlot },
     VmGone { vm: String },
@@ -374,11 +374,9 @@
                     self.carry_out(to);
                 }
             }
-            Event::Message { from, to, life, message } => {
-                if self.routers[to].life == life {
-                    self.routers[to].node.message(from, message, self.now_ms);
-                    self.carry_out(to);
-                }
+            Event::Message { to, envelope } => {
+                self.routers[to].node.message(envelope, self.now_ms);
+                self.carry_out(to);
             }
             Event::Gossip { to, gossip } => {
                 self.routers[to].node.gossip(&gossip, self.now_ms);
@@ -418,7 +416,7 @@
         for action in self.routers[at].node.take_actions() {
             match action {
                 node::Action::Store { call, request } => self.call_store(at, life, call, request),
-                node::Action::Send { to, message, .. } => self.send(at, life, to, message),
+                node::Action::Send { address, envelope } => self.send(at, &address, envelope),
                 node::Action::Gossip { address, gossip } => self.send_gossip(at, &address, gossip),
                 node::Action::Answer { slot, answer } => self.answer(at, life, slot, answer),
                 node::Action::Notice(notice) => {
--- a/src/control.rs
+++ b/src/control.rs
@@ -98,10 +98,9 @@
         for action in self.node.take_actions() {
             match action {
                 node::Action::Store { call, request } => self.call_store(call, request, context),
-                node::Action::Send { address, message, .. } => {
+                node::Action::Send { address, envelope } => {
                     if let Some(peers) = &self.peers {
-                        let from = self.incarnation;
-                        peers.send(&address, &peers::Envelope { from, message });
+                        peers.send(&address, &envelope);
                     }
                 }
                 node::Action::Gossip { address, gossip } => {
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -11,7 +11,7 @@
 
     fn handle(&mut self, arrived: peers::Arrived, context: &mut Self::Context) {
         let now_ms = self.now_ms();
-        self.node.message(arrived.0.from, arrived.0.message, now_ms);
+        self.node.message(arrived.0, now_ms);
         self.carry_out(context);
     }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -6,7 +6,7 @@
 use crate::logging;
 use actix::prelude::{Addr, Message};
 use bytes::{Buf, BufMut};
-use doorswitch_core::{ids, message};
+use doorswitch_core::message;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -35,19 +35,10 @@
     Decode { source: postcard::Error },
 }
 
-/// A message with its sender.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Envelope {
-    /// The sender.
-    pub from: ids::Incarnation,
-    /// The message.
-    pub message: message::Message,
-}
-
 /// A message that arrived.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub struct Arrived(pub Envelope);
+pub struct Arrived(pub message::Envelope);
 
 /// A datagram that arrived.
 #[derive(Debug, Message)]
@@ -104,7 +95,7 @@
     }
 
     /// Sends a message, if the peer's queue has room.
-    pub fn send(&self, address: &str, envelope: &Envelope) {
+    pub fn send(&self, address: &str, envelope: &message::Envelope) {
         let mut links = self.links.borrow_mut();
         links.retain(|_, link| !link.is_closed());
         let link = links
@@ -193,7 +184,7 @@
 async fn receive<R: Receiver>(stream: tokio::net::TcpStream, receiver: Addr<R>) {
     let mut framed = codec::Framed::new(stream, frame_codec());
     while let Some(Ok(frame)) = framed.next().await {
-        match decode::<Envelope>(&frame) {
+        match decode::<message::Envelope>(&frame) {
             Ok(envelope) => receiver.do_send(Arrived(envelope)),
             Err(error) => {
                 log::warn!("event=frame_refused fault={}", logging::quoted(error));
