--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -18,6 +18,9 @@
 const HOLDERS_ASKED: usize = 2;
 /// How long a holder waits for the store before it says that it cannot tell.
 const STORE_WAIT_MS: u64 = 80;
+/// For how long a holder relies on the ledger's last word that too little is left: others take from a
+/// budget, and what is paid in comes with a configuration, which has the ledger read at once.
+const LEFT_KNOWN_MS: u64 = 1_000;
 /// How long a router draws for itself after no holder could help.
 const DIRECT_MS: u64 = 2_000;
 /// Spending that is asked for beyond what waits, in milliseconds of this router's rate.
@@ -254,8 +257,12 @@
             self.give(question.asker, question.budget, tokens, question.number, now_ms);
             return;
         }
-        let followed_ms = self.asks.get(&question.budget).map_or(0, |ask| ask.followed_ms);
-        let certain = followed_ms >= question.since_ms && followed_ms > 0;
+        let certain = self.too_little_left(
+            question.budget,
+            question.needed_tokens,
+            question.since_ms,
+            now_ms,
+        );
         let shard = self.ledger_shard(question.budget);
         let away = self.ledgers.get(shard).is_none_or(ledger_writer::Writer::unanswered);
         let waited = now_ms >= question.since_ms + STORE_WAIT_MS;
@@ -268,6 +275,25 @@
         self.holders.questions.push(question);
     }
 
+    /// Whether the ledger surely has too little left: it was read since `since_ms`, or shortly before and
+    /// had less than is needed.
+    pub(super) fn too_little_left(
+        &self,
+        budget: ids::BudgetSlot,
+        needed_tokens: u64,
+        since_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let followed_ms = self.asks.get(&budget).map_or(0, |ask| ask.followed_ms);
+        if followed_ms == 0 {
+            return false;
+        }
+        let account = self.grants.account(budget);
+        let left_tokens = account.remaining_tokens.unwrap_or(u64::MAX);
+        let less = left_tokens.saturating_add(account.free_tokens()) < needed_tokens;
+        followed_ms >= since_ms || (less && now_ms < followed_ms + LEFT_KNOWN_MS)
+    }
+
     fn ask_next(&mut self, budget: ids::BudgetSlot, need: Need, answered: bool, now_ms: u64) {
         let mut earlier = need.earlier;
         earlier.push(need.holder);
--- a/core/src/node/tokens.rs
+++ b/core/src/node/tokens.rs
@@ -43,6 +43,12 @@
             self.ask_holder(budget, now_ms);
             return;
         }
+        let account = self.grants.account(budget);
+        if account.settings.holders == 1 && self.too_little_left(budget, bound, now_ms + 1, now_ms)
+        {
+            self.refuse(slot, Reason::BudgetExhausted, now_ms);
+            return;
+        }
         let shard = self.ledger_shard(budget);
         if let Some(ledger) = self.ledgers.get_mut(shard) {
             ledger.poke();
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -11,6 +11,9 @@
 const WATCH: Duration = Duration::from_secs(10);
 /// After a failure the next call waits about this long.
 const AGAIN: Duration = Duration::from_millis(250);
+/// After a change of the list of servers the next watch waits this long, so that servers that come or go
+/// together cost one call: well below the time within which a leaving server must get nothing new.
+const GATHER: Duration = Duration::from_millis(300);
 /// Under this prefix every router records where its peers reach it.
 const ROUTERS: &str = "doorswitch/routers/";
 
@@ -47,7 +50,7 @@
 
 /// Follows the configuration for ever.
 pub async fn follow_configuration(store: store::Client, control: Addr<control::Control>) {
-    follow(&store, configuration::PREFIX, |mirror| {
+    follow(&store, configuration::PREFIX, Duration::ZERO, |mirror| {
         let Some(change) = mirror.items.get(configuration::KEY) else { return };
         let Some(value) = &change.value else { return };
         match configuration::decode(value) {
@@ -62,7 +65,7 @@
 
 /// Follows the list of servers for ever.
 pub async fn follow_servers(store: store::Client, control: Addr<control::Control>) {
-    follow(&store, records::PREFIX, |mirror| {
+    follow(&store, records::PREFIX, GATHER, |mirror| {
         let decoded = mirror.items.values().filter_map(|change| {
             let value = change.value.as_ref()?;
             records::decode(&change.key, value)
@@ -99,7 +102,12 @@
     }
 }
 
-async fn follow(store: &store::Client, prefix: &str, mut changed: impl FnMut(&Mirror)) {
+async fn follow(
+    store: &store::Client,
+    prefix: &str,
+    gather: Duration,
+    mut changed: impl FnMut(&Mirror),
+) {
     let mut mirror = Mirror::default();
     loop {
         match store.list(prefix).await {
@@ -117,12 +125,13 @@
                 Ok(changes) if changes.changes.is_empty() => mirror.revision = changes.revision,
                 Ok(changes) => {
                     log::info!(
-                        "event=watch_told prefix={prefix} revision={} changes={}",
+                        "event=store_changed prefix={prefix} revision={} changes={}",
                         changes.revision,
                         changes.changes.len(),
                     );
                     mirror.apply(changes);
                     changed(&mirror);
+                    tokio::time::sleep(gather).await;
                 }
                 Err(store::Error::Forgotten) => {
                     log::info!("event=history_forgotten prefix={prefix}");
