Holders say that they wait for the store; lost members are asked again first

A store slowed 60 times needs 240 ms for a call. A holder now tells at once that it has the question and waits, up to 300 ms. And a member that missed one probe was asked again only after a round through the fleet (36 s at 73 routers), so that nobody suspected it; now it is asked before all others.

Ruled out: a longer time before the next holder is asked (a dead one would cost each request that much).

Proof: core/tests/holders.rs; a_silent_holder_is_passed_over, a_holder_whose_peers_are_cut_off_leaves_them_the_ledger and a_dead_member_is_suspected_soon_however_large_the_fleet failed before.

--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -220,7 +220,10 @@
         self.probing = None;
         let Some(member) = self.members.get_mut(&id) else { return };
         member.probes_lost += 1;
-        if member.probes_lost >= PROBES_LOST && member.record.health == Health::Alive {
+        if member.probes_lost < PROBES_LOST {
+            // Asked again before all others: a round through a large fleet takes long.
+            self.round.push(id);
+        } else if member.record.health == Health::Alive {
             set_health(member, Health::Suspect, now_ms);
         }
     }
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -71,6 +71,13 @@
         /// The sender's number for it.
         number: u64,
     },
+    /// The question has arrived, and waits until the sender has heard from the store.
+    TransferWait {
+        /// The question.
+        number: u64,
+        /// The budget's name.
+        budget: String,
+    },
     /// Nothing to spare.
     TransferNone {
         /// The question that it answers.
@@ -110,6 +117,7 @@
                 | Self::Transfer { .. }
                 | Self::TransferTaken { .. }
                 | Self::TransferDeclined { .. }
+                | Self::TransferWait { .. }
                 | Self::TransferNone { .. }
         )
     }
--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -16,8 +16,9 @@
 const PASSED_OVER_MS: u64 = 2_000;
 /// Holders that are asked for one need before this router draws for itself.
 const HOLDERS_ASKED: usize = 2;
-/// How long a holder waits for the store before it says that it cannot tell.
-const STORE_WAIT_MS: u64 = 80;
+/// How long a holder waits for the store before it says that it cannot tell: a slow store needs a quarter of
+/// a second for a call.
+const STORE_WAIT_MS: u64 = 300;
 /// For how long a holder relies on the ledger's last word that too little is left: others take from a
 /// budget, and what is paid in comes with a configuration, which has the ledger read at once.
 const LEFT_KNOWN_MS: u64 = 1_000;
@@ -41,6 +42,8 @@
     earlier: Vec<ids::Incarnation>,
     /// Whether one of the earlier ones answered, if only that it cannot tell.
     answered: bool,
+    /// Whether this one said that it waits for the store.
+    waits: bool,
 }
 
 /// A question of another router that waits here.
@@ -104,7 +107,10 @@
     /// Asks again, or the next holder, where an answer is overdue; answers what waited too long here.
     pub(super) fn tick_holders(&mut self, now_ms: u64) {
         self.holders.passed_over.retain(|_, until_ms| now_ms < *until_ms);
-        let overdue = |need: &Need| now_ms >= need.asked_ms + ANSWER_MS;
+        let overdue = |need: &Need| {
+            let patience_ms = if need.waits { ANSWER_MS + STORE_WAIT_MS } else { ANSWER_MS };
+            now_ms >= need.asked_ms + patience_ms
+        };
         let needs = &self.holders.needs;
         let late: Vec<ids::BudgetSlot> =
             needs.iter().filter(|(_, need)| overdue(need)).map(|(budget, _)| *budget).collect();
@@ -117,7 +123,7 @@
             .holders
             .needs
             .iter()
-            .filter(|(_, need)| now_ms >= need.sent_ms + REPEAT_MS)
+            .filter(|(_, need)| !need.waits && now_ms >= need.sent_ms + REPEAT_MS)
             .map(|(budget, _)| *budget)
             .collect();
         for budget in repeated {
@@ -158,7 +164,8 @@
         };
         self.holders.next_number += 1;
         let number = self.holders.next_number;
-        let need = Need { number, holder, asked_ms: now_ms, sent_ms: now_ms, earlier, answered };
+        let (asked_ms, sent_ms, waits) = (now_ms, now_ms, false);
+        let need = Need { number, holder, asked_ms, sent_ms, earlier, answered, waits };
         self.holders.needs.insert(budget, need);
         self.send_need(budget, now_ms);
     }
@@ -176,6 +183,14 @@
         }
     }
 
+    /// The holder that is asked has the question, and waits for the store.
+    pub(super) fn holder_waits(&mut self, name: &str, number: u64) {
+        let Some(budget) = self.grants.find(name) else { return };
+        if let Some(need) = self.holders.needs.get_mut(&budget).filter(|it| it.number == number) {
+            need.waits = true;
+        }
+    }
+
     /// A holder's answer has come: what still waits for this budget asks again.
     pub(super) fn holder_gave(&mut self, budget: ids::BudgetSlot, number: u64) {
         if self.holders.needs.get(&budget).is_some_and(|need| need.number == number) {
@@ -218,6 +233,9 @@
             });
         }
         self.answer_questions(now_ms);
+        if self.holders.questions.iter().any(known) {
+            self.send(id, message::Message::TransferWait { number, budget });
+        }
     }
 
     /// What the questions that wait here lack.
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -39,6 +39,7 @@
                 self.outbox.transfers.remove(&number);
             }
             message::Message::TransferDeclined { number } => self.take_back(number),
+            message::Message::TransferWait { number, budget } => self.holder_waits(&budget, number),
             message::Message::TransferNone { number, budget, certain } => {
                 self.holder_has_none(&budget, number, certain, now_ms);
                 self.note_answer(from, &budget, now_ms);
