Servers whose records lapse come back; budgets are not taken as empty by an older round; 32 ledger values

- A server that was not in the list while one of this router's requests ran on it was marked as leaving for good: when its record came back under the same id it stayed out for ever.
Being listed is now apart from leaving.
What goes within 2.5 s of the store's return is kept that long.

Also: failed calls of watches back off to 1 s, and the first failure and each change of a watch are logged.

--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -13,6 +13,9 @@
 /// The layout of a shard's value; a router refuses one that it does not know.
 pub const FORMAT: u32 = 1;
 
+/// All shards' values lie under this prefix.
+pub const PREFIX: &str = "doorswitch/ledger/";
+
 /// How many operation ids of payments a budget remembers.
 pub const REMEMBERED_PAYMENTS: usize = 256;
 
@@ -247,7 +250,12 @@
 
 /// The key of a shard's value.
 pub fn key(shard: u32) -> String {
-    format!("doorswitch/ledger/{shard}")
+    format!("{PREFIX}{shard}")
+}
+
+/// The shard whose value lies under a key.
+pub fn shard_at(key: &str) -> Option<u32> {
+    key.strip_prefix(PREFIX)?.parse().ok()
 }
 
 /// The shard that holds a budget (FNV-1a over its name).
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -123,6 +123,8 @@
     most_routers: u64,
     outbox: outbox::Outbox,
     holders: holders::Holders,
+    /// Shards of the ledger where an earlier life at this address left something.
+    inherited: Vec<u32>,
     started_ms: u64,
     calls: collections::HashMap<ids::CallId, Purpose>,
     next_call: u64,
@@ -191,6 +193,7 @@
             most_routers: 1,
             outbox: outbox::Outbox::default(),
             holders: Default::default(),
+            inherited: Vec::new(),
             started_ms: now_ms,
             calls: Default::default(),
             next_call: 0,
@@ -292,17 +295,40 @@
         true
     }
 
-    /// A new configuration may change what is paid in. The first one also finds what an earlier life at
-    /// this address left behind; later ones concern only who holds something of a shard in hand.
+    /// Takes the ledger's values as they were found at the start: the shards where an earlier life at this
+    /// address left something are read, so that it is written off.
+    pub fn offer_ledgers<'a>(&mut self, values: impl Iterator<Item = (&'a str, &'a [u8])>) {
+        let address = &self.settings.address;
+        let inherits = |(key, value): (&str, &[u8])| {
+            let shard = ledger::Shard::decode(value).ok()?;
+            let left = shard.holders.values().any(|holder| holder.address == *address);
+            ledger::shard_at(key).filter(|_| left)
+        };
+        self.inherited.extend(values.filter_map(inherits));
+        self.read_inherited();
+    }
+
+    fn read_inherited(&mut self) {
+        if self.ledgers.is_empty() {
+            return;
+        }
+        for shard in std::mem::take(&mut self.inherited) {
+            if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
+                ledger.poke();
+            }
+        }
+    }
+
+    /// A new configuration may change what is paid in, which concerns who holds something in hand.
     fn poke_ledgers_for_config(&mut self) {
-        let first = self.config.is_none();
+        self.read_inherited();
         for (shard, ledger) in self.ledgers.iter_mut().enumerate() {
             let mut slots = self.grants.in_shard(shard as u32).iter();
             let held = |slot: &ids::BudgetSlot| {
                 let account = self.grants.account(*slot);
                 account.holder || account.has_row
             };
-            if first || slots.any(held) {
+            if slots.any(held) {
                 ledger.poke();
             }
         }
--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -259,10 +259,7 @@
             self.holders.questions.iter().map(|question| question.budget).collect();
         for budget in budgets {
             self.grants.account_mut(budget).draws = true;
-            let shard = self.ledger_shard(budget);
-            if let Some(ledger) = self.ledgers.get_mut(shard) {
-                ledger.poke();
-            }
+            self.poke_ledger_of(budget);
         }
         self.tick_platform(now_ms);
     }
@@ -293,8 +290,8 @@
         self.holders.questions.push(question);
     }
 
-    /// Whether the ledger surely has too little left: it was read since `since_ms`, or shortly before and
-    /// had less than is needed.
+    /// Whether the ledger surely has too little left: it was read since `since_ms` or shortly before, and had
+    /// less than is needed. A round that ends with enough left began before the need was known.
     pub(super) fn too_little_left(
         &self,
         budget: ids::BudgetSlot,
@@ -309,7 +306,7 @@
         let account = self.grants.account(budget);
         let left_tokens = account.remaining_tokens.unwrap_or(u64::MAX);
         let less = left_tokens.saturating_add(account.free_tokens()) < needed_tokens;
-        followed_ms >= since_ms || (less && now_ms < followed_ms + LEFT_KNOWN_MS)
+        less && (followed_ms >= since_ms || now_ms < followed_ms + LEFT_KNOWN_MS)
     }
 
     fn ask_next(&mut self, budget: ids::BudgetSlot, need: Need, answered: bool, now_ms: u64) {
@@ -324,10 +321,7 @@
         self.asks.entry(budget).or_default().direct_until_ms = now_ms + DIRECT_MS;
         self.grants.account_mut(budget).draws = true;
         self.sum_shortages();
-        let shard = self.ledger_shard(budget);
-        if let Some(ledger) = self.ledgers.get_mut(shard) {
-            ledger.poke();
-        }
+        self.poke_ledger_of(budget);
         self.tick_platform(now_ms);
     }
 
--- a/core/src/node/tokens.rs
+++ b/core/src/node/tokens.rs
@@ -49,11 +49,16 @@
             self.refuse(slot, Reason::BudgetExhausted, now_ms);
             return;
         }
+        self.poke_ledger_of(budget);
+        self.tick_platform(now_ms);
+    }
+
+    /// Has the ledger of a budget read or written as soon as may be.
+    pub(super) fn poke_ledger_of(&mut self, budget: ids::BudgetSlot) {
         let shard = self.ledger_shard(budget);
         if let Some(ledger) = self.ledgers.get_mut(shard) {
             ledger.poke();
         }
-        self.tick_platform(now_ms);
     }
 
     pub(super) fn ledger_shard(&self, budget: ids::BudgetSlot) -> usize {
@@ -73,9 +78,14 @@
         let deadline_ms = request.wanted.deadline_ms;
         let waited_ms = now_ms.saturating_sub(since_ms);
         let ask = self.asks.entry(budget).or_default();
-        let followed = ask.followed_ms >= since_ms && ask.followed_ms > 0;
+        let read = ask.followed_ms >= since_ms && ask.followed_ms > 0;
+        let account = self.grants.account(budget);
+        let left_tokens = account.remaining_tokens.unwrap_or(0);
+        let enough = left_tokens.saturating_add(account.free_tokens()) >= bound;
+        // With enough left, the round that ended began before this need was known.
+        let followed = read && !enough;
         // Holders have nothing of one another; who does not hold a budget has nothing to spare.
-        let alone = self.grants.account(budget).settings.holders == 1;
+        let alone = account.settings.holders == 1;
         let asked = alone || (ask.asked_ms >= since_ms && ask.asked_ms > 0);
         let answered =
             asked && (ask.unanswered.is_empty() || now_ms >= ask.asked_ms + PEER_WAIT_MS);
@@ -84,7 +94,11 @@
         } else if followed && answered {
             self.note_exhausted(budget, bound, Reason::BudgetExhausted, now_ms);
             self.refuse(slot, Reason::BudgetExhausted, now_ms);
-        } else if waited_ms >= self.settings.budget_wait_ms || now_ms >= deadline_ms {
+        } else if waited_ms < self.settings.budget_wait_ms && now_ms < deadline_ms {
+            if read && enough {
+                self.poke_ledger_of(budget);
+            }
+        } else {
             let reason = if followed { Reason::BudgetExhausted } else { Reason::BudgetUnreachable };
             self.refuse(slot, reason, now_ms);
         }
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -78,6 +78,8 @@
 pub struct Server {
     /// The VM that it runs on.
     pub vm: Vm,
+    /// Whether the last list had it. Its record may lapse and come back while requests run on it.
+    listed: bool,
     /// Its last report.
     pub load: Option<Load>,
     /// This router's requests on it.
@@ -98,6 +100,7 @@
 impl Server {
     fn new(vm: Vm) -> Self {
         Self {
+            listed: true,
             unread_tokens: 0,
             name_hash: rendezvous::digest(&vm.vm),
             vm,
@@ -127,13 +130,18 @@
         self.in_flight + self.all_milli.saturating_sub(self.own_milli) / 1_000
     }
 
+    /// Whether it may get new work.
+    fn live(&self) -> bool {
+        self.listed && self.vm.state == VmState::Live
+    }
+
     fn has_room(&self) -> bool {
         self.estimated_load() < self.slots()
     }
 
     fn usable(&self, now_ms: u64) -> bool {
         let aside = now_ms < self.set_aside_until_ms || (self.failures > 0 && self.probing);
-        self.vm.state == VmState::Live && !aside
+        self.live() && !aside
     }
 
     /// The time that one more request would take: the server's pace, stretched by its load.
@@ -182,9 +190,7 @@
     pub fn follow(&mut self, vms: &[Vm]) {
         let listed: collections::HashSet<&str> = vms.iter().map(|vm| vm.vm.as_str()).collect();
         for server in self.servers.values_mut() {
-            if !listed.contains(server.vm.vm.as_str()) {
-                server.vm.state = VmState::Leaving;
-            }
+            server.listed = listed.contains(server.vm.vm.as_str());
         }
         for vm in vms {
             self.follow_vm(vm);
@@ -281,7 +287,7 @@
         let mut chosen = Vec::new();
         for slots in self.by_service.values() {
             let mut ranked: Vec<ids::ServerSlot> = slots.clone();
-            ranked.retain(|slot| self.servers[*slot].vm.state == VmState::Live);
+            ranked.retain(|slot| self.servers[*slot].live());
             ranked.sort_by_key(|slot| {
                 std::cmp::Reverse(rendezvous::weight(
                     own.0,
@@ -325,7 +331,7 @@
         let fits = |slot: &&ids::ServerSlot| {
             let server = &self.servers[**slot];
             let class = wanted.classes.is_empty() || wanted.classes.contains(&server.vm.class);
-            class && server.vm.state == VmState::Live && !wanted.not.contains(slot)
+            class && server.live() && !wanted.not.contains(slot)
         };
         let live: Vec<ids::ServerSlot> = slots.iter().filter(fits).copied().collect();
         let usable = |slot: &ids::ServerSlot| self.servers[*slot].usable(now_ms);
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -229,3 +229,25 @@
     assert!(bench.choose().is_ok(), "both failed lately, and nobody else is there");
     assert!(choose_for_prompt(&mut bench, &prompt(1, 1)).unread_tokens > 0);
 }
+
+#[test]
+fn a_server_that_comes_back_to_the_list_is_used_again_although_it_was_busy_when_it_went() {
+    let live = servers::VmState::Live;
+    let mut bench = Bench::new(&[vm("one", "new", live)]);
+    bench.choose().unwrap();
+    bench.table.follow(&[]);
+    assert_eq!(bench.choose(), Err(servers::Lack::None), "it is not listed");
+    bench.table.follow(&[vm("one", "new", live)]);
+    assert!(bench.choose().is_ok(), "it is listed again");
+}
+
+#[test]
+fn a_server_that_said_it_leaves_stays_out_although_an_older_list_comes_later() {
+    let live = servers::VmState::Live;
+    let mut bench = Bench::new(&[vm("one", "new", live)]);
+    bench.choose().unwrap();
+    bench.table.leaving("one");
+    bench.table.follow(&[]);
+    bench.table.follow(&[vm("one", "new", live)]);
+    assert_eq!(bench.choose(), Err(servers::Lack::None));
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -227,6 +227,7 @@
         let vm = self.settings.vm.clone();
         actix::spawn(feed::follow_configuration(client.clone(), address.clone()));
         actix::spawn(feed::follow_servers(client.clone(), address.clone()));
+        actix::spawn(feed::find_inheritance(client.clone(), address.clone()));
         actix::spawn(feed::find_peers(client, vm, advertised, address));
     }
 
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -107,6 +107,16 @@
     }
 }
 
+impl Handler<messages::OfferLedgers> for Control {
+    type Result = ();
+
+    fn handle(&mut self, offer: messages::OfferLedgers, context: &mut Self::Context) {
+        let values = offer.0.iter().map(|(key, value)| (key.as_str(), value.as_slice()));
+        self.node.offer_ledgers(values);
+        self.carry_out(context);
+    }
+}
+
 impl Handler<messages::OfferSeeds> for Control {
     type Result = ();
 
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -72,6 +72,11 @@
     pub vms: Vec<servers::Vm>,
 }
 
+/// The ledger's values by key, as found at the start.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct OfferLedgers(pub Vec<(String, Vec<u8>)>);
+
 /// Addresses were found where other routers may be.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -2,18 +2,23 @@
 
 use crate::{control, logging};
 use actix::prelude::Addr;
-use doorswitch_core::servers;
+use doorswitch_core::{ledger, servers};
 use doorswitch_platform::{configuration, servers as records, store};
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long one watch waits for a change.
 const WATCH: Duration = Duration::from_secs(10);
-/// After a failure the next call waits about this long.
+/// After a failure the next call waits about this long, twice as long after each further one in a row up to
+/// the limit: refused calls cost the store as well.
 const AGAIN: Duration = Duration::from_millis(250);
+const AGAIN_MAX: Duration = Duration::from_millis(1_000);
 /// After a change of the list of servers the next watch waits this long, so that servers that come or go
 /// together cost one call: well below the time within which a leaving server must get nothing new.
 const GATHER: Duration = Duration::from_millis(300);
+/// Items that go while the store was away are kept for so long after its return: servers that live are back
+/// in its list within two seconds.
+const LAPSED_KEPT: Duration = Duration::from_millis(2_500);
 /// Under this prefix every router records where its peers reach it.
 const ROUTERS: &str = "doorswitch/routers/";
 
@@ -22,12 +27,53 @@
 struct Mirror {
     revision: u64,
     items: BTreeMap<String, store::Change>,
+    /// Items that went while the store was away or just after: leases lapse then although their owners
+    /// live, and these write again soon.
+    lapsed: BTreeMap<String, store::Change>,
+    returned: Option<Instant>,
 }
 
 impl Mirror {
+    /// Notes that the store answered; `again` tells that it did not before.
+    fn heard(&mut self, again: bool) {
+        if again {
+            self.returned = Some(Instant::now());
+        }
+    }
+
+    /// Whether an item that is missing may be back soon.
+    fn settling(&self) -> bool {
+        self.returned.is_some_and(|returned| returned.elapsed() < LAPSED_KEPT)
+    }
+
+    /// How long to watch: until what lapsed is to be forgotten, if that comes first.
+    fn wait(&self) -> Duration {
+        let kept = self.returned.map(|returned| LAPSED_KEPT.saturating_sub(returned.elapsed()));
+        kept.filter(|_| !self.lapsed.is_empty()).map_or(WATCH, |kept| kept.min(WATCH))
+    }
+
+    /// Forgets what lapsed and did not come back in time; tells whether there was any.
+    fn forget_lapsed(&mut self) -> bool {
+        if self.settling() || self.lapsed.is_empty() {
+            return false;
+        }
+        self.lapsed.clear();
+        true
+    }
+
+    /// All items, with those that may be back soon.
+    fn present(&self) -> impl Iterator<Item = &store::Change> {
+        self.items.values().chain(self.lapsed.values())
+    }
+
     fn replace(&mut self, changes: store::Changes) {
-        self.items.clear();
+        let earlier = std::mem::take(&mut self.items);
         self.apply(changes);
+        for (key, item) in earlier {
+            if !self.items.contains_key(&key) {
+                self.went(key, item);
+            }
+        }
     }
 
     fn apply(&mut self, changes: store::Changes) {
@@ -38,14 +84,24 @@
             match change.value {
                 _ if change.revision < known => {}
                 Some(_) => {
+                    self.lapsed.remove(&change.key);
                     self.items.insert(change.key.clone(), change);
                 }
                 None => {
-                    self.items.remove(&change.key);
+                    if let Some(item) = self.items.remove(&change.key) {
+                        self.went(change.key, item);
+                    }
                 }
             }
         }
     }
+
+    fn went(&mut self, key: String, item: store::Change) {
+        if self.settling() {
+            log::info!("event=item_lapsed key={key} kept_ms={}", LAPSED_KEPT.as_millis());
+            self.lapsed.insert(key, item);
+        }
+    }
 }
 
 /// Follows the configuration for ever.
@@ -66,7 +122,7 @@
 /// Follows the list of servers for ever.
 pub async fn follow_servers(store: store::Client, control: Addr<control::Control>) {
     follow(&store, records::PREFIX, GATHER, |mirror| {
-        let decoded = mirror.items.values().filter_map(|change| {
+        let decoded = mirror.present().filter_map(|change| {
             let value = change.value.as_ref()?;
             records::decode(&change.key, value)
         });
@@ -76,6 +132,22 @@
     .await;
 }
 
+/// Reads the ledger's values once, for what an earlier life of this router left there.
+pub async fn find_inheritance(store: store::Client, control: Addr<control::Control>) {
+    let mut again = Again::default();
+    loop {
+        match store.list(ledger::PREFIX).await {
+            Ok(found) => {
+                let values = found.changes.into_iter();
+                let values = values.filter_map(|change| Some((change.key, change.value?)));
+                control.do_send(control::OfferLedgers(values.collect()));
+                return;
+            }
+            Err(error) => again.pause("list_failed", ledger::PREFIX, &error).await,
+        }
+    }
+}
+
 /// Records this router's address for peers, and learns those of the others: whoever records itself
 /// later finds who did before, and gossip does the rest.
 pub async fn find_peers(
@@ -85,8 +157,9 @@
     control: Addr<control::Control>,
 ) {
     let key = format!("{ROUTERS}{vm}");
+    let mut again = Again::default();
     while let Err(error) = store.put(&key, address.as_bytes()).await {
-        pause("router_record_failed", &error).await;
+        again.pause("router_record_failed", ROUTERS, &error).await;
     }
     loop {
         match store.list(ROUTERS).await {
@@ -97,7 +170,7 @@
                 control.do_send(control::OfferSeeds(seeds));
                 return;
             }
-            Err(error) => pause("router_list_failed", &error).await,
+            Err(error) => again.pause("list_failed", ROUTERS, &error).await,
         }
     }
 }
@@ -109,41 +182,71 @@
     mut changed: impl FnMut(&Mirror),
 ) {
     let mut mirror = Mirror::default();
+    let mut again = Again::default();
     loop {
         match store.list(prefix).await {
             Ok(all) => {
+                mirror.heard(again.succeeded());
                 mirror.replace(all);
                 changed(&mirror);
             }
             Err(error) => {
-                pause("list_failed", &error).await;
+                again.pause("list_failed", prefix, &error).await;
                 continue;
             }
         }
         loop {
-            match store.watch(prefix, mirror.revision, WATCH).await {
-                Ok(changes) if changes.changes.is_empty() => mirror.revision = changes.revision,
+            match store.watch(prefix, mirror.revision, mirror.wait()).await {
                 Ok(changes) => {
-                    log::info!(
-                        "event=store_changed prefix={prefix} revision={} changes={}",
-                        changes.revision,
-                        changes.changes.len(),
-                    );
+                    mirror.heard(again.succeeded());
+                    let news = changes.changes.len();
+                    if news > 0 {
+                        let revision = changes.revision;
+                        log::info!(
+                            "event=store_changed prefix={prefix} revision={revision} changes={news}"
+                        );
+                    }
                     mirror.apply(changes);
-                    changed(&mirror);
-                    tokio::time::sleep(gather).await;
+                    if news > 0 || mirror.forget_lapsed() {
+                        changed(&mirror);
+                        tokio::time::sleep(gather).await;
+                    }
                 }
                 Err(store::Error::Forgotten) => {
                     log::info!("event=history_forgotten prefix={prefix}");
                     break;
                 }
-                Err(error) => pause("watch_failed", &error).await,
+                Err(error) => again.pause("watch_failed", prefix, &error).await,
             }
         }
     }
 }
 
-async fn pause(event: &str, error: &store::Error) {
-    log::debug!("event={event} fault={}", logging::quoted(error));
-    tokio::time::sleep(AGAIN.mul_f64(rand::random_range(0.5..1.5))).await;
+/// The pauses after failures in a row.
+#[derive(Debug)]
+struct Again {
+    next: Duration,
+    failed: bool,
+}
+
+impl Default for Again {
+    fn default() -> Self {
+        Self { next: AGAIN, failed: false }
+    }
+}
+
+impl Again {
+    /// Waits after a failure.
+    async fn pause(&mut self, event: &str, prefix: &str, error: &store::Error) {
+        let level = if self.failed { log::Level::Debug } else { log::Level::Warn };
+        log::log!(level, "event={event} prefix={prefix} fault={}", logging::quoted(error));
+        self.failed = true;
+        tokio::time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
+        self.next = (self.next * 2).min(AGAIN_MAX);
+    }
+
+    /// Notes a success; tells whether it was the first after a failure.
+    fn succeeded(&mut self) -> bool {
+        std::mem::take(self).failed
+    }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// As many as the adapter's documents say.
-const LEDGER_SHARDS: u32 = 4;
+const LEDGER_SHARDS: u32 = 32;
 const NOT_EXECUTED: &str = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 fn turns_away() -> Script {
@@ -122,6 +122,24 @@
     eventually("nobody is left", || world.ask(0, &request("/read/x", "last")).status == 503);
 }
 
+#[test]
+fn a_server_whose_record_lapsed_while_the_store_was_away_is_used_until_it_had_time_to_come_back() {
+    let world = World::start("lapsed", vec![answers("done")]);
+    assert_eq!(world.ask(0, &request("/read/x", "before")).status, 200);
+    world.store.set_mode(store::Mode::Down);
+    // Ends the watch that waits; the next one fails.
+    world.store.put("servers/other", b"{}");
+    let missed = || world.log(0).contains("event=watch_failed prefix=servers/");
+    eventually("the router misses the store", missed);
+    world.store.remove("servers/i-0");
+    world.store.set_mode(store::Mode::Well);
+    eventually("the record is missed", || world.log(0).contains("event=item_lapsed"));
+    assert_eq!(world.ask(0, &request("/read/x", "lapsed")).status, 200, "{}", world.log(0));
+    eventually("it is taken as gone", || world.ask(0, &request("/read/x", "gone")).status == 503);
+    world.record_server(0, "ready");
+    eventually("it is back", || world.ask(0, &request("/read/x", "back")).status == 200);
+}
+
 #[test]
 fn a_stop_ends_streams_that_run_and_tells_the_balancer_at_once() {
     let script = Box::new(|_, _: &_| {
