Forget a lapsed record in time, also when nothing else changes

Now a list of the same revision is taken from the platform's client (not from peers), a timer of its own ends the wait, and 2.1 s are kept: such a router counts as in touch 3 s after its cut.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -337,13 +337,20 @@
     /// Follows the platform's list of VMs. An older list than the last one is ignored.
     pub fn offer_vms(&mut self, index: u64, vms: Vec<servers::Vm>, now_ms: u64) {
         self.vms_heard_ms = now_ms;
-        self.follow_vms(index, vms);
+        // At the same index the platform's client may have learned that a record will not come back.
+        if index >= self.vms_index {
+            self.follow_vms(index, vms);
+        }
     }
 
-    fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
-        if index <= self.vms_index {
-            return;
+    /// Follows a peer's list of VMs, if it is newer than what is known here.
+    fn hear_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
+        if index > self.vms_index {
+            self.follow_vms(index, vms);
         }
+    }
+
+    fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
         self.vms_index = index;
         for vm in vms.iter().filter(|vm| vm.state == servers::VmState::Leaving) {
             self.leaving.entry(vm.vm.clone()).or_insert(index);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -51,7 +51,7 @@
                 vms.sort_by(|one, other| one.vm.cmp(&other.vm));
                 self.send(from, message::Message::Vms { index: self.vms_index, vms });
             }
-            message::Message::Vms { index, vms } => self.follow_vms(index, vms),
+            message::Message::Vms { index, vms } => self.hear_vms(index, vms),
         }
     }
 
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -6,6 +6,7 @@
 use doorswitch_platform::{configuration, servers as records, store};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
+use tokio::time;
 
 /// How long one watch waits for a change.
 const WATCH: Duration = Duration::from_secs(10);
@@ -17,8 +18,9 @@
 /// together cost one call: well below the time within which a leaving server must get nothing new.
 const GATHER: Duration = Duration::from_millis(300);
 /// Items that go while the store was away are kept for so long after its return: servers that live are back
-/// in its list within two seconds.
-const LAPSED_KEPT: Duration = Duration::from_millis(2_500);
+/// in its list within about two seconds. No longer: to a router that was cut off by itself, the same silence
+/// may have hidden servers that left.
+const LAPSED_KEPT: Duration = Duration::from_millis(2_100);
 /// Under this prefix every router records where its peers reach it.
 const ROUTERS: &str = "doorswitch/routers/";
 
@@ -46,10 +48,11 @@
         self.returned.is_some_and(|returned| returned.elapsed() < LAPSED_KEPT)
     }
 
-    /// How long to watch: until what lapsed is to be forgotten, if that comes first.
-    fn wait(&self) -> Duration {
-        let kept = self.returned.map(|returned| LAPSED_KEPT.saturating_sub(returned.elapsed()));
-        kept.filter(|_| !self.lapsed.is_empty()).map_or(WATCH, |kept| kept.min(WATCH))
+    /// When what lapsed is to be forgotten; far away if nothing did.
+    fn forgets_at(&self) -> time::Instant {
+        let kept = self.returned.filter(|_| !self.lapsed.is_empty());
+        let at = kept.map_or_else(|| Instant::now() + WATCH * 2, |returned| returned + LAPSED_KEPT);
+        time::Instant::from_std(at)
     }
 
     /// Forgets what lapsed and did not come back in time; tells whether there was any.
@@ -196,7 +199,14 @@
             }
         }
         loop {
-            match store.watch(prefix, mirror.revision, mirror.wait()).await {
+            let watch = store.watch(prefix, mirror.revision, WATCH);
+            let Ok(news) = time::timeout_at(mirror.forgets_at(), watch).await else {
+                if mirror.forget_lapsed() {
+                    changed(&mirror);
+                }
+                continue;
+            };
+            match news {
                 Ok(changes) => {
                     mirror.heard(again.succeeded());
                     let news = changes.changes.len();
@@ -207,9 +217,9 @@
                         );
                     }
                     mirror.apply(changes);
-                    if news > 0 || mirror.forget_lapsed() {
+                    if mirror.forget_lapsed() || news > 0 {
                         changed(&mirror);
-                        tokio::time::sleep(gather).await;
+                        time::sleep(gather).await;
                     }
                 }
                 Err(store::Error::Forgotten) => {
@@ -241,7 +251,7 @@
         let level = if self.failed { log::Level::Debug } else { log::Level::Warn };
         log::log!(level, "event={event} prefix={prefix} fault={}", logging::quoted(error));
         self.failed = true;
-        tokio::time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
+        time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
         self.next = (self.next * 2).min(AGAIN_MAX);
     }
 
