Split feeds, accounts, adoption and the holder's side by job; log silent holders and servers set aside

Moved without change: grants/account.rs, node/adopt.rs, node/questions.rs, feed/mirror.rs, feed/again.rs.

Ruled out for now: splitting ledger_writer.rs, log_writer.rs, log_index.rs, front.rs, tests/fleet, core/tests/world.

--- /dev/null
+++ b/core/src/grants/account.rs
@@ -0,0 +1,272 @@
+//! One budget as this router holds it: what is free, what to draw and what to give back.
+
+use crate::{config, ledger};
+
+/// The spend rate is averaged over half the cover time, within these limits: over less, one request
+/// more or less would make routers draw and return in turn.
+const RATE_WINDOW_MIN_MS: u64 = 20_000;
+const RATE_WINDOW_MAX_MS: u64 = 600_000;
+/// The windows where holders keep a share in hand anyway: the usual one, and that of the first average.
+const SHARE_WINDOW_MS: u64 = 10_000;
+const SHARE_WINDOW_FIRST_MS: u64 = 3_000;
+/// One part in so many of the share is divided evenly, the rest by the rates.
+const EVEN_PART: u64 = 4;
+
+/// What a configuration says is paid in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prepaid {
+    /// All tokens paid in.
+    pub tokens: u64,
+    /// The configuration's version.
+    pub version: u64,
+}
+
+/// One budget, as this router holds it.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// The budget's name in the ledger.
+    pub name: String,
+    /// How far ahead the operator wants it drawn.
+    pub settings: config::Cover,
+    /// This holder's grant in the store, as last seen there.
+    pub granted_tokens: u64,
+    /// Whether the store has a row for this holder.
+    pub has_row: bool,
+    /// This holder's row was closed on its own word: all that it had free is the store's again.
+    pub closed: bool,
+    /// Tokens on their way back to the store.
+    pub returning_tokens: u64,
+    /// Tokens that other holders gave.
+    pub received_tokens: u64,
+    /// Tokens given to other holders.
+    pub sent_tokens: u64,
+    /// Tokens served.
+    pub consumed_tokens: u64,
+    /// Tokens set apart for requests that have not ended.
+    pub reserved_tokens: u64,
+    /// What the store knows of `consumed_tokens`.
+    pub reported_tokens: u64,
+    /// Tokens that waiting requests lack.
+    pub shortage_tokens: u64,
+    /// The part of that which requests of this router lack, not questions of others.
+    pub claimed_tokens: u64,
+    /// What nobody had drawn when the store was last read.
+    pub remaining_tokens: Option<u64>,
+    /// What all holders together held when the store was last read.
+    pub held_tokens: u64,
+    /// How many of them there were.
+    pub rows: u64,
+    /// What the configuration says is paid in, with its version; `None` if the ledger says it.
+    pub prepaid: Option<Prepaid>,
+    /// Less was paid in than is granted: all that is free goes back.
+    pub overdrawn: bool,
+    /// The prepaid amount was lowered: nothing is spent until the ledger was read at this version.
+    pub confirm_version: u64,
+    /// Routers that hold the budget in hand, as far as known here.
+    pub routers: u64,
+    /// Whether this router is one of them.
+    pub holder: bool,
+    /// Whether it draws for a need of the moment although it is none.
+    pub draws: bool,
+    /// What the other holders spend a second, as the store showed last.
+    pub others_rate_tokens_per_s: u64,
+    rate_milli_tokens_per_s: u64,
+    spending_since_ms: u64,
+    measured_tokens: u64,
+    measured_ms: u64,
+}
+
+impl Account {
+    pub(super) fn new(name: &str, settings: config::Cover, now_ms: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            settings,
+            granted_tokens: 0,
+            has_row: false,
+            closed: false,
+            returning_tokens: 0,
+            received_tokens: 0,
+            sent_tokens: 0,
+            consumed_tokens: 0,
+            reserved_tokens: 0,
+            reported_tokens: 0,
+            shortage_tokens: 0,
+            claimed_tokens: 0,
+            remaining_tokens: None,
+            held_tokens: 0,
+            rows: 0,
+            prepaid: None,
+            overdrawn: false,
+            confirm_version: 0,
+            routers: 1,
+            holder: settings.holders == 0,
+            draws: false,
+            others_rate_tokens_per_s: 0,
+            rate_milli_tokens_per_s: 0,
+            spending_since_ms: now_ms,
+            measured_tokens: 0,
+            measured_ms: now_ms,
+        }
+    }
+
+    /// What a new request may be admitted against.
+    pub fn free_tokens(&self) -> u64 {
+        if self.closed {
+            return 0;
+        }
+        let held = self.granted_tokens.saturating_add(self.received_tokens);
+        held.saturating_sub(self.returning_tokens)
+            .saturating_sub(self.sent_tokens)
+            .saturating_sub(self.consumed_tokens)
+            .saturating_sub(self.reserved_tokens)
+    }
+
+    /// What left this router's grant for good: served here, or given to others and not handed back.
+    pub fn spent_tokens(&self) -> u64 {
+        self.consumed_tokens.saturating_add(self.sent_tokens).saturating_sub(self.received_tokens)
+    }
+
+    /// Tokens spent a second, averaged.
+    pub fn rate_tokens_per_s(&self) -> u64 {
+        self.rate_milli_tokens_per_s.div_ceil(1000)
+    }
+
+    /// What this holder wants to have free at least: its spending for the cover time, or the minimum.
+    pub fn target_tokens(&self) -> u64 {
+        if !self.holder {
+            return 0;
+        }
+        let cover = self.rate_tokens_per_s().saturating_mul(self.settings.cover_s);
+        let wanted = cover.max(self.settings.minimum_grant_tokens);
+        if self.settings.held_percent == 0 {
+            return wanted;
+        }
+        // The share follows what is unspent, so that a loss of all routers costs a part of it only.
+        let shared = self.unspent_tokens() / 100 * self.settings.held_percent;
+        let even = shared / EVEN_PART / self.routers.max(1);
+        let own_rate = self.rate_tokens_per_s();
+        let all_rates = own_rate.saturating_add(self.others_rate_tokens_per_s).max(1);
+        let by_rate =
+            u128::from(shared - shared / EVEN_PART) * u128::from(own_rate) / u128::from(all_rates);
+        wanted.max(even).min(even.saturating_add(by_rate as u64))
+    }
+
+    /// What of the budget was not spent when the store was last read.
+    fn unspent_tokens(&self) -> u64 {
+        self.remaining_tokens.unwrap_or(0).saturating_add(self.held_tokens)
+    }
+
+    /// Takes over what a configuration says is paid in.
+    pub(super) fn set_prepaid(&mut self, prepaid: Option<Prepaid>) {
+        let lowered = match (self.prepaid, prepaid) {
+            (Some(before), Some(now)) => now.tokens < before.tokens,
+            _ => false,
+        };
+        // Who holds nothing has nothing that could be too much.
+        if lowered && (self.holder || self.has_row || self.free_tokens() > 0) {
+            self.confirm_version = prepaid.map_or(0, |prepaid| prepaid.version);
+        }
+        self.prepaid = prepaid;
+    }
+
+    /// What to draw if `remaining_tokens` are left for `routers` routers.
+    ///
+    /// Near the end of a budget each takes only a part of the rest, so that none sits on it; a
+    /// request that waits may take all.
+    pub fn draw_tokens(&self, remaining_tokens: u64, routers: u64) -> u64 {
+        if !self.wants_draw() {
+            return 0;
+        }
+        let high = match self.settings.held_percent {
+            0 => self.target_tokens().saturating_mul(3) / 2,
+            _ => self.target_tokens(),
+        };
+        let lacking = high.saturating_add(self.shortage_tokens).saturating_sub(self.free_tokens());
+        let fair = remaining_tokens / routers.max(1).saturating_mul(2);
+        let needed = self.shortage_tokens.saturating_sub(self.free_tokens());
+        lacking.min(fair.max(needed)).min(remaining_tokens)
+    }
+
+    /// Whether too little is free. A draw goes half above the mark, so that refills are not too many.
+    pub fn wants_draw(&self) -> bool {
+        if !self.holder && !self.draws {
+            return false;
+        }
+        let target = match self.settings.held_percent {
+            0 => self.target_tokens(),
+            _ => self.target_tokens() / 8 * 7,
+        };
+        self.free_tokens() < target.max(self.shortage_tokens)
+    }
+
+    /// What to return to the store because this router does not need it.
+    pub fn surplus_tokens(&self) -> u64 {
+        let keep = match (self.overdrawn, self.settings.held_percent) {
+            (true, _) => 0,
+            (false, 0) => self.target_tokens().saturating_mul(3),
+            (false, _) => self.target_tokens().saturating_mul(3) / 2,
+        };
+        let keep = keep.saturating_add(self.shortage_tokens);
+        self.free_tokens().saturating_sub(keep).min(self.granted_tokens - self.returning_tokens)
+    }
+
+    /// What no request of this router waits for.
+    pub fn unclaimed_tokens(&self) -> u64 {
+        if self.confirm_version > 0 {
+            return 0;
+        }
+        self.free_tokens().saturating_sub(self.claimed_tokens)
+    }
+
+    /// What may be given to another holder that lacks tokens for a request that waits now: all that
+    /// no request waits for here. `yields` settles it where both have waiting requests.
+    pub fn spare_tokens(&self, yields: bool) -> u64 {
+        if self.shortage_tokens == 0 || yields { self.free_tokens() } else { 0 }
+    }
+
+    /// This holder's last word on the budget.
+    pub fn closing(&self) -> ledger::Closing {
+        ledger::Closing {
+            consumed_tokens: self.consumed_tokens,
+            sent_tokens: self.sent_tokens,
+            received_tokens: self.received_tokens,
+        }
+    }
+
+    /// Takes over what the store shows. `definite` says that no earlier write can still apply.
+    pub fn follow_store(&mut self, row: Option<&ledger::Grant>, definite: bool) {
+        self.granted_tokens = row.map_or(0, |grant| grant.granted_tokens);
+        self.reported_tokens = row.map_or(0, |grant| grant.consumed_tokens);
+        self.has_row = row.is_some();
+        if definite {
+            self.returning_tokens = 0;
+        }
+    }
+
+    pub(super) fn measure_rate(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.measured_ms);
+        if elapsed_ms == 0 {
+            return;
+        }
+        // What is handed back later does not count twice when it is given again.
+        let spent = self.spent_tokens().saturating_sub(self.measured_tokens);
+        let rate = spent.saturating_mul(1_000_000) / elapsed_ms;
+        let window_ms = self.settings.cover_s.saturating_mul(500);
+        let (window_ms, least_ms) = match self.settings.held_percent {
+            0 => (window_ms.clamp(RATE_WINDOW_MIN_MS, RATE_WINDOW_MAX_MS), RATE_WINDOW_MIN_MS),
+            _ => (SHARE_WINDOW_MS, SHARE_WINDOW_FIRST_MS),
+        };
+        if spent > 0 && self.rate_milli_tokens_per_s == 0 {
+            self.spending_since_ms = self.measured_ms;
+        }
+        // The first average is over the time there is, not over an empty past.
+        let past_ms = now_ms.saturating_sub(self.spending_since_ms).max(least_ms);
+        let window_ms = window_ms.min(past_ms);
+        let weight_ms = elapsed_ms.min(window_ms);
+        let kept = self.rate_milli_tokens_per_s.saturating_mul(window_ms - weight_ms) / window_ms;
+        self.rate_milli_tokens_per_s =
+            kept.saturating_add(rate.saturating_mul(weight_ms) / window_ms);
+        self.measured_tokens = self.measured_tokens.max(self.spent_tokens());
+        self.measured_ms = now_ms;
+    }
+}
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -52,7 +52,6 @@
         let Some(request) = self.requests.get_mut(slot) else { return };
         let Stage::Running { server, .. } = &request.stage else { return };
         let server = *server;
-        self.servers.failed(server, now_ms);
         let tokens = std::mem::take(&mut request.unread_tokens);
         self.servers.has_read(server, tokens);
         let service = request.wanted.service.clone();
@@ -60,7 +59,9 @@
         request.attempts += u32::from(may_have_run);
         let sends = request.failed_servers.len();
         let most = request.wanted.attempts_max;
-        if request.attempts >= most || sends > most.saturating_add(TURNED_AWAY_MAX) as usize {
+        let attempts = request.attempts;
+        self.server_failed(server, now_ms);
+        if attempts >= most || sends > most.saturating_add(TURNED_AWAY_MAX) as usize {
             self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
             return;
         }
--- /dev/null
+++ b/core/src/node/adopt.rs
@@ -0,0 +1,127 @@
+//! What the platform and peers tell of the world: configurations, lists of VMs, what earlier lives left.
+
+use super::{Action, Lifecycle, Node, ROUTER_SERVICE};
+use crate::{config, grants, ids, ledger, ledger_writer, log_writer, servers};
+
+impl Node {
+    /// Takes over a configuration, if it is newer than the one in force.
+    pub fn offer_config(&mut self, published: config::Published, now_ms: u64) -> bool {
+        if published.version <= self.config_version() {
+            return false;
+        }
+        if self.config.is_none() {
+            let layout = published.document.layout;
+            let own = self.settings.incarnation;
+            self.grants = grants::Table::new(layout.ledger_shards);
+            self.settled_in_shard = vec![0; layout.log_shards as usize];
+            self.ledgers = (0..layout.ledger_shards).map(ledger_writer::Writer::new).collect();
+            self.logs = (0..layout.log_shards)
+                .map(|shard| log_writer::Writer::new(shard, own, layout.log_epoch_segments))
+                .collect();
+        }
+        for workspace in &published.document.workspaces {
+            for budget in &workspace.budgets {
+                let name = config::budget_name(&workspace.name, &budget.name);
+                let version = published.version;
+                let prepaid =
+                    budget.prepaid_tokens.map(|tokens| grants::Prepaid { tokens, version });
+                self.grants.declare_prepaid(&name, budget.cover(), prepaid, now_ms);
+            }
+        }
+        self.poke_ledgers_for_config();
+        let version = published.version;
+        self.config = Some(published);
+        self.become_ready();
+        self.actions.push(Action::ConfigInForce { version });
+        true
+    }
+
+    /// Takes the ledger's values as they were found at the start: the shards where an earlier life at this
+    /// address left something are read, so that it is written off.
+    pub fn offer_ledgers<'a>(&mut self, values: impl Iterator<Item = (&'a str, &'a [u8])>) {
+        let address = &self.settings.address;
+        let inherits = |(key, value): (&str, &[u8])| {
+            let shard = ledger::Shard::decode(value).ok()?;
+            let left = shard.holders.values().any(|holder| holder.address == *address);
+            ledger::shard_at(key).filter(|_| left)
+        };
+        self.inherited.extend(values.filter_map(inherits));
+        self.read_inherited();
+    }
+
+    fn read_inherited(&mut self) {
+        if self.ledgers.is_empty() {
+            return;
+        }
+        for shard in std::mem::take(&mut self.inherited) {
+            if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
+                ledger.poke();
+            }
+        }
+    }
+
+    /// A new configuration may change what is paid in, which concerns who holds something in hand.
+    fn poke_ledgers_for_config(&mut self) {
+        self.read_inherited();
+        for (shard, ledger) in self.ledgers.iter_mut().enumerate() {
+            let mut slots = self.grants.in_shard(shard as u32).iter();
+            let held = |slot: &ids::BudgetSlot| {
+                let account = self.grants.account(*slot);
+                account.holder || account.has_row
+            };
+            if slots.any(held) {
+                ledger.poke();
+            }
+        }
+    }
+
+    /// Follows the platform's list of VMs. An older list than the last one is ignored.
+    pub fn offer_vms(&mut self, index: u64, vms: Vec<servers::Vm>, now_ms: u64) {
+        self.vms_heard_ms = now_ms;
+        // At the same index the platform's client may have learned that a record will not come back.
+        if index >= self.vms_index {
+            self.follow_vms(index, vms);
+        }
+    }
+
+    /// Follows a peer's list of VMs, if it is newer than what is known here.
+    pub(super) fn hear_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
+        if index > self.vms_index {
+            self.follow_vms(index, vms);
+        }
+    }
+
+    fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
+        self.vms_index = index;
+        for vm in vms.iter().filter(|vm| vm.state == servers::VmState::Leaving) {
+            self.leaving.entry(vm.vm.clone()).or_insert(index);
+        }
+        let routers = vms.iter().filter(|vm| vm.service == ROUTER_SERVICE);
+        self.members.add_seeds(routers.map(|vm| vm.address.clone()));
+        let backends: Vec<servers::Vm> =
+            vms.iter().filter(|vm| vm.service != ROUTER_SERVICE).cloned().collect();
+        self.servers.follow(&backends);
+        let earlier = std::mem::take(&mut self.vms);
+        self.vms = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
+        let gone = |vm: &&servers::Vm| !self.vms.contains_key(&vm.vm);
+        let router_gone = earlier.values().filter(gone).any(|vm| vm.service == ROUTER_SERVICE);
+        if self.listed_index == 0 && self.vms.contains_key(&self.settings.vm) {
+            self.listed_index = index;
+        }
+        let (vms, leaving) = (&self.vms, &mut self.leaving);
+        leaving.retain(|vm, _| vms.contains_key(vm));
+        if router_gone {
+            // What it held is written off by whoever reads the ledger next.
+            self.ledgers.iter_mut().for_each(ledger_writer::Writer::poke);
+        }
+        self.become_ready();
+    }
+
+    /// Requests are taken once both the configuration and the servers are known.
+    fn become_ready(&mut self) {
+        let known = self.config.is_some() && self.vms_index > 0;
+        if known && self.lifecycle == Lifecycle::Starting {
+            self.lifecycle = Lifecycle::Ready;
+        }
+    }
+}
--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -5,8 +5,8 @@
 //! budget, so nobody has to be told. Routers whose views differ for a while may all hold it: that
 //! splits it, and is safe, since each draws its own grant.
 
-use super::{Lifecycle, Node, Reason, Request, Stage};
-use crate::{grants, ids, ledger_writer, members, message, outbox, rendezvous};
+use super::{Action, Lifecycle, Node, Notice, Reason, Request, Stage, questions};
+use crate::{grants, ids, members, message, rendezvous};
 
 /// How long a holder may take to answer before the next one is asked.
 const ANSWER_MS: u64 = 120;
@@ -16,12 +16,6 @@
 const PASSED_OVER_MS: u64 = 2_000;
 /// Holders that are asked for one need before this router draws for itself.
 const HOLDERS_ASKED: usize = 2;
-/// How long a holder waits for the store before it says that it cannot tell: a slow store needs a quarter of
-/// a second for a call.
-const STORE_WAIT_MS: u64 = 300;
-/// For how long a holder relies on the ledger's last word that too little is left: others take from a
-/// budget, and what is paid in comes with a configuration, which has the ledger read at once.
-const LEFT_KNOWN_MS: u64 = 1_000;
 /// How long a router draws for itself after no holder could help.
 const DIRECT_MS: u64 = 2_000;
 /// Spending that is asked for beyond what waits, in milliseconds of this router's rate.
@@ -46,22 +40,11 @@
     waits: bool,
 }
 
-/// A question of another router that waits here.
-#[derive(Debug)]
-pub(super) struct Question {
-    asker: ids::Incarnation,
-    number: u64,
-    budget: ids::BudgetSlot,
-    needed_tokens: u64,
-    wanted_tokens: u64,
-    since_ms: u64,
-}
-
 /// What asking holders has to remember.
 #[derive(Debug, Default)]
 pub(super) struct Holders {
     needs: std::collections::HashMap<ids::BudgetSlot, Need>,
-    questions: Vec<Question>,
+    pub(super) questions: Vec<questions::Question>,
     passed_over: std::collections::HashMap<ids::Incarnation, u64>,
     next_number: u64,
     handed_back_ms: u64,
@@ -108,7 +91,8 @@
     pub(super) fn tick_holders(&mut self, now_ms: u64) {
         self.holders.passed_over.retain(|_, until_ms| now_ms < *until_ms);
         let overdue = |need: &Need| {
-            let patience_ms = if need.waits { ANSWER_MS + STORE_WAIT_MS } else { ANSWER_MS };
+            let patience_ms =
+                if need.waits { ANSWER_MS + questions::STORE_WAIT_MS } else { ANSWER_MS };
             now_ms >= need.asked_ms + patience_ms
         };
         let needs = &self.holders.needs;
@@ -116,7 +100,7 @@
             needs.iter().filter(|(_, need)| overdue(need)).map(|(budget, _)| *budget).collect();
         for budget in late {
             let Some(need) = self.holders.needs.remove(&budget) else { continue };
-            self.holders.passed_over.insert(need.holder, now_ms + PASSED_OVER_MS);
+            self.pass_over(need.holder, budget, now_ms);
             self.ask_next(budget, need, false, now_ms);
         }
         let repeated: Vec<ids::BudgetSlot> = self
@@ -136,6 +120,13 @@
         }
     }
 
+    fn pass_over(&mut self, holder: ids::Incarnation, budget: ids::BudgetSlot, now_ms: u64) {
+        self.holders.passed_over.insert(holder, now_ms + PASSED_OVER_MS);
+        let vm = self.members.find(holder).map(|record| record.vm.clone()).unwrap_or_default();
+        let budget = self.grants.account(budget).name.clone();
+        self.actions.push(Action::Notice(Notice::HolderSilent { vm, budget }));
+    }
+
     /// Asks the first holder that is not passed over, unless one is being asked.
     pub(super) fn ask_holder(&mut self, budget: ids::BudgetSlot, now_ms: u64) {
         if !self.holders.needs.contains_key(&budget) {
@@ -198,117 +189,6 @@
         }
     }
 
-    /// Takes a question of another router.
-    pub(super) fn take_question(
-        &mut self,
-        asker: members::Record,
-        question: message::Message,
-        now_ms: u64,
-    ) {
-        let message::Message::TransferAsk { number, budget, needed_tokens, wanted_tokens, .. } =
-            question
-        else {
-            return;
-        };
-        let id = asker.id;
-        self.members.meet(asker, now_ms);
-        if let Some((transfer, outgoing)) = self.outbox.answer_to(id, number) {
-            self.send_transfer(transfer, outgoing);
-            return;
-        }
-        let ready = self.lifecycle == Lifecycle::Ready;
-        let Some(slot) = self.grants.find(&budget).filter(|_| ready) else {
-            self.send(id, message::Message::TransferNone { number, budget, certain: false });
-            return;
-        };
-        let known = |it: &Question| it.asker == id && it.number == number;
-        if !self.holders.questions.iter().any(known) {
-            self.holders.questions.push(Question {
-                asker: id,
-                number,
-                budget: slot,
-                needed_tokens,
-                wanted_tokens,
-                since_ms: now_ms,
-            });
-        }
-        self.answer_questions(now_ms);
-        if self.holders.questions.iter().any(known) {
-            self.send(id, message::Message::TransferWait { number, budget });
-        }
-    }
-
-    /// What the questions that wait here lack.
-    pub(super) fn asked_tokens(&self) -> impl Iterator<Item = (ids::BudgetSlot, u64)> {
-        self.holders.questions.iter().map(|question| (question.budget, question.needed_tokens))
-    }
-
-    /// Answers the questions that can be answered.
-    pub(super) fn answer_questions(&mut self, now_ms: u64) {
-        if self.holders.questions.is_empty() {
-            return;
-        }
-        for question in std::mem::take(&mut self.holders.questions) {
-            self.answer_question(question, now_ms);
-        }
-        if self.holders.questions.is_empty() {
-            return;
-        }
-        self.sum_shortages();
-        let budgets: Vec<ids::BudgetSlot> =
-            self.holders.questions.iter().map(|question| question.budget).collect();
-        for budget in budgets {
-            self.grants.account_mut(budget).draws = true;
-            self.poke_ledger_of(budget);
-        }
-        self.tick_platform(now_ms);
-    }
-
-    fn answer_question(&mut self, question: Question, now_ms: u64) {
-        let account = self.grants.account(question.budget);
-        let free_tokens = account.unclaimed_tokens();
-        if free_tokens >= question.needed_tokens && self.lifecycle == Lifecycle::Ready {
-            let tokens = free_tokens.min(question.wanted_tokens.max(question.needed_tokens));
-            self.give(question.asker, question.budget, tokens, question.number, now_ms);
-            return;
-        }
-        let certain = self.too_little_left(
-            question.budget,
-            question.needed_tokens,
-            question.since_ms,
-            now_ms,
-        );
-        let shard = self.ledger_shard(question.budget);
-        let away = self.ledgers.get(shard).is_none_or(ledger_writer::Writer::unanswered);
-        let waited = now_ms >= question.since_ms + STORE_WAIT_MS;
-        if certain || away || waited || self.lifecycle != Lifecycle::Ready {
-            let budget = self.grants.account(question.budget).name.clone();
-            let number = question.number;
-            self.send(question.asker, message::Message::TransferNone { number, budget, certain });
-            return;
-        }
-        self.holders.questions.push(question);
-    }
-
-    /// Whether the ledger surely has too little left: it was read since `since_ms` or shortly before, and had
-    /// less than is needed. A round that ends with enough left began before the need was known.
-    pub(super) fn too_little_left(
-        &self,
-        budget: ids::BudgetSlot,
-        needed_tokens: u64,
-        since_ms: u64,
-        now_ms: u64,
-    ) -> bool {
-        let followed_ms = self.asks.get(&budget).map_or(0, |ask| ask.followed_ms);
-        if followed_ms == 0 {
-            return false;
-        }
-        let account = self.grants.account(budget);
-        let left_tokens = account.remaining_tokens.unwrap_or(u64::MAX);
-        let less = left_tokens.saturating_add(account.free_tokens()) < needed_tokens;
-        less && (followed_ms >= since_ms || now_ms < followed_ms + LEFT_KNOWN_MS)
-    }
-
     fn ask_next(&mut self, budget: ids::BudgetSlot, need: Need, answered: bool, now_ms: u64) {
         let mut earlier = need.earlier;
         earlier.push(need.holder);
@@ -426,34 +306,6 @@
             }
         }
     }
-
-    /// Takes tokens out of this router's account and sends them to a peer.
-    pub(super) fn give(
-        &mut self,
-        to: ids::Incarnation,
-        budget: ids::BudgetSlot,
-        tokens: u64,
-        answers: u64,
-        now_ms: u64,
-    ) {
-        if self.members.find(to).is_none() || tokens == 0 {
-            return;
-        }
-        let account = self.grants.account_mut(budget);
-        account.sent_tokens += tokens;
-        let budget = account.name.clone();
-        self.counters.transfers_sent += 1;
-        let outgoing =
-            outbox::Outgoing { to, budget, tokens, answers, since_ms: now_ms, sent_ms: now_ms };
-        let number = self.outbox.add_transfer(outgoing.clone());
-        self.send_transfer(number, outgoing);
-    }
-
-    pub(super) fn send_transfer(&mut self, number: u64, outgoing: outbox::Outgoing) {
-        let outbox::Outgoing { to, budget, tokens, answers, .. } = outgoing;
-        let open_from = self.outbox.open_from();
-        self.send(to, message::Message::Transfer { number, open_from, answers, budget, tokens });
-    }
 }
 
 /// What a router that does not hold a budget may hand back of it.
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -131,10 +131,18 @@
             let routers = self.most_routers;
             self.retries.entry(service.to_owned()).or_default().earn(routers);
         } else {
-            self.servers.failed(server, now_ms);
+            self.server_failed(server, now_ms);
         }
     }
 
+    /// Notes that a server failed; what sets it aside is told.
+    pub(super) fn server_failed(&mut self, slot: ids::ServerSlot, now_ms: u64) {
+        let Some(aside_ms) = self.servers.failed(slot, now_ms) else { return };
+        let Some(server) = self.servers.get(slot) else { return };
+        let vm = server.vm.vm.clone();
+        self.actions.push(super::Action::Notice(Notice::SetAside { vm, aside_ms }));
+    }
+
     fn note_overrun(&mut self, slot: ids::RequestSlot, tokens: u64) {
         let Some(request) = self.requests.get(slot).filter(|_| tokens > 0) else { return };
         let budget = request.wanted.budget.clone();
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -220,6 +220,20 @@
     Fenced,
     /// A value in the store is unusable.
     Unusable(String),
+    /// A holder of a budget did not answer in time and is passed over for a while.
+    HolderSilent {
+        /// The holder's VM.
+        vm: String,
+        /// The budget that it was asked for.
+        budget: String,
+    },
+    /// A server failed several times in a row and gets nothing for a while.
+    SetAside {
+        /// The server's VM.
+        vm: String,
+        /// For how long.
+        aside_ms: u64,
+    },
     /// A server served more than it was allowed.
     Overrun {
         /// The budget.
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -261,15 +261,15 @@
         }
     }
 
-    /// Notes that a server failed; after a few in a row it is set aside for a while.
-    pub fn failed(&mut self, slot: ids::ServerSlot, now_ms: u64) {
-        let Some(server) = self.servers.get_mut(slot) else { return };
+    /// Notes that a server failed; after a few in a row it is set aside for a while: returns how long.
+    pub fn failed(&mut self, slot: ids::ServerSlot, now_ms: u64) -> Option<u64> {
+        let server = self.servers.get_mut(slot)?;
         server.failures = server.failures.saturating_add(1);
         server.probing = false;
-        if let Some(times) = server.failures.checked_sub(FAILURES_TO_SET_ASIDE) {
-            let aside_ms = (SET_ASIDE_BASE_MS << times.min(10)).min(SET_ASIDE_LIMIT_MS);
-            server.set_aside_until_ms = now_ms + aside_ms;
-        }
+        let times = server.failures.checked_sub(FAILURES_TO_SET_ASIDE)?;
+        let aside_ms = (SET_ASIDE_BASE_MS << times.min(10)).min(SET_ASIDE_LIMIT_MS);
+        server.set_aside_until_ms = now_ms + aside_ms;
+        Some(aside_ms)
     }
 
     /// Takes in a load report of a server.
--- /dev/null
+++ b/src/feed/again.rs
@@ -0,0 +1,40 @@
+//! Pauses between calls to the store that fail.
+
+use crate::logging;
+use doorswitch_platform::store;
+use std::time::Duration;
+use tokio::time;
+
+/// After a failure the next call waits about this long, twice as long after each further one in a row up to
+/// the limit: refused calls cost the store as well.
+const AGAIN: Duration = Duration::from_millis(250);
+const AGAIN_MAX: Duration = Duration::from_millis(1_000);
+
+/// The pauses after failures in a row.
+#[derive(Debug)]
+pub struct Again {
+    next: Duration,
+    failed: bool,
+}
+
+impl Default for Again {
+    fn default() -> Self {
+        Self { next: AGAIN, failed: false }
+    }
+}
+
+impl Again {
+    /// Waits after a failure.
+    pub async fn pause(&mut self, event: &str, prefix: &str, error: &store::Error) {
+        let level = if self.failed { log::Level::Debug } else { log::Level::Warn };
+        log::log!(level, "event={event} prefix={prefix} fault={}", logging::quoted(error));
+        self.failed = true;
+        time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
+        self.next = (self.next * 2).min(AGAIN_MAX);
+    }
+
+    /// Notes a success; tells whether it was the first after a failure.
+    pub fn succeeded(&mut self) -> bool {
+        std::mem::take(self).failed
+    }
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -133,6 +133,12 @@
                 "event=dead_holder_closed holder={holder} written_off_tokens={written_off_tokens}"
             );
         }
+        node::Notice::HolderSilent { vm, budget } => {
+            log::warn!("event=holder_silent vm={vm} budget={budget}");
+        }
+        node::Notice::SetAside { vm, aside_ms } => {
+            log::info!("event=server_set_aside vm={vm} aside_ms={aside_ms}");
+        }
         node::Notice::Fenced => log::error!("event=fenced cause=written_off_by_another_router"),
         node::Notice::Unusable(fault) => {
             log::error!("event=ledger_unusable fault={}", logging::quoted(fault));
