Keep lapsed records from peers, who may know better

Now what lapsed is apart from the list: it is used by the router itself, unless a peer has said that the server leaves, and never told to peers.

Ruled out: the 300 ms between watches (51 routers had the news at once and stopped; the request came 4.4 s later, just after the cut ones were back); the leaving mark itself (it holds while the record is in the table).

Proof: a_server_whose_record_lapsed_is_used_and_not_told_to_peers (new calls, so it could not run before).

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -125,6 +125,8 @@
     most_routers: u64,
     outbox: outbox::Outbox,
     holders: holders::Holders,
+    /// VMs that are missing from the platform's list and may be back soon.
+    lapsed: Vec<servers::Vm>,
     /// Shards of the ledger where an earlier life at this address left something.
     inherited: Vec<u32>,
     started_ms: u64,
@@ -195,6 +197,7 @@
             most_routers: 1,
             outbox: outbox::Outbox::default(),
             holders: Default::default(),
+            lapsed: Vec::new(),
             inherited: Vec::new(),
             started_ms: now_ms,
             calls: Default::default(),
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -77,7 +77,20 @@
 
     /// Follows the platform's list of VMs. An older list than the last one is ignored.
     pub fn offer_vms(&mut self, index: u64, vms: Vec<servers::Vm>, now_ms: u64) {
+        self.offer_vms_and_lapsed(index, vms, Vec::new(), now_ms);
+    }
+
+    /// Follows the platform's list of VMs. Those of `lapsed` are not in it but may be back soon; they are used
+    /// meanwhile, and not told to peers, who may know better.
+    pub fn offer_vms_and_lapsed(
+        &mut self,
+        index: u64,
+        vms: Vec<servers::Vm>,
+        lapsed: Vec<servers::Vm>,
+        now_ms: u64,
+    ) {
         self.vms_heard_ms = now_ms;
+        self.lapsed = lapsed;
         // At the same index the platform's client may have learned that a record will not come back.
         if index >= self.vms_index {
             self.follow_vms(index, vms);
@@ -87,6 +100,7 @@
     /// Follows a peer's list of VMs, if it is newer than what is known here.
     pub(super) fn hear_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
         if index > self.vms_index {
+            self.lapsed.clear();
             self.follow_vms(index, vms);
         }
     }
@@ -98,8 +112,11 @@
         }
         let routers = vms.iter().filter(|vm| vm.service == ROUTER_SERVICE);
         self.members.add_seeds(routers.map(|vm| vm.address.clone()));
+        let (own_leaving, lapsed) = (&self.leaving, &self.lapsed);
+        let back_soon = lapsed.iter().filter(|vm| !own_leaving.contains_key(&vm.vm));
+        let listed = vms.iter().chain(back_soon);
         let backends: Vec<servers::Vm> =
-            vms.iter().filter(|vm| vm.service != ROUTER_SERVICE).cloned().collect();
+            listed.filter(|vm| vm.service != ROUTER_SERVICE).cloned().collect();
         self.servers.follow(&backends);
         let earlier = std::mem::take(&mut self.vms);
         self.vms = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use doorswitch_core::{config, node};
+use doorswitch_core::{config, message, node, servers};
 use world::{End, Shape, World};
 
 #[test]
@@ -156,3 +156,51 @@
     world.run_ms(5_000);
     assert_eq!(world.routers[3].node.lifecycle(), node::Lifecycle::Ready);
 }
+
+/// The list of VMs that a router tells a peer which asks.
+fn told_vms(world: &mut World) -> Vec<String> {
+    let (from, to) = (world.routers[1].life, world.routers[0].life);
+    let ask = message::Envelope { from, to, message: message::Message::VmsAsk };
+    let node = &mut world.routers[0].node;
+    node.take_actions();
+    node.message(ask, 100_000);
+    let told = node.take_actions().into_iter().find_map(|action| match action {
+        node::Action::Send { envelope, .. } => match envelope.message {
+            message::Message::Vms { vms, .. } => Some(vms),
+            _ => None,
+        },
+        _ => None,
+    });
+    told.unwrap().into_iter().map(|vm| vm.vm).collect()
+}
+
+#[test]
+fn a_server_whose_record_lapsed_is_used_and_not_told_to_peers() {
+    let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let server = world.routers[0].node.servers().iter().next().unwrap().1.vm.clone();
+    let node = &mut world.routers[0].node;
+    node.offer_vms_and_lapsed(1_000, Vec::new(), vec![server.clone()], 2_000);
+    let used = |node: &node::Node| node.servers().find(&server.vm).is_some();
+    assert!(used(node));
+    assert!(!told_vms(&mut world).contains(&server.vm), "peers may know better");
+
+    // A peer that saw it leave has said so.
+    let leaving = message::Leaving { vm: server.vm.clone(), list_index: 900 };
+    let from = world.routers[1].node.members().own().clone();
+    let node = &mut world.routers[0].node;
+    node.offer_vms(1_001, vec![server.clone()], 2_500);
+    let kind = message::GossipKind::Ack;
+    let (config_version, vms_index) = (0, 0);
+    let gossip = message::Gossip {
+        from,
+        kind,
+        config_version,
+        vms_index,
+        news: Vec::new(),
+        leaving: vec![leaving],
+    };
+    node.gossip(&gossip, 2_600);
+    node.offer_vms_and_lapsed(1_002, Vec::<servers::Vm>::new(), vec![server.clone()], 3_000);
+    assert!(!used(node), "it left");
+}
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -102,7 +102,7 @@
 
     fn handle(&mut self, offer: messages::OfferVms, context: &mut Self::Context) {
         let now_ms = self.now_ms();
-        self.node.offer_vms(offer.index, offer.vms, now_ms);
+        self.node.offer_vms_and_lapsed(offer.index, offer.vms, offer.lapsed, now_ms);
         self.carry_out(context);
     }
 }
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -70,6 +70,8 @@
     pub index: u64,
     /// All VMs.
     pub vms: Vec<servers::Vm>,
+    /// VMs that are missing from it and may be back soon.
+    pub lapsed: Vec<servers::Vm>,
 }
 
 /// The ledger's values by key, as found at the start.
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -36,16 +36,17 @@
 /// Follows the list of servers for ever.
 pub async fn follow_servers(store: store::Client, control: Addr<control::Control>) {
     follow(&store, records::PREFIX, GATHER, |mirror| {
-        let decoded = mirror.present().filter_map(|change| {
-            let value = change.value.as_ref()?;
-            records::decode(&change.key, value)
-        });
-        let vms: Vec<servers::Vm> = decoded.collect();
-        control.do_send(control::OfferVms { index: mirror.revision, vms });
+        let vms = mirror.items.values().filter_map(record).collect();
+        let lapsed = mirror.lapsed().filter_map(record).collect();
+        control.do_send(control::OfferVms { index: mirror.revision, vms, lapsed });
     })
     .await;
 }
 
+fn record(change: &store::Change) -> Option<servers::Vm> {
+    records::decode(&change.key, change.value.as_ref()?)
+}
+
 /// Reads the ledger's values once, for what an earlier life of this router left there.
 pub async fn find_inheritance(store: store::Client, control: Addr<control::Control>) {
     let mut again = again::Again::default();
--- a/src/feed/mirror.rs
+++ b/src/feed/mirror.rs
@@ -54,9 +54,9 @@
         true
     }
 
-    /// All items, with those that may be back soon.
-    pub fn present(&self) -> impl Iterator<Item = &store::Change> {
-        self.items.values().chain(self.lapsed.values())
+    /// Items that are gone and may be back soon.
+    pub fn lapsed(&self) -> impl Iterator<Item = &store::Change> {
+        self.lapsed.values()
     }
 
     pub fn replace(&mut self, changes: store::Changes) {
