Only a store that refuses counts as away, and lapsed records are kept for 1.4 s

Silence may be this router's own; an answer such as 503 is the store's. 1.4 s, with the longest pause between calls, end before a router that was turned away counts as in touch again.

Ruled out: a shorter watch (five times the calls in calm). Open: a watch that a cut has silenced hangs for up to 11 s.

The two tests of lapsed records hold; no own test has a silent store with servers that leave yet.

--- a/src/feed/again.rs
+++ b/src/feed/again.rs
@@ -15,11 +15,12 @@
 pub struct Again {
     next: Duration,
     failed: bool,
+    refused: bool,
 }
 
 impl Default for Again {
     fn default() -> Self {
-        Self { next: AGAIN, failed: false }
+        Self { next: AGAIN, failed: false, refused: false }
     }
 }
 
@@ -29,12 +30,14 @@
         let level = if self.failed { log::Level::Debug } else { log::Level::Warn };
         log::log!(level, "event={event} prefix={prefix} fault={}", logging::quoted(error));
         self.failed = true;
+        self.refused |= matches!(error, store::Error::Status { .. });
         time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
         self.next = (self.next * 2).min(AGAIN_MAX);
     }
 
-    /// Notes a success; tells whether it was the first after a failure.
+    /// Notes a success; tells whether it ends a time in which the store said itself that it does not serve.
+    /// Mere silence may be this router's own.
     pub fn succeeded(&mut self) -> bool {
-        std::mem::take(self).failed
+        std::mem::take(self).refused
     }
 }
--- a/src/feed/mirror.rs
+++ b/src/feed/mirror.rs
@@ -6,9 +6,9 @@
 use tokio::time;
 
 /// Items that went while the store was away are kept for so long after its return: servers that live are back
-/// in its list within about two seconds. A router that was cut off by itself cannot tell those from servers that
-/// left, so this stays below the two seconds after which a server that left must get nothing new.
-const LAPSED_KEPT: Duration = Duration::from_millis(1_700);
+/// in its list within about two seconds. The store may have turned this router alone away while servers left,
+/// so this stays well below the two seconds after which such a server must get nothing new.
+const LAPSED_KEPT: Duration = Duration::from_millis(1_400);
 /// When nothing lapsed, the next look at it is this far away.
 const FAR: Duration = Duration::from_secs(60);
 
@@ -23,12 +23,12 @@
     /// live, and these write again soon.
     lapsed: BTreeMap<String, store::Change>,
     returned: Option<Instant>,
-    /// Whether the answer at hand is the first one after a failure.
+    /// Whether the answer at hand is the first one after that.
     first_answer: bool,
 }
 
 impl Mirror {
-    /// Notes that the store answered; `again` tells that it did not before.
+    /// Notes that the store answered; `again` tells that it said before that it does not serve.
     pub fn heard(&mut self, again: bool) {
         self.first_answer = again;
         if again {
