--- a/core/tests/transfers.rs
+++ b/core/tests/transfers.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use doorswitch_core::grants;
+use doorswitch_core::{grants, message, node};
 use world::{Shape, TICK_MS, World};
 
 const PAID_TOKENS: u64 = 10_000;
@@ -63,3 +63,36 @@
     world.admit(1, 0, 4, GIVEN_TOKENS, GIVEN_TOKENS, false);
     world.run_ms(PATIENCE_MS);
 }
+
+#[test]
+fn a_transfer_that_was_declined_is_not_applied_by_a_copy_that_comes_later() {
+    let mut world = pair();
+    world.faults.store_out = true;
+    world.kill(1);
+    world.restart(1, true);
+    let (from, to) = (world.routers[0].life, world.routers[1].life);
+    let budget = world.budget_name(0);
+    let transfer = |number| message::Envelope {
+        from,
+        to,
+        message: message::Message::Transfer {
+            number,
+            open_from: 1,
+            answers: 0,
+            budget: budget.clone(),
+            tokens: GIVEN_TOKENS,
+        },
+    };
+    // It has no configuration yet, so it declines; its sender has the tokens back.
+    let now_ms = world.now_ms;
+    world.routers[1].node.message(transfer(1), now_ms);
+    world.faults.store_out = false;
+    run_until(&mut world, "a ready router", |world| {
+        world.routers[1].node.lifecycle() == node::Lifecycle::Ready
+    });
+    let now_ms = world.now_ms;
+    world.routers[1].node.message(transfer(1), now_ms);
+    assert_eq!(account(&world, 1).received_tokens, 0, "its sender has them back");
+    world.routers[1].node.message(transfer(2), now_ms);
+    assert_eq!(account(&world, 1).received_tokens, GIVEN_TOKENS, "a new one is applied");
+}
