--- a/src/settings.rs
+++ b/src/settings.rs
@@ -195,8 +195,12 @@
 
     /// Checks settings that were read from `file`.
     pub fn parse(text: &str, file: &path::Path) -> Result<Self, Error> {
-        let settings: Self = serde_saphyr::from_str(text)
-            .map_err(|error| Error::Parse { file: file.to_owned(), fault: error.to_string() })?;
+        let fault = |fault: String| Error::Parse { file: file.to_owned(), fault };
+        let tree: serde_json::Value = serde_saphyr::from_str(text)
+            .map_err(|error| fault(error.without_snippet().to_string()))?;
+        // The error then names the field, not only a line.
+        let settings: Self =
+            serde_path_to_error::deserialize(tree).map_err(|error| fault(error.to_string()))?;
         settings.check(file)?;
         Ok(settings)
     }
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,104 @@
+//! The settings file: the platform's template filled in each spelling of its fields, and files that cannot be
+//! used.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use doorswitch::settings;
+use serde_json::{Value, json};
+use std::path::Path;
+use std::process::Command;
+
+const TEMPLATE: &str = include_str!("../deploy/router.yaml");
+
+/// The fields that the platform fills the template from, with its rates under the given names.
+fn fields(reads: &str, writes: &str) -> Value {
+    json!({
+        "nodeName": "edge-a-1", "region": "r", "zone": "a", "ip": "10.1.0.19",
+        "listen": { "front": "10.1.0.19:8740", "ready": "10.1.0.19:8749" },
+        "internalPortRange": [7200, 7215],
+        "platform": { "address": "10.200.1.7:8742", reads: 2_000, writes: 400 },
+        "bounds": { "graceS": 8 },
+    })
+}
+
+/// Fills the gaps `{{a.b}}` of a template; one without a value stays empty.
+fn fill(template: &str, fields: &Value) -> String {
+    let mut filled = String::new();
+    let mut rest = template;
+    while let Some((before, gap)) = rest.split_once("{{") {
+        let (path, after) = gap.split_once("}}").unwrap();
+        let pointer = format!("/{}", path.trim().replace('.', "/"));
+        filled.push_str(before);
+        match fields.pointer(&pointer) {
+            None | Some(Value::Null) => {}
+            Some(Value::String(text)) => filled.push_str(text),
+            Some(value) => filled.push_str(&value.to_string()),
+        }
+        rest = after;
+    }
+    filled + rest
+}
+
+macro_rules! spellings {
+    ($($name:ident: $reads:expr, $writes:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let text = fill(TEMPLATE, &fields($reads, $writes));
+            let settings = settings::Settings::parse(&text, Path::new("filled")).unwrap();
+            assert_eq!(settings.platform.reads_per_s, 2_000);
+            assert_eq!(settings.platform.writes_per_s, 400);
+            assert_eq!(settings.platform.url, "http://10.200.1.7:8742");
+            assert_eq!(settings.limits.stop_grace_s, 8);
+            assert_eq!(settings.peers.listen.port(), 7_200);
+        }
+    )*};
+}
+
+spellings! {
+    the_template_takes_rates_with_underscores: "reads_per_s", "writes_per_s";
+    the_template_takes_rates_in_camel_case: "readsPerS", "writesPerS";
+}
+
+/// Runs a router with these settings; it must end by itself. Returns its exit code and what it said.
+fn run(name: &str, text: &str) -> (Option<i32>, String) {
+    let file = std::env::temp_dir().join(format!("doorswitch-{name}-{}.yaml", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_doorswitch"))
+        .args(["router", "--settings"])
+        .arg(&file)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&file).unwrap();
+    (output.status.code(), String::from_utf8(output.stderr).unwrap())
+}
+
+macro_rules! refused_settings {
+    ($($name:ident: $text:expr, $field:expr, $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (code, said) = run(stringify!($name), &$text);
+            assert_eq!(code, Some(1), "{said}");
+            assert_eq!(said.trim_end().lines().count(), 1, "one line: {said}");
+            assert!(said.contains($field) && said.contains($expected), "{said}");
+        }
+    )*};
+}
+
+fn good() -> String {
+    fill(TEMPLATE, &fields("readsPerS", "writesPerS"))
+}
+
+refused_settings! {
+    an_empty_rate_is_named: fill(TEMPLATE, &fields("reads", "writes")),
+        "platform.reads_per_s", "expected u64";
+    a_misspelt_field_is_named: good().replace("reads_per_s: 2000", "reads_a_second: 2000"),
+        "reads_a_second", "reads_per_s";
+    a_word_for_a_number_is_named: good().replace("timeout_ms: 1000", "timeout_ms: soon"),
+        "platform.timeout_ms", "expected u64";
+    a_rate_out_of_range_is_named: good().replace("reads_per_s: 2000", "reads_per_s: 0"),
+        "platform.reads_per_s", "1 to 1000000";
+    an_address_that_is_none_is_named: good().replace("10.1.0.19:8740", "nowhere"),
+        "gateway.listen", "socket address";
+    what_is_no_yaml_is_refused_with_its_place: good() + "limits: [",
+        "line", "";
+}
