A leaving that was heard holds for lapsed records too; refused callers come back later in an outage; log pauses

Cause: (1) a server whose leaving was heard from a peer, and whose record lapsed in an outage, was used again from the second list on: the first list without it had made the router forget the leaving (found by reading, for the rule that an acknowledged leaving binds in the store's trouble too). (2) Whoever was refused because no tokens could be had was told to come back after one second, while an outage goes on for seconds more: the second refusal is worse than the first. (3) Logs did not tell how long a stream paused, how much its server had to read, or how long a refusal took.

Tried and not kept: routing by what reading a prompt does to the answers that run there. After a cut the prompts crowd on fewer servers.

Tests: a_leaving_that_was_heard_* and the_longer_an_outage_refuses_* failed before; a_server_that_was_draining_* and a_stop_while_the_store_* passed on the code before as well.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -8,6 +8,7 @@
 mod adopt;
 mod dump;
 mod holders;
+mod outage;
 mod peers;
 mod platform;
 mod questions;
@@ -125,6 +126,7 @@
     most_routers: u64,
     outbox: outbox::Outbox,
     holders: holders::Holders,
+    outage: outage::Outage,
     /// VMs that are missing from the platform's list and may be back soon.
     lapsed: Vec<servers::Vm>,
     /// Shards of the ledger where an earlier life at this address left something.
@@ -197,6 +199,7 @@
             most_routers: 1,
             outbox: outbox::Outbox::default(),
             holders: Default::default(),
+            outage: Default::default(),
             lapsed: Vec::new(),
             inherited: Vec::new(),
             started_ms: now_ms,
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -135,7 +135,7 @@
 
     /// Refuses a request for which nothing was sent.
     pub(super) fn refuse(&mut self, slot: ids::RequestSlot, reason: Reason, now_ms: u64) {
-        let retry_after_ms = self.retry_after_ms(slot, reason);
+        let retry_after_ms = self.retry_after_ms(slot, reason, now_ms);
         *self.counters.refused.entry(reason).or_default() += 1;
         self.end_unsent(slot, refusal(reason, retry_after_ms), now_ms);
     }
@@ -256,10 +256,11 @@
     }
 
     fn answer_dispatch(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot) {
-        let Some(attempt) = self.requests.get(slot).map(|request| request.attempt) else { return };
+        let Some(request) = self.requests.get(slot) else { return };
+        let (attempt, unread_tokens) = (request.attempt, request.unread_tokens);
         let Some(server) = self.servers.get(server) else { return };
         let (address, vm) = (server.vm.address.clone(), server.vm.vm.clone());
-        self.answer(slot, Answer::Dispatch { address, vm, attempt });
+        self.answer(slot, Answer::Dispatch { address, vm, attempt, unread_tokens });
     }
 
     /// Ends a request for which nothing was sent, giving back all that it held.
@@ -302,8 +303,9 @@
         self.append(release, waiter, log_writer::Urgency::Gather, now_ms);
     }
 
-    fn retry_after_ms(&self, slot: ids::RequestSlot, reason: Reason) -> u64 {
+    fn retry_after_ms(&mut self, slot: ids::RequestSlot, reason: Reason, now_ms: u64) -> u64 {
         match reason {
+            Reason::BudgetUnreachable => self.outage.refuse(now_ms),
             Reason::BudgetExhausted => RETRY_AFTER_EXHAUSTED_MS,
             Reason::Overloaded => {
                 let service = self.requests.get(slot).map(|request| &request.wanted.service);
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -125,8 +125,10 @@
         if self.listed_index == 0 && self.vms.contains_key(&self.settings.vm) {
             self.listed_index = index;
         }
-        let (vms, leaving) = (&self.vms, &mut self.leaving);
-        leaving.retain(|vm, _| vms.contains_key(vm));
+        // A leaving that was heard holds also for a record that lapsed meanwhile.
+        let (vms, lapsed) = (&self.vms, &self.lapsed);
+        let known = |name: &str| vms.contains_key(name) || lapsed.iter().any(|vm| vm.vm == name);
+        self.leaving.retain(|vm, _| known(vm));
         if router_gone {
             // What it held is written off by whoever reads the ledger next.
             self.ledgers.iter_mut().for_each(ledger_writer::Writer::poke);
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -148,6 +148,8 @@
         vm: String,
         /// Identifies this try towards the server.
         attempt: ids::AttemptId,
+        /// Tokens of the prompt that the server is taken to have to read.
+        unread_tokens: u64,
     },
     /// It did not run here.
     Refuse {
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -186,21 +186,55 @@
     assert!(!told_vms(&mut world).contains(&server.vm), "peers may know better");
 
     // A peer that saw it leave has said so.
-    let leaving = message::Leaving { vm: server.vm.clone(), list_index: 900 };
-    let from = world.routers[1].node.members().own().clone();
+    let gossip = gossip_of_leaving(&world, &server.vm);
     let node = &mut world.routers[0].node;
     node.offer_vms(1_001, vec![server.clone()], 2_500);
-    let kind = message::GossipKind::Ack;
-    let (config_version, vms_index) = (0, 0);
-    let gossip = message::Gossip {
-        from,
-        kind,
-        config_version,
-        vms_index,
-        news: Vec::new(),
-        leaving: vec![leaving],
-    };
     node.gossip(&gossip, 2_600);
     node.offer_vms_and_lapsed(1_002, Vec::<servers::Vm>::new(), vec![server.clone()], 3_000);
     assert!(!used(node), "it left");
 }
+
+/// What the second router tells the first when it knows that a VM is leaving.
+fn gossip_of_leaving(world: &World, vm: &str) -> message::Gossip {
+    message::Gossip {
+        from: world.routers[1].node.members().own().clone(),
+        kind: message::GossipKind::Ack,
+        config_version: 0,
+        vms_index: 0,
+        news: Vec::new(),
+        leaving: vec![message::Leaving { vm: vm.to_owned(), list_index: 900 }],
+    }
+}
+
+#[test]
+fn a_leaving_that_was_heard_holds_as_long_as_the_record_counts_as_lapsed() {
+    let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let server = world.routers[0].node.servers().iter().next().unwrap().1.vm.clone();
+    let gossip = gossip_of_leaving(&world, &server.vm);
+    let node = &mut world.routers[0].node;
+    node.gossip(&gossip, 2_000);
+    // The store was away, and its list comes more than once while the record may still be back.
+    for index in 1_000..1_003 {
+        node.offer_vms_and_lapsed(index, Vec::new(), vec![server.clone()], 2_000 + index);
+        let live = node.servers().iter().any(|(_, it)| it.vm.state == servers::VmState::Live);
+        assert!(!live, "list {index}: the router knew that it leaves");
+    }
+}
+
+#[test]
+fn the_longer_an_outage_refuses_the_later_callers_shall_come_back() {
+    let mut world = World::new(Shape { routers: 1, paid_tokens: 1_000_000, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    world.faults.store_out = true;
+    let mut told_ms = Vec::new();
+    // More than what is held in hand, each time.
+    for key in 0..12 {
+        let place = world.admit(0, 0, key, 900_000, 1, false).unwrap();
+        world.run_ms(1_000);
+        assert_eq!(world.given[place].end, Some(End::Refused(node::Reason::BudgetUnreachable)));
+        told_ms.push(world.given[place].retry_after_ms);
+    }
+    assert!(told_ms.is_sorted(), "{told_ms:?}");
+    assert!(told_ms[0] >= 2_000 && told_ms[11] >= 2 * told_ms[0], "{told_ms:?}");
+}
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -58,6 +58,8 @@
     pub dispatched: bool,
     pub running: bool,
     pub given_ms: u64,
+    /// When a refused one shall come back.
+    pub retry_after_ms: u64,
     pub end: Option<End>,
 }
 
@@ -294,6 +296,7 @@
             dispatched: false,
             running: false,
             given_ms: self.now_ms,
+            retry_after_ms: 0,
             end: None,
         };
         self.given.push(given);
@@ -468,8 +471,9 @@
                 let time_ms = self.serve_ms;
                 self.after(time_ms, Event::Served { at, life, slot });
             }
-            node::Answer::Refuse { reason, .. } => {
+            node::Answer::Refuse { reason, retry_after_ms } => {
                 assert!(!given.dispatched, "refused as not run after it was dispatched");
+                given.retry_after_ms = retry_after_ms;
                 given.end = Some(End::Refused(reason));
                 self.refusals.push(place);
             }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 mod events;
 mod exchange;
 mod listener;
+mod pace;
 mod refusal;
 mod socket;
 mod streaming;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,13 +76,22 @@
         let placement = match upstream::admit(&self.control, wanted).await {
             upstream::Admission::Placed(placement) => placement,
             upstream::Admission::Refused(error) => {
-                log::info!("event=refused id={id} {asked} code={}", error.code);
+                let waited_ms = started.elapsed().as_millis();
+                log::info!(
+                    "event=refused id={id} {asked} code={} waited_ms={waited_ms}",
+                    error.code
+                );
                 return Err(error);
             }
             upstream::Admission::Replay(_) => return Err(refusal::outcome_unknown()),
         };
         let ticket = ticket::Ticket::new(self.control.clone(), placement.slot, cost, id);
-        log::info!("event=placed id={} {asked} vm={} attempt=1", head.asked.id, placement.vm);
+        log::info!(
+            "event=placed id={} {asked} vm={} unread_tokens={} attempt=1",
+            head.asked.id,
+            placement.vm,
+            placement.unread_tokens,
+        );
         let call = attempt::Call {
             method: parts.method,
             uri: parts.uri,
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -101,6 +101,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             let Some(batch) = splitter.push(&bytes) else { continue };
+            self.ticket.pace.note_events();
             if !begun {
                 begun = true;
                 self.ticket.answering();
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -1,5 +1,6 @@
 //! A request's place in the control state, which is given back however the request ends.
 
+use super::pace;
 use crate::{control, upstream};
 use actix::prelude::Addr;
 use doorswitch_core::{ids, node};
@@ -37,6 +38,8 @@
     slot: ids::RequestSlot,
     /// What it costs.
     pub cost: Cost,
+    /// How fast its events come.
+    pub pace: pace::Pace,
     id: String,
     admitted: Instant,
     open: bool,
@@ -50,7 +53,8 @@
         cost: Cost,
         id: String,
     ) -> Self {
-        Self { control, slot, cost, id, admitted: Instant::now(), open: true }
+        let pace = pace::Pace::new();
+        Self { control, slot, cost, pace, id, admitted: Instant::now(), open: true }
     }
 
     /// Asks for another server; `may_have_run` tells whether the failed try counts as an attempt.
@@ -89,9 +93,12 @@
             node::Ending::Unknown => ("unknown", self.cost.bound_tokens),
         };
         log::info!(
-            "event=request_ended id={} outcome={outcome} tokens={tokens} took_ms={}",
+            "event=request_ended id={} outcome={outcome} tokens={tokens} took_ms={} \
+             first_event_ms={} longest_gap_ms={}",
             self.id,
             self.admitted.elapsed().as_millis(),
+            self.pace.first_event_ms(),
+            self.pace.longest_gap_ms(),
         );
         self.control.do_send(control::Finish { slot: self.slot, ending });
     }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -16,6 +16,8 @@
     pub vm: String,
     /// Identifies this try.
     pub attempt: ids::AttemptId,
+    /// Tokens of the prompt that the server is taken to have to read.
+    pub unread_tokens: u64,
 }
 
 /// What came of asking for a placement.
@@ -75,8 +77,8 @@
 
 fn admission(slot: ids::RequestSlot, answer: Option<node::Answer>) -> Admission {
     match answer {
-        Some(node::Answer::Dispatch { address, vm, attempt }) => {
-            Admission::Placed(Placement { slot, address, vm, attempt })
+        Some(node::Answer::Dispatch { address, vm, attempt, unread_tokens }) => {
+            Admission::Placed(Placement { slot, address, vm, attempt, unread_tokens })
         }
         Some(node::Answer::Replay(outcome)) => Admission::Replay(outcome),
         Some(node::Answer::Refuse { reason, retry_after_ms }) => {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -156,6 +156,61 @@
     assert!(!world.log(0).contains("event=item_lapsed"), "{}", world.log(0));
 }
 
+#[test]
+fn a_server_that_was_draining_gets_nothing_when_its_record_lapses_in_an_outage() {
+    let world = World::start("drains-away", vec![answers("zero"), answers("one")]);
+    world.record_server(0, "draining");
+    let mut number = 0;
+    let mut ask = || {
+        number += 1;
+        world.ask(0, &request("/read/x", &format!("id-{number}"))).text()
+    };
+    eventually("the leaving is heard", || (0..8).all(|_| ask() == "one"));
+    world.store.set_mode(store::Mode::Down);
+    world.store.put("servers/other", b"{}");
+    let missed = || world.log(0).contains("event=watch_failed prefix=servers/");
+    eventually("the router misses the store", missed);
+    assert!((0..8).all(|_| ask() == "one"), "in the outage");
+    world.store.remove("servers/i-0");
+    world.store.set_mode(store::Mode::Well);
+    eventually("the record is missed", || world.log(0).contains("event=item_lapsed"));
+    assert!((0..8).all(|_| ask() == "one"), "while it may be back");
+}
+
+/// A planned stop in an outage of the store: what was taken is answered, and what comes while the router
+/// drains is answered or told that it did not run.
+fn stops_in_an_outage(name: &str, mode: store::Mode) {
+    let script = Box::new(|_, _: &_| {
+        let pause = || Step::Pause(Duration::from_millis(500));
+        let head = Step::Write(STREAM_HEAD.to_owned());
+        vec![pause(), head, event(1), pause(), event(2), last_chunk()]
+    });
+    let world = World::start(name, vec![script]);
+    assert!(world.ask(0, &request("/stream/x", "before")).whole);
+    world.store.set_mode(mode);
+    let mut running = world.send(0, &request("/long-stream/x", "running"));
+    eventually("the server has it", || world.backends[0].seen().len() == 2);
+    world.signal(0, "HUP");
+    world.signal(0, "TERM");
+    eventually("the balancer is told", || world.ready(0).is_none_or(|status| status == 503));
+    let mut crossing = world.send(0, &request("/stream/x", "crossing"));
+    let answer = routes::read_answer(&mut crossing);
+    assert!(answer.whole, "{answer:?}");
+    assert!(answer.status == 200 || answer.status == 503, "{answer:?}");
+    let answer = routes::read_answer(&mut running);
+    assert!(answer.whole && answer.text().contains("piece 2"), "{answer:?}");
+}
+
+#[test]
+fn a_stop_while_the_store_refuses_calls_cuts_no_request() {
+    stops_in_an_outage("stop-down", store::Mode::Down);
+}
+
+#[test]
+fn a_stop_while_the_store_is_silent_cuts_no_request() {
+    stops_in_an_outage("stop-silent", store::Mode::Silent);
+}
+
 #[test]
 fn a_stop_ends_streams_that_run_and_tells_the_balancer_at_once() {
     let script = Box::new(|_, _: &_| {
