--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -135,12 +135,12 @@
         }
     }
 
-    /// Notes that a server failed; what sets it aside is told.
+    /// Notes that a server failed; its ejection is told.
     pub(super) fn server_failed(&mut self, slot: ids::ServerSlot, now_ms: u64) {
-        let Some(aside_ms) = self.servers.failed(slot, now_ms) else { return };
+        let Some(ejected_ms) = self.servers.failed(slot, now_ms) else { return };
         let Some(server) = self.servers.get(slot) else { return };
         let vm = server.vm.vm.clone();
-        self.actions.push(super::Action::Notice(Notice::SetAside { vm, aside_ms }));
+        self.actions.push(super::Action::Notice(Notice::Ejected { vm, ejected_ms }));
     }
 
     fn note_overrun(&mut self, slot: ids::RequestSlot, tokens: u64) {
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -230,11 +230,11 @@
         budget: String,
     },
     /// A server failed several times in a row and gets nothing for a while.
-    SetAside {
+    Ejected {
         /// The server's VM.
         vm: String,
         /// For how long.
-        aside_ms: u64,
+        ejected_ms: u64,
     },
     /// A server served more than it was allowed.
     Overrun {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -16,10 +16,10 @@
 
 /// Requests at once on a server that has not reported its slots.
 const DEFAULT_SLOTS: u64 = 8;
-/// After this many failures in a row a server is set aside.
-const FAILURES_TO_SET_ASIDE: u32 = 3;
-const SET_ASIDE_BASE_MS: u64 = 500;
-const SET_ASIDE_LIMIT_MS: u64 = 30_000;
+/// After this many failures in a row a server is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+const EJECTED_BASE_MS: u64 = 500;
+const EJECTED_LIMIT_MS: u64 = 30_000;
 /// How much busier than the better choice the server with the cached prefix may be, in percent.
 const AFFINITY_MARGIN_PERCENT: u64 = 150;
 /// Prefixes remembered, over all servers.
@@ -93,7 +93,7 @@
     unread_tokens: u64,
     name_hash: u64,
     failures: u32,
-    set_aside_until_ms: u64,
+    ejected_until_ms: u64,
     probing: bool,
 }
 
@@ -110,7 +110,7 @@
             own_milli: 0,
             answer_ms: DEFAULT_ANSWER_MS,
             failures: 0,
-            set_aside_until_ms: 0,
+            ejected_until_ms: 0,
             probing: false,
         }
     }
@@ -140,8 +140,8 @@
     }
 
     fn usable(&self, now_ms: u64) -> bool {
-        let aside = now_ms < self.set_aside_until_ms || (self.failures > 0 && self.probing);
-        self.live() && !aside
+        let ejected = now_ms < self.ejected_until_ms || (self.failures > 0 && self.probing);
+        self.live() && !ejected
     }
 
     /// The time that one more request would take: the server's pace, stretched by its load.
@@ -261,15 +261,15 @@
         }
     }
 
-    /// Notes that a server failed; after a few in a row it is set aside for a while: returns how long.
+    /// Notes that a server failed; after a few in a row it is ejected for a while: returns how long.
     pub fn failed(&mut self, slot: ids::ServerSlot, now_ms: u64) -> Option<u64> {
         let server = self.servers.get_mut(slot)?;
         server.failures = server.failures.saturating_add(1);
         server.probing = false;
-        let times = server.failures.checked_sub(FAILURES_TO_SET_ASIDE)?;
-        let aside_ms = (SET_ASIDE_BASE_MS << times.min(10)).min(SET_ASIDE_LIMIT_MS);
-        server.set_aside_until_ms = now_ms + aside_ms;
-        Some(aside_ms)
+        let times = server.failures.checked_sub(FAILURES_TO_EJECT)?;
+        let ejected_ms = (EJECTED_BASE_MS << times.min(10)).min(EJECTED_LIMIT_MS);
+        server.ejected_until_ms = now_ms + ejected_ms;
+        Some(ejected_ms)
     }
 
     /// Takes in a load report of a server.
@@ -335,7 +335,7 @@
         };
         let live: Vec<ids::ServerSlot> = slots.iter().filter(fits).copied().collect();
         let usable = |slot: &ids::ServerSlot| self.servers[*slot].usable(now_ms);
-        // Where all were set aside, one that failed lately is better than none.
+        // Where all were ejected, one that failed lately is better than none.
         match live.iter().any(usable) {
             true => live.into_iter().filter(usable).collect(),
             false => live,
@@ -373,8 +373,8 @@
     fn started(&mut self, slot: ids::ServerSlot) {
         let server = &mut self.servers[slot];
         server.in_flight += 1;
-        // A server that was set aside is tried with one request before it gets more.
-        server.probing = server.failures >= FAILURES_TO_SET_ASIDE;
+        // A server that was ejected is tried with one request before it gets more.
+        server.probing = server.failures >= FAILURES_TO_EJECT;
     }
 
     fn remember_prefix(&mut self, hash: u64, slot: ids::ServerSlot) {
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -91,7 +91,7 @@
 }
 
 #[test]
-fn a_failing_server_is_set_aside_and_tried_again_with_one_request() {
+fn a_failing_server_is_ejected_and_tried_again_with_one_request() {
     let mut bench = Bench::two();
     let bad = bench.choose().unwrap();
     for _ in 0..3 {
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn servers_that_were_all_set_aside_are_better_than_none() {
+fn servers_that_were_all_ejected_are_better_than_none() {
     let mut bench = many(&["a", "b"]);
     for _ in 0..3 {
         for _ in 0..2 {
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -1,7 +1,7 @@
 //! Follows the configuration and the list of servers in the platform's store, by watches.
 
-mod again;
 mod mirror;
+mod pause;
 
 use crate::{control, logging};
 use actix::prelude::Addr;
@@ -50,7 +50,7 @@
 
 /// Reads the ledger's values once, for what an earlier life of this router left there.
 pub async fn find_inheritance(store: store::Client, control: Addr<control::Control>) {
-    let mut again = again::Again::default();
+    let mut pause = pause::Pause::default();
     loop {
         match store.list(ledger::PREFIX).await {
             Ok(found) => {
@@ -59,7 +59,7 @@
                 control.do_send(control::OfferLedgers(values.collect()));
                 return;
             }
-            Err(error) => again.pause("list_failed", ledger::PREFIX, &error).await,
+            Err(error) => pause.wait("list_failed", ledger::PREFIX, &error).await,
         }
     }
 }
@@ -73,9 +73,9 @@
     control: Addr<control::Control>,
 ) {
     let key = format!("{ROUTERS}{vm}");
-    let mut again = again::Again::default();
+    let mut pause = pause::Pause::default();
     while let Err(error) = store.put(&key, address.as_bytes()).await {
-        again.pause("router_record_failed", ROUTERS, &error).await;
+        pause.wait("router_record_failed", ROUTERS, &error).await;
     }
     loop {
         match store.list(ROUTERS).await {
@@ -86,23 +86,23 @@
                 control.do_send(control::OfferSeeds(seeds));
                 return;
             }
-            Err(error) => again.pause("list_failed", ROUTERS, &error).await,
+            Err(error) => pause.wait("list_failed", ROUTERS, &error).await,
         }
     }
 }
 
 async fn follow(store: &store::Client, prefix: &str, mut changed: impl FnMut(&mirror::Mirror)) {
     let mut mirror = mirror::Mirror::default();
-    let mut again = again::Again::default();
+    let mut pause = pause::Pause::default();
     loop {
         match store.list(prefix).await {
             Ok(all) => {
-                mirror.heard(again.succeeded());
+                mirror.heard(pause.succeeded());
                 mirror.replace(all);
                 changed(&mirror);
             }
             Err(error) => {
-                again.pause("list_failed", prefix, &error).await;
+                pause.wait("list_failed", prefix, &error).await;
                 continue;
             }
         }
@@ -116,7 +116,7 @@
             };
             match news {
                 Ok(changes) => {
-                    mirror.heard(again.succeeded());
+                    mirror.heard(pause.succeeded());
                     let news = changes.changes.len();
                     if news > 0 {
                         let revision = changes.revision;
@@ -134,7 +134,7 @@
                     log::info!("event=history_forgotten prefix={prefix}");
                     break;
                 }
-                Err(error) => again.pause("watch_failed", prefix, &error).await,
+                Err(error) => pause.wait("watch_failed", prefix, &error).await,
             }
         }
     }
--- a/src/feed/again.rs
+++ b/src/feed/pause.rs
@@ -7,32 +7,32 @@
 
 /// After a failure the next call waits about this long, twice as long after each further one in a row up to
 /// the limit: refused calls cost the store as well.
-const AGAIN: Duration = Duration::from_millis(250);
-const AGAIN_MAX: Duration = Duration::from_millis(1_000);
+const FIRST: Duration = Duration::from_millis(250);
+const LONGEST: Duration = Duration::from_millis(1_000);
 
 /// The pauses after failures in a row.
 #[derive(Debug)]
-pub struct Again {
+pub struct Pause {
     next: Duration,
     failed: bool,
     refused: bool,
 }
 
-impl Default for Again {
+impl Default for Pause {
     fn default() -> Self {
-        Self { next: AGAIN, failed: false, refused: false }
+        Self { next: FIRST, failed: false, refused: false }
     }
 }
 
-impl Again {
+impl Pause {
     /// Waits after a failure.
-    pub async fn pause(&mut self, event: &str, prefix: &str, error: &store::Error) {
+    pub async fn wait(&mut self, event: &str, prefix: &str, error: &store::Error) {
         let level = if self.failed { log::Level::Debug } else { log::Level::Warn };
         log::log!(level, "event={event} prefix={prefix} fault={}", logging::quoted(error));
         self.failed = true;
         self.refused |= matches!(error, store::Error::Status { .. });
         time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
-        self.next = (self.next * 2).min(AGAIN_MAX);
+        self.next = (self.next * 2).min(LONGEST);
     }
 
     /// Notes a success; tells whether it ends a time in which the store said itself that it does not serve.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -136,8 +136,8 @@
         node::Notice::HolderSilent { vm, budget } => {
             log::warn!("event=holder_silent vm={vm} budget={budget}");
         }
-        node::Notice::SetAside { vm, aside_ms } => {
-            log::info!("event=server_set_aside vm={vm} aside_ms={aside_ms}");
+        node::Notice::Ejected { vm, ejected_ms } => {
+            log::info!("event=server_ejected vm={vm} ejected_ms={ejected_ms}");
         }
         node::Notice::Fenced => log::error!("event=fenced cause=written_off_by_another_router"),
         node::Notice::Unusable(fault) => {
