Wait in two tests for what they take for granted; take back a change made for a false cause

Cause, shown: a_planned_stop_during_an_outage_* counted on grants that had not been drawn. A router that reads the ledger just before the first payment finds the budget empty and looks again after ten seconds.

Ruled out: a lost or written-off grant (0 written off in every run; 2 s later the ledger is as it was).

Changed: both tests of tests/stops.rs that count grants wait until every router has drawn; their assertions are untouched.

--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -132,7 +132,7 @@
 
     /// Whether `due` is worth asking: a cheap look first, since this is asked each tick.
     pub fn may_be_due(&self, now_ms: u64) -> bool {
-        let pressing = self.urgent || self.stale || self.unsettled_index.is_some();
+        let pressing = self.urgent || self.unsettled_index.is_some();
         let looks = pressing || now_ms >= self.looked_ms + LOOK_EVERY_MS;
         looks && matches!(self.state, State::Idle) && now_ms >= self.not_before_ms
     }
--- a/tests/fleet/observe.rs
+++ b/tests/fleet/observe.rs
@@ -17,6 +17,14 @@
         found
     }
 
+    /// Waits until every router has drawn of a budget. One that read the ledger just before the first payment
+    /// looks again after ten seconds.
+    pub fn wait_drawn(&self, workspace: &str) {
+        super::eventually("every router holds a grant", || {
+            self.ledger(workspace).grants.len() == self.routers.len()
+        });
+    }
+
     /// The log as it lies in the store.
     pub fn log(&self) -> log_index::Index {
         let mut index = log_index::Index::default();
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -18,6 +18,7 @@
 fn a_planned_stop_of_a_router_finishes_every_stream_and_returns_its_grants() {
     let mut fleet =
         Fleet::start("stops-router", Options { engine_mode: slow(), ..Options::default() });
+    fleet.wait_drawn("kitchen");
     let body = fleet::completion_body(PROMPT, 60, true);
     let path = "/v1/chat/completions";
     let streams: Vec<_> = (0..5)
@@ -95,6 +96,7 @@
 fn a_planned_stop_during_an_outage_finishes_its_streams_and_ends_once_all_is_handed_back() {
     let mut fleet =
         Fleet::start("stops-outage", Options { engine_mode: slow(), ..Options::default() });
+    fleet.wait_drawn("kitchen");
     let body = fleet::completion_body(PROMPT, 40, true);
     let path = "/v1/chat/completions";
     let callers = fleet.routers[0].callers;
