Split the ledger's writer, the node and the ledger's tests by job

Changed, by moving: ledger_writer/due.rs (when a round is needed), ledger_writer/draft.rs (what it changes; the end of a stopping router is a function of its own), the queue's two types to node/queue.rs, tests of rounds to ledger_rounds.rs with the driver of both in ledger_bench/. No behaviour is meant to change.

--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -4,19 +4,14 @@
 //! write. After a write with no reply the shard is read again: only an index that moved on proves
 //! that the write cannot apply any more.
 
+mod draft;
+mod due;
+
 use crate::{backoff, grants, ids, ledger, store};
 use rand::rngs;
 
-/// The shortest time between two reports of what was served.
-const REPORT_EVERY_MS: u64 = 5_000;
-/// The shortest time between two refills that no request waits for.
-const REFILL_EVERY_MS: u64 = 300;
-/// The same where holders keep a share in hand, which lasts for seconds.
-const SHARE_REFILL_EVERY_MS: u64 = 1_000;
 /// How often the accounts are looked through while nothing is urgent.
 const LOOK_EVERY_MS: u64 = 100;
-/// How often an empty budget is looked at for a payment while no request asks.
-const EMPTY_CHECK_EVERY_MS: u64 = 10_000;
 /// After so many the writer backs off before it writes again.
 const OVERTAKEN_MAX: u32 = 3;
 const BACKOFF_BASE_MS: u64 = 20;
@@ -152,7 +147,7 @@
             // Whoever neither holds nor draws of a shard has no need to know it.
             return accounts.any(|account| account.holder || account.draws || account.has_row);
         }
-        accounts.any(|account| account_due(account, since_ms, context))
+        accounts.any(|account| due::is_due(account, since_ms, context))
     }
 
     /// Starts a round: by a write, if it is known what lies there and something is to be changed, or
@@ -374,114 +369,4 @@
         }
         events
     }
-
-    /// What the shard should become: dead holders closed, surplus returned, grants drawn.
-    fn draft(
-        &mut self,
-        shard: &ledger::Shard,
-        table: &mut grants::Table,
-        context: &Context<'_>,
-    ) -> ledger::Shard {
-        let mut draft = shard.clone();
-        self.dead_in_draft.clear();
-        for slot in table.in_shard(self.shard) {
-            let account = table.account(*slot);
-            if let Some(prepaid) = account.prepaid {
-                draft.set_prepaid(&account.name, prepaid.tokens, prepaid.version);
-            }
-        }
-        for (id, holder) in &shard.holders {
-            if *id != context.holder && (context.gone)(*id, holder) {
-                let written_off_tokens = draft.write_off(*id);
-                self.dead_in_draft.push(Event::ClosedDead { holder: *id, written_off_tokens });
-            }
-        }
-        let mut holds = false;
-        for slot in table.in_shard(self.shard).to_vec() {
-            let account = table.account_mut(slot);
-            self.draft_account(&mut draft, account, context);
-            let budget = draft.budgets.get(&account.name);
-            holds |= budget.is_some_and(|budget| budget.grants.contains_key(&context.holder));
-        }
-        if holds {
-            draft.holders.insert(context.holder, context.description.clone());
-        }
-        draft.forget_empty_holders();
-        draft
-    }
-
-    fn draft_account(
-        &self,
-        draft: &mut ledger::Shard,
-        account: &mut grants::Account,
-        context: &Context<'_>,
-    ) {
-        let name = account.name.clone();
-        // While an earlier write may still apply, `returning_tokens` stays out of reach.
-        let settled = self.unsettled_index.is_none();
-        let drafted = draft.budgets.get(&name);
-        account.overdrawn = drafted.is_some_and(|budget| budget.remaining_tokens().is_none());
-        if context.stopping && settled && account.reserved_tokens == 0 {
-            draft.close(&name, context.holder, account.closing());
-            return;
-        }
-        if context.stopping && settled {
-            // What runs may outlast the stop: what is free must not be lost with it.
-            account.returning_tokens +=
-                draft.give_back(&name, context.holder, account.returnable_tokens());
-        }
-        if context.stopping {
-            return;
-        }
-        let Some(budget) = draft.budgets.get(&name) else { return };
-        let remaining = budget.remaining_tokens().unwrap_or(0);
-        account.remaining_tokens = Some(remaining);
-        account.held_tokens = budget.held_tokens();
-        account.others_rate_tokens_per_s = budget.rate_beside(context.holder);
-        let sharers = match account.settings.holders {
-            0 => context.routers,
-            _ => account.routers,
-        };
-        let drawn = account.draw_tokens(remaining, sharers);
-        if drawn > 0 {
-            draft.draw(&name, context.holder, drawn);
-        } else if settled {
-            let surplus = account.surplus_tokens();
-            account.returning_tokens += draft.give_back(&name, context.holder, surplus);
-        }
-        let Some(budget) = draft.budgets.get_mut(&name) else { return };
-        if account.received_tokens > 0 && account.settings.holders == 0 {
-            // Tokens from another holder are closed through this row, even if it drew none.
-            budget.grants.entry(context.holder).or_default();
-        }
-        if let Some(grant) = budget.grants.get_mut(&context.holder) {
-            grant.consumed_tokens = account.spent_tokens();
-            grant.free_tokens = account.free_tokens() + drawn;
-            grant.rate_tokens_per_s = account.rate_tokens_per_s();
-        }
-    }
-}
-
-fn account_due(account: &grants::Account, since_ms: u64, context: &Context<'_>) -> bool {
-    if context.stopping {
-        let returns = account.returnable_tokens() > 0 && since_ms >= REFILL_EVERY_MS;
-        return account.has_row && (account.reserved_tokens == 0 || returns);
-    }
-    // Who holds nothing in hand hands back what it has, and has nothing to report.
-    let reports = account.holder;
-    let unreported = reports && account.has_row && account.spent_tokens() > account.reported_tokens;
-    let unrowed = !account.has_row && account.received_tokens > 0 && account.settings.holders == 0;
-    let empty = account.remaining_tokens == Some(0);
-    if account.confirm_version > 0 && (account.holder || account.has_row) {
-        return true;
-    }
-    let refill_ms = match account.settings.held_percent {
-        0 => REFILL_EVERY_MS,
-        _ => SHARE_REFILL_EVERY_MS,
-    };
-    (account.wants_draw() && !empty && since_ms >= refill_ms)
-        || (account.surplus_tokens() > 0 && since_ms >= refill_ms)
-        || (account.overdrawn && account.surplus_tokens() > 0)
-        || ((unreported || unrowed) && since_ms >= REPORT_EVERY_MS)
-        || (account.wants_draw() && since_ms >= EMPTY_CHECK_EVERY_MS)
 }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -118,8 +118,8 @@
     requests: slotmap::SlotMap<ids::RequestSlot, Request>,
     by_key: collections::HashMap<ids::RequestKey, ids::RequestSlot>,
     by_attempt: collections::HashMap<ids::AttemptId, ids::RequestSlot>,
-    waiting_servers: collections::BTreeSet<QueuePlace>,
-    drained: collections::HashMap<String, Drain>,
+    waiting_servers: collections::BTreeSet<queue::Place>,
+    drained: collections::HashMap<String, queue::Drain>,
     asks: collections::HashMap<ids::BudgetSlot, Ask>,
     retries: collections::HashMap<String, retry::Budget>,
     /// The most routers that were live at once in this life: those that are cut off still count.
@@ -140,24 +140,6 @@
     counters: Counters,
 }
 
-/// A request's place in the queue for servers: higher priority first, then older first.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct QueuePlace {
-    service: String,
-    priority: std::cmp::Reverse<u8>,
-    since_ms: u64,
-    slot: ids::RequestSlot,
-}
-
-/// How fast a service's queue drains, for `Retry-After`.
-#[derive(Clone, Copy, Debug, Default)]
-struct Drain {
-    window_ms: u64,
-    ended: u64,
-    per_s: u64,
-    dequeued: u64,
-}
-
 impl Node {
     /// A node that knows nothing yet: it serves once it has a configuration.
     pub fn new(settings: Settings, seed: u64, now_ms: u64) -> Self {
@@ -389,14 +371,3 @@
         }
     }
 }
-
-impl Drain {
-    fn measure(&mut self, now_ms: u64) {
-        let elapsed_ms = now_ms.saturating_sub(self.window_ms);
-        if elapsed_ms >= 1_000 {
-            self.per_s = (self.per_s + self.ended * 1_000 / elapsed_ms).div_ceil(2);
-            self.ended = 0;
-            self.window_ms = now_ms;
-        }
-    }
-}
--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -1,15 +1,46 @@
 //! Requests that wait for a server: in order of priority, bounded by length and age.
 
-use super::{Node, QueuePlace, Reason, admit};
+use super::{Node, Reason, admit};
 use crate::ids;
+use std::cmp;
 
 /// Every so many dequeued requests, one of the lowest priority that waits goes first.
 const LOWEST_EVERY: u64 = 10;
 const RETRY_AFTER_MAX_MS: u64 = 30_000;
 
+/// A request's place in the queue for servers: higher priority first, then older first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    pub(super) service: String,
+    pub(super) priority: cmp::Reverse<u8>,
+    pub(super) since_ms: u64,
+    pub(super) slot: ids::RequestSlot,
+}
+
+/// How fast a service's queue drains, for `Retry-After`.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Drain {
+    pub(super) window_ms: u64,
+    pub(super) ended: u64,
+    pub(super) per_s: u64,
+    pub(super) dequeued: u64,
+}
+
+impl Drain {
+    /// Measures anew how fast it drains, once a second.
+    pub(super) fn measure(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.window_ms);
+        if elapsed_ms >= 1_000 {
+            self.per_s = (self.per_s + self.ended * 1_000 / elapsed_ms).div_ceil(2);
+            self.ended = 0;
+            self.window_ms = now_ms;
+        }
+    }
+}
+
 impl Node {
     pub(super) fn tick_waiting_servers(&mut self, now_ms: u64) {
-        let places: Vec<QueuePlace> = self.waiting_servers.iter().cloned().collect();
+        let places: Vec<Place> = self.waiting_servers.iter().cloned().collect();
         for place in &places {
             let Some(request) = self.requests.get(place.slot) else { continue };
             let age_ms = now_ms.saturating_sub(place.since_ms);
@@ -49,9 +80,9 @@
         let Some(request) = self.requests.get(slot) else { return };
         let service = request.wanted.service.clone();
         let most = self.service(&service).map_or(0, |service| service.queue_length);
-        let place = QueuePlace {
+        let place = Place {
             service: service.clone(),
-            priority: std::cmp::Reverse(request.wanted.priority),
+            priority: cmp::Reverse(request.wanted.priority),
             since_ms: now_ms,
             slot,
         };
@@ -62,7 +93,7 @@
     /// Refuses the last in order if too many wait, but never the one that the lowest priority's share
     /// is kept for.
     fn shed(&mut self, service: &str, most: usize, now_ms: u64) {
-        let queue: Vec<&QueuePlace> = self.queue(service).collect();
+        let queue: Vec<&Place> = self.queue(service).collect();
         if queue.len() <= most {
             return;
         }
@@ -74,16 +105,16 @@
         }
     }
 
-    fn queue<'a>(&'a self, service: &'a str) -> impl DoubleEndedIterator<Item = &'a QueuePlace> {
+    fn queue<'a>(&'a self, service: &'a str) -> impl DoubleEndedIterator<Item = &'a Place> {
         self.waiting_servers.iter().filter(move |place| place.service == service)
     }
 
-    fn longest_waiting_of_lowest<'a>(&'a self, service: &'a str) -> Option<&'a QueuePlace> {
+    fn longest_waiting_of_lowest<'a>(&'a self, service: &'a str) -> Option<&'a Place> {
         let lowest = self.queue(service).next_back()?.priority;
         self.queue(service).find(|place| place.priority == lowest)
     }
 
-    fn next_in_queue(&self, service: &str) -> Option<QueuePlace> {
+    fn next_in_queue(&self, service: &str) -> Option<Place> {
         let dequeued = self.drained.get(service).map_or(0, |drain| drain.dequeued);
         if dequeued % LOWEST_EVERY == LOWEST_EVERY - 1 {
             return self.longest_waiting_of_lowest(service).cloned();
--- /dev/null
+++ b/core/tests/ledger_bench/mod.rs
@@ -0,0 +1,150 @@
+//! One writer of the ledger and a store with a single value, driven call by call.
+
+#![allow(dead_code, clippy::unwrap_used, missing_docs)]
+
+use doorswitch_core::{config, grants, ids, ledger, ledger_writer, store};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+pub const OWN: ids::Incarnation = ids::Incarnation(1);
+pub const OTHER: ids::Incarnation = ids::Incarnation(2);
+
+/// One writer, its accounts and a store with a single value, driven by hand.
+pub struct Bench {
+    pub table: grants::Table,
+    pub budget: ids::BudgetSlot,
+    pub writer: ledger_writer::Writer,
+    pub shard: ledger::Shard,
+    pub index: u64,
+    pub now_ms: u64,
+    pub calls: u64,
+    pub rng: StdRng,
+    pub stopping: bool,
+}
+
+/// A write that went out.
+pub struct Sent {
+    pub call: ids::CallId,
+    pub expected_index: u64,
+    pub value: Vec<u8>,
+}
+
+pub fn description() -> ledger::Holder {
+    ledger::Holder { vm: "a".to_owned(), address: "a:1".to_owned(), listed_index: 1 }
+}
+
+pub fn context(
+    description: &ledger::Holder,
+    now_ms: u64,
+    stopping: bool,
+) -> ledger_writer::Context<'_> {
+    ledger_writer::Context {
+        now_ms,
+        holder: OWN,
+        description,
+        routers: 1,
+        stopping,
+        gone: &|_, _| false,
+    }
+}
+
+impl Bench {
+    pub fn new(paid_tokens: u64) -> Self {
+        let mut table = grants::Table::new(1);
+        let cover =
+            config::Cover { cover_s: 10, minimum_grant_tokens: 1_000, held_percent: 0, holders: 0 };
+        let budget = table.declare("w/main", cover, 0);
+        let mut shard = ledger::Shard::default();
+        shard.pay("w/main", "first", paid_tokens).unwrap();
+        Self {
+            table,
+            budget,
+            writer: ledger_writer::Writer::new(0),
+            shard,
+            index: 1,
+            now_ms: 1_000,
+            calls: 0,
+            rng: StdRng::seed_from_u64(1),
+            stopping: false,
+        }
+    }
+
+    pub fn account(&self) -> &grants::Account {
+        self.table.account(self.budget)
+    }
+
+    pub fn reply(
+        &mut self,
+        call: ids::CallId,
+        reply: store::Reply,
+    ) -> (Option<Sent>, Vec<ledger_writer::Event>) {
+        let description = description();
+        let context = context(&description, self.now_ms, self.stopping);
+        let (write, events) =
+            self.writer.reply(call, reply, &mut self.table, &context, &mut self.rng);
+        self.calls += 1;
+        let call = ids::CallId(1_000 + self.calls);
+        let sent = write.map(|(expected_index, value)| Sent { call, expected_index, value });
+        if sent.is_some() {
+            self.writer.writing(call);
+        }
+        (sent, events)
+    }
+
+    /// Starts a round, by a read unless the writer knows what it would read; returns the write that
+    /// follows.
+    pub fn read(&mut self) -> (Option<Sent>, Vec<ledger_writer::Event>) {
+        self.now_ms += 10_000;
+        self.calls += 1;
+        let call = ids::CallId(self.calls);
+        if let store::Request::Write { expected_index, value, .. } = self.start(call) {
+            return (Some(Sent { call, expected_index, value }), Vec::new());
+        }
+        let found = store::Reply::Found { index: self.index, value: self.shard.encode() };
+        self.reply(call, found)
+    }
+
+    /// Starts a round; returns the first call.
+    pub fn start(&mut self, call: ids::CallId) -> store::Request {
+        let description = description();
+        let context = context(&description, self.now_ms, self.stopping);
+        self.writer.start(call, &mut self.table, &context)
+    }
+
+    /// The store takes a write, now or late.
+    pub fn apply(&mut self, sent: &Sent) -> store::Reply {
+        if sent.expected_index != self.index {
+            return store::Reply::Conflict;
+        }
+        self.shard = ledger::Shard::decode(&sent.value).unwrap();
+        self.index += 1;
+        store::Reply::Written
+    }
+
+    /// A round that works.
+    pub fn round(&mut self) {
+        if let (Some(sent), _) = self.read() {
+            let reply = self.apply(&sent);
+            self.reply(sent.call, reply);
+        }
+    }
+
+    /// Makes the router hold far more than it wants.
+    pub fn with_surplus() -> Self {
+        let mut bench = Self::new(100_000);
+        bench.table.account_mut(bench.budget).shortage_tokens = 20_000;
+        bench.round();
+        bench.table.account_mut(bench.budget).shortage_tokens = 0;
+        assert!(bench.account().free_tokens() >= 20_000);
+        bench
+    }
+
+    pub fn held_in_store(&self) -> u64 {
+        self.shard.budgets["w/main"].grants.get(&OWN).map_or(0, |grant| grant.granted_tokens)
+    }
+
+    /// The promise: what can be spent here is never more than the store has granted.
+    pub fn assert_safe(&self) {
+        assert!(self.account().free_tokens() <= self.held_in_store());
+    }
+}
