--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -96,6 +96,7 @@
         budget_wait_ms: 500,
         claim_wait_ms: 3_000,
         handover_wait_ms: 1_000,
+        watch: None,
     }
 }
 
@@ -186,8 +187,7 @@
     message::Gossip {
         from: record(number),
         kind: message::GossipKind::Ack,
-        config_version: 1,
-        vms_index: 1,
+        digest: message::Digest { config_version: 1, ..Default::default() },
         news: Vec::new(),
         leaving: Vec::new(),
     }
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -211,6 +211,7 @@
         budget_wait_ms: 500,
         claim_wait_ms: 3_000,
         handover_wait_ms: 0,
+        watch: None,
     };
     let mut node = node::Node::new(settings, 3 + router as u64, 0);
     let vms = (0..Engines::len()).map(|server| servers::Vm {
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -50,6 +50,8 @@
         /// What was counted as spent without a report of it.
         written_off_tokens: u64,
     },
+    /// These other lives hold grants in the shard, at these addresses.
+    Holders(Vec<(ids::Incarnation, String)>),
     /// The value in the store is unusable; nothing is drawn.
     Unusable(String),
 }
@@ -367,6 +369,11 @@
                 account.confirm_version = 0;
             }
         }
+        let others = shard.holders.iter().filter(|(id, _)| **id != context.holder);
+        let others: Vec<_> = others.map(|(id, holder)| (*id, holder.address.clone())).collect();
+        if !others.is_empty() {
+            events.push(Event::Holders(others));
+        }
         events
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod routes;
 pub mod servers;
 pub mod store;
+pub mod watch;
--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -13,6 +13,8 @@
 
 /// The time between two probes.
 pub const PROBE_EVERY_MS: u64 = 500;
+/// The same while no other router is known: a seed may be about to start.
+const PROBE_LONELY_EVERY_MS: u64 = 100;
 /// How long a probe may stay unanswered.
 const PROBE_TIMEOUT_MS: u64 = 400;
 /// Probes that stay unanswered before a member is suspected.
@@ -88,11 +90,14 @@
     next_probe_ms: u64,
     probes: u64,
     next_seed: usize,
+    /// Whether others look for this router first.
+    is_seed: bool,
 }
 
 impl Table {
     /// A table that knows only this router and some addresses to try.
     pub fn new(own: Record, seeds: Vec<String>) -> Self {
+        let is_seed = seeds.contains(&own.address);
         let seeds: Vec<String> = seeds.into_iter().filter(|seed| *seed != own.address).collect();
         Self {
             own,
@@ -104,6 +109,7 @@
             next_probe_ms: 0,
             probes: 0,
             next_seed: 0,
+            is_seed,
         }
     }
 
@@ -130,6 +136,24 @@
         }
     }
 
+    /// Whether a router that has just started may learn all it needs from a seed.
+    pub fn asks_seeds(&self) -> bool {
+        !self.is_seed && !self.seeds.is_empty()
+    }
+
+    /// Takes in all that another member takes to be live.
+    pub fn learn_all(&mut self, records: Vec<Record>, now_ms: u64) {
+        for record in records {
+            let id = record.id;
+            let known = self.members.contains_key(&id);
+            self.learn(record, now_ms);
+            // Whoever asks for all of them gets it: nothing to pass on one by one.
+            if let Some(member) = self.members.get_mut(&id).filter(|_| !known) {
+                member.news_left = 0;
+            }
+        }
+    }
+
     /// All records but this router's own.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.members.values().map(|member| &member.record)
@@ -165,9 +189,11 @@
         if now_ms < self.next_probe_ms {
             return None;
         }
-        self.next_probe_ms = now_ms + PROBE_EVERY_MS;
+        let lonely = self.live().next().is_none();
+        let every_ms = if lonely { PROBE_LONELY_EVERY_MS } else { PROBE_EVERY_MS };
+        self.next_probe_ms = now_ms + every_ms;
         self.probes += 1;
-        if self.probes.is_multiple_of(PROBE_DEAD_EVERY) || self.live().next().is_none() {
+        if self.probes.is_multiple_of(PROBE_DEAD_EVERY) || lonely {
             return self.probe_lost(rng);
         }
         self.probe_live(now_ms, rng)
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -1,10 +1,10 @@
 //! What routers say to each other. Every frame carries [`PROTOCOL`]; another one is not decoded.
 
-use crate::{ids, log_index, members, servers};
+use crate::{ids, log_index, members, servers, watch};
 use serde::{Deserialize, Serialize};
 
 /// The version of these types. It changes with every change of their layout.
-pub const PROTOCOL: u16 = 3;
+pub const PROTOCOL: u16 = 4;
 
 /// A message with its sender and the life that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,18 +93,30 @@
     Config {
         /// Its version.
         version: u64,
+        /// What the sender's copy stands for.
+        seen: Seen,
         /// The store's value.
         value: Vec<u8>,
     },
-    /// Asks for the list of VMs, because the platform gives none.
+    /// Asks for the list of VMs, because the platform gives none or too much was missed.
     VmsAsk,
     /// The list of VMs as the sender knows it.
     Vms {
-        /// Its index.
-        index: u64,
+        /// What the sender's copy stands for; the revision is the list's index.
+        seen: Seen,
         /// The VMs.
         vms: Vec<servers::Vm>,
     },
+    /// Asks for the routers that the receiver knows.
+    MembersAsk,
+    /// The routers that the sender takes to be live.
+    Members(Vec<members::Record>),
+    /// The sender read a shard of the ledger in which an earlier life at the receiver's address still holds
+    /// grants. Only the present life there can tell for sure that the earlier one is over.
+    LeftBehind {
+        /// The shard of the ledger.
+        shard: u32,
+    },
 }
 
 impl Message {
@@ -128,25 +140,52 @@
 pub struct Gossip {
     /// The sender, as it describes itself.
     pub from: members::Record,
-    /// A question, or the answer to one.
+    /// A question, the answer to one, or news that want no answer.
     pub kind: GossipKind,
-    /// The configuration version in force at the sender.
-    pub config_version: u64,
-    /// The index of the list of VMs that the sender follows.
-    pub vms_index: u64,
+    /// What the sender knows of the store.
+    pub digest: Digest,
     /// What the sender heard lately of some others.
     pub news: Vec<members::Record>,
     /// Backend server VMs that are leaving, with the index of the list that said so.
     pub leaving: Vec<Leaving>,
 }
 
-/// Which half of a probe a datagram is.
+/// Whether a datagram is half of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GossipKind {
     /// Wants an answer.
     Ping,
     /// Is one.
     Ack,
+    /// Passes news on.
+    Push,
+}
+
+/// What a router's copy of something in the store stands for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The store's revision; 0 if there is no copy.
+    pub revision: u64,
+    /// How long before the datagram was sent the copy held all that the store had, in milliseconds; `None` if
+    /// that is not known.
+    pub age_ms: Option<u64>,
+}
+
+/// What a router knows of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The configuration version in force.
+    pub config_version: u64,
+    /// What the copy of the configuration stands for.
+    pub configuration: Seen,
+    /// What the copy of the list of VMs stands for.
+    pub servers: Seen,
+    /// `changes` are all changes of servers' records after this revision, up to the copy's.
+    pub changes_after: u64,
+    /// The latest changes, the oldest first.
+    pub changes: Vec<watch::ServerChange>,
+    /// How many routers are known, with the sender.
+    pub routers: u64,
 }
 
 /// What one datagram carries.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -13,9 +13,11 @@
 mod platform;
 mod questions;
 mod queue;
+mod relay;
 mod settle;
 mod tokens;
 mod types;
+mod watching;
 
 pub use types::*;
 
@@ -129,8 +131,9 @@
     outage: outage::Outage,
     /// VMs that are missing from the platform's list and may be back soon.
     lapsed: Vec<servers::Vm>,
-    /// Shards of the ledger where an earlier life at this address left something.
-    inherited: Vec<u32>,
+    /// How the store's news are followed; `None` where the shell follows them.
+    watching: Option<watching::Watching>,
+    relay: relay::Relay,
     started_ms: u64,
     calls: collections::HashMap<ids::CallId, Purpose>,
     next_call: u64,
@@ -152,6 +155,7 @@
             health: members::Health::Alive,
         };
         let members = members::Table::new(own, settings.seeds.clone());
+        let watching = settings.watch.map(|bounds| watching::Watching::new(bounds, now_ms));
         let reads = limiter::Limiter::new(settings.platform_reads_per_s, 50, now_ms);
         let writes = limiter::Limiter::new(settings.platform_writes_per_s, 5, now_ms);
         Self {
@@ -183,7 +187,8 @@
             holders: Default::default(),
             outage: Default::default(),
             lapsed: Vec::new(),
-            inherited: Vec::new(),
+            watching,
+            relay: relay::Relay::default(),
             started_ms: now_ms,
             calls: Default::default(),
             next_call: 0,
@@ -242,6 +247,7 @@
     /// Runs every system once.
     pub fn tick(&mut self, now_ms: u64) {
         self.tick_members(now_ms);
+        self.tick_watching(now_ms);
         self.tick_rates(now_ms);
         self.tick_waiting_budget(now_ms);
         self.tick_waiting_servers(now_ms);
@@ -357,8 +363,10 @@
     fn push_store(&mut self, call: ids::CallId, request: store::Request) {
         if request.is_write() {
             self.counters.platform_writes += 1;
+            self.count_call(CallPurpose::LedgerWrite, CallOutcome::Sent);
         } else {
             self.counters.platform_reads += 1;
+            self.count_call(CallPurpose::LedgerRead, CallOutcome::Sent);
         }
         self.actions.push(Action::Store { call, request });
     }
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -1,7 +1,7 @@
 //! What the platform and peers tell of the world: configurations, lists of VMs, what earlier lives left.
 
 use super::{Action, Lifecycle, Node, ROUTER_SERVICE};
-use crate::{config, grants, ids, ledger, ledger_writer, log_writer, servers};
+use crate::{config, grants, ids, ledger_writer, log_writer, servers};
 
 impl Node {
     /// Takes over a configuration, if it is newer than the one in force.
@@ -36,33 +36,8 @@
         true
     }
 
-    /// Takes the ledger's values as they were found at the start: the shards where an earlier life at this
-    /// address left something are read, so that it is written off.
-    pub fn offer_ledgers<'a>(&mut self, values: impl Iterator<Item = (&'a str, &'a [u8])>) {
-        let address = &self.settings.address;
-        let inherits = |(key, value): (&str, &[u8])| {
-            let shard = ledger::Shard::decode(value).ok()?;
-            let left = shard.holders.values().any(|holder| holder.address == *address);
-            ledger::shard_at(key).filter(|_| left)
-        };
-        self.inherited.extend(values.filter_map(inherits));
-        self.read_inherited();
-    }
-
-    fn read_inherited(&mut self) {
-        if self.ledgers.is_empty() {
-            return;
-        }
-        for shard in std::mem::take(&mut self.inherited) {
-            if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
-                ledger.poke();
-            }
-        }
-    }
-
     /// A new configuration may change what is paid in, which concerns who holds something in hand.
     fn poke_ledgers_for_config(&mut self) {
-        self.read_inherited();
         for (shard, ledger) in self.ledgers.iter_mut().enumerate() {
             let mut slots = self.grants.in_shard(shard as u32).iter();
             let held = |slot: &ids::BudgetSlot| {
@@ -97,15 +72,7 @@
         }
     }
 
-    /// Follows a peer's list of VMs, if it is newer than what is known here.
-    pub(super) fn hear_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
-        if index > self.vms_index {
-            self.lapsed.clear();
-            self.follow_vms(index, vms);
-        }
-    }
-
-    fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
+    pub(super) fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
         self.vms_index = index;
         for vm in vms.iter().filter(|vm| vm.state == servers::VmState::Leaving) {
             self.leaving.entry(vm.vm.clone()).or_insert(index);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between routers.
 
 use super::{Action, Node};
-use crate::{config, ids, log_index, log_writer, members, message, outbox, servers};
+use crate::{ids, log_index, log_writer, members, message, outbox, servers};
 
 /// After this long without the platform's list of VMs, peers are asked for theirs.
 const PLATFORM_SILENT_MS: u64 = 3_000;
@@ -44,14 +44,17 @@
                 self.holder_has_none(&budget, number, certain, now_ms);
                 self.note_answer(from, &budget, now_ms);
             }
-            message::Message::ConfigAsk => self.send_config(from),
-            message::Message::Config { value, .. } => self.take_config(&value, now_ms),
-            message::Message::VmsAsk => {
-                let mut vms: Vec<servers::Vm> = self.vms.values().cloned().collect();
-                vms.sort_by(|one, other| one.vm.cmp(&other.vm));
-                self.send(from, message::Message::Vms { index: self.vms_index, vms });
+            message::Message::ConfigAsk => self.send_config(from, now_ms),
+            message::Message::Config { seen, value, .. } => self.take_config(seen, &value, now_ms),
+            message::Message::VmsAsk => self.send_vms(from, now_ms),
+            message::Message::Vms { seen, vms } => self.hear_vms(seen, vms, now_ms),
+            message::Message::MembersAsk => self.send_members(from),
+            message::Message::Members(records) => self.members.learn_all(records, now_ms),
+            message::Message::LeftBehind { shard } => {
+                if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
+                    ledger.poke();
+                }
             }
-            message::Message::Vms { index, vms } => self.hear_vms(index, vms),
         }
     }
 
@@ -61,34 +64,43 @@
         for leaving in &gossip.leaving {
             self.hear_leaving(leaving);
         }
-        if gossip.config_version > self.config_version() {
-            self.send(gossip.from.id, message::Message::ConfigAsk);
-        }
-        let silent_ms = now_ms.saturating_sub(self.vms_heard_ms);
-        if gossip.vms_index > self.vms_index && silent_ms >= PLATFORM_SILENT_MS {
-            self.send(gossip.from.id, message::Message::VmsAsk);
+        match self.watching {
+            Some(_) => self.hear_digest(gossip.from.id, &gossip.digest, now_ms),
+            None => self.ask_for_newer(gossip, now_ms),
         }
         if gossip.kind == message::GossipKind::Ping {
             let mut news = self.members.news();
             if news.is_empty() {
                 news = self.members.sample(&mut self.rng);
             }
-            self.push_gossip(gossip.from.address.clone(), message::GossipKind::Ack, news);
+            self.push_gossip(gossip.from.address.clone(), message::GossipKind::Ack, news, now_ms);
+        }
+    }
+
+    /// Where the shell follows the platform: asks for what a peer knows better.
+    fn ask_for_newer(&mut self, gossip: &message::Gossip, now_ms: u64) {
+        if gossip.digest.config_version > self.config_version() {
+            self.send(gossip.from.id, message::Message::ConfigAsk);
+        }
+        let silent_ms = now_ms.saturating_sub(self.vms_heard_ms);
+        let newer = gossip.digest.servers.revision > self.vms_index;
+        if newer && silent_ms >= PLATFORM_SILENT_MS {
+            self.send(gossip.from.id, message::Message::VmsAsk);
         }
     }
 
     pub(super) fn tick_members(&mut self, now_ms: u64) {
         if let Some(probe) = self.members.tick(now_ms, &mut self.rng) {
             let news = self.members.news();
-            self.push_gossip(probe.address, message::GossipKind::Ping, news);
+            self.push_gossip(probe.address, message::GossipKind::Ping, news, now_ms);
         }
     }
 
-    pub(super) fn announce_leaving(&mut self, _now_ms: u64) {
+    pub(super) fn announce_leaving(&mut self, now_ms: u64) {
         let addresses: Vec<String> =
             self.members.live().take(8).map(|record| record.address.clone()).collect();
         for address in addresses {
-            self.push_gossip(address, message::GossipKind::Ping, Vec::new());
+            self.push_gossip(address, message::GossipKind::Ping, Vec::new(), now_ms);
         }
     }
 
@@ -126,11 +138,12 @@
         self.actions.push(Action::Send { address, envelope });
     }
 
-    fn push_gossip(
+    pub(super) fn push_gossip(
         &mut self,
         address: String,
         kind: message::GossipKind,
-        news: Vec<crate::members::Record>,
+        news: Vec<members::Record>,
+        now_ms: u64,
     ) {
         let leaving = self
             .leaving
@@ -140,8 +153,7 @@
         let gossip = message::Gossip {
             from: self.members.own().clone(),
             kind,
-            config_version: self.config_version(),
-            vms_index: self.vms_index,
+            digest: self.digest(now_ms),
             news,
             leaving: leaving.collect(),
         };
@@ -251,17 +263,4 @@
         self.tick_waiting_budget(now_ms);
     }
 
-    fn send_config(&mut self, to: ids::Incarnation) {
-        let Some(published) = &self.config else { return };
-        // What was decoded from JSON can be encoded to it.
-        let value = serde_json::to_vec(published).unwrap_or_default();
-        let version = published.version;
-        self.send(to, message::Message::Config { version, value });
-    }
-
-    fn take_config(&mut self, value: &[u8], now_ms: u64) {
-        if let Ok(published) = serde_json::from_slice::<config::Published>(value) {
-            self.offer_config(published, now_ms);
-        }
-    }
 }
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform's store, within this router's share of its rates.
 
-use super::{Action, Lifecycle, Node, Notice, Purpose};
+use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice, Purpose};
 use crate::{ids, ledger, ledger_writer, store};
 
 impl Node {
@@ -8,9 +8,13 @@
     pub fn store_reply(&mut self, call: ids::CallId, reply: store::Reply, now_ms: u64) {
         let Some(purpose) = self.calls.remove(&call) else { return };
         match reply {
-            store::Reply::Unknown => self.counters.platform_unknown += 1,
+            store::Reply::Unknown => {
+                self.counters.platform_unknown += 1;
+                self.count_call(CallPurpose::Ledger, CallOutcome::Silent);
+            }
             store::Reply::Conflict | store::Reply::Overtaken { .. } => {
                 self.counters.platform_conflicts += 1;
+                self.count_call(CallPurpose::LedgerWrite, CallOutcome::Overtaken);
             }
             _ => {}
         }
@@ -136,6 +140,9 @@
                 let notice = Notice::ClosedDead { holder, written_off_tokens };
                 self.actions.push(Action::Notice(notice));
             }
+            ledger_writer::Event::Holders(holders) => {
+                self.tell_successors(shard as u32, &holders);
+            }
             ledger_writer::Event::Unusable(fault) => {
                 self.actions.push(Action::Notice(Notice::Unusable(fault)));
             }
--- /dev/null
+++ b/core/src/node/relay.rs
@@ -0,0 +1,246 @@
+//! How news of the store travels between routers.
+//!
+//! Every datagram tells what the sender knows of the store, how old that is, and the latest changes. Whoever
+//! learns something by it passes it on to a few members drawn at random, so that news reach all routers
+//! after a few steps, whichever of them fail. What a datagram does not hold is asked for over a connection.
+
+use super::{Action, Node};
+use crate::{ids, members, message, watch};
+use rand::seq::IndexedRandom;
+use std::collections;
+
+/// Members that news is passed on to. With four, 98 in 100 hear it by the push itself, the others by the next one
+/// or by a probe.
+const FANOUT: usize = 4;
+/// The most changes in one datagram; at about 150 bytes each they stay below its size.
+const CHANGES_MAX: usize = 16;
+/// Changes are repeated for so long, so that a lost datagram costs no question.
+const CHANGES_KEPT_MS: u64 = 3_000;
+/// A question to a peer that stays unanswered is asked again, of whoever knows, after this long.
+const ASK_AGAIN_MS: u64 = 400;
+/// How often a router asks for members that a peer knows and it does not.
+const MEMBERS_ASK_MS: u64 = 1_000;
+/// Views of a fleet differ by one part in so many while members come and go.
+const MEMBERS_SLACK: u64 = 16;
+
+/// What passing news on has to remember.
+#[derive(Debug, Default)]
+pub(super) struct Relay {
+    /// Whether something was learned that others should know.
+    pub(super) push_due: bool,
+    /// The latest changes of servers' records, with the time when they were heard.
+    changes: collections::VecDeque<(u64, watch::ServerChange)>,
+    /// They are all changes after this revision.
+    changes_after: u64,
+    asked_config_ms: Option<u64>,
+    asked_vms_ms: Option<u64>,
+    asked_members_ms: Option<u64>,
+}
+
+impl Relay {
+    /// Notes a change that was applied.
+    pub(super) fn note_change(&mut self, change: watch::ServerChange, now_ms: u64) {
+        self.changes.push_back((now_ms, change));
+        while self.changes.len() > CHANGES_MAX {
+            self.drop_oldest();
+        }
+    }
+
+    /// Notes that the copy was replaced by one that stands for `revision`.
+    pub(super) fn restart_changes(&mut self, revision: u64) {
+        self.changes.clear();
+        self.changes_after = revision;
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((_, change)) = self.changes.pop_front() {
+            self.changes_after = self.changes_after.max(change.revision);
+        }
+    }
+
+    fn forget_old(&mut self, now_ms: u64) {
+        while self.changes.front().is_some_and(|(at_ms, _)| now_ms >= at_ms + CHANGES_KEPT_MS) {
+            self.drop_oldest();
+        }
+    }
+}
+
+impl Node {
+    /// What this router knows of the store.
+    pub(super) fn digest(&self, now_ms: u64) -> message::Digest {
+        let seen = |watched: &watch::Watch| message::Seen {
+            revision: watched.revision(),
+            age_ms: watched.age_ms(now_ms),
+        };
+        let configuration = self.watching.as_ref().map(|it| seen(&it.configuration));
+        let servers = self.watching.as_ref().map(|it| seen(&it.servers));
+        message::Digest {
+            config_version: self.config_version(),
+            configuration: configuration.unwrap_or_default(),
+            servers: message::Seen { revision: self.vms_index, ..servers.unwrap_or_default() },
+            changes_after: self.relay.changes_after,
+            changes: self.relay.changes.iter().map(|(_, change)| change.clone()).collect(),
+            routers: self.members.live_count(),
+        }
+    }
+
+    /// Takes in what a peer knows of the store.
+    pub(super) fn hear_digest(
+        &mut self,
+        from: ids::Incarnation,
+        digest: &message::Digest,
+        now_ms: u64,
+    ) {
+        let Some(watching) = &mut self.watching else { return };
+        watching.heard_ms = Some(now_ms);
+        self.hear_servers(from, digest, now_ms);
+        self.hear_configuration(from, digest, now_ms);
+        self.ask_members(from, digest.routers, now_ms);
+    }
+
+    fn hear_servers(&mut self, from: ids::Incarnation, digest: &message::Digest, now_ms: u64) {
+        let news = digest.servers.revision > self.vms_index;
+        if news && self.vms_index > 0 && digest.changes_after <= self.vms_index {
+            let known = self.vms_index;
+            let changes = digest.changes.iter().filter(|change| change.revision > known);
+            self.apply_changes(digest.servers.revision, changes.cloned().collect(), now_ms);
+            self.relay.push_due |= self.passes_on();
+        }
+        if digest.servers.revision > self.vms_index {
+            if may_ask(&mut self.relay.asked_vms_ms, ASK_AGAIN_MS, now_ms) {
+                self.send(from, message::Message::VmsAsk);
+            }
+            return;
+        }
+        let index = self.vms_index;
+        let seen = message::Seen { revision: index, ..digest.servers };
+        self.confirm(watch::Topic::Servers, seen, now_ms);
+    }
+
+    fn hear_configuration(
+        &mut self,
+        from: ids::Incarnation,
+        digest: &message::Digest,
+        now_ms: u64,
+    ) {
+        if digest.config_version > self.config_version() {
+            if may_ask(&mut self.relay.asked_config_ms, ASK_AGAIN_MS, now_ms) {
+                self.send(from, message::Message::ConfigAsk);
+            }
+            return;
+        }
+        let same = digest.config_version == self.config_version();
+        let revision = if same { digest.configuration.revision } else { 0 };
+        let seen = message::Seen { revision, ..digest.configuration };
+        self.confirm(watch::Topic::Configuration, seen, now_ms);
+    }
+
+    /// Takes in that this router's copy held all that the store had, as a peer's does.
+    pub(super) fn confirm(&mut self, topic: watch::Topic, seen: message::Seen, now_ms: u64) {
+        let passes_on = self.passes_on();
+        let Some(watching) = &mut self.watching else { return };
+        let watched = match topic {
+            watch::Topic::Configuration => &mut watching.configuration,
+            watch::Topic::Servers => &mut watching.servers,
+        };
+        watched.adopt(seen.revision);
+        let Some(age_ms) = seen.age_ms else { return };
+        let gained_ms = watched.confirm(seen.revision, now_ms.saturating_sub(age_ms));
+        self.relay.push_due |= passes_on && gained_ms >= watched.notable_ms();
+    }
+
+    /// Whether routers hear news from each other; in a small fleet each one asks the store.
+    fn passes_on(&self) -> bool {
+        self.watching.as_ref().is_some_and(|it| it.duty != watch::Duty::EveryRouter)
+    }
+
+    /// Passes news on, if there are any.
+    pub(super) fn push_news(&mut self, now_ms: u64) {
+        self.relay.forget_old(now_ms);
+        if !std::mem::take(&mut self.relay.push_due) || !self.passes_on() {
+            return;
+        }
+        let alive = self.members.live().filter(|record| record.health == members::Health::Alive);
+        let alive: Vec<&str> = alive.map(|record| record.address.as_str()).collect();
+        let chosen: Vec<String> =
+            alive.sample(&mut self.rng, FANOUT).map(|address| (*address).to_owned()).collect();
+        for address in chosen {
+            let news = self.members.news();
+            self.push_gossip(address, message::GossipKind::Push, news, now_ms);
+        }
+    }
+
+    fn ask_members(&mut self, from: ids::Incarnation, routers: u64, now_ms: u64) {
+        let known = self.members.live_count();
+        let more = routers > known + (known / MEMBERS_SLACK).max(1);
+        if more && may_ask(&mut self.relay.asked_members_ms, MEMBERS_ASK_MS, now_ms) {
+            self.send(from, message::Message::MembersAsk);
+        }
+    }
+
+    pub(super) fn send_members(&mut self, to: ids::Incarnation) {
+        let records = self.members.live().cloned().collect();
+        self.send(to, message::Message::Members(records));
+    }
+
+    pub(super) fn send_vms(&mut self, to: ids::Incarnation, now_ms: u64) {
+        let mut vms: Vec<_> = self.vms.values().cloned().collect();
+        vms.sort_by(|one, other| one.vm.cmp(&other.vm));
+        let seen = self.digest(now_ms).servers;
+        self.send(to, message::Message::Vms { seen, vms });
+    }
+
+    pub(super) fn send_config(&mut self, to: ids::Incarnation, now_ms: u64) {
+        let Some(published) = &self.config else { return };
+        // What was decoded from JSON can be encoded to it.
+        let value = serde_json::to_vec(published).unwrap_or_default();
+        let version = published.version;
+        let seen = self.digest(now_ms).configuration;
+        self.send(to, message::Message::Config { version, seen, value });
+    }
+
+    pub(super) fn take_config(&mut self, seen: message::Seen, value: &[u8], now_ms: u64) {
+        self.relay.asked_config_ms = None;
+        match serde_json::from_slice::<crate::config::Published>(value) {
+            Ok(published) => {
+                let version = published.version;
+                self.offer_config(published, now_ms);
+                if version == self.config_version() {
+                    self.relay.push_due |= self.passes_on();
+                    self.confirm(watch::Topic::Configuration, seen, now_ms);
+                }
+            }
+            Err(fault) => {
+                let notice = super::Notice::Unusable(format!("a peer's configuration: {fault}"));
+                self.actions.push(Action::Notice(notice));
+            }
+        }
+    }
+
+    /// Follows a peer's list of VMs, if it is newer than what is known here.
+    pub(super) fn hear_vms(
+        &mut self,
+        seen: message::Seen,
+        vms: Vec<crate::servers::Vm>,
+        now_ms: u64,
+    ) {
+        self.relay.asked_vms_ms = None;
+        if seen.revision <= self.vms_index {
+            return;
+        }
+        self.lapsed.clear();
+        self.relay.restart_changes(seen.revision);
+        self.follow_vms(seen.revision, vms);
+        self.relay.push_due |= self.passes_on();
+        self.confirm(watch::Topic::Servers, seen, now_ms);
+    }
+}
+
+/// Whether a question may be asked now; notes that it is.
+fn may_ask(asked_ms: &mut Option<u64>, again_ms: u64, now_ms: u64) -> bool {
+    if asked_ms.is_some_and(|at_ms| now_ms < at_ms + again_ms) {
+        return false;
+    }
+    *asked_ms = Some(now_ms);
+    true
+}
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -1,6 +1,6 @@
 //! What goes into a node and what comes out of it.
 
-use crate::{ids, log_index, message, servers, store};
+use crate::{ids, log_index, message, servers, store, watch};
 use serde::Serialize;
 
 /// The service name under which the platform lists the routers' own VMs.
@@ -27,6 +27,8 @@
     pub platform_reads_per_s: u64,
     /// Writes that the platform takes from all callers together.
     pub platform_writes_per_s: u64,
+    /// How soon news of the store must be in force, if the core is to follow them; `None` if the shell does.
+    pub watch: Option<watch::Bounds>,
     /// How long a request may wait for tokens from the store or from peers.
     pub budget_wait_ms: u64,
     /// How long a request may wait for its claim.
@@ -178,6 +180,10 @@
         /// The call.
         request: store::Request,
     },
+    /// Asks the store for news; exactly one [`super::Node::watched`] must follow.
+    Watch(watch::Call),
+    /// Records this router's address in the store, and offers those that others recorded as seeds.
+    Announce,
     /// Sends to a peer; may get lost.
     Send {
         /// The receiver's address.
@@ -229,6 +235,18 @@
         /// The budget that it was asked for.
         budget: String,
     },
+    /// A server's record went while the store was away; it is kept for so long.
+    ItemLapsed {
+        /// The server's VM.
+        vm: String,
+        /// For how long.
+        kept_ms: u64,
+    },
+    /// This router's part in following the store changed.
+    WatchDuty {
+        /// What it is now.
+        duty: watch::Duty,
+    },
     /// A server failed several times in a row and gets nothing for a while.
     Ejected {
         /// The server's VM.
@@ -245,6 +263,41 @@
     },
 }
 
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum CallPurpose {
+    WatchConfiguration,
+    WatchServers,
+    /// Recording this router's address and listing the others'.
+    Announce,
+    LedgerRead,
+    LedgerWrite,
+    /// A read or a write of the ledger.
+    Ledger,
+}
+
+/// What became of a call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallOutcome {
+    /// It went out; how it ended is counted apart.
+    Sent,
+    /// It brought news.
+    News,
+    /// It ended without any.
+    Empty,
+    /// The history that it asked for is gone.
+    Forgotten,
+    /// The store said that it does not serve.
+    Refused,
+    /// No answer came.
+    Silent,
+    /// Another router's write came first.
+    Overtaken,
+}
+
 /// Counts since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 #[allow(missing_docs)]
@@ -256,6 +309,8 @@
     pub not_run: u64,
     pub replayed: u64,
     pub refused: std::collections::BTreeMap<Reason, u64>,
+    #[serde(skip)]
+    pub store_calls: std::collections::BTreeMap<(CallPurpose, CallOutcome), u64>,
     pub consumed_tokens: u64,
     pub written_off_tokens: u64,
     pub overrun_tokens: u64,
--- /dev/null
+++ b/core/src/node/watching.rs
@@ -0,0 +1,310 @@
+//! Who asks the store for news, and what becomes of its answers.
+
+use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice};
+use crate::{ids, members, servers, watch};
+use std::collections;
+
+/// How long a router that has just started asks peers only. A peer answers within milliseconds;
+/// in a fleet that starts as a whole the seeds need about so long to start and read the store.
+const JOIN_MS: u64 = 1_000;
+/// Until then a router's view of the fleet is too small to tell who watches.
+const SETTLE_MS: u64 = 3_000;
+/// How often a router looks whether it watches.
+const LOOK_EVERY_MS: u64 = 500;
+/// Records that went while the store was away are kept for so long after its return: servers that live are back
+/// in its list within about two seconds. The store may have turned this router alone away while servers left,
+/// so this stays well below the two seconds after which such a server must get nothing new.
+const LAPSED_KEPT_MS: u64 = 1_400;
+
+/// What following the store has to remember.
+#[derive(Debug)]
+pub(super) struct Watching {
+    pub(super) configuration: watch::Watch,
+    pub(super) servers: watch::Watch,
+    pub(super) duty: watch::Duty,
+    looked_ms: u64,
+    /// Whether this router has recorded in the store where peers reach it.
+    announced: bool,
+    /// When a peer was last heard.
+    pub(super) heard_ms: Option<u64>,
+    /// Until when a record that lapsed is kept.
+    lapsed_until_ms: collections::BTreeMap<String, u64>,
+}
+
+impl Watching {
+    pub(super) fn new(bounds: watch::Bounds, now_ms: u64) -> Self {
+        let follow = |topic, bound_ms| watch::Watch::new(topic, bound_ms, now_ms);
+        Self {
+            configuration: follow(watch::Topic::Configuration, bounds.configuration_ms),
+            servers: follow(watch::Topic::Servers, bounds.servers_ms),
+            duty: watch::Duty::Joining,
+            looked_ms: 0,
+            announced: false,
+            heard_ms: None,
+            lapsed_until_ms: Default::default(),
+        }
+    }
+
+    fn topic(&mut self, topic: watch::Topic) -> &mut watch::Watch {
+        match topic {
+            watch::Topic::Configuration => &mut self.configuration,
+            watch::Topic::Servers => &mut self.servers,
+        }
+    }
+
+    fn knows_all(&self) -> bool {
+        self.configuration.revision() > 0 && self.servers.revision() > 0
+    }
+}
+
+impl Node {
+    /// This router's part in following the store; `None` if it follows by other means.
+    pub fn watch_duty(&self) -> Option<watch::Duty> {
+        self.watching.as_ref().map(|watching| watching.duty)
+    }
+
+    /// How long ago this router's copy of a topic held all that the store had, in milliseconds.
+    pub fn age_ms(&self, topic: watch::Topic, now_ms: u64) -> Option<u64> {
+        let watching = self.watching.as_ref()?;
+        match topic {
+            watch::Topic::Configuration => watching.configuration.age_ms(now_ms),
+            watch::Topic::Servers => watching.servers.age_ms(now_ms),
+        }
+    }
+
+    /// Takes the end of a call that [`Action::Watch`] asked for.
+    pub fn watched(&mut self, topic: watch::Topic, outcome: watch::Outcome, now_ms: u64) {
+        self.count_watch(topic, &outcome);
+        let routers = self.members.live_count();
+        let Some(watching) = &mut self.watching else { return };
+        let duty = watching.duty;
+        match outcome {
+            watch::Outcome::Answered { revision, news } => {
+                let any = news.any();
+                let watched = watching.topic(topic);
+                let again = watched.answered(duty, revision, any, now_ms);
+                self.relay.push_due = true;
+                self.take_news(revision, news, again, now_ms);
+            }
+            watch::Outcome::Forgotten => watching.topic(topic).forgotten(),
+            watch::Outcome::Refused => {
+                watching.topic(topic).failed(true, duty, routers, now_ms, &mut self.rng);
+            }
+            watch::Outcome::Silent => {
+                watching.topic(topic).failed(false, duty, routers, now_ms, &mut self.rng);
+            }
+        }
+    }
+
+    fn take_news(&mut self, revision: u64, news: watch::News, again: bool, now_ms: u64) {
+        match news {
+            watch::News::Configuration(published) => {
+                if let Some(published) = published {
+                    self.offer_config(*published, now_ms);
+                }
+            }
+            watch::News::Servers(mut changes) => {
+                // Peers may have told more meanwhile.
+                let known = self.vms_index;
+                changes.retain(|change| change.revision > known);
+                if again {
+                    changes.iter_mut().for_each(note_lapsed);
+                }
+                self.apply_changes(revision.max(known), changes, now_ms);
+            }
+            watch::News::AllServers(_) if revision < self.vms_index => {}
+            watch::News::AllServers(vms) => {
+                if again {
+                    self.keep_missing(&vms, now_ms);
+                }
+                self.relay.restart_changes(revision);
+                self.follow_vms(revision, vms);
+            }
+        }
+    }
+
+    /// Applies changes of servers' records; the copy stands for `revision` then.
+    pub(super) fn apply_changes(
+        &mut self,
+        revision: u64,
+        changes: Vec<watch::ServerChange>,
+        now_ms: u64,
+    ) {
+        if changes.is_empty() {
+            self.vms_index = self.vms_index.max(revision);
+            return;
+        }
+        let mut vms = self.vms.clone();
+        for change in changes {
+            let removed = vms.remove(&change.vm);
+            match &change.record {
+                watch::ServerRecord::Listed(vm) => {
+                    self.forget_lapsed_of(&change.vm);
+                    vms.insert(change.vm.clone(), vm.clone());
+                }
+                watch::ServerRecord::Gone => self.forget_lapsed_of(&change.vm),
+                watch::ServerRecord::Lapsed => {
+                    if let Some(vm) = removed {
+                        self.keep_lapsed(vm, now_ms);
+                    }
+                }
+            }
+            self.relay.note_change(change, now_ms);
+        }
+        self.follow_vms(revision, vms.into_values().collect());
+    }
+
+    /// Forgets records that lapsed and did not come back in time.
+    fn forget_lapsed(&mut self, now_ms: u64) {
+        let Some(watching) = &mut self.watching else { return };
+        let before = watching.lapsed_until_ms.len();
+        watching.lapsed_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        if watching.lapsed_until_ms.len() == before {
+            return;
+        }
+        let kept = &watching.lapsed_until_ms;
+        self.lapsed.retain(|vm| kept.contains_key(&vm.vm));
+        let vms = self.vms.values().cloned().collect();
+        self.follow_vms(self.vms_index, vms);
+    }
+
+    fn keep_missing(&mut self, listed: &[servers::Vm], now_ms: u64) {
+        let listed: collections::HashSet<&str> = listed.iter().map(|vm| vm.vm.as_str()).collect();
+        let missing = self.vms.values().filter(|vm| !listed.contains(vm.vm.as_str()));
+        let missing: Vec<servers::Vm> = missing.cloned().collect();
+        for vm in missing {
+            self.keep_lapsed(vm, now_ms);
+        }
+    }
+
+    fn keep_lapsed(&mut self, vm: servers::Vm, now_ms: u64) {
+        let Some(watching) = &mut self.watching else { return };
+        let notice = Notice::ItemLapsed { vm: vm.vm.clone(), kept_ms: LAPSED_KEPT_MS };
+        self.actions.push(Action::Notice(notice));
+        watching.lapsed_until_ms.insert(vm.vm.clone(), now_ms + LAPSED_KEPT_MS);
+        self.lapsed.push(vm);
+    }
+
+    fn forget_lapsed_of(&mut self, vm: &str) {
+        let Some(watching) = &mut self.watching else { return };
+        if watching.lapsed_until_ms.remove(vm).is_some() {
+            self.lapsed.retain(|lapsed| lapsed.vm != vm);
+        }
+    }
+
+    /// Makes the calls that are due, and passes news on.
+    pub(super) fn tick_watching(&mut self, now_ms: u64) {
+        self.note_duty(now_ms);
+        self.forget_lapsed(now_ms);
+        let routers = self.members.live_count();
+        let Some(watching) = &mut self.watching else { return };
+        let duty = watching.duty;
+        for topic in watch::Topic::ALL {
+            let silent_ms = watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
+            let watched = match topic {
+                watch::Topic::Configuration => &mut watching.configuration,
+                watch::Topic::Servers => &mut watching.servers,
+            };
+            let alone = silent_ms >= watched.overdue_ms();
+            if let Some(call) = watched.due(duty, routers, alone, now_ms, &mut self.rng) {
+                self.actions.push(Action::Watch(call));
+            }
+        }
+        self.announce(now_ms);
+        self.push_news(now_ms);
+    }
+
+    /// Records in the store where peers reach this router, once: a router that starts and finds none of its
+    /// seeds looks there. Who watches is known to all, so a few records are enough.
+    fn announce(&mut self, now_ms: u64) {
+        let settled = now_ms >= self.started_ms + SETTLE_MS;
+        let lonely = self.members.live().next().is_none();
+        let Some(watching) = &mut self.watching else { return };
+        let watches = matches!(watching.duty, watch::Duty::EveryRouter | watch::Duty::Watcher);
+        if watches && !watching.announced && (settled || lonely) {
+            watching.announced = true;
+            self.count_call(CallPurpose::Announce, CallOutcome::Sent);
+            self.actions.push(Action::Announce);
+        }
+    }
+
+    fn note_duty(&mut self, now_ms: u64) {
+        let Some(watching) = &self.watching else { return };
+        let joining = watching.duty == watch::Duty::Joining;
+        if !joining && now_ms < watching.looked_ms + LOOK_EVERY_MS {
+            return;
+        }
+        let duty = self.watch_duty_now(watching, now_ms);
+        let Some(watching) = &mut self.watching else { return };
+        watching.looked_ms = now_ms;
+        if watching.duty != duty {
+            watching.duty = duty;
+            self.actions.push(Action::Notice(Notice::WatchDuty { duty }));
+        }
+    }
+
+    fn watch_duty_now(&self, watching: &Watching, now_ms: u64) -> watch::Duty {
+        let routers = self.members.live_count() as usize;
+        if routers == 1 {
+            let waits = now_ms < self.started_ms + JOIN_MS && !watching.knows_all();
+            return match waits && self.members.asks_seeds() {
+                true => watch::Duty::Joining,
+                false => watch::Duty::EveryRouter,
+            };
+        }
+        if now_ms < self.started_ms + SETTLE_MS {
+            return watch::Duty::Listener;
+        }
+        if routers <= watch::ALL_WATCH_MAX {
+            return watch::Duty::EveryRouter;
+        }
+        let live = self.members.live().filter(|record| record.health == members::Health::Alive);
+        let watchers = watch::watchers(live.chain([self.members.own()]));
+        match watchers.contains(&self.settings.incarnation) && self.lifecycle == Lifecycle::Ready {
+            true => watch::Duty::Watcher,
+            false => watch::Duty::Listener,
+        }
+    }
+
+    /// An earlier life left grants in a shard of the ledger, at the addresses of `holders`: its successors
+    /// there are told, because only they can tell for sure that it is over.
+    pub(super) fn tell_successors(&mut self, shard: u32, holders: &[(ids::Incarnation, String)]) {
+        let successor = |(life, address): &(ids::Incarnation, String)| {
+            let live = self.members.live();
+            live.filter(|record| record.address == *address && record.id != *life)
+                .map(|record| record.id)
+                .next()
+        };
+        let told: collections::BTreeSet<ids::Incarnation> =
+            holders.iter().filter_map(successor).collect();
+        for id in told {
+            self.send(id, crate::message::Message::LeftBehind { shard });
+        }
+    }
+
+    fn count_watch(&mut self, topic: watch::Topic, outcome: &watch::Outcome) {
+        let purpose = match topic {
+            watch::Topic::Configuration => CallPurpose::WatchConfiguration,
+            watch::Topic::Servers => CallPurpose::WatchServers,
+        };
+        let outcome = match outcome {
+            watch::Outcome::Answered { news, .. } if news.any() => CallOutcome::News,
+            watch::Outcome::Answered { .. } => CallOutcome::Empty,
+            watch::Outcome::Forgotten => CallOutcome::Forgotten,
+            watch::Outcome::Refused => CallOutcome::Refused,
+            watch::Outcome::Silent => CallOutcome::Silent,
+        };
+        self.count_call(purpose, outcome);
+    }
+
+    pub(super) fn count_call(&mut self, purpose: CallPurpose, outcome: CallOutcome) {
+        *self.counters.store_calls.entry((purpose, outcome)).or_default() += 1;
+    }
+}
+
+/// A record that went in the first answer after the store was away may be back soon.
+fn note_lapsed(change: &mut watch::ServerChange) {
+    if change.record == watch::ServerRecord::Gone {
+        change.record = watch::ServerRecord::Lapsed;
+    }
+}
--- /dev/null
+++ b/core/src/watch.rs
@@ -0,0 +1,335 @@
+//! When a router asks the platform's store for news itself, and how old its knowledge is.
+//!
+//! In a small fleet every router watches the store. In a larger one a few watch, by rendezvous rank, and the
+//! others hear the news, and how old it is, from peers. A router whose knowledge gets too old asks the store
+//! itself, at a moment drawn at random, so that the whole fleet makes a bounded number of such calls a second.
+
+use crate::{backoff, config, ids, members, rendezvous, servers};
+use rand::RngExt;
+use rand::rngs;
+use serde::{Deserialize, Serialize};
+
+/// Up to so many routers each one watches: two that watch with short waits for all would make as many
+/// calls (docs/DESIGN.md, "Who asks the store").
+pub const ALL_WATCH_MAX: usize = 12;
+/// How many routers watch for a larger fleet. Two, in different failure domains, so that nothing waits
+/// for an election when one is lost.
+pub const WATCHERS: usize = 2;
+/// How long a call waits for news where every router watches: the longer, the fewer calls.
+const ALL_WATCH_WAIT_MS: u64 = 10_000;
+/// A watcher's call waits for this part of the bound, in percent: each answer is the proof that the others are
+/// up to date.
+const WAIT_PERCENT: u64 = 25;
+/// Knowledge that is older than this part of the bound is overdue, in percent: two proofs failed to come.
+const OVERDUE_PERCENT: u64 = 50;
+/// A call that only has to prove that nothing is new waits this long.
+const PROOF_WAIT_MS: u64 = 10;
+/// Calls a second that all routers together make because their knowledge is overdue: the first one
+/// comes after a tenth of a second, and an outage costs no more than this.
+const OVERDUE_CALLS_PER_S: u64 = 12;
+/// After news the next call waits this long, so that changes that come together take one call.
+const GATHER_MS: u64 = 100;
+/// The same where every router makes such calls. Well below two seconds, the least bound of a deployment so far.
+const ALL_WATCH_GATHER_MS: u64 = 500;
+/// Pauses after failures: refused calls cost the store as well.
+const PAUSE_FIRST_MS: u64 = 250;
+const PAUSE_LONGEST_MS: u64 = 1_000;
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Topic {
+    /// The configuration.
+    Configuration,
+    /// The list of backend servers.
+    Servers,
+}
+
+impl Topic {
+    /// All of them.
+    pub const ALL: [Self; 2] = [Self::Configuration, Self::Servers];
+}
+
+/// How soon news must be in force at every router that reaches the store or a peer, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Of the configuration.
+    pub configuration_ms: u64,
+    /// Of the list of servers.
+    pub servers_ms: u64,
+}
+
+/// A router's part in following a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Duty {
+    /// It has just started and asks peers first.
+    Joining,
+    /// The fleet is small: every router watches.
+    EveryRouter,
+    /// It watches for the others.
+    Watcher,
+    /// It hears the news from peers.
+    Listener,
+}
+
+/// A call to the store that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// What to ask for.
+    pub topic: Topic,
+    /// Wants changes after this revision; 0 wants all that lies there.
+    pub revision: u64,
+    /// How long the store may wait for a change.
+    pub wait_ms: u64,
+}
+
+/// A change of one server's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerChange {
+    /// The server's VM.
+    pub vm: String,
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// What it says now.
+    pub record: ServerRecord,
+}
+
+/// A server's record after a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerRecord {
+    /// It is listed.
+    Listed(servers::Vm),
+    /// It is gone.
+    Gone,
+    /// It went while the store was away: records lapse then, and may be back soon.
+    Lapsed,
+}
+
+/// What a topic's answer brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The configuration, if it changed or if all was asked for, and it can be read.
+    Configuration(Option<Box<config::Published>>),
+    /// Changes of servers' records.
+    Servers(Vec<ServerChange>),
+    /// All servers.
+    AllServers(Vec<servers::Vm>),
+}
+
+impl News {
+    /// Whether there is any.
+    pub fn any(&self) -> bool {
+        match self {
+            Self::Configuration(published) => published.is_some(),
+            Self::Servers(changes) => !changes.is_empty(),
+            Self::AllServers(_) => true,
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The store answered.
+    Answered {
+        /// What the news stand for.
+        revision: u64,
+        /// What it brought.
+        news: News,
+    },
+    /// The store does not have the history since the revision any more.
+    Forgotten,
+    /// The store answered that it does not serve.
+    Refused,
+    /// No answer came.
+    Silent,
+}
+
+/// One topic as one router follows it.
+#[derive(Debug)]
+pub struct Watch {
+    topic: Topic,
+    bound_ms: u64,
+    started_ms: u64,
+    /// The revision that this router's copy stands for; 0 if it has none.
+    revision: u64,
+    /// At this time the copy held all that the store had.
+    confirmed_ms: Option<u64>,
+    /// The history since the copy's revision is gone: all is asked for next.
+    forgotten: bool,
+    /// The call in flight: when it went out and how long the store may wait.
+    calling: Option<(u64, u64)>,
+    not_before_ms: u64,
+    pause: backoff::Backoff,
+    /// The store said since it last served this router that it does not serve.
+    refused: bool,
+    /// When this router asks because its knowledge is overdue.
+    overdue_call_ms: Option<u64>,
+}
+
+impl Watch {
+    /// A topic of which nothing is known yet.
+    pub fn new(topic: Topic, bound_ms: u64, now_ms: u64) -> Self {
+        Self {
+            topic,
+            bound_ms,
+            started_ms: now_ms,
+            revision: 0,
+            confirmed_ms: None,
+            forgotten: false,
+            calling: None,
+            not_before_ms: 0,
+            pause: backoff::Backoff::new(PAUSE_FIRST_MS, PAUSE_LONGEST_MS),
+            refused: false,
+            overdue_call_ms: None,
+        }
+    }
+
+    /// The revision that the copy stands for; 0 if there is none.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// How long ago the copy held all that the store had, in milliseconds; `None` if it never did.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// Knowledge that is older than this is overdue, in milliseconds.
+    pub fn overdue_ms(&self) -> u64 {
+        self.bound_ms * OVERDUE_PERCENT / 100
+    }
+
+    /// An improvement of the age by this much is worth passing on, in milliseconds.
+    pub fn notable_ms(&self) -> u64 {
+        self.bound_ms * WAIT_PERCENT / 200
+    }
+
+    /// The call to make now, if one is due. `routers` are there in all, `alone` tells that no peer was heard
+    /// for as long as knowledge may be old.
+    pub fn due(
+        &mut self,
+        duty: Duty,
+        routers: u64,
+        alone: bool,
+        now_ms: u64,
+        rng: &mut rngs::StdRng,
+    ) -> Option<Call> {
+        if self.calling.is_some() || now_ms < self.not_before_ms {
+            return None;
+        }
+        let old_ms = now_ms.saturating_sub(self.confirmed_ms.unwrap_or(self.started_ms));
+        let overdue = self.confirmed_ms.is_none() || old_ms >= self.overdue_ms();
+        let wait_ms = match duty {
+            Duty::Joining => return None,
+            Duty::EveryRouter => ALL_WATCH_WAIT_MS,
+            Duty::Watcher if overdue => PROOF_WAIT_MS,
+            Duty::Watcher => self.bound_ms * WAIT_PERCENT / 100,
+            Duty::Listener if overdue && (alone || self.draws_call(routers, now_ms, rng)) => {
+                PROOF_WAIT_MS
+            }
+            Duty::Listener => return None,
+        };
+        self.calling = Some((now_ms, wait_ms));
+        let revision = if self.forgotten { 0 } else { self.revision };
+        Some(Call { topic: self.topic, revision, wait_ms })
+    }
+
+    /// Whether the moment has come that was drawn for a call because of overdue knowledge.
+    fn draws_call(&mut self, routers: u64, now_ms: u64, rng: &mut rngs::StdRng) -> bool {
+        let window_ms = routers * 1_000 / OVERDUE_CALLS_PER_S;
+        let at_ms = *self
+            .overdue_call_ms
+            .get_or_insert_with(|| now_ms + rng.random_range(0..=window_ms));
+        now_ms >= at_ms
+    }
+
+    /// Takes in an answer. Returns whether it is the first one after the store said that it does not serve.
+    pub fn answered(&mut self, duty: Duty, revision: u64, changed: bool, now_ms: u64) -> bool {
+        let (sent_ms, wait_ms) = self.calling.take().unwrap_or((now_ms, 0));
+        self.pause.reset();
+        self.forgotten = false;
+        // An answer without news was made when the wait was over, one with news at some time before it came.
+        let waited_ms = if changed { 0 } else { wait_ms };
+        let made_ms = match now_ms >= sent_ms + waited_ms {
+            true => sent_ms + waited_ms,
+            false => sent_ms,
+        };
+        self.not_before_ms = match (changed, duty) {
+            (false, _) => now_ms,
+            (true, Duty::EveryRouter) => now_ms + ALL_WATCH_GATHER_MS,
+            (true, _) => now_ms + GATHER_MS,
+        };
+        self.confirm(revision, made_ms);
+        std::mem::take(&mut self.refused)
+    }
+
+    /// Notes that the history since the copy's revision is gone: all is asked for next.
+    pub fn forgotten(&mut self) {
+        self.calling = None;
+        self.forgotten = true;
+    }
+
+    /// Notes that a call failed; `refused` tells that the store said so itself. Mere silence may be this
+    /// router's own.
+    pub fn failed(
+        &mut self,
+        refused: bool,
+        duty: Duty,
+        routers: u64,
+        now_ms: u64,
+        rng: &mut rngs::StdRng,
+    ) {
+        self.calling = None;
+        self.refused |= refused;
+        let pause_ms = PAUSE_FIRST_MS / 2 + self.pause.next_delay_ms(rng);
+        self.not_before_ms = now_ms + pause_ms;
+        if duty == Duty::Listener {
+            // The next one of all routers together comes soon; it need not be this one's.
+            let window_ms = routers * 1_000 / OVERDUE_CALLS_PER_S;
+            let half_ms = window_ms / 2;
+            self.overdue_call_ms = Some(now_ms + rng.random_range(half_ms..=half_ms + window_ms));
+        }
+    }
+
+    /// Takes in that the copy, which stands for `revision` or a later one, held all that the store had at
+    /// `confirmed_ms`. Returns by how many milliseconds the knowledge became newer.
+    pub fn confirm(&mut self, revision: u64, confirmed_ms: u64) -> u64 {
+        self.revision = self.revision.max(revision);
+        let before_ms = self.confirmed_ms.unwrap_or(0);
+        if self.confirmed_ms.is_some() && confirmed_ms <= before_ms {
+            return 0;
+        }
+        self.confirmed_ms = Some(confirmed_ms);
+        self.overdue_call_ms = None;
+        confirmed_ms.saturating_sub(before_ms)
+    }
+
+    /// Takes over a peer's copy that stands for `revision`.
+    pub fn adopt(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+}
+
+/// The routers that watch for all: the first in rank, and the next one in another failure domain, if
+/// there is one. Every router that knows the same members names the same ones.
+pub fn watchers<'a>(
+    members: impl Iterator<Item = &'a members::Record>,
+) -> Vec<ids::Incarnation> {
+    let subject = rendezvous::digest("watch");
+    let mut ranked: Vec<&members::Record> = members.collect();
+    ranked.sort_by_cached_key(|member| {
+        std::cmp::Reverse((rendezvous::weight(subject, member.id.0), member.id))
+    });
+    let Some(first) = ranked.first().copied() else { return Vec::new() };
+    let elsewhere = |member: &&&members::Record| member.failure_domain != first.failure_domain;
+    let second = ranked.iter().skip(1).find(elsewhere).or(ranked.get(1));
+    let mut watchers: Vec<ids::Incarnation> = [Some(&first), second]
+        .into_iter()
+        .flatten()
+        .map(|member| member.id)
+        .collect();
+    watchers.truncate(WATCHERS);
+    watchers
+}
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -199,8 +199,7 @@
     message::Gossip {
         from: world.routers[1].node.members().own().clone(),
         kind: message::GossipKind::Ack,
-        config_version: 0,
-        vms_index: 0,
+        digest: message::Digest::default(),
         news: Vec::new(),
         leaving: vec![message::Leaving { vm: vm.to_owned(), list_index: 900 }],
     }
--- a/core/tests/world/lives.rs
+++ b/core/tests/world/lives.rs
@@ -79,6 +79,7 @@
             budget_wait_ms: 500,
             claim_wait_ms: 3_000,
             handover_wait_ms: 1_000,
+            watch: None,
         };
         Router {
             node: node::Node::new(settings, self.rng.random(), self.now_ms),
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -447,6 +447,8 @@
                     self.notices.push(notice);
                 }
                 node::Action::ConfigInForce { .. } => {}
+                // The world tells routers the platform's news by itself.
+                node::Action::Watch(_) | node::Action::Announce => unreachable!(),
             }
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,8 +8,7 @@
 
 use crate::{feed, logging, peers, platform, settings, snapshot, telemetry};
 use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
-use doorswitch_core::{config, ids, node, servers};
-use doorswitch_platform::store;
+use doorswitch_core::{config, ids, node, servers, watch};
 use futures_util::future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -103,6 +102,8 @@
                         peers.send(&address, envelope);
                     }
                 }
+                node::Action::Watch(call) => self.ask_store(call, context),
+                node::Action::Announce => self.announce(context),
                 node::Action::Gossip { address, gossip } => {
                     if let Some(peers) = &self.peers {
                         peers.gossip(&address, gossip);
@@ -221,14 +222,22 @@
         context.spawn(done);
     }
 
-    fn start_feeds(&self, client: store::Client, context: &mut Context<Self>) {
-        let address = context.address();
+    fn ask_store(&self, call: watch::Call, context: &mut Context<Self>) {
+        let stores::Store::Revisions(client) = self.platform.clone() else { return };
+        let asked = feed::ask(client, call);
+        let done = asked.into_actor(self).map(move |outcome, control, context| {
+            let now_ms = control.now_ms();
+            control.node.watched(call.topic, outcome, now_ms);
+            control.carry_out(context);
+        });
+        context.spawn(done);
+    }
+
+    fn announce(&self, context: &mut Context<Self>) {
+        let stores::Store::Revisions(client) = self.platform.clone() else { return };
         let advertised = self.settings.advertised().to_string();
         let vm = self.settings.vm.clone();
-        actix::spawn(feed::follow_configuration(client.clone(), address.clone()));
-        actix::spawn(feed::follow_servers(client.clone(), address.clone()));
-        actix::spawn(feed::find_inheritance(client.clone(), address.clone()));
-        actix::spawn(feed::find_peers(client, vm, advertised, address));
+        actix::spawn(feed::find_peers(client, vm, advertised, context.address()));
     }
 
     fn poll_loads(&mut self, context: &mut Context<Self>) {
@@ -277,7 +286,8 @@
                 let poll = Duration::from_millis(self.settings.limits.load_poll_ms);
                 context.run_interval(poll, Control::poll_loads);
             }
-            stores::Store::Revisions(client) => self.start_feeds(client, context),
+            // The core asks for what it wants to follow.
+            stores::Store::Revisions(_) => {}
         }
     }
 }
@@ -325,7 +335,8 @@
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
         started_s: unix_time_s(),
-        seeds: settings.peers.seeds.iter().map(ToString::to_string).collect(),
+        seeds: settings.peers.seed_addresses(),
+        watch: settings.platform.follows(),
         platform_reads_per_s: settings.platform.reads_per_s,
         platform_writes_per_s: settings.platform.writes_per_s,
         budget_wait_ms: settings.limits.budget_wait_ms,
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -87,36 +87,6 @@
     }
 }
 
-impl Handler<messages::OfferConfig> for Control {
-    type Result = ();
-
-    fn handle(&mut self, offer: messages::OfferConfig, context: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        self.node.offer_config(offer.0, now_ms);
-        self.carry_out(context);
-    }
-}
-
-impl Handler<messages::OfferVms> for Control {
-    type Result = ();
-
-    fn handle(&mut self, offer: messages::OfferVms, context: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        self.node.offer_vms_and_lapsed(offer.index, offer.vms, offer.lapsed, now_ms);
-        self.carry_out(context);
-    }
-}
-
-impl Handler<messages::OfferLedgers> for Control {
-    type Result = ();
-
-    fn handle(&mut self, offer: messages::OfferLedgers, context: &mut Self::Context) {
-        let values = offer.0.iter().map(|(key, value)| (key.as_str(), value.as_slice()));
-        self.node.offer_ledgers(values);
-        self.carry_out(context);
-    }
-}
-
 impl Handler<messages::OfferSeeds> for Control {
     type Result = ();
 
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -2,7 +2,7 @@
 
 use super::Reply;
 use actix::prelude::Message;
-use doorswitch_core::{config, ids, node, servers};
+use doorswitch_core::{ids, node, servers};
 
 /// Asks to admit a request. The reply names its slot, for what follows.
 #[derive(Debug, Message)]
@@ -57,28 +57,6 @@
     pub writes_per_s: u64,
 }
 
-/// A configuration was read.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct OfferConfig(pub config::Published);
-
-/// The list of VMs was read or changed.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct OfferVms {
-    /// Grows with every change.
-    pub index: u64,
-    /// All VMs.
-    pub vms: Vec<servers::Vm>,
-    /// VMs that are missing from it and may be back soon.
-    pub lapsed: Vec<servers::Vm>,
-}
-
-/// The ledger's values by key, as found at the start.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct OfferLedgers(pub Vec<(String, Vec<u8>)>);
-
 /// Addresses were found where other routers may be.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -1,65 +1,50 @@
-//! Follows the configuration and the list of servers in the platform's store, by watches.
+//! Asks the platform's store for what the core wants to follow.
 
-mod mirror;
 mod pause;
 
 use crate::{control, logging};
 use actix::prelude::Addr;
-use doorswitch_core::{ledger, servers};
+use doorswitch_core::watch;
 use doorswitch_platform::{configuration, servers as records, store};
 use std::time::Duration;
-use tokio::time;
 
-/// How long one watch waits for a change.
-const WATCH: Duration = Duration::from_secs(10);
-/// After a change the next watch waits this long, so that changes that come together cost each router one call.
-/// It is well below the two seconds within which a change of the configuration must be in force everywhere and
-/// a leaving server must get nothing new.
-const GATHER: Duration = Duration::from_millis(500);
-/// Under this prefix every router records where its peers reach it.
+/// Under this prefix routers record where their peers reach them.
 const ROUTERS: &str = "doorswitch/routers/";
 
-/// Follows the configuration for ever.
-pub async fn follow_configuration(store: store::Client, control: Addr<control::Control>) {
-    follow(&store, configuration::PREFIX, |mirror| {
-        let Some(change) = mirror.items.get(configuration::KEY) else { return };
-        let Some(value) = &change.value else { return };
-        match configuration::decode(value) {
-            Ok(published) => control.do_send(control::OfferConfig(published)),
-            Err(error) => {
-                log::error!("event=config_unreadable fault={}", logging::quoted(error));
+/// Makes one call of the core.
+pub async fn ask(store: store::Client, call: watch::Call) -> watch::Outcome {
+    let prefix = prefix(call.topic);
+    let whole = call.revision == 0;
+    let answer = match whole {
+        true => store.list(prefix).await,
+        false => {
+            let wait = Duration::from_millis(call.wait_ms);
+            store.watch(prefix, call.revision, wait).await
+        }
+    };
+    match answer {
+        Ok(changes) => {
+            let (revision, count) = (changes.revision, changes.changes.len());
+            if count > 0 {
+                log::info!("event=store_changed prefix={prefix} revision={revision} changes={count}");
             }
+            let news = match call.topic {
+                watch::Topic::Configuration => configuration_news(changes.changes),
+                watch::Topic::Servers if whole => all_servers(changes.changes),
+                watch::Topic::Servers => server_news(changes.changes),
+            };
+            watch::Outcome::Answered { revision, news }
         }
-    })
-    .await;
-}
-
-/// Follows the list of servers for ever.
-pub async fn follow_servers(store: store::Client, control: Addr<control::Control>) {
-    follow(&store, records::PREFIX, |mirror| {
-        let vms = mirror.items.values().filter_map(record).collect();
-        let lapsed = mirror.lapsed().filter_map(record).collect();
-        control.do_send(control::OfferVms { index: mirror.revision, vms, lapsed });
-    })
-    .await;
-}
-
-fn record(change: &store::Change) -> Option<servers::Vm> {
-    records::decode(&change.key, change.value.as_ref()?)
-}
-
-/// Reads the ledger's values once, for what an earlier life of this router left there.
-pub async fn find_inheritance(store: store::Client, control: Addr<control::Control>) {
-    let mut pause = pause::Pause::default();
-    loop {
-        match store.list(ledger::PREFIX).await {
-            Ok(found) => {
-                let values = found.changes.into_iter();
-                let values = values.filter_map(|change| Some((change.key, change.value?)));
-                control.do_send(control::OfferLedgers(values.collect()));
-                return;
+        Err(store::Error::Forgotten) => {
+            log::info!("event=history_forgotten prefix={prefix}");
+            watch::Outcome::Forgotten
+        }
+        Err(error) => {
+            log::info!("event=watch_failed prefix={prefix} fault={}", logging::quoted(&error));
+            match error {
+                store::Error::Status { .. } => watch::Outcome::Refused,
+                _ => watch::Outcome::Silent,
             }
-            Err(error) => pause.wait("list_failed", ledger::PREFIX, &error).await,
         }
     }
 }
@@ -91,51 +76,49 @@
     }
 }
 
-async fn follow(store: &store::Client, prefix: &str, mut changed: impl FnMut(&mirror::Mirror)) {
-    let mut mirror = mirror::Mirror::default();
-    let mut pause = pause::Pause::default();
-    loop {
-        match store.list(prefix).await {
-            Ok(all) => {
-                mirror.heard(pause.succeeded());
-                mirror.replace(all);
-                changed(&mirror);
-            }
-            Err(error) => {
-                pause.wait("list_failed", prefix, &error).await;
-                continue;
-            }
-        }
-        loop {
-            let watch = store.watch(prefix, mirror.revision, WATCH);
-            let Ok(news) = time::timeout_at(mirror.forgets_at(), watch).await else {
-                if mirror.forget_lapsed() {
-                    changed(&mirror);
-                }
-                continue;
-            };
-            match news {
-                Ok(changes) => {
-                    mirror.heard(pause.succeeded());
-                    let news = changes.changes.len();
-                    if news > 0 {
-                        let revision = changes.revision;
-                        log::info!(
-                            "event=store_changed prefix={prefix} revision={revision} changes={news}"
-                        );
-                    }
-                    mirror.apply(changes);
-                    if mirror.forget_lapsed() || news > 0 {
-                        changed(&mirror);
-                        time::sleep(GATHER).await;
-                    }
-                }
-                Err(store::Error::Forgotten) => {
-                    log::info!("event=history_forgotten prefix={prefix}");
-                    break;
-                }
-                Err(error) => pause.wait("watch_failed", prefix, &error).await,
-            }
-        }
+fn prefix(topic: watch::Topic) -> &'static str {
+    match topic {
+        watch::Topic::Configuration => configuration::PREFIX,
+        watch::Topic::Servers => records::PREFIX,
+    }
+}
+
+fn configuration_news(changes: Vec<store::Change>) -> watch::News {
+    let newest = changes.into_iter().rev().find(|change| change.key == configuration::KEY);
+    let published = newest.and_then(|change| change.value).and_then(|value| {
+        configuration::decode(&value)
+            .inspect_err(|error| {
+                log::error!("event=config_unreadable fault={}", logging::quoted(error));
+            })
+            .ok()
+    });
+    watch::News::Configuration(published.map(Box::new))
+}
+
+fn all_servers(items: Vec<store::Change>) -> watch::News {
+    let listed = items.into_iter().filter_map(|item| {
+        let value = item.value?;
+        read_record(&item.key, &value)
+    });
+    watch::News::AllServers(listed.collect())
+}
+
+fn server_news(changes: Vec<store::Change>) -> watch::News {
+    let changes = changes.into_iter().filter_map(|change| {
+        let record = match &change.value {
+            Some(value) => watch::ServerRecord::Listed(read_record(&change.key, value)?),
+            None => watch::ServerRecord::Gone,
+        };
+        let vm = change.key.strip_prefix(records::PREFIX)?.to_owned();
+        Some(watch::ServerChange { vm, revision: change.revision, record })
+    });
+    watch::News::Servers(changes.collect())
+}
+
+fn read_record(key: &str, value: &[u8]) -> Option<doorswitch_core::servers::Vm> {
+    let record = records::decode(key, value);
+    if record.is_none() {
+        log::error!("event=server_record_unreadable key={key}");
     }
+    record
 }
--- a/src/feed/pause.rs
+++ b/src/feed/pause.rs
@@ -15,12 +15,11 @@
 pub struct Pause {
     next: Duration,
     failed: bool,
-    refused: bool,
 }
 
 impl Default for Pause {
     fn default() -> Self {
-        Self { next: FIRST, failed: false, refused: false }
+        Self { next: FIRST, failed: false }
     }
 }
 
@@ -30,14 +29,7 @@
         let level = if self.failed { log::Level::Debug } else { log::Level::Warn };
         log::log!(level, "event={event} prefix={prefix} fault={}", logging::quoted(error));
         self.failed = true;
-        self.refused |= matches!(error, store::Error::Status { .. });
         time::sleep(self.next.mul_f64(rand::random_range(0.5..1.5))).await;
         self.next = (self.next * 2).min(LONGEST);
     }
-
-    /// Notes a success; tells whether it ends a time in which the store said itself that it does not serve.
-    /// Mere silence may be this router's own.
-    pub fn succeeded(&mut self) -> bool {
-        std::mem::take(self).refused
-    }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,13 @@
 //! The settings of one router process, read from a YAML file.
 
+use doorswitch_core::watch;
 use serde::Deserialize;
 use snafu::{ResultExt, ensure};
 use std::{fs, net, path};
 
+/// How soon news of the store must be in force where the settings do not say.
+const DEFAULT_NEWS_MS: u64 = 2_000;
+
 /// Why settings could not be used.
 #[derive(Debug, snafu::Snafu)]
 #[allow(missing_docs)]
@@ -87,6 +91,18 @@
     /// Addresses where other routers may be found.
     #[serde(default)]
     pub seeds: Vec<net::SocketAddr>,
+    /// Where the seeds are named by another port of theirs, the one at which they take peers.
+    pub seeds_port: Option<u16>,
+}
+
+impl Peers {
+    /// The seeds' addresses for peers.
+    pub fn seed_addresses(&self) -> Vec<String> {
+        let at_port = |seed: &net::SocketAddr| {
+            net::SocketAddr::new(seed.ip(), self.seeds_port.unwrap_or(seed.port())).to_string()
+        };
+        self.seeds.iter().map(at_port).collect()
+    }
 }
 
 /// The platform's service.
@@ -107,6 +123,25 @@
     /// Writes that it takes a second, from all together.
     #[serde(default = "default_writes_per_s")]
     pub writes_per_s: u64,
+    /// How soon a configuration must be in force at every router, in milliseconds.
+    #[serde(default)]
+    pub configuration_ms: Option<u64>,
+    /// How soon no router may send to a server that is leaving, in milliseconds.
+    #[serde(default)]
+    pub leaving_ms: Option<u64>,
+}
+
+impl Platform {
+    /// How soon news of the store must be in force; `None` where its protocol is followed otherwise.
+    pub fn follows(&self) -> Option<watch::Bounds> {
+        match self.protocol {
+            Protocol::Consul => None,
+            Protocol::Revisions => Some(watch::Bounds {
+                configuration_ms: self.configuration_ms.unwrap_or(DEFAULT_NEWS_MS),
+                servers_ms: self.leaving_ms.unwrap_or(DEFAULT_NEWS_MS),
+            }),
+        }
+    }
 }
 
 /// What the platform's store speaks.
@@ -212,12 +247,16 @@
         let limits = &self.limits;
         let traffic_threads = self.callers.as_ref().map_or(1, |callers| callers.traffic_threads);
         let drain_ms = self.gateway.as_ref().map_or(0, |gateway| gateway.drain_ms);
+        let configuration_ms = self.platform.configuration_ms.unwrap_or(DEFAULT_NEWS_MS);
+        let leaving_ms = self.platform.leaving_ms.unwrap_or(DEFAULT_NEWS_MS);
         let ranges = [
             ("callers.traffic_threads", traffic_threads, 1, 256),
             ("gateway.drain_ms", drain_ms, 0, 600_000),
             ("platform.timeout_ms", self.platform.timeout_ms, 10, 60_000),
             ("platform.reads_per_s", self.platform.reads_per_s, 1, 1_000_000),
             ("platform.writes_per_s", self.platform.writes_per_s, 1, 1_000_000),
+            ("platform.configuration_ms", configuration_ms, 500, 600_000),
+            ("platform.leaving_ms", leaving_ms, 500, 600_000),
             ("limits.body_bytes_max", limits.body_bytes_max, 1_024, 1 << 30),
             ("limits.head_read_ms", limits.head_read_ms, 100, 600_000),
             ("limits.body_read_ms", limits.body_read_ms, 100, 600_000),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -73,6 +73,10 @@
             let reason = format!("{reason:?}");
             metrics::counter!("doorswitch_refused_total", "reason" => reason).absolute(*count);
         }
+        for ((purpose, outcome), count) in &counters.store_calls {
+            let labels = [("purpose", format!("{purpose:?}")), ("outcome", format!("{outcome:?}"))];
+            metrics::counter!("doorswitch_store_calls_total", &labels).absolute(*count);
+        }
         metrics::gauge!("doorswitch_config_version").set(node.config_version() as f64);
         metrics::gauge!("doorswitch_members").set(node.members().live_count() as f64);
         for (_, account) in node.grants().iter() {
@@ -104,6 +108,9 @@
         counters.transfers_received,
         counters.written_off_tokens,
     );
+    let calls = counters.store_calls.iter();
+    let calls = calls.map(|((purpose, outcome), count)| format!("{purpose:?}_{outcome:?}={count}"));
+    log::info!("event=store_calls {}", calls.collect::<Vec<_>>().join(" "));
 }
 
 /// Writes a log line for each budget that was spent from here.
@@ -136,6 +143,10 @@
         node::Notice::HolderSilent { vm, budget } => {
             log::warn!("event=holder_silent vm={vm} budget={budget}");
         }
+        node::Notice::ItemLapsed { vm, kept_ms } => {
+            log::info!("event=item_lapsed vm={vm} kept_ms={kept_ms}");
+        }
+        node::Notice::WatchDuty { duty } => log::info!("event=watch_duty duty={duty:?}"),
         node::Notice::Ejected { vm, ejected_ms } => {
             log::info!("event=server_ejected vm={vm} ejected_ms={ejected_ms}");
         }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -16,12 +16,13 @@
         "nodeName": "edge-a-1", "region": "r", "zone": "a", "ip": "10.1.0.19",
         "listen": { "front": "10.1.0.19:8740", "ready": "10.1.0.19:8749" },
         "internalPortRange": [7200, 7215],
+        "seedNodes": ["10.1.0.19:8749", "10.2.0.7:8749"],
         "platform": { "address": "10.200.1.7:8742", reads: 2_000, writes: 400 },
-        "bounds": { "graceS": 8 },
+        "bounds": { "graceS": 8, "configApplyMs": 4_000, "drainMs": 3_000 },
     })
 }
 
-/// Fills the gaps `{{a.b}}` of a template; one without a value stays empty.
+/// Fills the gaps `{{a.b}}` of a template; one without a value stays empty, lists are joined by commas.
 fn fill(template: &str, fields: &Value) -> String {
     let mut filled = String::new();
     let mut rest = template;
@@ -32,6 +33,10 @@
         match fields.pointer(&pointer) {
             None | Some(Value::Null) => {}
             Some(Value::String(text)) => filled.push_str(text),
+            Some(Value::Array(items)) => {
+                let items: Vec<&str> = items.iter().filter_map(Value::as_str).collect();
+                filled.push_str(&items.join(","));
+            }
             Some(value) => filled.push_str(&value.to_string()),
         }
         rest = after;
@@ -50,6 +55,9 @@
             assert_eq!(settings.platform.url, "http://10.200.1.7:8742");
             assert_eq!(settings.limits.stop_grace_s, 8);
             assert_eq!(settings.peers.listen.port(), 7_200);
+            assert_eq!(settings.peers.seed_addresses(), ["10.1.0.19:7200", "10.2.0.7:7200"]);
+            let bounds = settings.platform.follows().unwrap();
+            assert_eq!((bounds.configuration_ms, bounds.servers_ms), (4_000, 3_000));
         }
     )*};
 }
