--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -219,6 +219,11 @@
         self.config.as_ref().map_or(0, |config| config.version)
     }
 
+    /// What the list of VMs as known here stands for; 0 before the first.
+    pub fn vms_index(&self) -> u64 {
+        self.vms_index
+    }
+
     /// Counts since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- /dev/null
+++ b/core/tests/watch_fleet/mod.rs
@@ -0,0 +1,496 @@
+//! A fleet of core routers that follow a fake store with revisions and watches, in simulated time.
+//!
+//! The store keeps its own account of what was true when; after every step each router is held against it.
+
+#![allow(dead_code, missing_docs, clippy::unwrap_used)]
+
+use doorswitch_core::{config, ids, message, node, servers, watch};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const TICK_MS: u64 = 20;
+/// How long a call of a router waits for the store beyond the wait that it asked for.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+/// A router is held to its bound once it was untroubled for so long.
+pub const CONTACT_MS: u64 = 3_000;
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Store {
+    Well,
+    Refuses,
+    Silent,
+}
+
+/// What travels.
+enum Event {
+    Message { to: String, envelope: message::Envelope },
+    Gossip { to: String, gossip: message::Gossip },
+}
+
+struct Waiting {
+    call: watch::Call,
+    sent_ms: u64,
+}
+
+pub struct Router {
+    pub node: node::Node,
+    pub life: u64,
+    pub address: String,
+    pub alive: bool,
+    pub frozen: bool,
+    /// Cut off from the store.
+    pub cut: bool,
+    /// The store refuses its calls.
+    pub turned_away: bool,
+    /// Routers of other groups cannot be reached.
+    pub group: u64,
+    /// Since when nothing has troubled it.
+    calm_since_ms: u64,
+    waiting: Vec<Waiting>,
+    seen: (u64, u64),
+    held: Vec<Event>,
+}
+
+/// A change in the store's history.
+#[derive(Clone)]
+struct Change {
+    at_ms: u64,
+    revision: u64,
+    topic: watch::Topic,
+    server: Option<(String, Option<servers::Vm>)>,
+}
+
+pub struct Fleet {
+    pub now_ms: u64,
+    pub routers: Vec<Router>,
+    pub store: Store,
+    /// Datagrams that are lost, in a hundred.
+    pub loss_percent: u32,
+    /// Calls that reached the store.
+    pub calls: u64,
+    pub bounds: watch::Bounds,
+    /// How stale a router that was in touch was at most, by topic.
+    pub stalest_ms: BTreeMap<watch::Topic, u64>,
+    pub announced: BTreeSet<String>,
+    seeds: usize,
+    revision: u64,
+    forgotten: u64,
+    published: config::Published,
+    config_revision: u64,
+    servers: BTreeMap<String, (u64, servers::Vm)>,
+    history: Vec<Change>,
+    store_calm_since_ms: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    lives: u64,
+    rng: StdRng,
+}
+
+impl Fleet {
+    /// Routers that start at once and know some seeds, before a store that holds some servers.
+    pub fn new(routers: usize, seeds: usize, bounds: watch::Bounds, seed: u64) -> Self {
+        let mut fleet = Self {
+            now_ms: 1_000,
+            routers: Vec::new(),
+            store: Store::Well,
+            loss_percent: 0,
+            calls: 0,
+            bounds,
+            stalest_ms: BTreeMap::new(),
+            announced: BTreeSet::new(),
+            seeds,
+            revision: 1,
+            forgotten: 0,
+            published: config::Published::next(None, "first", document()),
+            config_revision: 1,
+            servers: BTreeMap::new(),
+            history: Vec::new(),
+            store_calm_since_ms: 0,
+            events: BTreeMap::new(),
+            next_event: 0,
+            lives: 0,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        for place in 0..6 {
+            fleet.put_server(&format!("server-{place}"), servers::VmState::Live);
+        }
+        for place in 0..routers {
+            let router = fleet.new_router(place);
+            fleet.routers.push(router);
+        }
+        fleet
+    }
+
+    /// A server records its state.
+    pub fn put_server(&mut self, name: &str, state: servers::VmState) {
+        let vm = servers::Vm {
+            vm: name.to_owned(),
+            service: "service".to_owned(),
+            address: "10.9.0.1:1".to_owned(),
+            class: String::new(),
+            failure_domain: "a".to_owned(),
+            state,
+            slots: 4,
+        };
+        self.revision += 1;
+        self.servers.insert(name.to_owned(), (self.revision, vm.clone()));
+        self.note(watch::Topic::Servers, Some((name.to_owned(), Some(vm))));
+    }
+
+    pub fn remove_server(&mut self, name: &str) {
+        self.revision += 1;
+        self.servers.remove(name);
+        self.note(watch::Topic::Servers, Some((name.to_owned(), None)));
+    }
+
+    pub fn publish(&mut self) {
+        self.revision += 1;
+        let operation = format!("publish-{}", self.revision);
+        self.published =
+            config::Published::next(Some(&self.published), &operation, document());
+        self.config_revision = self.revision;
+        self.note(watch::Topic::Configuration, None);
+    }
+
+    /// Something that nobody follows is written.
+    pub fn write_elsewhere(&mut self) {
+        self.revision += 1;
+    }
+
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.revision;
+    }
+
+    pub fn set_store(&mut self, store: Store) {
+        self.store = store;
+        self.store_calm_since_ms = self.now_ms;
+    }
+
+    pub fn kill(&mut self, place: usize) {
+        self.routers[place].alive = false;
+        self.routers[place].waiting.clear();
+    }
+
+    pub fn restart(&mut self, place: usize) {
+        self.kill(place);
+        let router = self.new_router(place);
+        let group = self.routers[place].group;
+        self.routers[place] = router;
+        self.routers[place].group = group;
+    }
+
+    /// Notes that a router was troubled until now.
+    pub fn trouble(&mut self, place: usize) {
+        self.routers[place].calm_since_ms = self.now_ms;
+    }
+
+    pub fn set_frozen(&mut self, place: usize, frozen: bool) {
+        self.trouble(place);
+        self.routers[place].frozen = frozen;
+        if !frozen {
+            for event in std::mem::take(&mut self.routers[place].held) {
+                self.deliver(event);
+            }
+        }
+    }
+
+    pub fn set_cut(&mut self, place: usize, cut: bool) {
+        self.trouble(place);
+        self.routers[place].cut = cut;
+    }
+
+    pub fn set_turned_away(&mut self, place: usize, turned_away: bool) {
+        self.trouble(place);
+        self.routers[place].turned_away = turned_away;
+    }
+
+    pub fn watchers(&self) -> Vec<usize> {
+        let watches = |router: &Router| {
+            router.alive && router.node.watch_duty() == Some(watch::Duty::Watcher)
+        };
+        (0..self.routers.len()).filter(|place| watches(&self.routers[*place])).collect()
+    }
+
+    pub fn run_ms(&mut self, time_ms: u64) {
+        let end_ms = self.now_ms + time_ms;
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    /// Runs until something holds, for at most `most_ms`; returns how long it took.
+    pub fn run_until(&mut self, what: &str, most_ms: u64, holds: impl Fn(&Self) -> bool) -> u64 {
+        let from_ms = self.now_ms;
+        while !holds(self) {
+            assert!(self.now_ms < from_ms + most_ms, "{what}: not within {most_ms} ms");
+            self.step();
+        }
+        self.now_ms - from_ms
+    }
+
+    pub fn all_know_latest(&self) -> bool {
+        let live = self.routers.iter().filter(|router| router.alive);
+        live.map(|router| &router.node).all(|node| self.knows_latest(node))
+    }
+
+    /// Whether a router has the configuration and the servers as they are now.
+    pub fn knows_latest(&self, node: &node::Node) -> bool {
+        let listed: BTreeSet<&str> =
+            node.servers().iter().map(|(_, server)| server.vm.vm.as_str()).collect();
+        let wanted: BTreeSet<&str> = self.servers.keys().map(String::as_str).collect();
+        node.config_version() == self.published.version && listed == wanted
+    }
+
+    pub fn step(&mut self) {
+        self.now_ms += TICK_MS;
+        while let Some((&(at_ms, number), _)) = self.events.first_key_value() {
+            if at_ms > self.now_ms {
+                break;
+            }
+            let event = self.events.remove(&(at_ms, number)).unwrap();
+            self.deliver(event);
+        }
+        for place in 0..self.routers.len() {
+            if self.routers[place].alive && !self.routers[place].frozen {
+                self.answer_calls(place);
+                self.routers[place].node.tick(self.now_ms);
+                self.carry_out(place);
+            }
+        }
+        self.check();
+    }
+
+    fn new_router(&mut self, place: usize) -> Router {
+        self.lives += 1;
+        let address = format!("10.0.0.{place}:1");
+        let settings = node::Settings {
+            incarnation: ids::Incarnation(self.rng.random()),
+            vm: format!("entry-{place}"),
+            address: address.clone(),
+            failure_domain: format!("domain-{}", place % 4),
+            region: "region".to_owned(),
+            seeds: (0..self.seeds).map(|seed| format!("10.0.0.{seed}:1")).collect(),
+            started_s: 0,
+            platform_reads_per_s: 2_000,
+            platform_writes_per_s: 400,
+            watch: Some(self.bounds),
+            budget_wait_ms: 500,
+            claim_wait_ms: 3_000,
+            handover_wait_ms: 1_000,
+        };
+        Router {
+            node: node::Node::new(settings, self.rng.random(), self.now_ms),
+            life: self.lives,
+            address,
+            alive: true,
+            frozen: false,
+            cut: false,
+            turned_away: false,
+            group: 0,
+            calm_since_ms: self.now_ms,
+            waiting: Vec::new(),
+            seen: (0, 0),
+            held: Vec::new(),
+        }
+    }
+
+    fn note(&mut self, topic: watch::Topic, server: Option<(String, Option<servers::Vm>)>) {
+        let (at_ms, revision) = (self.now_ms, self.revision);
+        self.history.push(Change { at_ms, revision, topic, server });
+    }
+
+    fn carry_out(&mut self, place: usize) {
+        for action in self.routers[place].node.take_actions() {
+            match action {
+                node::Action::Watch(call) => {
+                    let router = &mut self.routers[place];
+                    router.waiting.push(Waiting { call, sent_ms: self.now_ms });
+                    self.calls += u64::from(!router.cut);
+                }
+                node::Action::Announce => {
+                    if self.reaches_store(place) {
+                        self.calls += 2;
+                        let known = self.announced.iter().cloned().collect();
+                        self.announced.insert(self.routers[place].address.clone());
+                        self.routers[place].node.offer_seeds(known);
+                    }
+                }
+                node::Action::Send { address, envelope } => {
+                    self.send(place, address.clone(), Event::Message { to: address, envelope });
+                }
+                node::Action::Gossip { address, gossip } => {
+                    if self.rng.random_range(0..100) >= self.loss_percent {
+                        self.send(place, address.clone(), Event::Gossip { to: address, gossip });
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: String, event: Event) {
+        let reached = self.routers.iter().any(|router| {
+            router.address == to && router.alive && router.group == self.routers[from].group
+        });
+        if reached {
+            self.next_event += 1;
+            let at_ms = self.now_ms + self.rng.random_range(1..10);
+            self.events.insert((at_ms, self.next_event), event);
+        }
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let (Event::Message { to, .. } | Event::Gossip { to, .. }) = &event;
+        let Some(place) = self.routers.iter().position(|router| router.address == *to) else {
+            return;
+        };
+        let router = &mut self.routers[place];
+        if !router.alive {
+            return;
+        }
+        if router.frozen {
+            router.held.push(event);
+            return;
+        }
+        match event {
+            Event::Message { envelope, .. } => router.node.message(envelope, self.now_ms),
+            Event::Gossip { gossip, .. } => router.node.gossip(&gossip, self.now_ms),
+        }
+        self.carry_out(place);
+    }
+
+    fn reaches_store(&self, place: usize) -> bool {
+        let router = &self.routers[place];
+        self.store == Store::Well && !router.cut && !router.turned_away
+    }
+
+    fn answer_calls(&mut self, place: usize) {
+        for waiting in std::mem::take(&mut self.routers[place].waiting) {
+            let answer = self.answer(place, &waiting);
+            let router = &mut self.routers[place];
+            match answer {
+                Some(outcome) => {
+                    router.node.watched(waiting.call.topic, outcome, self.now_ms);
+                    self.carry_out(place);
+                }
+                None => router.waiting.push(waiting),
+            }
+        }
+    }
+
+    fn answer(&self, place: usize, waiting: &Waiting) -> Option<watch::Outcome> {
+        let Waiting { call, sent_ms } = waiting;
+        let waited_ms = self.now_ms - sent_ms;
+        let router = &self.routers[place];
+        if router.cut || self.store == Store::Silent {
+            let over = waited_ms >= call.wait_ms + CALL_TIMEOUT_MS;
+            return over.then_some(watch::Outcome::Silent);
+        }
+        if router.turned_away || self.store == Store::Refuses {
+            return Some(watch::Outcome::Refused);
+        }
+        if call.revision > 0 && call.revision < self.forgotten {
+            return Some(watch::Outcome::Forgotten);
+        }
+        let news = self.news(call);
+        (news.any() || waited_ms >= call.wait_ms)
+            .then_some(watch::Outcome::Answered { revision: self.revision, news })
+    }
+
+    fn news(&self, call: &watch::Call) -> watch::News {
+        match call.topic {
+            watch::Topic::Configuration => {
+                let changed = self.config_revision > call.revision;
+                watch::News::Configuration(changed.then(|| Box::new(self.published.clone())))
+            }
+            watch::Topic::Servers if call.revision == 0 => watch::News::AllServers(
+                self.servers.values().map(|(_, vm)| vm.clone()).collect(),
+            ),
+            watch::Topic::Servers => {
+                let later = self.history.iter().filter(|change| change.revision > call.revision);
+                let changes = later.filter_map(|change| {
+                    let (vm, record) = change.server.clone()?;
+                    let record = record.map_or(watch::ServerRecord::Gone, |vm| {
+                        watch::ServerRecord::Listed(vm)
+                    });
+                    Some(watch::ServerChange { vm, revision: change.revision, record })
+                });
+                watch::News::Servers(changes.collect())
+            }
+        }
+    }
+
+    /// Holds every router against the store's history.
+    fn check(&mut self) {
+        for place in 0..self.routers.len() {
+            let router = &mut self.routers[place];
+            if !router.alive || router.frozen {
+                continue;
+            }
+            let revision = router.node.vms_index();
+            let seen = (router.node.config_version(), revision);
+            assert!(seen.0 >= router.seen.0, "an older configuration after a newer one");
+            assert!(seen.1 >= router.seen.1, "an older list after a newer one");
+            router.seen = seen;
+            self.check_leaving(place);
+            self.check_staleness(place);
+        }
+    }
+
+    /// Nothing is sent to a server that was seen to leave or to go.
+    fn check_leaving(&self, place: usize) {
+        let node = &self.routers[place].node;
+        let known = node.vms_index();
+        for (name, (revision, vm)) in &self.servers {
+            if vm.state == servers::VmState::Leaving && *revision <= known {
+                let live = node.servers().iter().any(|(_, server)| {
+                    server.vm.vm == *name && server.vm.state == servers::VmState::Live
+                });
+                assert!(!live, "{name} is used by entry-{place} after it was heard to leave");
+            }
+        }
+    }
+
+    fn check_staleness(&mut self, place: usize) {
+        let router = &self.routers[place];
+        let calm_ms = self.now_ms - router.calm_since_ms.max(self.store_calm_since_ms);
+        if calm_ms < CONTACT_MS || !self.reaches_store(place) {
+            return;
+        }
+        let missed = |change: &&Change| match change.topic {
+            watch::Topic::Configuration => {
+                change.revision == self.config_revision
+                    && router.node.config_version() < self.published.version
+            }
+            watch::Topic::Servers => change.revision > router.node.vms_index(),
+        };
+        let oldest = self.history.iter().rev().take(50).filter(missed).min_by_key(|it| it.at_ms);
+        let Some(oldest) = oldest else { return };
+        let stale_ms = self.now_ms - oldest.at_ms;
+        let bound_ms = match oldest.topic {
+            watch::Topic::Configuration => self.bounds.configuration_ms,
+            watch::Topic::Servers => self.bounds.servers_ms,
+        };
+        let topic = oldest.topic;
+        assert!(
+            stale_ms <= bound_ms,
+            "entry-{place} has missed a change of {topic:?} for {stale_ms} ms at {}",
+            self.now_ms,
+        );
+        let stalest = self.stalest_ms.entry(topic).or_default();
+        *stalest = (*stalest).max(stale_ms);
+    }
+}
+
+fn document() -> config::Document {
+    config::Document {
+        routes: Vec::new(),
+        callers: config::CallerLimits::default(),
+        layout: config::Layout { ledger_shards: 2, log_shards: 0, log_epoch_segments: 8 },
+        workspaces: Vec::new(),
+        services: Vec::new(),
+        policies: Vec::new(),
+    }
+}
--- /dev/null
+++ b/core/tests/watching.rs
@@ -0,0 +1,280 @@
+//! Who asks the store for news, and how soon everybody has them.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod watch_fleet;
+
+use doorswitch_core::{servers, watch};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use watch_fleet::{Fleet, Store};
+
+const BOUNDS: watch::Bounds = watch::Bounds { configuration_ms: 4_000, servers_ms: 4_000 };
+const TIGHT: watch::Bounds = watch::Bounds { configuration_ms: 2_000, servers_ms: 2_000 };
+
+/// A fleet that has known itself for a while.
+fn settled(routers: usize, bounds: watch::Bounds, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(routers, 3, bounds, seed);
+    fleet.run_ms(15_000);
+    assert!(fleet.all_know_latest());
+    fleet
+}
+
+fn calls_in(fleet: &mut Fleet, time_ms: u64) -> u64 {
+    let before = fleet.calls;
+    fleet.run_ms(time_ms);
+    fleet.calls - before
+}
+
+/// Something changes for both topics.
+fn change(fleet: &mut Fleet) {
+    fleet.publish();
+    fleet.put_server("server-0", servers::VmState::Leaving);
+}
+
+#[test]
+fn in_a_small_fleet_every_router_watches() {
+    let fleet = settled(8, TIGHT, 1);
+    let duties = fleet.routers.iter().map(|router| router.node.watch_duty());
+    assert!(duties.into_iter().all(|duty| duty == Some(watch::Duty::EveryRouter)));
+}
+
+#[test]
+fn in_a_larger_fleet_two_in_different_failure_domains_watch() {
+    for seed in 0..5 {
+        let fleet = settled(40, BOUNDS, seed);
+        let watchers = fleet.watchers();
+        assert_eq!(watchers.len(), 2, "{watchers:?}");
+        // The fleet's domains go by place, four of them.
+        assert_ne!(watchers[0] % 4, watchers[1] % 4, "{watchers:?}");
+    }
+}
+
+macro_rules! calls_do_not_grow {
+    ($($name:ident: $routers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = settled($routers, BOUNDS, 3);
+            let calls = calls_in(&mut fleet, 20_000);
+            // Two watchers, two topics, a call each second, and now and then one more.
+            assert!((60..=110).contains(&calls), "{calls} calls in 20 s");
+        }
+    )*};
+}
+
+calls_do_not_grow! {
+    calls_in_calm_with_23_routers: 23;
+    calls_in_calm_with_86_routers: 86;
+    calls_in_calm_with_295_routers: 295;
+}
+
+#[test]
+fn news_reach_all_soon_although_datagrams_are_lost() {
+    let mut fleet = settled(86, BOUNDS, 4);
+    fleet.loss_percent = 30;
+    for _ in 0..10 {
+        change(&mut fleet);
+        let took_ms = fleet.run_until("news everywhere", 2_000, Fleet::all_know_latest);
+        assert!(took_ms <= 1_500, "{took_ms} ms");
+        fleet.run_ms(500);
+    }
+}
+
+macro_rules! watchers_fail {
+    ($($name:ident: $routers:expr, $bounds:expr, $fail:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..4 {
+                let mut fleet = settled($routers, $bounds, seed);
+                let watchers = fleet.watchers();
+                assert!(!watchers.is_empty());
+                for place in watchers {
+                    let fail: fn(&mut Fleet, usize) = $fail;
+                    fail(&mut fleet, place);
+                }
+                let before = fleet.calls;
+                change(&mut fleet);
+                // The fleet holds every router in touch to its bound.
+                fleet.run_ms(10_000);
+                let calls = fleet.calls - before;
+                assert!(calls < 20 * 10, "{calls} calls in 10 s");
+            }
+        }
+    )*};
+}
+
+watchers_fail! {
+    both_watchers_die: 40, BOUNDS, |fleet, place| fleet.kill(place);
+    both_watchers_freeze: 40, BOUNDS, |fleet, place| fleet.set_frozen(place, true);
+    both_watchers_are_cut_from_the_store: 40, BOUNDS, |fleet, place| fleet.set_cut(place, true);
+    both_watchers_are_turned_away: 40, BOUNDS, |fleet, place| fleet.set_turned_away(place, true);
+    both_watchers_are_cut_with_a_tight_bound: 40, TIGHT, |fleet, place| fleet.set_cut(place, true);
+    both_watchers_die_in_a_fleet_of_295: 295, BOUNDS, |fleet, place| fleet.kill(place);
+}
+
+#[test]
+fn calls_fall_again_once_watchers_are_back() {
+    let mut fleet = settled(40, BOUNDS, 5);
+    for place in fleet.watchers() {
+        fleet.set_cut(place, true);
+    }
+    fleet.run_ms(8_000);
+    for place in 0..40 {
+        fleet.set_cut(place, false);
+    }
+    fleet.run_ms(2_000);
+    let calls = calls_in(&mut fleet, 10_000);
+    assert!(calls <= 60, "{calls} calls in 10 s");
+}
+
+#[test]
+fn an_outage_costs_a_bounded_number_of_calls() {
+    for store in [Store::Refuses, Store::Silent] {
+        let mut fleet = settled(86, BOUNDS, 6);
+        fleet.set_store(store);
+        let calls = calls_in(&mut fleet, 10_000);
+        // Twelve a second for each topic, and the watchers' own.
+        assert!(calls <= 10 * (2 * 12 + 10), "{calls} calls in 10 s of {store:?}");
+        change(&mut fleet);
+        fleet.set_store(Store::Well);
+        let took_ms = fleet.run_until("news after the outage", 4_000, Fleet::all_know_latest);
+        assert!(took_ms <= 2_500, "{took_ms} ms after {store:?}");
+    }
+}
+
+#[test]
+fn a_fleet_that_starts_from_nothing_reads_the_store_a_few_times() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(86, 3, BOUNDS, seed);
+        let took_ms = fleet.run_until("all know", 10_000, Fleet::all_know_latest);
+        assert!(took_ms <= 3_000, "{took_ms} ms");
+        assert!(fleet.calls <= 40, "{} calls", fleet.calls);
+    }
+}
+
+#[test]
+fn a_fleet_without_seeds_finds_itself_through_the_store() {
+    let mut fleet = Fleet::new(30, 0, BOUNDS, 7);
+    fleet.run_ms(20_000);
+    assert!(fleet.all_know_latest());
+    let known = fleet.routers.iter().map(|router| router.node.members().live_count());
+    assert!(known.into_iter().all(|known| known == 30));
+    assert_eq!(fleet.watchers().len(), 2);
+}
+
+#[test]
+fn a_router_starts_from_a_peers_word_while_the_store_is_away() {
+    let mut fleet = settled(20, BOUNDS, 8);
+    fleet.set_store(Store::Refuses);
+    fleet.run_ms(3_000);
+    fleet.restart(17);
+    fleet.run_until("it knows", 1_000, |fleet| fleet.knows_latest(&fleet.routers[17].node));
+}
+
+#[test]
+fn groups_that_do_not_hear_each_other_both_follow_and_find_each_other_again() {
+    let mut fleet = settled(40, BOUNDS, 9);
+    for place in 0..40 {
+        fleet.routers[place].group = (place % 2) as u64;
+    }
+    for _ in 0..8 {
+        change(&mut fleet);
+        fleet.run_ms(2_500);
+    }
+    for router in &mut fleet.routers {
+        router.group = 0;
+    }
+    fleet.run_ms(60_000);
+    assert_eq!(fleet.watchers().len(), 2);
+}
+
+#[test]
+fn a_router_that_hears_nobody_asks_the_store_itself() {
+    let mut fleet = settled(40, BOUNDS, 10);
+    let lone = (0..40).find(|place| !fleet.watchers().contains(place)).unwrap();
+    fleet.routers[lone].group = 1;
+    for _ in 0..6 {
+        change(&mut fleet);
+        fleet.run_ms(3_000);
+    }
+    assert!(fleet.knows_latest(&fleet.routers[lone].node));
+}
+
+#[test]
+fn history_that_is_forgotten_is_read_anew_by_few() {
+    let mut fleet = settled(60, BOUNDS, 11);
+    let before = fleet.calls;
+    for _ in 0..5 {
+        fleet.write_elsewhere();
+        fleet.put_server("server-9", servers::VmState::Live);
+        fleet.remove_server("server-1");
+        fleet.forget_history();
+        fleet.run_ms(2_000);
+        assert!(fleet.all_know_latest());
+        fleet.put_server("server-1", servers::VmState::Live);
+        fleet.run_ms(1_000);
+    }
+    let calls = fleet.calls - before;
+    assert!(calls <= 15 * 8, "{calls} calls in 15 s");
+}
+
+/// A schedule of troubles that come at any moment, more than one at once.
+fn random_schedule(routers: usize, bounds: watch::Bounds, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(routers, 3, bounds, seed);
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
+    fleet.loss_percent = rng.random_range(0..20);
+    fleet.run_ms(5_000);
+    for _ in 0..60 {
+        let place = rng.random_range(0..routers);
+        let name = format!("server-{}", rng.random_range(0..12));
+        match rng.random_range(0..16) {
+            0 => fleet.restart(place),
+            1 => fleet.kill(place),
+            2 => {
+                let frozen = fleet.routers[place].frozen;
+                fleet.set_frozen(place, !frozen);
+            }
+            3 => {
+                let cut = fleet.routers[place].cut;
+                fleet.set_cut(place, !cut);
+            }
+            4 => {
+                let turned_away = fleet.routers[place].turned_away;
+                fleet.set_turned_away(place, !turned_away);
+            }
+            5 => fleet.routers[place].group = rng.random_range(0..3),
+            6 => fleet.set_store(Store::Refuses),
+            7 => fleet.set_store(Store::Silent),
+            8 | 9 => fleet.set_store(Store::Well),
+            10 => fleet.publish(),
+            11 => fleet.put_server(&name, servers::VmState::Leaving),
+            12 => fleet.put_server(&name, servers::VmState::Live),
+            13 => fleet.remove_server(&name),
+            14 => fleet.forget_history(),
+            _ => fleet.write_elsewhere(),
+        }
+        // Twelve watchers' worth of restarts would hide what a dead one leaves behind.
+        if !fleet.routers[place].alive && rng.random_range(0..2) == 0 {
+            fleet.restart(place);
+        }
+        fleet.run_ms(rng.random_range(20..2_500));
+    }
+    fleet
+}
+
+macro_rules! random_schedules {
+    ($($name:ident: $routers:expr, $bounds:expr, $seeds:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in $seeds {
+                random_schedule($routers, $bounds, seed);
+            }
+        }
+    )*};
+}
+
+random_schedules! {
+    random_schedules_of_a_small_fleet: 6, TIGHT, 0..40;
+    random_schedules_of_a_larger_fleet: 24, BOUNDS, 100..130;
+    random_schedules_of_a_larger_fleet_with_a_tight_bound: 24, TIGHT, 200..220;
+}
