Send configurations between routers in a compact form, encoded once

Cause: with 1,400 routes a configuration is 352 KB of JSON; a watcher encoded it anew for each peer that asked. Changed: postcard in place of JSON, the bytes kept and passed on as they came, a question repeated after a second.

--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -89,13 +89,14 @@
     },
     /// Asks for the configuration that is in force at the receiver.
     ConfigAsk,
-    /// A configuration, as it lies in the store.
+    /// A configuration.
     Config {
         /// Its version.
         version: u64,
         /// What the sender's copy stands for.
         seen: Seen,
-        /// The store's value.
+        /// The [`crate::config::Published`], encoded with `postcard`: a fifth of its size as JSON, and passed on as it
+        /// came.
         value: Vec<u8>,
     },
     /// Asks for the list of VMs, because the platform gives none or too much was missed.
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -4,8 +4,8 @@
 //! learns something by it passes it on to a few members drawn at random, so that news reach all routers
 //! after a few steps, whichever of them fail. What a datagram does not hold is asked for over a connection.
 
-use super::{Action, Node};
-use crate::{ids, members, message, watch};
+use super::{Action, Node, Notice};
+use crate::{config, ids, members, message, servers, watch};
 use rand::seq::IndexedRandom;
 use std::collections;
 
@@ -18,6 +18,8 @@
 const CHANGES_KEPT_MS: u64 = 3_000;
 /// A question to a peer that stays unanswered is asked again, of whoever knows, after this long.
 const ASK_AGAIN_MS: u64 = 400;
+/// The same for a configuration: a large one takes a while on a small VM's link.
+const ASK_CONFIG_AGAIN_MS: u64 = 1_000;
 /// How often a router asks for members that a peer knows and it does not.
 const MEMBERS_ASK_MS: u64 = 1_000;
 /// Views of a fleet differ by one part in so many while members come and go.
@@ -32,6 +34,8 @@
     changes: collections::VecDeque<(u64, watch::ServerChange)>,
     /// They are all changes after this revision.
     changes_after: u64,
+    /// The configuration in force as it is sent to peers, with its version.
+    encoded: Option<(u64, Vec<u8>)>,
     asked_config_ms: Option<u64>,
     asked_vms_ms: Option<u64>,
     asked_members_ms: Option<u64>,
@@ -124,7 +128,7 @@
         now_ms: u64,
     ) {
         if digest.config_version > self.config_version() {
-            if may_ask(&mut self.relay.asked_config_ms, ASK_AGAIN_MS, now_ms) {
+            if may_ask(&mut self.relay.asked_config_ms, ASK_CONFIG_AGAIN_MS, now_ms) {
                 self.send(from, message::Message::ConfigAsk);
             }
             return;
@@ -192,26 +196,38 @@
 
     pub(super) fn send_config(&mut self, to: ids::Incarnation, now_ms: u64) {
         let Some(published) = &self.config else { return };
-        // What was decoded from JSON can be encoded to it.
-        let value = serde_json::to_vec(published).unwrap_or_default();
         let version = published.version;
+        let kept = self.relay.encoded.take().filter(|(known, _)| *known == version);
+        let value = match kept {
+            Some((_, value)) => value,
+            None => match postcard::to_stdvec(published) {
+                Ok(value) => value,
+                Err(fault) => {
+                    let notice = Notice::Unusable(format!("configuration {version}: {fault}"));
+                    self.actions.push(Action::Notice(notice));
+                    return;
+                }
+            },
+        };
+        self.relay.encoded = Some((version, value.clone()));
         let seen = self.digest(now_ms).configuration;
         self.send(to, message::Message::Config { version, seen, value });
     }
 
-    pub(super) fn take_config(&mut self, seen: message::Seen, value: &[u8], now_ms: u64) {
+    pub(super) fn take_config(&mut self, seen: message::Seen, value: Vec<u8>, now_ms: u64) {
         self.relay.asked_config_ms = None;
-        match serde_json::from_slice::<crate::config::Published>(value) {
+        match postcard::from_bytes::<config::Published>(&value) {
             Ok(published) => {
                 let version = published.version;
                 self.offer_config(published, now_ms);
                 if version == self.config_version() {
+                    self.relay.encoded = Some((version, value));
                     self.relay.push_due |= self.passes_on();
                     self.confirm(watch::Topic::Configuration, seen, now_ms);
                 }
             }
             Err(fault) => {
-                let notice = super::Notice::Unusable(format!("a peer's configuration: {fault}"));
+                let notice = Notice::Unusable(format!("a peer's configuration: {fault}"));
                 self.actions.push(Action::Notice(notice));
             }
         }
@@ -221,7 +237,7 @@
     pub(super) fn hear_vms(
         &mut self,
         seen: message::Seen,
-        vms: Vec<crate::servers::Vm>,
+        vms: Vec<servers::Vm>,
         now_ms: u64,
     ) {
         self.relay.asked_vms_ms = None;
