--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -148,6 +148,10 @@
         let own_rate = self.rate_tokens_per_s();
         let all_rates = own_rate.saturating_add(self.others_rate_tokens_per_s).max(1);
         let shared = self.shared_tokens(all_rates);
+        if self.settings.holders == 1 {
+            let ahead = if own_rate == 0 { shared } else { wanted.max(shared / EVEN_PART) };
+            return ahead.min(shared);
+        }
         let even = shared / EVEN_PART / self.routers.max(1);
         let by_rate =
             u128::from(shared - shared / EVEN_PART) * u128::from(own_rate) / u128::from(all_rates);
--- a/core/tests/ledger_rounds.rs
+++ b/core/tests/ledger_rounds.rs
@@ -124,6 +124,23 @@
     assert!(ample <= 100, "a quarter of 40% is divided evenly, whatever is spent: {ample}");
 }
 
+#[test]
+fn the_only_holder_has_the_whole_share_in_hand_before_anything_is_spent() {
+    let mut table = grants::Table::new(1);
+    let target_tokens = |table: &mut grants::Table, holders: u64| {
+        let name = format!("w/{holders}");
+        let cover = config::Cover { cover_s: 10, minimum_grant_tokens: 0, held_percent: 40, holders };
+        let budget = table.declare(&name, cover, 0);
+        let account = table.account_mut(budget);
+        account.holder = true;
+        account.routers = holders;
+        account.remaining_tokens = Some(100_000);
+        account.target_tokens()
+    };
+    assert_eq!(target_tokens(&mut table, 1), 40_000, "an outage may begin in the first second");
+    assert_eq!(target_tokens(&mut table, 2), 5_000, "a quarter of the share, evenly");
+}
+
 #[test]
 fn a_value_is_read_by_whoever_asks_for_it_until_an_answer_comes() {
     let mut table = grants::Table::new(1);
