--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -92,6 +92,8 @@
     next_seed: usize,
     /// Whether others look for this router first.
     is_seed: bool,
+    /// When a member was met that was not known before.
+    met_ms: u64,
 }
 
 impl Table {
@@ -110,6 +112,7 @@
             probes: 0,
             next_seed: 0,
             is_seed,
+            met_ms: 0,
         }
     }
 
@@ -136,6 +139,11 @@
         }
     }
 
+    /// When a member was met last that was not known before.
+    pub fn met_ms(&self) -> u64 {
+        self.met_ms
+    }
+
     /// Whether a router that has just started may learn all it needs from a seed.
     pub fn asks_seeds(&self) -> bool {
         !self.is_seed && !self.seeds.is_empty()
@@ -320,6 +328,7 @@
                 let member =
                     Member { record, probes_lost: 0, changed_ms: now_ms, news_left: NEWS_REPEATS };
                 self.members.insert(member.record.id, member);
+                self.met_ms = now_ms;
             }
             None => {}
             Some(known) => {
--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -23,6 +23,9 @@
 /// Left-over tokens up to this much spending are kept.
 const KEPT_MS: u64 = 2_000;
 const HAND_BACK_EVERY_MS: u64 = 250;
+/// A router that has just started takes itself for a holder only once no new member came for so long: peers tell
+/// all they know at once.
+const VIEW_SETTLED_MS: u64 = 400;
 /// A router holds nothing in advance before it had the time to hear of the others.
 const SETTLE_MS: u64 = 2_000;
 
@@ -120,6 +123,15 @@
         }
     }
 
+    /// Whether this router has had the time to hear who else there is. Of a fleet that starts again as a whole every
+    /// router would draw for itself otherwise.
+    fn view_settled(&self, now_ms: u64) -> bool {
+        let lonely = self.members.live().next().is_none();
+        let last_met_ms = if lonely { self.started_ms } else { self.members.met_ms() };
+        let waits = !lonely || self.members.asks_seeds();
+        !waits || now_ms >= (last_met_ms + VIEW_SETTLED_MS).min(self.started_ms + SETTLE_MS)
+    }
+
     fn pass_over(&mut self, holder: ids::Incarnation, budget: ids::BudgetSlot, now_ms: u64) {
         self.holders.passed_over.insert(holder, now_ms + PASSED_OVER_MS);
         let vm = self.members.find(holder).map(|record| record.vm.clone()).unwrap_or_default();
@@ -144,6 +156,10 @@
         now_ms: u64,
     ) {
         let Some(holder) = self.holder_to_ask(budget, &earlier) else {
+            if earlier.is_empty() && !self.view_settled(now_ms) {
+                // Each tick looks again, for as long as the requests may wait.
+                return;
+            }
             // The first in rank is this router itself, as far as it knows.
             let first = earlier.is_empty();
             self.grants.account_mut(budget).holder |= first;
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -12,6 +12,9 @@
 /// Members that news is passed on to. With four, 98 in 100 hear it by the push itself, the others by the next one
 /// or by a probe.
 const FANOUT: usize = 4;
+/// News, unlike the mere proof that there are none, are passed on once more after this long: of those whom the first
+/// push missed, nearly all hear the second.
+const PUSH_AGAIN_MS: u64 = 100;
 /// The most changes in one datagram; at about 150 bytes each they stay below its size.
 const CHANGES_MAX: usize = 16;
 /// Changes are repeated for so long, so that a lost datagram costs no question.
@@ -30,6 +33,8 @@
 pub(super) struct Relay {
     /// Whether something was learned that others should know.
     pub(super) push_due: bool,
+    /// When the latest news are passed on once more.
+    push_again_ms: Option<u64>,
     /// The latest changes of servers' records, with the time when they were heard.
     changes: collections::VecDeque<(u64, watch::ServerChange)>,
     /// They are all changes after this revision.
@@ -42,6 +47,12 @@
 }
 
 impl Relay {
+    /// Notes that something new was learned.
+    pub(super) fn heard_news(&mut self, now_ms: u64) {
+        self.push_due = true;
+        self.push_again_ms = Some(now_ms + PUSH_AGAIN_MS);
+    }
+
     /// Notes a change that was applied.
     pub(super) fn note_change(&mut self, change: watch::ServerChange, now_ms: u64) {
         self.changes.push_back((now_ms, change));
@@ -108,7 +119,7 @@
             let known = self.vms_index;
             let changes = digest.changes.iter().filter(|change| change.revision > known);
             self.apply_changes(digest.servers.revision, changes.cloned().collect(), now_ms);
-            self.relay.push_due |= self.passes_on();
+            self.relay.heard_news(now_ms);
         }
         if digest.servers.revision > self.vms_index {
             if may_ask(&mut self.relay.asked_vms_ms, ASK_AGAIN_MS, now_ms) {
@@ -161,13 +172,16 @@
     /// Passes news on, if there are any.
     pub(super) fn push_news(&mut self, now_ms: u64) {
         self.relay.forget_old(now_ms);
-        if !std::mem::take(&mut self.relay.push_due) || !self.passes_on() {
+        let again = self.relay.push_again_ms.take_if(|at_ms| now_ms >= *at_ms).is_some();
+        if !(std::mem::take(&mut self.relay.push_due) || again) || !self.passes_on() {
             return;
         }
-        let alive = self.members.live().filter(|record| record.health == members::Health::Alive);
-        let alive: Vec<&str> = alive.map(|record| record.address.as_str()).collect();
-        let chosen: Vec<String> =
-            alive.sample(&mut self.rng, FANOUT).map(|address| (*address).to_owned()).collect();
+        // Where datagrams are lost, a suspected member may live; those that died are suspected for a few seconds only.
+        let (alive, suspected): (Vec<&members::Record>, Vec<&members::Record>) =
+            self.members.live().partition(|record| record.health == members::Health::Alive);
+        let chosen = alive.sample(&mut self.rng, FANOUT);
+        let mut chosen: Vec<String> = chosen.map(|record| record.address.clone()).collect();
+        chosen.extend(suspected.choose(&mut self.rng).map(|record| record.address.clone()));
         for address in chosen {
             let news = self.members.news();
             self.push_gossip(address, message::GossipKind::Push, news, now_ms);
@@ -222,7 +236,7 @@
                 self.offer_config(published, now_ms);
                 if version == self.config_version() {
                     self.relay.encoded = Some((version, value));
-                    self.relay.push_due |= self.passes_on();
+                    self.relay.heard_news(now_ms);
                     self.confirm(watch::Topic::Configuration, seen, now_ms);
                 }
             }
@@ -247,7 +261,7 @@
         self.lapsed.clear();
         self.relay.restart_changes(seen.revision);
         self.follow_vms(seen.revision, vms);
-        self.relay.push_due |= self.passes_on();
+        self.relay.heard_news(now_ms);
         self.confirm(watch::Topic::Servers, seen, now_ms);
     }
 }
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -83,7 +83,10 @@
                 let any = news.any();
                 let watched = watching.topic(topic);
                 let again = watched.answered(duty, revision, any, now_ms);
-                self.relay.push_due = true;
+                match any {
+                    true => self.relay.heard_news(now_ms),
+                    false => self.relay.push_due = true,
+                }
                 self.take_news(revision, news, again, now_ms);
             }
             watch::Outcome::Forgotten => watching.topic(topic).forgotten(),
