Hold budgets in hand as soon as the view of the fleet has settled; tell the balancer of a lost readiness at once

Members are told all at once now, so the wait ends 400 ms after the last new member. Ruled out: that routers with a small view drew for themselves. Changed: SETTLE_MS ends early; readiness is published with every change of the state instead of every 20 ms, connections between routers end after 10 s at rest.

--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -23,10 +23,10 @@
 /// Left-over tokens up to this much spending are kept.
 const KEPT_MS: u64 = 2_000;
 const HAND_BACK_EVERY_MS: u64 = 250;
-/// A router that has just started takes itself for a holder only once no new member came for so long: peers tell
-/// all they know at once.
+/// A router holds nothing in advance before it had the time to hear of the others: until no new member came for so
+/// long, since peers tell all they know at once, or until it has run for so long. While it holds nothing, every
+/// need is a call to the store.
 const VIEW_SETTLED_MS: u64 = 400;
-/// A router holds nothing in advance before it had the time to hear of the others.
 const SETTLE_MS: u64 = 2_000;
 
 /// A question of this router that a holder has not answered yet.
@@ -63,7 +63,7 @@
     /// Notes which budgets this router holds in hand.
     pub(super) fn note_holders(&mut self, now_ms: u64) {
         let routers = self.members.live_count();
-        let settled = now_ms >= self.started_ms + SETTLE_MS;
+        let settled = self.view_settled(now_ms);
         let alive = self.alive();
         let own = self.settings.incarnation;
         let holds = |account: &grants::Account| {
@@ -123,13 +123,11 @@
         }
     }
 
-    /// Whether this router has had the time to hear who else there is. Of a fleet that starts again as a whole every
-    /// router would draw for itself otherwise.
+    /// Whether this router has had the time to hear who else there is.
     fn view_settled(&self, now_ms: u64) -> bool {
-        let lonely = self.members.live().next().is_none();
-        let last_met_ms = if lonely { self.started_ms } else { self.members.met_ms() };
-        let waits = !lonely || self.members.asks_seeds();
-        !waits || now_ms >= (last_met_ms + VIEW_SETTLED_MS).min(self.started_ms + SETTLE_MS)
+        let met = self.members.live().next().is_some();
+        let settled = met && now_ms >= self.members.met_ms() + VIEW_SETTLED_MS;
+        settled || now_ms >= self.started_ms + SETTLE_MS
     }
 
     fn pass_over(&mut self, holder: ids::Incarnation, budget: ids::BudgetSlot, now_ms: u64) {
@@ -156,10 +154,6 @@
         now_ms: u64,
     ) {
         let Some(holder) = self.holder_to_ask(budget, &earlier) else {
-            if earlier.is_empty() && !self.view_settled(now_ms) {
-                // Each tick looks again, for as long as the requests may wait.
-                return;
-            }
             // The first in rank is this router itself, as far as it knows.
             let first = earlier.is_empty();
             self.grants.account_mut(budget).holder |= first;
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -262,5 +262,4 @@
         }
         self.tick_waiting_budget(now_ms);
     }
-
 }
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -248,12 +248,7 @@
     }
 
     /// Follows a peer's list of VMs, if it is newer than what is known here.
-    pub(super) fn hear_vms(
-        &mut self,
-        seen: message::Seen,
-        vms: Vec<servers::Vm>,
-        now_ms: u64,
-    ) {
+    pub(super) fn hear_vms(&mut self, seen: message::Seen, vms: Vec<servers::Vm>, now_ms: u64) {
         self.relay.asked_vms_ms = None;
         if seen.revision <= self.vms_index {
             return;
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -203,7 +203,8 @@
         let Some(watching) = &mut self.watching else { return };
         let duty = watching.duty;
         for topic in watch::Topic::ALL {
-            let silent_ms = watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
+            let silent_ms =
+                watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
             let watched = match topic {
                 watch::Topic::Configuration => &mut watching.configuration,
                 watch::Topic::Servers => &mut watching.servers,
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -239,9 +239,8 @@
     /// Whether the moment has come that was drawn for a call because of overdue knowledge.
     fn draws_call(&mut self, routers: u64, now_ms: u64, rng: &mut rngs::StdRng) -> bool {
         let window_ms = routers * 1_000 / OVERDUE_CALLS_PER_S;
-        let at_ms = *self
-            .overdue_call_ms
-            .get_or_insert_with(|| now_ms + rng.random_range(0..=window_ms));
+        let at_ms =
+            *self.overdue_call_ms.get_or_insert_with(|| now_ms + rng.random_range(0..=window_ms));
         now_ms >= at_ms
     }
 
@@ -314,9 +313,7 @@
 
 /// The routers that watch for all: the first in rank, and the next one in another failure domain, if
 /// there is one. Every router that knows the same members names the same ones.
-pub fn watchers<'a>(
-    members: impl Iterator<Item = &'a members::Record>,
-) -> Vec<ids::Incarnation> {
+pub fn watchers<'a>(members: impl Iterator<Item = &'a members::Record>) -> Vec<ids::Incarnation> {
     let subject = rendezvous::digest("watch");
     let mut ranked: Vec<&members::Record> = members.collect();
     ranked.sort_by_cached_key(|member| {
@@ -325,11 +322,8 @@
     let Some(first) = ranked.first().copied() else { return Vec::new() };
     let elsewhere = |member: &&&members::Record| member.failure_domain != first.failure_domain;
     let second = ranked.iter().skip(1).find(elsewhere).or(ranked.get(1));
-    let mut watchers: Vec<ids::Incarnation> = [Some(&first), second]
-        .into_iter()
-        .flatten()
-        .map(|member| member.id)
-        .collect();
+    let mut watchers: Vec<ids::Incarnation> =
+        [Some(&first), second].into_iter().flatten().map(|member| member.id).collect();
     watchers.truncate(WATCHERS);
     watchers
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -85,8 +85,6 @@
         let now_ms = self.now_ms();
         self.node.tick(now_ms);
         self.carry_out(context);
-        let ready = self.node.lifecycle() == node::Lifecycle::Ready;
-        self.published.set_ready(ready);
         if self.node.lifecycle() == node::Lifecycle::Stopped {
             self.published.set_stopped();
         }
@@ -94,6 +92,7 @@
     }
 
     fn carry_out(&mut self, context: &mut Context<Self>) {
+        self.published.set_ready(self.node.lifecycle() == node::Lifecycle::Ready);
         for action in self.node.take_actions() {
             match action {
                 node::Action::Store { call, request } => self.call_store(call, request, context),
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -26,7 +26,9 @@
         Ok(changes) => {
             let (revision, count) = (changes.revision, changes.changes.len());
             if count > 0 {
-                log::info!("event=store_changed prefix={prefix} revision={revision} changes={count}");
+                log::info!(
+                    "event=store_changed prefix={prefix} revision={revision} changes={count}"
+                );
             }
             let news = match call.topic {
                 watch::Topic::Configuration => configuration_news(changes.changes),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -22,6 +22,9 @@
 const QUEUE_LENGTH: usize = 4_096;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
+/// A connection to a peer that carried nothing for so long is closed: in a large fleet each router talks to all
+/// others now and then, and an open connection costs both of them memory.
+const IDLE_AFTER: Duration = Duration::from_secs(10);
 
 /// Why a frame was refused.
 #[derive(Debug, snafu::Snafu)]
@@ -150,7 +153,7 @@
     }
 }
 
-/// The next frame to send; `None` if the peer closed the connection meanwhile.
+/// The next frame to send; `None` if the peer closed the connection meanwhile, or nothing was sent for long.
 async fn next_frame(
     queue: &mut mpsc::Receiver<Vec<u8>>,
     framed: &mut codec::Framed<tokio::net::TcpStream, codec::LengthDelimitedCodec>,
@@ -159,6 +162,7 @@
         frame = queue.recv() => frame,
         // Peers send nothing this way: anything read here is the end.
         _ = framed.next() => None,
+        () = tokio::time::sleep(IDLE_AFTER) => None,
     }
 }
 
