Take records as lapsed only where nobody knew the store's state meanwhile

Cause, found by a new check of the random schedules (the servers that a router uses are those of the revision that its copy stands for): (1) a router that was turned away alone, and whose peers kept it up to date, took servers that had left for lapsed at its next answer, and told others so; (2) others that had seen them leave believed it; (3) a listener marked records as lapsed although its own silence, not the store's refusal, was the reason; (4) the note of a refusal stayed until the router's own next answer, up to ten seconds after the outage: servers that left then were used for 1.4 s more. Changed: marks are set after a refusal and only if the knowledge is overdue, believed only by routers whose own is, and a refusal is forgotten once the state is known again; where every router watches, the first call after a refusal waits 10 ms instead of ten seconds. Test: check_content in core/tests/watch_fleet, which fails on the code before (two or three of the three random suites).

--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -118,7 +118,9 @@
         if news && self.vms_index > 0 && digest.changes_after <= self.vms_index {
             let known = self.vms_index;
             let changes = digest.changes.iter().filter(|change| change.revision > known);
-            self.apply_changes(digest.servers.revision, changes.cloned().collect(), now_ms);
+            let missed_store = self.watching.as_ref().is_some_and(|it| it.missed_store(now_ms));
+            let changes = changes.cloned().collect();
+            self.apply_changes(digest.servers.revision, changes, missed_store, now_ms);
             self.relay.heard_news(now_ms);
         }
         if digest.servers.revision > self.vms_index {
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Whether this router had no word of the store's servers because the store did not serve.
+    pub(super) fn missed_store(&self, now_ms: u64) -> bool {
+        self.servers.missed_store(self.duty, now_ms)
+    }
+
     fn knows_all(&self) -> bool {
         self.configuration.revision() > 0 && self.servers.revision() > 0
     }
@@ -82,12 +87,13 @@
             watch::Outcome::Answered { revision, news } => {
                 let any = news.any();
                 let watched = watching.topic(topic);
-                let again = watched.answered(duty, revision, any, now_ms);
+                let was_refused = watched.was_refused(duty, now_ms);
+                watched.answered(duty, revision, any, now_ms);
                 match any {
                     true => self.relay.heard_news(now_ms),
                     false => self.relay.push_due = true,
                 }
-                self.take_news(revision, news, again, now_ms);
+                self.take_news(revision, news, was_refused, now_ms);
             }
             watch::Outcome::Forgotten => watching.topic(topic).forgotten(),
             watch::Outcome::Refused => {
@@ -99,7 +105,7 @@
         }
     }
 
-    fn take_news(&mut self, revision: u64, news: watch::News, again: bool, now_ms: u64) {
+    fn take_news(&mut self, revision: u64, news: watch::News, was_refused: bool, now_ms: u64) {
         match news {
             watch::News::Configuration(published) => {
                 if let Some(published) = published {
@@ -110,14 +116,14 @@
                 // Peers may have told more meanwhile.
                 let known = self.vms_index;
                 changes.retain(|change| change.revision > known);
-                if again {
+                if was_refused {
                     changes.iter_mut().for_each(note_lapsed);
                 }
-                self.apply_changes(revision.max(known), changes, now_ms);
+                self.apply_changes(revision.max(known), changes, was_refused, now_ms);
             }
             watch::News::AllServers(_) if revision < self.vms_index => {}
             watch::News::AllServers(vms) => {
-                if again {
+                if was_refused {
                     self.keep_missing(&vms, now_ms);
                 }
                 self.relay.restart_changes(revision);
@@ -126,11 +132,13 @@
         }
     }
 
-    /// Applies changes of servers' records; the copy stands for `revision` then.
+    /// Applies changes of servers' records; the copy stands for `revision` then. Records that lapsed are kept for a
+    /// while if `keeps_lapsed`: who knew the store's state all the while saw them leave.
     pub(super) fn apply_changes(
         &mut self,
         revision: u64,
         changes: Vec<watch::ServerChange>,
+        keeps_lapsed: bool,
         now_ms: u64,
     ) {
         if changes.is_empty() {
@@ -147,7 +155,7 @@
                 }
                 watch::ServerRecord::Gone => self.forget_lapsed_of(&change.vm),
                 watch::ServerRecord::Lapsed => {
-                    if let Some(vm) = removed {
+                    if let Some(vm) = removed.filter(|_| keeps_lapsed) {
                         self.keep_lapsed(vm, now_ms);
                     }
                 }
@@ -306,7 +314,7 @@
     }
 }
 
-/// A record that went in the first answer after the store was away may be back soon.
+/// A record that went while the store was away may be back soon.
 fn note_lapsed(change: &mut watch::ServerChange) {
     if change.record == watch::ServerRecord::Gone {
         change.record = watch::ServerRecord::Lapsed;
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -162,8 +162,8 @@
     calling: Option<(u64, u64)>,
     not_before_ms: u64,
     pause: backoff::Backoff,
-    /// The store said since it last served this router that it does not serve.
-    refused: bool,
+    /// When the store said last that it does not serve, unless its state was known after that.
+    refused_ms: Option<u64>,
     /// When this router asks because its knowledge is overdue.
     overdue_call_ms: Option<u64>,
 }
@@ -181,7 +181,7 @@
             calling: None,
             not_before_ms: 0,
             pause: backoff::Backoff::new(PAUSE_FIRST_MS, PAUSE_LONGEST_MS),
-            refused: false,
+            refused_ms: None,
             overdue_call_ms: None,
         }
     }
@@ -219,10 +219,11 @@
         if self.calling.is_some() || now_ms < self.not_before_ms {
             return None;
         }
-        let old_ms = now_ms.saturating_sub(self.confirmed_ms.unwrap_or(self.started_ms));
-        let overdue = self.confirmed_ms.is_none() || old_ms >= self.overdue_ms();
+        let overdue = self.is_overdue(now_ms);
         let wait_ms = match duty {
             Duty::Joining => return None,
+            // The first answer after an outage is wanted at once: it tells what lapsed.
+            Duty::EveryRouter if self.refused_ms.is_some() => PROOF_WAIT_MS,
             Duty::EveryRouter => ALL_WATCH_WAIT_MS,
             Duty::Watcher if overdue => PROOF_WAIT_MS,
             Duty::Watcher => self.bound_ms * WAIT_PERCENT / 100,
@@ -244,8 +245,28 @@
         now_ms >= at_ms
     }
 
-    /// Takes in an answer. Returns whether it is the first one after the store said that it does not serve.
-    pub fn answered(&mut self, duty: Duty, revision: u64, changed: bool, now_ms: u64) -> bool {
+    /// Whether the store said to this router that it does not serve, and peers told no newer state meanwhile: records
+    /// that are missing from its next answer may have lapsed only. Mere silence may be this router's own.
+    pub fn was_refused(&self, duty: Duty, now_ms: u64) -> bool {
+        // Where every router watches, calls wait long and peers tell little: knowledge is never young.
+        self.refused_ms.is_some() && (duty == Duty::EveryRouter || self.is_overdue(now_ms))
+    }
+
+    /// Whether a peer's word that records lapsed may be so for this router as well: one that knew the store's state all
+    /// the while saw them leave.
+    pub fn missed_store(&self, duty: Duty, now_ms: u64) -> bool {
+        match duty {
+            Duty::EveryRouter | Duty::Joining => self.refused_ms.is_some(),
+            Duty::Watcher | Duty::Listener => self.is_overdue(now_ms),
+        }
+    }
+
+    fn is_overdue(&self, now_ms: u64) -> bool {
+        self.age_ms(now_ms).is_none_or(|age_ms| age_ms >= self.overdue_ms())
+    }
+
+    /// Takes in an answer.
+    pub fn answered(&mut self, duty: Duty, revision: u64, changed: bool, now_ms: u64) {
         let (sent_ms, wait_ms) = self.calling.take().unwrap_or((now_ms, 0));
         self.pause.reset();
         self.forgotten = false;
@@ -261,7 +282,7 @@
             (true, _) => now_ms + GATHER_MS,
         };
         self.confirm(revision, made_ms);
-        std::mem::take(&mut self.refused)
+        self.refused_ms = None;
     }
 
     /// Notes that the history since the copy's revision is gone: all is asked for next.
@@ -281,7 +302,9 @@
         rng: &mut rngs::StdRng,
     ) {
         self.calling = None;
-        self.refused |= refused;
+        if refused {
+            self.refused_ms = Some(now_ms);
+        }
         let pause_ms = PAUSE_FIRST_MS / 2 + self.pause.next_delay_ms(rng);
         self.not_before_ms = now_ms + pause_ms;
         if duty == Duty::Listener {
@@ -301,6 +324,7 @@
             return 0;
         }
         self.confirmed_ms = Some(confirmed_ms);
+        self.refused_ms = self.refused_ms.filter(|at_ms| confirmed_ms <= *at_ms);
         self.overdue_call_ms = None;
         confirmed_ms.saturating_sub(before_ms)
     }
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -469,12 +469,29 @@
         }
     }
 
+    /// The servers that a router uses are those of the revision that its copy stands for.
+    fn check_content(&self, place: usize) {
+        let node = &self.routers[place].node;
+        let known = node.vms_index();
+        for (_, server) in node.servers().iter() {
+            let name = &server.vm.vm;
+            let mut earlier = self.history.iter().rev().filter(|it| it.revision <= known);
+            let last = earlier.find_map(|change| {
+                let (changed, record) = change.server.as_ref()?;
+                (changed == name).then_some(record)
+            });
+            let listed = last.is_some_and(Option::is_some);
+            assert!(listed, "entry-{place} uses {name}, which revision {known} does not list");
+        }
+    }
+
     fn check_staleness(&mut self, place: usize) {
         let router = &self.routers[place];
         let calm_ms = self.now_ms - router.calm_since_ms.max(self.store_calm_since_ms);
         if calm_ms < CONTACT_MS || !self.reaches_store(place) {
             return;
         }
+        self.check_content(place);
         let missed = |change: &&Change| match change.topic {
             watch::Topic::Configuration => {
                 change.revision == self.config_revision
