Tidy what follows the store: one way to a topic, successors told by the ledger's module

Cause: reading the diff as a newcomer: the choice of a topic stood three times, telling a dead holder's successor stood among the watches, Watch kept a field that nothing read. Ruled out: a change of behaviour; by moving only.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -155,7 +155,7 @@
             health: members::Health::Alive,
         };
         let members = members::Table::new(own, settings.seeds.clone());
-        let watching = settings.watch.map(|bounds| watching::Watching::new(bounds, now_ms));
+        let watching = settings.watch.map(watching::Watching::new);
         let reads = limiter::Limiter::new(settings.platform_reads_per_s, 50, now_ms);
         let writes = limiter::Limiter::new(settings.platform_writes_per_s, 5, now_ms);
         Self {
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -1,7 +1,8 @@
 //! Calls to the platform's store, within this router's share of its rates.
 
 use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice, Purpose};
-use crate::{ids, ledger, ledger_writer, store};
+use crate::{ids, ledger, ledger_writer, message, store};
+use std::collections;
 
 impl Node {
     /// Takes the store's reply to a call.
@@ -149,6 +150,22 @@
         }
     }
 
+    /// An earlier life left grants in a shard of the ledger, at the addresses of `holders`: its successors
+    /// there are told, because only they can tell for sure that it is over.
+    fn tell_successors(&mut self, shard: u32, holders: &[(ids::Incarnation, String)]) {
+        let successor = |(life, address): &(ids::Incarnation, String)| {
+            let live = self.members.live();
+            live.filter(|record| record.address == *address && record.id != *life)
+                .map(|record| record.id)
+                .next()
+        };
+        let told: collections::BTreeSet<ids::Incarnation> =
+            holders.iter().filter_map(successor).collect();
+        for id in told {
+            self.send(id, message::Message::LeftBehind { shard });
+        }
+    }
+
     fn note_followed(&mut self, shard: usize, now_ms: u64) {
         let budgets = self.grants.in_shard(shard as u32).to_vec();
         for budget in budgets {
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -156,10 +156,7 @@
     pub(super) fn confirm(&mut self, topic: watch::Topic, seen: message::Seen, now_ms: u64) {
         let passes_on = self.passes_on();
         let Some(watching) = &mut self.watching else { return };
-        let watched = match topic {
-            watch::Topic::Configuration => &mut watching.configuration,
-            watch::Topic::Servers => &mut watching.servers,
-        };
+        let watched = watching.topic(topic);
         watched.adopt(seen.revision);
         let Some(age_ms) = seen.age_ms else { return };
         let gained_ms = watched.confirm(seen.revision, now_ms.saturating_sub(age_ms));
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -1,7 +1,7 @@
 //! Who asks the store for news, and what becomes of its answers.
 
 use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice};
-use crate::{ids, members, servers, watch};
+use crate::{members, servers, watch};
 use std::collections;
 
 /// How long a router that has just started asks peers only. A peer answers within milliseconds;
@@ -32,11 +32,11 @@
 }
 
 impl Watching {
-    pub(super) fn new(bounds: watch::Bounds, now_ms: u64) -> Self {
-        let follow = |topic, bound_ms| watch::Watch::new(topic, bound_ms, now_ms);
+    pub(super) fn new(bounds: watch::Bounds) -> Self {
+        let configuration = watch::Topic::Configuration;
         Self {
-            configuration: follow(watch::Topic::Configuration, bounds.configuration_ms),
-            servers: follow(watch::Topic::Servers, bounds.servers_ms),
+            configuration: watch::Watch::new(configuration, bounds.configuration_ms),
+            servers: watch::Watch::new(watch::Topic::Servers, bounds.servers_ms),
             duty: watch::Duty::Joining,
             looked_ms: 0,
             announced: false,
@@ -45,7 +45,7 @@
         }
     }
 
-    fn topic(&mut self, topic: watch::Topic) -> &mut watch::Watch {
+    pub(super) fn topic(&mut self, topic: watch::Topic) -> &mut watch::Watch {
         match topic {
             watch::Topic::Configuration => &mut self.configuration,
             watch::Topic::Servers => &mut self.servers,
@@ -210,13 +210,9 @@
         let routers = self.members.live_count();
         let Some(watching) = &mut self.watching else { return };
         let duty = watching.duty;
+        let silent_ms = watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
         for topic in watch::Topic::ALL {
-            let silent_ms =
-                watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
-            let watched = match topic {
-                watch::Topic::Configuration => &mut watching.configuration,
-                watch::Topic::Servers => &mut watching.servers,
-            };
+            let watched = watching.topic(topic);
             let alone = silent_ms >= watched.overdue_ms();
             if let Some(call) = watched.due(duty, routers, alone, now_ms, &mut self.rng) {
                 self.actions.push(Action::Watch(call));
@@ -278,22 +274,6 @@
         }
     }
 
-    /// An earlier life left grants in a shard of the ledger, at the addresses of `holders`: its successors
-    /// there are told, because only they can tell for sure that it is over.
-    pub(super) fn tell_successors(&mut self, shard: u32, holders: &[(ids::Incarnation, String)]) {
-        let successor = |(life, address): &(ids::Incarnation, String)| {
-            let live = self.members.live();
-            live.filter(|record| record.address == *address && record.id != *life)
-                .map(|record| record.id)
-                .next()
-        };
-        let told: collections::BTreeSet<ids::Incarnation> =
-            holders.iter().filter_map(successor).collect();
-        for id in told {
-            self.send(id, crate::message::Message::LeftBehind { shard });
-        }
-    }
-
     fn count_watch(&mut self, topic: watch::Topic, outcome: &watch::Outcome) {
         let purpose = match topic {
             watch::Topic::Configuration => CallPurpose::WatchConfiguration,
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -151,7 +151,6 @@
 pub struct Watch {
     topic: Topic,
     bound_ms: u64,
-    started_ms: u64,
     /// The revision that this router's copy stands for; 0 if it has none.
     revision: u64,
     /// At this time the copy held all that the store had.
@@ -170,11 +169,10 @@
 
 impl Watch {
     /// A topic of which nothing is known yet.
-    pub fn new(topic: Topic, bound_ms: u64, now_ms: u64) -> Self {
+    pub fn new(topic: Topic, bound_ms: u64) -> Self {
         Self {
             topic,
             bound_ms,
-            started_ms: now_ms,
             revision: 0,
             confirmed_ms: None,
             forgotten: false,
