Split the test fleet that follows a store by job

Changed, by moving: checks.rs (what routers are held to), store.rs (how the store answers). Conclusion: no code of the product changed.

--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -4,6 +4,9 @@
 
 #![allow(dead_code, missing_docs, clippy::unwrap_used)]
 
+mod checks;
+mod store;
+
 use doorswitch_core::{config, ids, message, node, servers, watch};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -372,149 +375,6 @@
         }
         self.carry_out(place);
     }
-
-    fn reaches_store(&self, place: usize) -> bool {
-        let router = &self.routers[place];
-        self.store == Store::Well && !router.cut && !router.turned_away
-    }
-
-    fn answer_calls(&mut self, place: usize) {
-        for waiting in std::mem::take(&mut self.routers[place].waiting) {
-            let answer = self.answer(place, &waiting);
-            let arrives_ms = self.now_ms + self.rng.random_range(0..=self.answer_ms);
-            let router = &mut self.routers[place];
-            match answer {
-                Some(outcome) => router.answers.push((arrives_ms, waiting.call.topic, outcome)),
-                None => router.waiting.push(waiting),
-            }
-        }
-        let now_ms = self.now_ms;
-        let arrived: Vec<_> =
-            self.routers[place].answers.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
-        for (_, topic, outcome) in arrived {
-            self.routers[place].node.watched(topic, outcome, now_ms);
-            self.carry_out(place);
-        }
-    }
-
-    fn answer(&self, place: usize, waiting: &Waiting) -> Option<watch::Outcome> {
-        let Waiting { call, sent_ms } = waiting;
-        let waited_ms = self.now_ms - sent_ms;
-        let router = &self.routers[place];
-        if router.cut || self.store == Store::Silent {
-            let over = waited_ms >= call.wait_ms + CALL_TIMEOUT_MS;
-            return over.then_some(watch::Outcome::Silent);
-        }
-        if router.turned_away || self.store == Store::Refuses {
-            return Some(watch::Outcome::Refused);
-        }
-        if call.revision > 0 && call.revision < self.forgotten {
-            return Some(watch::Outcome::Forgotten);
-        }
-        let news = self.news(call);
-        (news.any() || waited_ms >= call.wait_ms)
-            .then_some(watch::Outcome::Answered { revision: self.revision, news })
-    }
-
-    fn news(&self, call: &watch::Call) -> watch::News {
-        match call.topic {
-            watch::Topic::Configuration => {
-                let changed = self.config_revision > call.revision;
-                watch::News::Configuration(changed.then(|| Box::new(self.published.clone())))
-            }
-            watch::Topic::Servers if call.revision == 0 => {
-                watch::News::AllServers(self.servers.values().map(|(_, vm)| vm.clone()).collect())
-            }
-            watch::Topic::Servers => {
-                let later = self.history.iter().filter(|change| change.revision > call.revision);
-                let changes = later.filter_map(|change| {
-                    let (vm, record) = change.server.clone()?;
-                    let record =
-                        record.map_or(watch::ServerRecord::Gone, watch::ServerRecord::Listed);
-                    Some(watch::ServerChange { vm, revision: change.revision, record })
-                });
-                watch::News::Servers(changes.collect())
-            }
-        }
-    }
-
-    /// Holds every router against the store's history.
-    fn check(&mut self) {
-        for place in 0..self.routers.len() {
-            let router = &mut self.routers[place];
-            if !router.alive || router.frozen {
-                continue;
-            }
-            let revision = router.node.vms_index();
-            let seen = (router.node.config_version(), revision);
-            assert!(seen.0 >= router.seen.0, "an older configuration after a newer one");
-            assert!(seen.1 >= router.seen.1, "an older list after a newer one");
-            router.seen = seen;
-            self.check_leaving(place);
-            self.check_staleness(place);
-        }
-    }
-
-    /// Nothing is sent to a server that was seen to leave or to go.
-    fn check_leaving(&self, place: usize) {
-        let node = &self.routers[place].node;
-        let known = node.vms_index();
-        for (name, (revision, vm)) in &self.servers {
-            if vm.state == servers::VmState::Leaving && *revision <= known {
-                let live = node.servers().iter().any(|(_, server)| {
-                    server.vm.vm == *name && server.vm.state == servers::VmState::Live
-                });
-                assert!(!live, "{name} is used by entry-{place} after it was heard to leave");
-            }
-        }
-    }
-
-    /// The servers that a router uses are those of the revision that its copy stands for.
-    fn check_content(&self, place: usize) {
-        let node = &self.routers[place].node;
-        let known = node.vms_index();
-        for (_, server) in node.servers().iter() {
-            let name = &server.vm.vm;
-            let mut earlier = self.history.iter().rev().filter(|it| it.revision <= known);
-            let last = earlier.find_map(|change| {
-                let (changed, record) = change.server.as_ref()?;
-                (changed == name).then_some(record)
-            });
-            let listed = last.is_some_and(Option::is_some);
-            assert!(listed, "entry-{place} uses {name}, which revision {known} does not list");
-        }
-    }
-
-    fn check_staleness(&mut self, place: usize) {
-        let router = &self.routers[place];
-        let calm_ms = self.now_ms - router.calm_since_ms.max(self.store_calm_since_ms);
-        if calm_ms < CONTACT_MS || !self.reaches_store(place) {
-            return;
-        }
-        self.check_content(place);
-        let missed = |change: &&Change| match change.topic {
-            watch::Topic::Configuration => {
-                change.revision == self.config_revision
-                    && router.node.config_version() < self.published.version
-            }
-            watch::Topic::Servers => change.revision > router.node.vms_index(),
-        };
-        let oldest = self.history.iter().rev().take(50).filter(missed).min_by_key(|it| it.at_ms);
-        let Some(oldest) = oldest else { return };
-        let stale_ms = self.now_ms - oldest.at_ms;
-        let bound_ms = match oldest.topic {
-            watch::Topic::Configuration => self.bounds.configuration_ms,
-            watch::Topic::Servers => self.bounds.servers_ms,
-        };
-        let topic = oldest.topic;
-        assert!(
-            stale_ms <= bound_ms,
-            "entry-{place} has missed a change of {topic:?} for {stale_ms} ms at {}",
-            self.now_ms,
-        );
-        let stalest = self.stalest_ms.entry(topic).or_default();
-        *stalest = (*stalest).max(stale_ms);
-    }
 }
 
 fn document() -> config::Document {
