Pay the test fleets' budgets before their routers start

A router that reads the ledger between the publishing of the configuration and the first payment finds the budget empty and looks again after ten seconds, unless a request asks (EMPTY_CHECK_EVERY_MS); cut off before that, it holds nothing, as both tests' logs show (no draw, nothing written off).

Ruled out: the change in who holds as soon as the view has settled (these budgets have no holders); load. With a second between publishing and payment both tests fail each time.

Before: both fail with that second. After: the payment lies in the ledger before a router runs, and both tests wait until each router has a grant, which is what they mean by what it held; budgets, stops and configuration pass. A fleet whose routers don't know each other says now what each router logged.

Conclusion: the tests' order was at fault, not the routers; nothing that they check was changed.

--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -53,6 +53,7 @@
 fn a_cut_region_and_its_other_half_both_spend_and_never_overspend() {
     let fleet = Fleet::start("budget-region", Options { routers: 4, regions: 2, ..options() });
     let (near, far) = ([0, 2], [1, 3]);
+    fleet.wait_drawn("kitchen");
     fleet.cut_routers(&near, &far, true);
     fleet.cut_platform(&far, true);
     let far_served = spend_all(&fleet, &far, 100);
@@ -149,6 +150,7 @@
 #[test]
 fn a_platform_outage_leaves_the_grants_usable_and_refuses_beyond_them() {
     let fleet = Fleet::start("budget-outage", options());
+    fleet.wait_drawn("kitchen");
     fleet.platform.set_mode(platform::Mode { out: true, ..platform::Mode::default() });
     let during = spend_all(&fleet, &[0, 1, 2], 100);
     assert!(during > 0, "grants outlast the outage");
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -149,16 +149,27 @@
 
 impl Fleet {
     /// Starts everything and waits until every router takes work and knows the others.
+    ///
+    /// The budgets are paid before a router runs: one that finds a budget empty looks again after ten seconds only.
     pub fn start(name: &str, options: Options) -> Self {
-        let fleet = Self::start_unready(name, &options);
+        let mut fleet = Self::prepare(name, &options);
         fleet.publish(&fleet.document.clone());
         fleet.pay("kitchen", options.budget_tokens, "first");
         fleet.pay("gate", options.budget_tokens, "first");
+        fleet.spawn_all();
         fleet.wait_ready();
         fleet
     }
 
+    /// Starts everything before there is a configuration, and waits for nothing.
     pub fn start_unready(name: &str, options: &Options) -> Self {
+        let mut fleet = Self::prepare(name, options);
+        fleet.spawn_all();
+        fleet
+    }
+
+    /// Starts the stand-ins and the networks; no router runs yet.
+    fn prepare(name: &str, options: &Options) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
@@ -186,12 +197,15 @@
             fleet.routers.push(router);
         }
         fleet.platform.set_vms(fleet.vms());
-        for place in 0..options.routers {
-            fleet.spawn(place);
-        }
         fleet
     }
 
+    fn spawn_all(&mut self) {
+        for place in 0..self.routers.len() {
+            self.spawn(place);
+        }
+    }
+
     fn new_router(&self, place: usize, regions: usize) -> Router {
         let [high, low] = self.net;
         let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, 10 + place as u8));
@@ -298,7 +312,8 @@
         let count = self.routers.len();
         for place in 0..count {
             self.wait_router_ready(place);
-            eventually("every router knows the others", || self.members_alive(place) == count - 1);
+            let knows = holds_within(PATIENCE, || self.members_alive(place) == count - 1);
+            assert!(knows, "router {place} does not know the others: {}", self.report());
         }
     }
 
--- a/tests/fleet/observe.rs
+++ b/tests/fleet/observe.rs
@@ -4,6 +4,9 @@
 use doorswitch_core::{config, ledger, log_index};
 use std::fs;
 
+/// Lines of each router's log in a report.
+const LOG_LINES: usize = 20;
+
 impl Fleet {
     pub fn ledger(&self, workspace: &str) -> ledger::Budget {
         let name = config::budget_name(workspace, "main");
@@ -17,8 +20,7 @@
         found
     }
 
-    /// Waits until every router has drawn of a budget. One that read the ledger just before the first payment
-    /// looks again after ten seconds.
+    /// Waits until every router has drawn of a budget.
     pub fn wait_drawn(&self, workspace: &str) {
         super::eventually("every router holds a grant", || {
             self.ledger(workspace).grants.len() == self.routers.len()
@@ -71,6 +73,17 @@
         counts.sum()
     }
 
+    /// What each router says of itself, for a test that fails.
+    pub fn report(&self) -> String {
+        let report = |place: usize| {
+            let log = self.log_text(place);
+            let lines: Vec<&str> = log.lines().collect();
+            let last = lines[lines.len().saturating_sub(LOG_LINES)..].join("\n");
+            format!("router {place}: members {}\n{last}", self.dump(place)["members"])
+        };
+        (0..self.routers.len()).map(report).collect::<Vec<_>>().join("\n")
+    }
+
     pub fn log_text(&self, place: usize) -> String {
         fs::read_to_string(self.folder.join(format!("router-{place}.log"))).unwrap_or_default()
     }
