Keep the drawn moment of an overdue call until knowledge is new enough

A listener whose knowledge is overdue draws the moment of a call of its own. Each word of a peer that was a millisecond newer forgot that moment, so that it was drawn anew, again and again; two routers that are equally late tell each other such words ten times a second, since the time on the way makes the told age too young.

Ruled out: a call that hangs (none was counted), the store (the list of servers was answered at 9.4 s), peers that told a false version (all told the old one, truly).

Conclusion: the moment is forgotten once the knowledge is no longer overdue.

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -214,10 +214,15 @@
         now_ms: u64,
         rng: &mut rngs::StdRng,
     ) -> Option<Call> {
+        let overdue = self.is_overdue(now_ms);
+        if !overdue {
+            // A peer that is as late as this router may tell a slightly newer state again and again: only a state
+            // that is new enough makes the call needless.
+            self.overdue_call_ms = None;
+        }
         if self.calling.is_some() || now_ms < self.not_before_ms {
             return None;
         }
-        let overdue = self.is_overdue(now_ms);
         let wait_ms = match duty {
             Duty::Joining => return None,
             // The first answer after an outage is wanted at once: it tells what lapsed.
@@ -323,7 +328,6 @@
         }
         self.confirmed_ms = Some(confirmed_ms);
         self.refused_ms = self.refused_ms.filter(|at_ms| confirmed_ms <= *at_ms);
-        self.overdue_call_ms = None;
         confirmed_ms.saturating_sub(before_ms)
     }
 
--- a/core/tests/watching.rs
+++ b/core/tests/watching.rs
@@ -203,6 +203,47 @@
     assert!(fleet.knows_latest(&fleet.routers[lone].node));
 }
 
+/// The bound of a deployment whose twin showed it: a router started among others that the store was cut off from.
+const CLOSE: watch::Bounds = watch::Bounds { configuration_ms: 3_000, servers_ms: 3_000 };
+
+#[test]
+fn one_router_in_touch_among_some_that_are_not_follows_in_time() {
+    for seed in 0..20 {
+        let mut fleet = settled(17, CLOSE, seed);
+        for place in 0..3 {
+            fleet.routers[place].group = 1;
+            fleet.set_cut(place, place > 0);
+        }
+        fleet.kill(0);
+        fleet.run_ms(500);
+        fleet.restart(0);
+        // The fleet holds every router in touch to its bound.
+        for _ in 0..4 {
+            fleet.run_ms(1_000);
+            change(&mut fleet);
+        }
+        fleet.run_ms(3_000);
+    }
+}
+
+#[test]
+fn a_peer_that_is_as_late_delays_no_call() {
+    for seed in 0..50 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut watch = watch::Watch::new(watch::Topic::Configuration, CLOSE.configuration_ms);
+        watch.confirm(5, 0);
+        let due = (0..3_500).step_by(20).find(|now_ms| {
+            // The time on the way makes what it tells look a little newer each time.
+            if now_ms % 100 == 0 {
+                watch.confirm(5, now_ms / 50);
+            }
+            watch.due(watch::Duty::Listener, 17, false, *now_ms, &mut rng).is_some()
+        });
+        // Overdue after 1,500 ms; 17 routers make 12 calls a second.
+        assert!(due.is_some_and(|now_ms| now_ms <= 3_020), "seed {seed}: {due:?}");
+    }
+}
+
 #[test]
 fn history_that_is_forgotten_is_read_anew_by_few() {
     let mut fleet = settled(60, BOUNDS, 11);
