Count the log's calls to the store apart from the ledger's

Cause: calls of the callers' interface for its log were counted as the ledger's, and a call without an answer as neither read nor write, so that the table of calls could not be trusted on a deployment with both.

Ruled out: another counter in the writers; the node knows of each call in flight what it is for.

Before: LedgerWrite held the log's writes, Ledger_Silent both kinds. After: LogRead and LogWrite, and Silent under its own purpose; calls_to_the_store_are_counted_by_what_they_are_for compares the counts with those that the test's store saw. A function without a caller (ledger::shard_at) is gone.

--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -253,11 +253,6 @@
     format!("{PREFIX}{shard}")
 }
 
-/// The shard whose value lies under a key.
-pub fn shard_at(key: &str) -> Option<u32> {
-    key.strip_prefix(PREFIX)?.parse().ok()
-}
-
 /// The shard that holds a budget (FNV-1a over its name).
 pub fn shard_of(budget: &str, shards: u32) -> u32 {
     let hash = budget.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -96,6 +96,25 @@
     Log(usize),
 }
 
+/// A call to the store that has no reply yet.
+#[derive(Clone, Copy, Debug)]
+struct StoreCall {
+    purpose: Purpose,
+    writes: bool,
+}
+
+impl StoreCall {
+    /// What it is counted as.
+    fn counted_as(self) -> CallPurpose {
+        match (self.purpose, self.writes) {
+            (Purpose::Ledger(_), false) => CallPurpose::LedgerRead,
+            (Purpose::Ledger(_), true) => CallPurpose::LedgerWrite,
+            (Purpose::Log(_), false) => CallPurpose::LogRead,
+            (Purpose::Log(_), true) => CallPurpose::LogWrite,
+        }
+    }
+}
+
 /// A router's control state.
 #[derive(Debug)]
 pub struct Node {
@@ -135,7 +154,7 @@
     watching: Option<watching::Watching>,
     relay: relay::Relay,
     started_ms: u64,
-    calls: collections::HashMap<ids::CallId, Purpose>,
+    calls: collections::HashMap<ids::CallId, StoreCall>,
     next_call: u64,
     reads: limiter::Limiter,
     writes: limiter::Limiter,
@@ -361,17 +380,20 @@
     fn call(&mut self, purpose: Purpose) -> ids::CallId {
         self.next_call += 1;
         let call = ids::CallId(self.next_call);
-        self.calls.insert(call, purpose);
+        self.calls.insert(call, StoreCall { purpose, writes: false });
         call
     }
 
     fn push_store(&mut self, call: ids::CallId, request: store::Request) {
-        if request.is_write() {
-            self.counters.platform_writes += 1;
-            self.count_call(CallPurpose::LedgerWrite, CallOutcome::Sent);
-        } else {
-            self.counters.platform_reads += 1;
-            self.count_call(CallPurpose::LedgerRead, CallOutcome::Sent);
+        let writes = request.is_write();
+        match writes {
+            true => self.counters.platform_writes += 1,
+            false => self.counters.platform_reads += 1,
+        }
+        if let Some(pending) = self.calls.get_mut(&call) {
+            pending.writes = writes;
+            let purpose = pending.counted_as();
+            self.count_call(purpose, CallOutcome::Sent);
         }
         self.actions.push(Action::Store { call, request });
     }
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -1,25 +1,25 @@
 //! Calls to the platform's store, within this router's share of its rates.
 
-use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice, Purpose};
+use super::{Action, CallOutcome, Lifecycle, Node, Notice, Purpose};
 use crate::{ids, ledger, ledger_writer, message, store};
 use std::collections;
 
 impl Node {
     /// Takes the store's reply to a call.
     pub fn store_reply(&mut self, call: ids::CallId, reply: store::Reply, now_ms: u64) {
-        let Some(purpose) = self.calls.remove(&call) else { return };
+        let Some(answered) = self.calls.remove(&call) else { return };
         match reply {
             store::Reply::Unknown => {
                 self.counters.platform_unknown += 1;
-                self.count_call(CallPurpose::Ledger, CallOutcome::Silent);
+                self.count_call(answered.counted_as(), CallOutcome::Silent);
             }
             store::Reply::Conflict | store::Reply::Overtaken { .. } => {
                 self.counters.platform_conflicts += 1;
-                self.count_call(CallPurpose::LedgerWrite, CallOutcome::Overtaken);
+                self.count_call(answered.counted_as(), CallOutcome::Overtaken);
             }
             _ => {}
         }
-        match purpose {
+        match answered.purpose {
             Purpose::Ledger(shard) => self.ledger_reply(shard, call, reply, now_ms),
             Purpose::Log(shard) => self.log_reply(shard, call, reply, now_ms),
         }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -274,8 +274,9 @@
     Announce,
     LedgerRead,
     LedgerWrite,
-    /// A read or a write of the ledger.
-    Ledger,
+    /// Of the log of settled requests.
+    LogRead,
+    LogWrite,
 }
 
 /// What became of a call to the store.
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -36,6 +36,40 @@
     assert_eq!(world.given[place].end, Some(End::Closed { safe: true }));
 }
 
+#[test]
+fn calls_to_the_store_are_counted_by_what_they_are_for() {
+    use node::{CallOutcome, CallPurpose};
+    let mut world = World::new(Shape::default(), 1);
+    world.admit(0, 0, 1, 20, 20, false).unwrap();
+    world.run_ms(3_000);
+    let (reads, writes) = world.store_calls;
+    let sent = |purposes: [CallPurpose; 2]| -> u64 {
+        let counts = |router: &world::Router| -> u64 {
+            let calls = &router.node.counters().store_calls;
+            let sent = |purpose| calls.get(&(purpose, CallOutcome::Sent)).copied().unwrap_or(0);
+            purposes.into_iter().map(sent).sum()
+        };
+        world.routers.iter().map(counts).sum()
+    };
+    assert_eq!(sent([CallPurpose::LedgerRead, CallPurpose::LogRead]), reads);
+    assert_eq!(sent([CallPurpose::LedgerWrite, CallPurpose::LogWrite]), writes);
+    // A request by the callers' interface is recorded in the log.
+    let of = |purpose| sent([purpose, purpose]) / 2;
+    assert!(of(CallPurpose::LogWrite) > 0 && of(CallPurpose::LedgerWrite) > 0);
+    world.faults.store_out = true;
+    world.admit(0, 0, 2, 20, 20, false).unwrap();
+    world.run_ms(5_000);
+    let silent = |router: &world::Router| -> u64 {
+        let calls = router.node.counters().store_calls.iter();
+        calls
+            .filter(|((_, outcome), _)| *outcome == CallOutcome::Silent)
+            .map(|(_, count)| *count)
+            .sum()
+    };
+    let unknown: u64 = world.routers.iter().map(|it| it.node.counters().platform_unknown).sum();
+    assert_eq!(world.routers.iter().map(silent).sum::<u64>(), unknown);
+}
+
 #[test]
 fn after_an_outage_the_routers_do_not_return_in_step() {
     let shape = Shape { routers: 8, ..Shape::default() };
