Draw ahead where a router that holds nothing in advance is asked

A router becomes a holder once its view of the fleet has settled; until then it drew exactly what each question lacked, so that each question was a write of its own.

--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -200,12 +200,24 @@
             0 => self.target_tokens().saturating_mul(3) / 2,
             _ => self.target_tokens(),
         };
+        let high = high.max(self.ahead_tokens());
         let lacking = high.saturating_add(self.shortage_tokens).saturating_sub(self.free_tokens());
         let fair = remaining_tokens / routers.max(1).saturating_mul(2);
         let needed = self.shortage_tokens.saturating_sub(self.free_tokens());
         lacking.min(fair.max(needed)).min(remaining_tokens)
     }
 
+    /// What a draw takes beyond the need at hand where this router holds nothing in advance but is asked: while the
+    /// routers of a fleet that starts find each other, needs come one by one, and each one by itself would cost
+    /// a call. What is left over goes to the holder, by message.
+    fn ahead_tokens(&self) -> u64 {
+        if self.holder || self.settings.held_percent == 0 {
+            return 0;
+        }
+        // At first the rate is taken over this window, so that each draw doubles what was drawn so far.
+        self.rate_tokens_per_s().saturating_mul(SHARE_WINDOW_FIRST_MS) / 1_000
+    }
+
     /// Whether too little is free. A draw goes half above the mark, so that refills are not too many.
     pub fn wants_draw(&self) -> bool {
         if !self.holder && !self.draws {
--- a/core/tests/ledger_rounds.rs
+++ b/core/tests/ledger_rounds.rs
@@ -142,6 +142,34 @@
     assert_eq!(target_tokens(&mut table, 2), 5_000, "a quarter of the share, evenly");
 }
 
+#[test]
+fn needs_that_come_one_by_one_at_a_router_that_holds_nothing_take_few_draws() {
+    let mut table = grants::Table::new(1);
+    let cover =
+        config::Cover { cover_s: 10, minimum_grant_tokens: 0, held_percent: 40, holders: 1 };
+    let budget = table.declare("w/main", cover, 0);
+    let mut left_tokens = 1_000_000;
+    let mut draws = 0;
+    for need in 0..200 {
+        let account = table.account_mut(budget);
+        account.draws = true;
+        account.shortage_tokens = 1_000;
+        if account.wants_draw() {
+            let drawn_tokens = account.draw_tokens(left_tokens, 1);
+            assert!(drawn_tokens >= 1_000);
+            account.granted_tokens += drawn_tokens;
+            left_tokens -= drawn_tokens;
+            draws += 1;
+        }
+        account.shortage_tokens = 0;
+        account.consumed_tokens += 1_000;
+        table.measure_rates(10 * (need + 1));
+    }
+    assert!(draws <= 20, "{draws} draws for 200 needs");
+    let account = table.account(budget);
+    assert!(account.free_tokens() <= 3 * account.rate_tokens_per_s(), "{account:?}");
+}
+
 #[test]
 fn a_value_is_read_by_whoever_asks_for_it_until_an_answer_comes() {
     let mut table = grants::Table::new(1);
