--- a/core/tests/holders.rs
+++ b/core/tests/holders.rs
@@ -169,3 +169,20 @@
     let knowing = living.filter(|router| suspects(router, dead)).count();
     assert!(knowing > 0, "nobody noticed");
 }
+
+#[test]
+fn a_life_that_starts_where_another_held_tokens_is_told_and_closes_them() {
+    let mut world = fleet();
+    let holder = holders(&world)[0];
+    let earlier = world.routers[holder].life;
+    assert!(world.ledger(0).grants.contains_key(&earlier));
+    world.kill(holder);
+    world.restart(holder, true);
+    world.run_ms(10_000);
+    // Somebody else holds the budget now; what an earlier life held, only its successor at the address can close.
+    world.admit((holder + 1) % ROUTERS, 0, 1, BOUND_TOKENS, BOUND_TOKENS, false);
+    world.run_ms(10_000);
+    let ledger = world.ledger(0);
+    assert!(!ledger.grants.contains_key(&earlier), "{:?}", ledger.grants);
+    assert!(ledger.written_off_tokens > 0);
+}
