--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -95,6 +95,16 @@
     rng: StdRng,
 }
 
+pub const BOUNDS: watch::Bounds = watch::Bounds { configuration_ms: 4_000, servers_ms: 4_000 };
+
+/// A fleet that has known itself for a while.
+pub fn settled(routers: usize, bounds: watch::Bounds, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(routers, 3, bounds, seed);
+    fleet.run_ms(15_000);
+    assert!(fleet.all_know_latest());
+    fleet
+}
+
 impl Fleet {
     /// Routers that start at once and know some seeds, before a store that holds some servers.
     pub fn new(routers: usize, seeds: usize, bounds: watch::Bounds, seed: u64) -> Self {
