Say what the rate of overdue calls bounds

Cause: the comment still said that all such calls come at that rate; since the moment is drawn from a part of the bound, only those after a failure do.

Ruled out, before and after: no code changed.

Conclusion: comment only.

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -24,8 +24,8 @@
 const OVERDUE_PERCENT: u64 = 50;
 /// A call that only has to prove that nothing is new waits this long.
 const PROOF_WAIT_MS: u64 = 10;
-/// Calls a second that all routers together make because their knowledge is overdue: the first one
-/// comes after a tenth of a second, and an outage costs no more than this.
+/// Calls a second that all routers together make while such calls fail, so that an outage costs no more than
+/// this. The first ones of a large fleet come sooner.
 const OVERDUE_CALLS_PER_S: u64 = 12;
 /// The moment of such a call lies within this part of the bound, in percent, however large the fleet is: the others
 /// may be out of touch, and then nobody tells this router what it waits for.
