--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -35,6 +35,8 @@
 struct Waiting {
     call: watch::Call,
     sent_ms: u64,
+    /// The store took it and never answers it.
+    unanswered: bool,
 }
 
 pub struct Router {
@@ -224,6 +226,14 @@
         self.routers[place].turned_away = turned_away;
     }
 
+    /// The store never answers the calls that this router has in flight.
+    pub fn leave_calls_unanswered(&mut self, place: usize) {
+        self.trouble(place);
+        for waiting in &mut self.routers[place].waiting {
+            waiting.unanswered = true;
+        }
+    }
+
     pub fn watchers(&self) -> Vec<usize> {
         let watches = |router: &Router| {
             router.alive && router.node.watch_duty() == Some(watch::Duty::Watcher)
@@ -325,7 +335,8 @@
             match action {
                 node::Action::Watch(call) => {
                     let router = &mut self.routers[place];
-                    router.waiting.push(Waiting { call, sent_ms: self.now_ms });
+                    let unanswered = self.store == Store::Silent;
+                    router.waiting.push(Waiting { call, sent_ms: self.now_ms, unanswered });
                     self.calls += u64::from(!router.cut);
                 }
                 node::Action::Announce => self.announce(place),
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -30,10 +30,10 @@
     }
 
     fn answer(&self, place: usize, waiting: &Waiting) -> Option<watch::Outcome> {
-        let Waiting { call, sent_ms } = waiting;
+        let Waiting { call, sent_ms, unanswered } = waiting;
         let waited_ms = self.now_ms - sent_ms;
         let router = &self.routers[place];
-        if router.cut || self.store == Store::Silent {
+        if *unanswered || router.cut || self.store == Store::Silent {
             let over = waited_ms >= call.wait_ms + CALL_TIMEOUT_MS;
             return over.then_some(watch::Outcome::Silent);
         }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -49,6 +49,10 @@
     changes: Vec<Item>,
     forgotten: u64,
     calls: u64,
+    /// Watches that wait now.
+    waiting: usize,
+    /// Watches up to this call are never answered.
+    unanswered: u64,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -170,6 +174,17 @@
         state.changes.clear();
     }
 
+    /// How many watches wait now.
+    pub fn open_watches(&self) -> usize {
+        self.shared.lock().waiting
+    }
+
+    /// The watches that wait now are never answered; their connections live, and all other calls are answered.
+    pub fn leave_open_watches_unanswered(&self) {
+        let mut state = self.shared.lock();
+        state.unanswered = state.calls;
+    }
+
     /// What lies under a key.
     pub fn get(&self, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.lock();
@@ -215,13 +230,37 @@
     HttpResponse::Ok().json(json!({ "items": items, "more": false, "at": state.revision }))
 }
 
+/// A watch that waits.
+struct Waiting<'a> {
+    shared: &'a Shared,
+    call: u64,
+}
+
+impl<'a> Waiting<'a> {
+    fn start(shared: &'a Shared) -> Self {
+        let mut state = shared.lock();
+        state.waiting += 1;
+        Self { shared, call: state.calls }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.shared.lock().waiting -= 1;
+    }
+}
+
 async fn watch(shared: web::Data<Shared>, query: web::Query<PrefixQuery>) -> HttpResponse {
     if let Some(refused) = admit(&shared).await {
         return refused;
     }
     let after = query.after_revision.as_deref().and_then(|text| text.parse().ok()).unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    let waiting = Waiting::start(&shared);
     loop {
+        if shared.lock().unanswered >= waiting.call {
+            std::future::pending::<()>().await;
+        }
         {
             let state = shared.lock();
             if after < state.forgotten {
--- /dev/null
+++ b/tests/unanswered_calls.rs
@@ -0,0 +1,52 @@
+//! Calls that the other end takes and never answers, while it answers all others and its connections live.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod fleet;
+mod routes;
+
+use routes::{KEY, PREPAID, World, answers, request};
+use std::time::{Duration, Instant};
+
+/// The bound of the routers' settings, and what a call may take.
+const HEARD: Duration = Duration::from_millis(2_000 + 1_000);
+
+fn world(name: &str) -> World {
+    World::start(name, vec![answers("0"), answers("1")])
+}
+
+fn status(world: &World, id: &str) -> u16 {
+    world.ask(0, &request("/read/x", id)).status
+}
+
+/// Both of the router's calls for news stay unanswered.
+fn leave_calls_unanswered(world: &World) {
+    fleet::eventually("both calls wait", || world.store.open_watches() == 2);
+    world.store.leave_open_watches_unanswered();
+}
+
+#[test]
+fn unanswered_calls_do_not_hide_a_new_configuration() {
+    let mut world = world("unanswered-configuration");
+    assert_eq!(status(&world, "before"), 200);
+    leave_calls_unanswered(&world);
+    world.publish(&["another-key"], PREPAID);
+    let published = Instant::now();
+    fleet::eventually("the old key is refused", || status(&world, "after") == 401);
+    let heard = published.elapsed();
+    assert!(heard < HEARD, "{KEY} is refused after {heard:?}: {}", world.log(0));
+}
+
+#[test]
+fn unanswered_calls_do_not_hide_a_leaving_server() {
+    let world = world("unanswered-leaving");
+    let leaving = world.ask(0, &request("/read/x", "first")).text();
+    leave_calls_unanswered(&world);
+    world.record_server(leaving.parse().unwrap(), "draining");
+    let said = Instant::now();
+    let asked = || world.ask(0, &request("/read/x", "id")).text();
+    fleet::eventually("the leaving is heard", || asked() != leaving);
+    let heard = said.elapsed();
+    assert!(heard < HEARD, "heard after {heard:?}: {}", world.log(0));
+    assert!((0..20).all(|_| asked() != leaving));
+}
