Find a call for news that is never answered within the bound: age acts, newer news give a call up

Cause: where every router watches, a call waits 10 s; one that the store takes and never answers hides all changes until it ends, 11 s later, and nothing acted on the age that was known. Now knowledge that is older than 60% of the bound makes one router, drawn at random, ask beside its waiting call whether there are news, and tell the others; news that the waiting call should have brought make it be given up (call_given_up topic= evidence= waited_ms=); after a call without an answer the next one does not wait for long, and comes at once: its time-out was the pause.

--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -121,7 +121,7 @@
             let missed_store = self.watching.as_ref().is_some_and(|it| it.missed_store(now_ms));
             let changes = changes.cloned().collect();
             self.apply_changes(digest.servers.revision, changes, missed_store, now_ms);
-            self.relay.heard_news(now_ms);
+            self.hear_news(watch::Topic::Servers, now_ms);
         }
         if digest.servers.revision > self.vms_index {
             if may_ask(&mut self.relay.asked_vms_ms, ASK_AGAIN_MS, now_ms) {
@@ -163,9 +163,17 @@
         self.relay.push_due |= passes_on && gained_ms >= watched.notable_ms();
     }
 
-    /// Whether routers hear news from each other; in a small fleet each one asks the store.
+    /// Notes that a peer told news, which this router's own call should have brought.
+    fn hear_news(&mut self, topic: watch::Topic, now_ms: u64) {
+        self.relay.heard_news(now_ms);
+        if let Some(watching) = &mut self.watching {
+            watching.topic(topic).overtake(watch::Evidence::Peer, now_ms);
+        }
+    }
+
+    /// Whether routers hear news of the store from each other.
     fn passes_on(&self) -> bool {
-        self.watching.as_ref().is_some_and(|it| it.duty != watch::Duty::EveryRouter)
+        self.watching.is_some()
     }
 
     /// Passes news on, if there are any.
@@ -235,7 +243,7 @@
                 self.offer_config(published, now_ms);
                 if version == self.config_version() {
                     self.relay.encoded = Some((version, value));
-                    self.relay.heard_news(now_ms);
+                    self.hear_news(watch::Topic::Configuration, now_ms);
                     self.confirm(watch::Topic::Configuration, seen, now_ms);
                 }
             }
@@ -255,7 +263,7 @@
         self.lapsed.clear();
         self.relay.restart_changes(seen.revision);
         self.follow_vms(seen.revision, vms);
-        self.relay.heard_news(now_ms);
+        self.hear_news(watch::Topic::Servers, now_ms);
         self.confirm(watch::Topic::Servers, seen, now_ms);
     }
 }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -180,8 +180,15 @@
         /// The call.
         request: store::Request,
     },
-    /// Asks the store for news; exactly one [`super::Node::watched`] must follow.
+    /// Asks the store for news; exactly one [`super::Node::watched`] must follow, unless the call is cancelled.
     Watch(watch::Call),
+    /// Nobody waits for the answer to this call any more.
+    CancelWatch {
+        /// What it asked for.
+        topic: watch::Topic,
+        /// Its number.
+        number: u64,
+    },
     /// Records this router's address in the store, and offers those that others recorded as seeds.
     Announce,
     /// Sends to a peer; may get lost.
@@ -244,6 +251,13 @@
         /// For how long.
         kept_ms: u64,
     },
+    /// A call for news was given up, as its answer will not come.
+    CallGivenUp {
+        /// What it asked for.
+        topic: watch::Topic,
+        /// The call.
+        call: watch::GivenUp,
+    },
     /// This router's part in following the store changed.
     WatchDuty {
         /// What it is now.
@@ -299,6 +313,10 @@
     Silent,
     /// Another router's write came first.
     Overtaken,
+    /// It was given up, because news came that it should have brought.
+    GivenUp,
+    /// It ended after it was given up.
+    Late,
 }
 
 /// Counts since the start.
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -82,18 +82,24 @@
         }
     }
 
-    /// Takes the end of a call that [`Action::Watch`] asked for.
-    pub fn watched(&mut self, topic: watch::Topic, outcome: watch::Outcome, now_ms: u64) {
-        self.count_watch(topic, &outcome);
+    /// Takes the end of a call that [`Action::Watch`] asked for. One that was given up before changes nothing.
+    pub fn watched(&mut self, call: watch::Call, outcome: watch::Outcome, now_ms: u64) {
+        let topic = call.topic;
         let routers = self.members.live_count();
         let Some(watching) = &mut self.watching else { return };
         let duty = watching.duty;
+        let Some(flight) = watching.topic(topic).ended(call.number) else {
+            self.count_call(purpose(topic), CallOutcome::Late);
+            return;
+        };
+        self.count_watch(topic, &outcome);
+        let Some(watching) = &mut self.watching else { return };
         match outcome {
             watch::Outcome::Answered { revision, news } => {
                 let any = news.any();
                 let watched = watching.topic(topic);
                 let was_refused = watched.was_refused(duty, now_ms);
-                watched.answered(duty, revision, any, now_ms);
+                watched.answered(duty, flight, revision, any, now_ms);
                 match any {
                     true => self.relay.heard_news(now_ms),
                     false => self.relay.push_due = true,
@@ -216,13 +222,22 @@
         let Some(watching) = &mut self.watching else { return };
         let duty = watching.duty;
         let silent_ms = watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
+        let mut given_up = Vec::new();
         for topic in watch::Topic::ALL {
             let watched = watching.topic(topic);
+            if let Some(call) = watched.give_up(now_ms) {
+                given_up.push((topic, call));
+            }
             let alone = silent_ms >= watched.overdue_ms();
             if let Some(call) = watched.due(duty, routers, alone, now_ms, &mut self.rng) {
                 self.actions.push(Action::Watch(call));
             }
         }
+        for (topic, call) in given_up {
+            self.count_call(purpose(topic), CallOutcome::GivenUp);
+            self.actions.push(Action::CancelWatch { topic, number: call.number });
+            self.actions.push(Action::Notice(Notice::CallGivenUp { topic, call }));
+        }
         self.announce(now_ms);
         self.push_news(now_ms);
     }
@@ -280,10 +295,6 @@
     }
 
     fn count_watch(&mut self, topic: watch::Topic, outcome: &watch::Outcome) {
-        let purpose = match topic {
-            watch::Topic::Configuration => CallPurpose::WatchConfiguration,
-            watch::Topic::Servers => CallPurpose::WatchServers,
-        };
         let outcome = match outcome {
             watch::Outcome::Answered { news, .. } if news.any() => CallOutcome::News,
             watch::Outcome::Answered { .. } => CallOutcome::Empty,
@@ -291,7 +302,7 @@
             watch::Outcome::Refused => CallOutcome::Refused,
             watch::Outcome::Silent => CallOutcome::Silent,
         };
-        self.count_call(purpose, outcome);
+        self.count_call(purpose(topic), outcome);
     }
 
     pub(super) fn count_call(&mut self, purpose: CallPurpose, outcome: CallOutcome) {
@@ -299,6 +310,13 @@
     }
 }
 
+fn purpose(topic: watch::Topic) -> CallPurpose {
+    match topic {
+        watch::Topic::Configuration => CallPurpose::WatchConfiguration,
+        watch::Topic::Servers => CallPurpose::WatchServers,
+    }
+}
+
 /// A record that went while the store was away may be back soon.
 fn note_lapsed(change: &mut watch::ServerChange) {
     if change.record == watch::ServerRecord::Gone {
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -17,6 +17,12 @@
 pub const WATCHERS: usize = 2;
 /// How long a call waits for news where every router watches: the longer, the fewer calls.
 const ALL_WATCH_WAIT_MS: u64 = 10_000;
+/// Where every router watches, knowledge that is older than this part of the bound is overdue, in percent: whoever
+/// hears of no news may have a call that is never answered. Together with [`OVERDUE_WINDOW_PERCENT`] it leaves the
+/// rest of the bound for the answer and its way to the others.
+const ALL_WATCH_OVERDUE_PERCENT: u64 = 60;
+/// A call that others' newer news show to be unanswered is given up after this long: its answer may be on its way.
+const ANSWER_GRACE_MS: u64 = 500;
 /// A watcher's call waits for this part of the bound, in percent: each answer is the proof that the others are
 /// up to date.
 const WAIT_PERCENT: u64 = 25;
@@ -79,6 +85,8 @@
 /// A call to the store that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Call {
+    /// Tells it from the other calls for this topic.
+    pub number: u64,
     /// What to ask for.
     pub topic: Topic,
     /// Wants changes after this revision; 0 wants all that lies there.
@@ -149,6 +157,34 @@
     Silent,
 }
 
+/// What shows that a call will not be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// A later call of this router brought news that this one should have brought.
+    LaterCall,
+    /// A peer told such news.
+    Peer,
+}
+
+/// A call that was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// Its number.
+    pub number: u64,
+    /// How long it had been in flight.
+    pub waited_ms: u64,
+    /// Why.
+    pub evidence: Evidence,
+}
+
+/// A call in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct Flight {
+    number: u64,
+    sent_ms: u64,
+    wait_ms: u64,
+}
+
 /// One topic as one router follows it.
 #[derive(Debug)]
 pub struct Watch {
@@ -160,8 +196,15 @@
     confirmed_ms: Option<u64>,
     /// The history since the copy's revision is gone: all is asked for next.
     forgotten: bool,
-    /// The call in flight: when it went out and how long the store may wait.
-    calling: Option<(u64, u64)>,
+    /// The call that waits for news.
+    waiting: Option<Flight>,
+    /// A call beside it that proves that there are none.
+    proving: Option<Flight>,
+    calls: u64,
+    /// News came that the waiting call should have brought: since when, and from where.
+    overtaken: Option<(u64, Evidence)>,
+    /// The last call had no answer: the next one may have none either, and must not wait for long.
+    unanswered: bool,
     not_before_ms: u64,
     pause: backoff::Backoff,
     /// When the store said last that it does not serve, unless its state was known after that.
@@ -179,7 +222,11 @@
             revision: 0,
             confirmed_ms: None,
             forgotten: false,
-            calling: None,
+            waiting: None,
+            proving: None,
+            calls: 0,
+            overtaken: None,
+            unanswered: false,
             not_before_ms: 0,
             pause: backoff::Backoff::new(PAUSE_FIRST_MS, PAUSE_LONGEST_MS),
             refused_ms: None,
@@ -222,19 +269,28 @@
         now_ms: u64,
         rng: &mut rngs::StdRng,
     ) -> Option<Call> {
-        let overdue = self.is_overdue(now_ms);
+        let overdue = self.is_overdue_for(duty, now_ms);
         if !overdue {
             // A peer that is as late as this router may tell a slightly newer state again and again: only a state
             // that is new enough makes the call needless.
             self.overdue_call_ms = None;
         }
-        if self.calling.is_some() || now_ms < self.not_before_ms {
+        if now_ms < self.not_before_ms {
             return None;
         }
+        if self.waiting.is_some() {
+            let proves = duty == Duty::EveryRouter && overdue && self.proving.is_none();
+            if !proves || !self.draws_call(routers, now_ms, rng) {
+                return None;
+            }
+            let flight = self.start(PROOF_WAIT_MS, now_ms);
+            self.proving = Some(flight);
+            return Some(self.call(flight));
+        }
         let wait_ms = match duty {
             Duty::Joining => return None,
             // The first answer after an outage is wanted at once: it tells what lapsed.
-            Duty::EveryRouter if self.refused_ms.is_some() => PROOF_WAIT_MS,
+            Duty::EveryRouter if self.refused_ms.is_some() || self.unanswered => PROOF_WAIT_MS,
             Duty::EveryRouter => ALL_WATCH_WAIT_MS,
             Duty::Watcher if overdue => PROOF_WAIT_MS,
             Duty::Watcher => self.bound_ms * WAIT_PERCENT / 100,
@@ -243,9 +299,46 @@
             }
             Duty::Listener => return None,
         };
-        self.calling = Some((now_ms, wait_ms));
+        let flight = self.start(wait_ms, now_ms);
+        self.waiting = Some(flight);
+        Some(self.call(flight))
+    }
+
+    fn start(&mut self, wait_ms: u64, now_ms: u64) -> Flight {
+        self.calls += 1;
+        Flight { number: self.calls, sent_ms: now_ms, wait_ms }
+    }
+
+    fn call(&self, flight: Flight) -> Call {
         let revision = if self.forgotten { 0 } else { self.revision };
-        Some(Call { topic: self.topic, revision, wait_ms })
+        Call { number: flight.number, topic: self.topic, revision, wait_ms: flight.wait_ms }
+    }
+
+    /// Takes the call with this number out of those in flight; `None` if it was given up before.
+    pub fn ended(&mut self, number: u64) -> Option<Flight> {
+        let ends = |flight: &mut Flight| flight.number == number;
+        let waited = self.waiting.take_if(ends);
+        if waited.is_some() {
+            self.overtaken = None;
+        }
+        waited.or_else(|| self.proving.take_if(ends))
+    }
+
+    /// Notes that news came which the waiting call should have brought.
+    pub fn overtake(&mut self, evidence: Evidence, now_ms: u64) {
+        if self.waiting.is_some() {
+            self.overtaken.get_or_insert((now_ms, evidence));
+        }
+    }
+
+    /// Gives up the waiting call, if news came by other ways and its own answer did not come soon after.
+    pub fn give_up(&mut self, now_ms: u64) -> Option<GivenUp> {
+        let (_, evidence) =
+            self.overtaken.take_if(|(since_ms, _)| now_ms >= *since_ms + ANSWER_GRACE_MS)?;
+        let flight = self.waiting.take()?;
+        self.unanswered = true;
+        let waited_ms = now_ms.saturating_sub(flight.sent_ms);
+        Some(GivenUp { number: flight.number, waited_ms, evidence })
     }
 
     /// Whether the moment has come that was drawn for a call because of overdue knowledge.
@@ -273,33 +366,52 @@
         }
     }
 
+    fn is_overdue_for(&self, duty: Duty, now_ms: u64) -> bool {
+        match duty {
+            Duty::EveryRouter => {
+                let overdue_ms = self.bound_ms * ALL_WATCH_OVERDUE_PERCENT / 100;
+                self.age_ms(now_ms).is_none_or(|age_ms| age_ms >= overdue_ms)
+            }
+            _ => self.is_overdue(now_ms),
+        }
+    }
+
     fn is_overdue(&self, now_ms: u64) -> bool {
         self.age_ms(now_ms).is_none_or(|age_ms| age_ms >= self.overdue_ms())
     }
 
-    /// Takes in an answer.
-    pub fn answered(&mut self, duty: Duty, revision: u64, changed: bool, now_ms: u64) {
-        let (sent_ms, wait_ms) = self.calling.take().unwrap_or((now_ms, 0));
+    /// Takes in the answer to a call.
+    pub fn answered(
+        &mut self,
+        duty: Duty,
+        flight: Flight,
+        revision: u64,
+        changed: bool,
+        now_ms: u64,
+    ) {
         self.pause.reset();
         self.forgotten = false;
+        self.unanswered = false;
         // An answer without news was made when the wait was over, one with news at some time before it came.
-        let waited_ms = if changed { 0 } else { wait_ms };
-        let made_ms = match now_ms >= sent_ms + waited_ms {
-            true => sent_ms + waited_ms,
-            false => sent_ms,
+        let waited_ms = if changed { 0 } else { flight.wait_ms };
+        let made_ms = match now_ms >= flight.sent_ms + waited_ms {
+            true => flight.sent_ms + waited_ms,
+            false => flight.sent_ms,
         };
         self.not_before_ms = match (changed, duty) {
             (false, _) => now_ms,
             (true, Duty::EveryRouter) => now_ms + ALL_WATCH_GATHER_MS,
             (true, _) => now_ms + GATHER_MS,
         };
+        if changed && self.waiting.is_some_and(|waiting| waiting.sent_ms < flight.sent_ms) {
+            self.overtake(Evidence::LaterCall, now_ms);
+        }
         self.confirm(revision, made_ms);
         self.refused_ms = None;
     }
 
     /// Notes that the history since the copy's revision is gone: all is asked for next.
     pub fn forgotten(&mut self) {
-        self.calling = None;
         self.forgotten = true;
     }
 
@@ -313,11 +425,15 @@
         now_ms: u64,
         rng: &mut rngs::StdRng,
     ) {
-        self.calling = None;
+        self.unanswered = true;
         if refused {
             self.refused_ms = Some(now_ms);
         }
-        let pause_ms = PAUSE_FIRST_MS / 2 + self.pause.next_delay_ms(rng);
+        // A call without an answer took its whole time-out already.
+        let pause_ms = match refused {
+            true => PAUSE_FIRST_MS / 2 + self.pause.next_delay_ms(rng),
+            false => rng.random_range(0..PAUSE_FIRST_MS / 2),
+        };
         self.not_before_ms = now_ms + pause_ms;
         if duty == Duty::Listener {
             // The next one of all routers together comes soon; it need not be this one's.
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -55,7 +55,7 @@
     calm_since_ms: u64,
     waiting: Vec<Waiting>,
     /// Answers of the store that are on their way, with the time when they arrive.
-    answers: Vec<(u64, watch::Topic, watch::Outcome)>,
+    answers: Vec<(u64, watch::Call, watch::Outcome)>,
     seen: (u64, u64),
     held: Vec<Event>,
 }
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -16,15 +16,15 @@
             let arrives_ms = self.now_ms + self.rng.random_range(0..=self.answer_ms);
             let router = &mut self.routers[place];
             match answer {
-                Some(outcome) => router.answers.push((arrives_ms, waiting.call.topic, outcome)),
+                Some(outcome) => router.answers.push((arrives_ms, waiting.call, outcome)),
                 None => router.waiting.push(waiting),
             }
         }
         let now_ms = self.now_ms;
         let arrived: Vec<_> =
             self.routers[place].answers.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
-        for (_, topic, outcome) in arrived {
-            self.routers[place].node.watched(topic, outcome, now_ms);
+        for (_, call, outcome) in arrived {
+            self.routers[place].node.watched(call, outcome, now_ms);
             self.carry_out(place);
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -53,6 +53,8 @@
     config_index: u64,
     vms_index: u64,
     polling: collections::HashSet<ids::ServerSlot>,
+    /// Calls for news in flight.
+    watches: collections::HashMap<(watch::Topic, u64), actix::SpawnHandle>,
     telemetry: telemetry::Reporter,
 }
 
@@ -76,6 +78,7 @@
             config_index: 0,
             vms_index: 0,
             polling: Default::default(),
+            watches: Default::default(),
             telemetry: telemetry::Reporter::default(),
             settings,
         }
@@ -106,6 +109,9 @@
                     }
                 }
                 node::Action::Watch(call) => self.ask_store(call, context),
+                node::Action::CancelWatch { topic, number } => {
+                    self.cancel_watch(topic, number, context);
+                }
                 node::Action::Announce => self.announce(context),
                 node::Action::Gossip { address, gossip } => {
                     if let Some(peers) = &self.peers {
@@ -225,15 +231,23 @@
         context.spawn(done);
     }
 
-    fn ask_store(&self, call: watch::Call, context: &mut Context<Self>) {
+    fn ask_store(&mut self, call: watch::Call, context: &mut Context<Self>) {
         let stores::Store::Revisions(client) = self.platform.clone() else { return };
         let asked = feed::ask(client, call);
         let done = asked.into_actor(self).map(move |outcome, control, context| {
+            control.watches.remove(&(call.topic, call.number));
             let now_ms = control.now_ms();
-            control.node.watched(call.topic, outcome, now_ms);
+            control.node.watched(call, outcome, now_ms);
             control.carry_out(context);
         });
-        context.spawn(done);
+        self.watches.insert((call.topic, call.number), context.spawn(done));
+    }
+
+    /// Drops a call for news, and the connection that carries it.
+    fn cancel_watch(&mut self, topic: watch::Topic, number: u64, context: &mut Context<Self>) {
+        if let Some(call) = self.watches.remove(&(topic, number)) {
+            context.cancel_future(call);
+        }
     }
 
     fn announce(&self, context: &mut Context<Self>) {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -213,6 +213,11 @@
         node::Notice::ItemLapsed { vm, kept_ms } => {
             log::info!("event=item_lapsed vm={vm} kept_ms={kept_ms}");
         }
+        node::Notice::CallGivenUp { topic, call } => log::warn!(
+            "event=call_given_up topic={topic:?} evidence={:?} waited_ms={}",
+            call.evidence,
+            call.waited_ms,
+        ),
         node::Notice::WatchDuty { duty } => log::info!("event=watch_duty duty={duty:?}"),
         node::Notice::Ejected { vm, ejected_ms } => {
             log::info!("event=server_ejected vm={vm} ejected_ms={ejected_ms}");
