--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -119,9 +119,12 @@
             let known = self.vms_index;
             let changes = digest.changes.iter().filter(|change| change.revision > known);
             let missed_store = self.watching.as_ref().is_some_and(|it| it.missed_store(now_ms));
-            let changes = changes.cloned().collect();
+            let changes: Vec<watch::ServerChange> = changes.cloned().collect();
+            // The store's revision moves with every write, also where nothing that is followed changes.
+            if !changes.is_empty() {
+                self.hear_news(watch::Topic::Servers, now_ms);
+            }
             self.apply_changes(digest.servers.revision, changes, missed_store, now_ms);
-            self.hear_news(watch::Topic::Servers, now_ms);
         }
         if digest.servers.revision > self.vms_index {
             if may_ask(&mut self.relay.asked_vms_ms, ASK_AGAIN_MS, now_ms) {
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -219,6 +219,8 @@
         self.note_duty(now_ms);
         self.forget_lapsed(now_ms);
         let routers = self.members.live_count();
+        let own = self.settings.incarnation;
+        let rank = self.members.live().filter(|member| member.id < own).count() as u64;
         let Some(watching) = &mut self.watching else { return };
         let duty = watching.duty;
         let silent_ms = watching.heard_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms));
@@ -229,7 +231,8 @@
                 given_up.push((topic, call));
             }
             let alone = silent_ms >= watched.overdue_ms();
-            if let Some(call) = watched.due(duty, routers, alone, now_ms, &mut self.rng) {
+            let fleet = watch::Fleet { routers, rank, alone };
+            if let Some(call) = watched.due(duty, fleet, now_ms, &mut self.rng) {
                 self.actions.push(Action::Watch(call));
             }
         }
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -16,11 +16,13 @@
 /// for an election when one is lost.
 pub const WATCHERS: usize = 2;
 /// How long a call waits for news where every router watches: the longer, the fewer calls.
-const ALL_WATCH_WAIT_MS: u64 = 10_000;
+const ALL_WATCH_WAIT_MS: u64 = 25_000;
 /// Where every router watches, knowledge that is older than this part of the bound is overdue, in percent: whoever
 /// hears of no news may have a call that is never answered. Together with [`OVERDUE_WINDOW_PERCENT`] it leaves the
 /// rest of the bound for the answer and its way to the others.
 const ALL_WATCH_OVERDUE_PERCENT: u64 = 60;
+/// By then the others know what the first in rank has learned: its call, and two steps from router to router.
+const TURN_MS: u64 = 80;
 /// A call that others' newer news show to be unanswered is given up after this long: its answer may be on its way.
 const ANSWER_GRACE_MS: u64 = 500;
 /// A watcher's call waits for this part of the bound, in percent: each answer is the proof that the others are
@@ -177,6 +179,17 @@
     pub evidence: Evidence,
 }
 
+/// What a router knows of the fleet when it decides whether to call.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// How many routers there are.
+    pub routers: u64,
+    /// This router's place among them, by their ids.
+    pub rank: u64,
+    /// Whether no peer was heard for as long as knowledge may be old.
+    pub alone: bool,
+}
+
 /// A call in flight.
 #[derive(Clone, Copy, Debug)]
 pub struct Flight {
@@ -259,13 +272,11 @@
         self.bound_ms * WAIT_PERCENT / 200
     }
 
-    /// The call to make now, if one is due. `routers` are there in all, `alone` tells that no peer was heard
-    /// for as long as knowledge may be old.
+    /// The call to make now, if one is due.
     pub fn due(
         &mut self,
         duty: Duty,
-        routers: u64,
-        alone: bool,
+        fleet: Fleet,
         now_ms: u64,
         rng: &mut rngs::StdRng,
     ) -> Option<Call> {
@@ -280,7 +291,7 @@
         }
         if self.waiting.is_some() {
             let proves = duty == Duty::EveryRouter && overdue && self.proving.is_none();
-            if !proves || !self.draws_call(routers, now_ms, rng) {
+            if !proves || !self.has_turn(fleet, now_ms) {
                 return None;
             }
             let flight = self.start(PROOF_WAIT_MS, now_ms);
@@ -294,7 +305,9 @@
             Duty::EveryRouter => ALL_WATCH_WAIT_MS,
             Duty::Watcher if overdue => PROOF_WAIT_MS,
             Duty::Watcher => self.bound_ms * WAIT_PERCENT / 100,
-            Duty::Listener if overdue && (alone || self.draws_call(routers, now_ms, rng)) => {
+            Duty::Listener
+                if overdue && (fleet.alone || self.draws_call(fleet.routers, now_ms, rng)) =>
+            {
                 PROOF_WAIT_MS
             }
             Duty::Listener => return None,
@@ -341,6 +354,15 @@
         Some(GivenUp { number: flight.number, waited_ms, evidence })
     }
 
+    /// Whether it is this router's turn to prove that there are no news: the first in rank proves it for all, the
+    /// next ones follow if it does not.
+    fn has_turn(&mut self, fleet: Fleet, now_ms: u64) -> bool {
+        let window_ms = self.bound_ms * OVERDUE_WINDOW_PERCENT / 100;
+        let turn_ms = TURN_MS.min(window_ms / fleet.routers.max(1));
+        let at_ms = *self.overdue_call_ms.get_or_insert(now_ms + fleet.rank * turn_ms);
+        now_ms >= at_ms
+    }
+
     /// Whether the moment has come that was drawn for a call because of overdue knowledge.
     fn draws_call(&mut self, routers: u64, now_ms: u64, rng: &mut rngs::StdRng) -> bool {
         let fleet_ms = routers * 1_000 / OVERDUE_CALLS_PER_S;
--- a/core/tests/watching.rs
+++ b/core/tests/watching.rs
@@ -248,12 +248,13 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut watch = watch::Watch::new(watch::Topic::Configuration, CLOSE.configuration_ms);
         watch.confirm(5, 0);
+        let fleet = watch::Fleet { routers: 17, rank: 3, alone: false };
         let due = (0..3_500).step_by(20).find(|now_ms| {
             // The time on the way makes what it tells look a little newer each time.
             if now_ms % 100 == 0 {
                 watch.confirm(5, now_ms / 50);
             }
-            watch.due(watch::Duty::Listener, 17, false, *now_ms, &mut rng).is_some()
+            watch.due(watch::Duty::Listener, fleet, *now_ms, &mut rng).is_some()
         });
         // Overdue after 1,500 ms; 17 routers make 12 calls a second.
         assert!(due.is_some_and(|now_ms| now_ms <= 3_020), "seed {seed}: {due:?}");
