Failing tests: a server that never answers a request, a link between routers that passes nothing on

Places where a wait has no bound of its own although others are answered, found by reading: a repeatable request is held to its deadline (3 s in the test, then 504) though another server could serve it; a link whose far end is taken by something that acknowledges and passes nothing on is kept as long as messages are sent. The stand-in for the network can now swallow what open connections carry. Ruled out: the keep-alive shows neither, the connections live.

--- a/standins/src/network.rs
+++ b/standins/src/network.rs
@@ -50,6 +50,8 @@
     faults: Mutex<Faults>,
     /// How often the open connections were silenced.
     silences: AtomicU64,
+    /// How often the open connections were made to swallow what they carry.
+    swallows: AtomicU64,
     target: Mutex<Option<SocketAddr>>,
     stop: sync::Notify,
 }
@@ -70,6 +72,7 @@
         let shared = Arc::new(Shared {
             faults: Mutex::default(),
             silences: AtomicU64::new(0),
+            swallows: AtomicU64::new(0),
             target: Mutex::new(target),
             stop: sync::Notify::new(),
         });
@@ -99,6 +102,12 @@
         self.shared.silences.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Lets all connections that are open swallow what is sent on them: it is acknowledged and passed on to nobody, and
+    /// nothing is closed. New ones work.
+    pub fn swallow_connections(&self) {
+        self.shared.swallows.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Changes some of the faults.
     pub fn change(&self, change: impl FnOnce(&mut Faults)) {
         change(&mut self.shared.faults());
@@ -175,32 +184,55 @@
     shared: &Shared,
 ) {
     let silences = shared.silences.load(Ordering::Relaxed);
+    let swallows = shared.swallows.load(Ordering::Relaxed);
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
-    let silent = {
+    let end = {
         let (from_caller, to_caller) = inbound.split();
         let (from_target, to_target) = outbound.split();
         tokio::select! {
-            () = pump(from_caller, to_target, source, shared) => false,
-            () = pump(from_target, to_caller, source, shared) => false,
-            () = until_cut(source, shared) => false,
-            () = until_silenced(silences, shared) => true,
+            () = pump(from_caller, to_target, source, shared) => End::Closed,
+            () = pump(from_target, to_caller, source, shared) => End::Closed,
+            () = until_cut(source, shared) => End::Closed,
+            () = until_counted(silences, &shared.silences) => End::Silent,
+            () = until_counted(swallows, &shared.swallows) => End::Swallows,
         }
     };
-    if silent {
-        for end in [&inbound, &outbound] {
-            let _ = socket2::SockRef::from(end).attach_filter(&[DROP_ALL]);
+    match end {
+        End::Closed => {}
+        End::Silent => {
+            for end in [&inbound, &outbound] {
+                let _ = socket2::SockRef::from(end).attach_filter(&[DROP_ALL]);
+            }
+            std::future::pending::<()>().await;
+        }
+        End::Swallows => {
+            let (from_caller, _to_caller) = inbound.split();
+            let (from_target, _to_target) = outbound.split();
+            tokio::join!(swallow(from_caller), swallow(from_target));
         }
-        std::future::pending::<()>().await;
     }
 }
 
-async fn until_silenced(silences: u64, shared: &Shared) {
-    while shared.silences.load(Ordering::Relaxed) == silences {
+/// How a connection stops passing on what it carries.
+enum End {
+    Closed,
+    Silent,
+    Swallows,
+}
+
+async fn until_counted(known: u64, count: &AtomicU64) {
+    while count.load(Ordering::Relaxed) == known {
         time::sleep(Duration::from_millis(5)).await;
     }
 }
 
+/// Reads to the end and passes nothing on.
+async fn swallow(mut from: net::tcp::ReadHalf<'_>) {
+    let mut buffer = vec![0; 64 << 10];
+    while matches!(from.read(&mut buffer).await, Ok(length) if length > 0) {}
+}
+
 async fn pump(
     mut from: net::tcp::ReadHalf<'_>,
     mut to: net::tcp::WriteHalf<'_>,
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -64,16 +64,30 @@
     arrived.load(Ordering::Relaxed) > before
 }
 
-#[test]
-fn a_link_that_goes_silent_is_replaced_while_messages_are_sent() {
+/// Messages pass again after the link's connection was harmed.
+fn passes_after(harm: fn(&network::Proxy)) {
     actix_rt::System::new().block_on(async {
         let (one, _, _) = start();
         let (_other, address, arrived) = start();
         let proxy = network::Proxy::start(LOCAL, Some(address)).unwrap();
         let to = proxy.address.to_string();
         assert!(passes(&one, &to, &arrived, PASSES_AGAIN).await, "nothing arrives at all");
-        proxy.silence_connections();
+        harm(&proxy);
         actix_rt::time::sleep(Duration::from_millis(100)).await;
-        assert!(passes(&one, &to, &arrived, PASSES_AGAIN).await, "the silent link is kept");
+        assert!(passes(&one, &to, &arrived, PASSES_AGAIN).await, "the harmed link is kept");
     });
 }
+
+macro_rules! links_are_replaced {
+    ($($name:ident: $harm:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            passes_after($harm);
+        }
+    )*};
+}
+
+links_are_replaced! {
+    a_link_that_goes_silent_is_replaced_while_messages_are_sent: network::Proxy::silence_connections;
+    a_link_whose_messages_stay_unanswered_is_replaced: network::Proxy::swallow_connections;
+}
--- a/tests/unanswered_calls.rs
+++ b/tests/unanswered_calls.rs
@@ -5,7 +5,10 @@
 mod fleet;
 mod routes;
 
+use doorswitch_standins::backend;
 use routes::{KEY, PREPAID, World, answers, request};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// The bound of the routers' settings, and what a call may take.
@@ -50,3 +53,27 @@
     assert!(heard < HEARD, "heard after {heard:?}: {}", world.log(0));
     assert!((0..20).all(|_| asked() != leaving));
 }
+
+/// A server that answers all requests but the first one that any of them takes.
+fn leaves_the_first_unanswered(taken: &Arc<AtomicUsize>) -> backend::Script {
+    let taken = taken.clone();
+    Box::new(move |_, _| match taken.fetch_add(1, Ordering::Relaxed) {
+        0 => vec![backend::Step::AwaitClose],
+        _ => vec![backend::whole("200 OK", "answer")],
+    })
+}
+
+#[test]
+fn unanswered_calls_to_a_server_are_repeated_elsewhere_within_the_deadline() {
+    let taken = Arc::new(AtomicUsize::new(0));
+    let scripts = vec![leaves_the_first_unanswered(&taken), leaves_the_first_unanswered(&taken)];
+    let world = World::start("unanswered-server", scripts);
+    let began = Instant::now();
+    // The client waits for 3 s.
+    let answer = world.ask(0, &request("/read/x", "id"));
+    let took = began.elapsed();
+    assert_eq!(answer.status, 200, "after {took:?}: {}", world.log(0));
+    assert!(took < Duration::from_millis(2_000), "after {took:?}");
+    let left = || world.backends.iter().any(|backend| backend.closed_by_client() == 1);
+    fleet::eventually("the first server is left", left);
+}
