Give up a link that nobody acknowledges, and a first try that nothing answers by half of the time

Links between routers: the receiver answers each frame with an empty one (4 bytes); a connection on which none came for 3 s is replaced (event=link_given_up). Servers: on a plain route that may be repeated a first try without an answer ends at half of the caller's time, and the other half is left for another server; streams and what may not be repeated wait as before. Red before: 6 s without a message, 504 after 3.0 s for a request that another server could answer.

--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -3,8 +3,8 @@
 use crate::{ids, log_index, members, servers, watch};
 use serde::{Deserialize, Serialize};
 
-/// The version of these types. It changes with every change of their layout.
-pub const PROTOCOL: u16 = 4;
+/// The version of these types and of how they travel. It changes with every change of either.
+pub const PROTOCOL: u16 = 5;
 
 /// A message with its sender and the life that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -210,11 +210,16 @@
         let mut place = placement;
         let mut may_have_run = false;
         let mut failure = None;
+        let mut given_up_at = patience(&call);
         loop {
             let sending = attempt::send(&self.backends, &self.control, &call, &place, None);
-            let outcome = time::timeout_at(deadline, sending).await;
+            let outcome = time::timeout_at(given_up_at.unwrap_or(deadline), sending).await;
             log_outcome(&call, &place, &outcome);
             match outcome {
+                Err(_) if given_up_at.is_some() => {
+                    given_up_at = None;
+                    may_have_run = true;
+                }
                 Err(_) => {
                     ticket.unknown();
                     return Err(refusal::too_late());
@@ -277,6 +282,17 @@
     }
 }
 
+/// When a first try is given up for one at another server: one that answers nothing by half of the time may have lost
+/// the request, and the other half is left for a server that has not. `None` where only the deadline ends it: a stream
+/// may wait for its first event for long, and what may not repeat has one try.
+fn patience(call: &attempt::Call) -> Option<time::Instant> {
+    let plain = call.route.kind != routes::RouteKind::Stream;
+    let repeats = plain && call.route.repeatable() && call.route.attempts_max > 1;
+    let now = Instant::now();
+    let half = call.deadline.saturating_duration_since(now) / 2;
+    repeats.then(|| time::Instant::from_std(now + half))
+}
+
 /// No further server is tried: the last failure of one is the answer, or the refusal.
 fn give_up(
     ticket: ticket::Ticket,
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -1,7 +1,9 @@
 //! Connections and datagrams between routers.
 //!
 //! A frame is a length, the protocol's version and a `postcard` body. Sending never waits: what
-//! cannot go out is dropped, as the core expects of a network.
+//! cannot go out is dropped, as the core expects of a network. The receiver answers each frame with an empty one.
+
+mod link;
 
 use crate::{keep_alive, logging};
 use actix::prelude::{Addr, Message};
@@ -18,13 +20,8 @@
 const FRAME_BYTES_MAX: usize = 4 << 20;
 /// The largest datagram that is sent or taken.
 const DATAGRAM_BYTES_MAX: usize = 8 << 10;
-/// Messages that wait for one peer's connection.
-const QUEUE_LENGTH: usize = 4_096;
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-const RECONNECT_AFTER: Duration = Duration::from_millis(200);
-/// A connection to a peer that carried nothing for so long is closed: in a large fleet each router talks to all
-/// others now and then, and an open connection costs both of them memory.
-const IDLE_AFTER: Duration = Duration::from_secs(10);
+/// After a failed accept the next one waits so long.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(200);
 
 /// Why a frame was refused.
 #[derive(Debug, snafu::Snafu)]
@@ -107,7 +104,7 @@
         links.retain(|_, link| !link.is_closed());
         let link = links
             .entry(address.to_owned())
-            .or_insert_with(|| start_link(address.to_owned(), self.local.ip()));
+            .or_insert_with(|| link::start(address.to_owned(), self.local.ip()));
         if link.try_send(encode(&envelope)).is_err() {
             log::debug!("event=message_dropped to={address}");
         }
@@ -127,60 +124,6 @@
     }
 }
 
-fn start_link(address: String, local: net::IpAddr) -> mpsc::Sender<Vec<u8>> {
-    let (sender, queue) = mpsc::channel(QUEUE_LENGTH);
-    actix::spawn(run_link(address, local, queue));
-    sender
-}
-
-/// Connects when there is something to send, and again after a failure.
-async fn run_link(address: String, local: net::IpAddr, mut queue: mpsc::Receiver<Vec<u8>>) {
-    let Ok(target) = address.parse::<net::SocketAddr>() else { return };
-    while let Some(frame) = queue.recv().await {
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(target, local)).await;
-        let Ok(Ok(stream)) = connected else {
-            tokio::time::sleep(RECONNECT_AFTER).await;
-            continue;
-        };
-        let mut framed = codec::Framed::new(stream, frame_codec());
-        let mut next = Some(frame);
-        while let Some(frame) = next {
-            if framed.send(bytes::Bytes::from(frame)).await.is_err() {
-                break;
-            }
-            next = next_frame(&mut queue, &mut framed).await;
-        }
-    }
-}
-
-/// The next frame to send; `None` if the peer closed the connection meanwhile, or nothing was sent for long.
-async fn next_frame(
-    queue: &mut mpsc::Receiver<Vec<u8>>,
-    framed: &mut codec::Framed<tokio::net::TcpStream, codec::LengthDelimitedCodec>,
-) -> Option<Vec<u8>> {
-    tokio::select! {
-        frame = queue.recv() => frame,
-        // Peers send nothing this way: anything read here is the end.
-        _ = framed.next() => None,
-        () = tokio::time::sleep(IDLE_AFTER) => None,
-    }
-}
-
-async fn connect(target: net::SocketAddr, local: net::IpAddr) -> io::Result<tokio::net::TcpStream> {
-    let socket = match target {
-        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-    };
-    if !local.is_unspecified() {
-        socket.bind(net::SocketAddr::new(local, 0))?;
-    }
-    let stream = socket.connect(target).await?;
-    stream.set_nodelay(true)?;
-    // Frames sent into a silent connection would be lost as long as it looks open.
-    keep_alive::TRAFFIC.watch_over(&stream);
-    Ok(stream)
-}
-
 async fn accept<R: Receiver>(listener: tokio::net::TcpListener, receiver: Addr<R>) {
     loop {
         match listener.accept().await {
@@ -189,7 +132,7 @@
             }
             Err(error) => {
                 log::warn!("event=accept_failed fault={}", logging::quoted(error));
-                tokio::time::sleep(RECONNECT_AFTER).await;
+                tokio::time::sleep(ACCEPT_AGAIN).await;
             }
         }
     }
@@ -206,6 +149,10 @@
                 return;
             }
         }
+        if let Err(error) = framed.send(link::ACKNOWLEDGEMENT).await {
+            log::debug!("event=frame_not_acknowledged fault={}", logging::quoted(error));
+            return;
+        }
     }
 }
 
