--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -448,7 +448,9 @@
                 }
                 node::Action::ConfigInForce { .. } => {}
                 // The world tells routers the platform's news by itself.
-                node::Action::Watch(_) | node::Action::Announce => unreachable!(),
+                node::Action::Watch(_)
+                | node::Action::CancelWatch { .. }
+                | node::Action::Announce => unreachable!(),
             }
         }
     }
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -59,7 +59,8 @@
                 heard = time::Instant::now();
             }
             unacknowledged += 1;
-            let sent = time::timeout(ACKNOWLEDGED_WITHIN, framed.send(bytes::Bytes::from(frame))).await;
+            let sent =
+                time::timeout(ACKNOWLEDGED_WITHIN, framed.send(bytes::Bytes::from(frame))).await;
             if !matches!(sent, Ok(Ok(()))) {
                 return;
             }
