Evacuated failure domains get nothing new; cold servers get what they bear from the whole fleet

Now: evacuations travel with the configuration's topic, revision and age, in its answers and in each digest, whole, so that a router that starts knows them before it is ready; servers of an evacuated domain count as not live; taken back, they are cold. Where all servers of a service are evacuated it is refused at once: an evacuation is an order. A cold server takes requests only from those routers that their id and its name pick (60% of what it bears on average, one a second each), whichever of them hear each other. Weighed for cold servers: a bucket in each router (75 routers with one request each are 75 in a second); one router alone (its loss or silence stops the warm-up); picks by known members (cut apart, each router picks itself).

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -142,8 +142,11 @@
         answer_time_ms: 1,
         connections_max: None,
         event_tokens: 1,
+        cold_milli_per_s: 0,
+        cold_start_ms: 0,
     };
     let document = config::Document {
+        evacuated: Vec::new(),
         routes: Vec::new(),
         callers: config::CallerLimits::default(),
         layout: config::Layout { ledger_shards: 16, log_shards: 16, ..config::Layout::default() },
@@ -168,6 +171,7 @@
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 0,
+        cold_ms: 0,
     };
     (0..servers).map(vm).collect()
 }
--- a/benches/capacity/values.rs
+++ b/benches/capacity/values.rs
@@ -163,6 +163,7 @@
         budgets: (0..8).map(budget).collect(),
     };
     config::Document {
+        evacuated: Vec::new(),
         routes: Vec::new(),
         callers: config::CallerLimits::default(),
         layout: config::Layout::default(),
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -222,6 +222,7 @@
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 0,
+        cold_ms: 0,
     });
     node.offer_vms(1, vms.collect(), 0);
     node.offer_config(config::Published::next(None, "bench", document()), 0);
@@ -230,6 +231,7 @@
 
 fn document() -> config::Document {
     config::Document {
+        evacuated: Vec::new(),
         routes: Vec::new(),
         callers: config::CallerLimits::default(),
         layout: config::Layout::default(),
@@ -259,6 +261,8 @@
             answer_time_ms: 60_000,
             connections_max: None,
             event_tokens: 1,
+            cold_milli_per_s: 0,
+            cold_start_ms: 0,
         }],
         policies: Vec::new(),
     }
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -66,6 +66,9 @@
     /// What a caller of a route may send, and how slowly.
     #[serde(default)]
     pub callers: CallerLimits,
+    /// Failure domains whose servers get nothing new.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
 }
 
 /// What a caller of a route may send, and how slowly.
@@ -247,6 +250,12 @@
     /// For a model service: the most tokens in one event of a streamed answer.
     #[serde(default = "default_event_tokens")]
     pub event_tokens: u64,
+    /// Requests a second that a cold server bears from all routers together, in thousandths; 0 for no limit.
+    #[serde(default)]
+    pub cold_milli_per_s: u64,
+    /// How long a server is cold after its start, in milliseconds.
+    #[serde(default)]
+    pub cold_start_ms: u64,
 }
 
 fn default_event_tokens() -> u64 {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backoff;
 pub mod config;
+pub mod evacuation;
 pub mod grants;
 pub mod ids;
 pub mod ledger;
--- a/core/src/limiter.rs
+++ b/core/src/limiter.rs
@@ -21,6 +21,11 @@
         self.rate_per_s = rate_per_s.max(1);
     }
 
+    /// Whether there is a call in the bucket.
+    pub fn has_one(mut self, now_ms: u64) -> bool {
+        self.try_take(now_ms)
+    }
+
     /// Takes one call out of the bucket, if there is one.
     pub fn try_take(&mut self, now_ms: u64) -> bool {
         let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -1,6 +1,6 @@
 //! What routers say to each other. Every frame carries [`PROTOCOL`]; another one is not decoded.
 
-use crate::{ids, log_index, members, servers, watch};
+use crate::{evacuation, ids, log_index, members, servers, watch};
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of how they travel. It changes with every change of either.
@@ -95,6 +95,8 @@
         version: u64,
         /// What the sender's copy stands for.
         seen: Seen,
+        /// What is evacuated at that revision.
+        evacuations: evacuation::Evacuations,
         /// The [`crate::config::Published`], encoded with `postcard`: a fifth of its size as JSON, and passed on as it
         /// came.
         value: Vec<u8>,
@@ -179,6 +181,8 @@
     pub config_version: u64,
     /// What the copy of the configuration stands for.
     pub configuration: Seen,
+    /// What is evacuated.
+    pub evacuations: evacuation::Evacuations,
     /// What the copy of the list of VMs stands for.
     pub servers: Seen,
     /// `changes` are all changes of servers' records after this revision, up to the copy's.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod adopt;
 mod dump;
+mod evacuate;
 mod holders;
 mod outage;
 mod peers;
@@ -22,8 +23,8 @@
 pub use types::*;
 
 use crate::{
-    config, grants, ids, ledger, ledger_writer, limiter, log_writer, members, outbox, retry,
-    servers, store, watch,
+    config, evacuation, grants, ids, ledger, ledger_writer, limiter, log_writer, members, outbox,
+    retry, servers, store, watch,
 };
 use rand::SeedableRng;
 use rand::rngs;
@@ -150,6 +151,7 @@
     outage: outage::Outage,
     /// VMs that are missing from the platform's list and may be back soon.
     lapsed: Vec<servers::Vm>,
+    evacuations: evacuation::Evacuations,
     /// How the store's news are followed; `None` where the shell follows them.
     watching: Option<watching::Watching>,
     relay: relay::Relay,
@@ -206,6 +208,7 @@
             holders: Default::default(),
             outage: Default::default(),
             lapsed: Vec::new(),
+            evacuations: Default::default(),
             watching,
             relay: relay::Relay::default(),
             started_ms: now_ms,
@@ -348,6 +351,7 @@
         self.most_routers = self.most_routers.max(routers);
         self.grants.measure_rates(now_ms);
         self.note_holders(now_ms);
+        self.follow_fleet(now_ms);
         let share = |rate_per_s: u64| (rate_per_s * PLATFORM_SHARE_PERCENT / 100 / routers).max(1);
         self.reads.set_rate(share(self.settings.platform_reads_per_s));
         self.writes.set_rate(share(self.settings.platform_writes_per_s));
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -30,7 +30,15 @@
         }
         self.poke_ledgers_for_config();
         let version = published.version;
+        self.servers.set_cold_limits(published.document.services.iter().map(|service| {
+            let limit = servers::ColdLimit {
+                milli_per_s: service.cold_milli_per_s,
+                start_ms: service.cold_start_ms,
+            };
+            (service.name.clone(), limit)
+        }));
         self.config = Some(published);
+        self.follow_evacuations(now_ms);
         self.become_ready();
         self.actions.push(Action::ConfigInForce { version });
         true
@@ -68,11 +76,11 @@
         self.lapsed = lapsed;
         // At the same index the platform's client may have learned that a record will not come back.
         if index >= self.vms_index {
-            self.follow_vms(index, vms);
+            self.follow_vms(index, vms, now_ms);
         }
     }
 
-    pub(super) fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>) {
+    pub(super) fn follow_vms(&mut self, index: u64, vms: Vec<servers::Vm>, now_ms: u64) {
         self.vms_index = index;
         for vm in vms.iter().filter(|vm| vm.state == servers::VmState::Leaving) {
             self.leaving.entry(vm.vm.clone()).or_insert(index);
@@ -84,7 +92,7 @@
         let listed = vms.iter().chain(back_soon);
         let backends: Vec<servers::Vm> =
             listed.filter(|vm| vm.service != ROUTER_SERVICE).cloned().collect();
-        self.servers.follow(&backends);
+        self.servers.follow(&backends, now_ms);
         let earlier = std::mem::take(&mut self.vms);
         self.vms = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
         let gone = |vm: &&servers::Vm| !self.vms.contains_key(&vm.vm);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -45,7 +45,9 @@
                 self.note_answer(from, &budget, now_ms);
             }
             message::Message::ConfigAsk => self.send_config(from, now_ms),
-            message::Message::Config { seen, value, .. } => self.take_config(seen, value, now_ms),
+            message::Message::Config { seen, evacuations, value, .. } => {
+                self.take_config(seen, &evacuations, value, now_ms);
+            }
             message::Message::VmsAsk => self.send_vms(from, now_ms),
             message::Message::Vms { seen, vms } => self.hear_vms(seen, vms, now_ms),
             message::Message::MembersAsk => self.send_members(from),
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -5,7 +5,7 @@
 //! after a few steps, whichever of them fail. What a datagram does not hold is asked for over a connection.
 
 use super::{Action, Node, Notice};
-use crate::{config, ids, members, message, servers, watch};
+use crate::{config, evacuation, ids, members, message, servers, watch};
 use rand::seq::IndexedRandom;
 use std::collections;
 
@@ -92,6 +92,7 @@
         message::Digest {
             config_version: self.config_version(),
             configuration: configuration.unwrap_or_default(),
+            evacuations: self.evacuations.clone(),
             servers: message::Seen { revision: self.vms_index, ..servers.unwrap_or_default() },
             changes_after: self.relay.changes_after,
             changes: self.relay.changes.iter().map(|(_, change)| change.clone()).collect(),
@@ -143,6 +144,9 @@
         digest: &message::Digest,
         now_ms: u64,
     ) {
+        if self.hear_evacuations(&digest.evacuations, now_ms) {
+            self.hear_news(watch::Topic::Configuration, now_ms);
+        }
         if digest.config_version > self.config_version() {
             if may_ask(&mut self.relay.asked_config_ms, ASK_CONFIG_AGAIN_MS, now_ms) {
                 self.send(from, message::Message::ConfigAsk);
@@ -235,11 +239,19 @@
         };
         self.relay.encoded = Some((version, value.clone()));
         let seen = self.digest(now_ms).configuration;
-        self.send(to, message::Message::Config { version, seen, value });
+        let evacuations = self.evacuations.clone();
+        self.send(to, message::Message::Config { version, seen, evacuations, value });
     }
 
-    pub(super) fn take_config(&mut self, seen: message::Seen, value: Vec<u8>, now_ms: u64) {
+    pub(super) fn take_config(
+        &mut self,
+        seen: message::Seen,
+        evacuations: &evacuation::Evacuations,
+        value: Vec<u8>,
+        now_ms: u64,
+    ) {
         self.relay.asked_config_ms = None;
+        self.hear_evacuations(evacuations, now_ms);
         match postcard::from_bytes::<config::Published>(&value) {
             Ok(published) => {
                 let version = published.version;
@@ -265,7 +277,7 @@
         }
         self.lapsed.clear();
         self.relay.restart_changes(seen.revision);
-        self.follow_vms(seen.revision, vms);
+        self.follow_vms(seen.revision, vms, now_ms);
         self.hear_news(watch::Topic::Servers, now_ms);
         self.confirm(watch::Topic::Servers, seen, now_ms);
     }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -251,6 +251,15 @@
         /// For how long.
         kept_ms: u64,
     },
+    /// A failure domain is evacuated from now on, or that is taken back.
+    Evacuation {
+        /// The failure domain.
+        failure_domain: String,
+        /// Whether it is evacuated from now on.
+        evacuated: bool,
+        /// How many servers are known there.
+        servers: usize,
+    },
     /// A call for news was given up, as its answer will not come.
     CallGivenUp {
         /// What it asked for.
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -8,7 +8,7 @@
 /// in a fleet that starts as a whole the seeds need about so long to start and read the store.
 const JOIN_MS: u64 = 1_000;
 /// Until then a router's view of the fleet is too small to tell who watches.
-const SETTLE_MS: u64 = 3_000;
+pub(super) const SETTLE_MS: u64 = 3_000;
 /// How often a router looks whether it watches.
 const LOOK_EVERY_MS: u64 = 500;
 /// Records that went while the store was away are kept for so long after its return: servers that live are back
@@ -118,8 +118,10 @@
 
     fn take_news(&mut self, revision: u64, news: watch::News, was_refused: bool, now_ms: u64) {
         match news {
-            watch::News::Configuration(published) => {
-                if let Some(published) = published {
+            watch::News::Configuration(news) => {
+                // Before the configuration: a router that starts is ready with it.
+                self.take_evacuations(revision, news.evacuations, now_ms);
+                if let Some(published) = news.published {
                     self.offer_config(*published, now_ms);
                 }
             }
@@ -138,7 +140,7 @@
                     self.keep_missing(&vms, now_ms);
                 }
                 self.relay.restart_changes(revision);
-                self.follow_vms(revision, vms);
+                self.follow_vms(revision, vms, now_ms);
             }
         }
     }
@@ -173,7 +175,7 @@
             }
             self.relay.note_change(change, now_ms);
         }
-        self.follow_vms(revision, vms.into_values().collect());
+        self.follow_vms(revision, vms.into_values().collect(), now_ms);
     }
 
     /// Forgets records that lapsed and did not come back in time.
@@ -187,7 +189,7 @@
         let kept = &watching.lapsed_until_ms;
         self.lapsed.retain(|vm| kept.contains_key(&vm.vm));
         let vms = self.vms.values().cloned().collect();
-        self.follow_vms(self.vms_index, vms);
+        self.follow_vms(self.vms_index, vms, now_ms);
     }
 
     fn keep_missing(&mut self, listed: &[servers::Vm], now_ms: u64) {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -5,8 +5,10 @@
 //! routers with the same old view then do not all pick the same server.
 
 mod by_prompt;
+mod warm_up;
 
 pub use by_prompt::{Choice, Part, chain};
+pub use warm_up::{ColdLimit, Fleet};
 
 use crate::{ids, rendezvous};
 use rand::rngs;
@@ -50,6 +52,9 @@
     /// Requests that its server works on at once; 0 if the list does not say.
     #[serde(default)]
     pub slots: u64,
+    /// How long its server is cold, counted from when that was said, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
 
 /// Whether a VM stays.
@@ -80,6 +85,9 @@
     pub vm: Vm,
     /// Whether the last list had it. Its record may lapse and come back while requests run on it.
     listed: bool,
+    /// Whether its failure domain is evacuated.
+    evacuated: bool,
+    warm_up: Option<warm_up::WarmUp>,
     /// Its last report.
     pub load: Option<Load>,
     /// This router's requests on it.
@@ -101,6 +109,8 @@
     fn new(vm: Vm) -> Self {
         Self {
             listed: true,
+            evacuated: false,
+            warm_up: None,
             unread_tokens: 0,
             name_hash: rendezvous::digest(&vm.vm),
             vm,
@@ -132,11 +142,12 @@
 
     /// Whether it may get new work.
     fn live(&self) -> bool {
-        self.listed && self.vm.state == VmState::Live
+        self.listed && !self.evacuated && self.vm.state == VmState::Live
     }
 
-    fn has_room(&self) -> bool {
-        self.estimated_load() < self.slots()
+    fn has_room(&self, now_ms: u64) -> bool {
+        let held_back = self.warm_up.is_some_and(|warm_up| warm_up.holds_back(now_ms));
+        self.estimated_load() < self.slots() && !held_back
     }
 
     fn usable(&self, now_ms: u64) -> bool {
@@ -183,17 +194,50 @@
     prefixes: collections::HashMap<u64, ids::ServerSlot>,
     prefix_order: collections::VecDeque<u64>,
     sent: by_prompt::Sent,
+    evacuated: collections::BTreeSet<String>,
+    cold_limits: collections::HashMap<String, ColdLimit>,
+    fleet: Fleet,
 }
 
 impl Table {
+    /// The failure domains whose servers get nothing new.
+    pub fn evacuated(&self) -> &collections::BTreeSet<String> {
+        &self.evacuated
+    }
+
+    /// Gives nothing new to servers of these failure domains. Servers of one that is taken back are cold.
+    pub fn evacuate(&mut self, domains: collections::BTreeSet<String>, now_ms: u64) {
+        let back =
+            |server: &&mut Server| server.evacuated && !domains.contains(&server.vm.failure_domain);
+        for server in self.servers.values_mut().filter(back) {
+            let limit = self.cold_limits.get(&server.vm.service).copied().unwrap_or_default();
+            server.warm_up =
+                warm_up::WarmUp::start(limit.start_ms, limit, self.fleet, server.name_hash, now_ms);
+        }
+        for server in self.servers.values_mut() {
+            server.evacuated = domains.contains(&server.vm.failure_domain);
+        }
+        self.evacuated = domains;
+    }
+
+    /// Says what cold servers bear, by service.
+    pub fn set_cold_limits(&mut self, limits: impl Iterator<Item = (String, ColdLimit)>) {
+        self.cold_limits = limits.collect();
+    }
+
+    /// Says with whom this router shares what cold servers bear.
+    pub fn set_fleet(&mut self, fleet: Fleet) {
+        self.fleet = fleet;
+    }
+
     /// Follows the platform's list. A server that is gone stays until its last request ends.
-    pub fn follow(&mut self, vms: &[Vm]) {
+    pub fn follow(&mut self, vms: &[Vm], now_ms: u64) {
         let listed: collections::HashSet<&str> = vms.iter().map(|vm| vm.vm.as_str()).collect();
         for server in self.servers.values_mut() {
             server.listed = listed.contains(server.vm.vm.as_str());
         }
         for vm in vms {
-            self.follow_vm(vm);
+            self.follow_vm(vm, now_ms);
         }
         self.forget_gone(&listed);
     }
@@ -235,10 +279,10 @@
             return Err(Lack::None);
         }
         let open: Vec<ids::ServerSlot> =
-            fitting.into_iter().filter(|slot| self.servers[*slot].has_room()).collect();
+            fitting.into_iter().filter(|slot| self.servers[*slot].has_room(now_ms)).collect();
         let better = self.best_of_some(&open, rng).ok_or(Lack::Full)?;
         let chosen = self.with_affinity(better, &open, wanted.prefix_hash);
-        self.started(chosen);
+        self.started(chosen, now_ms);
         if let Some(hash) = wanted.prefix_hash {
             self.remember_prefix(hash, chosen);
         }
@@ -300,22 +344,36 @@
         chosen
     }
 
-    fn follow_vm(&mut self, vm: &Vm) {
+    fn follow_vm(&mut self, vm: &Vm, now_ms: u64) {
         if let Some(slot) = self.by_vm.get(&vm.vm) {
             let server = &mut self.servers[*slot];
             // The list lags: what peers said of a leaving VM stays true.
             let leaving = server.vm.state == VmState::Leaving;
+            let cold_again = vm.cold_ms > 0 && vm.cold_ms != server.vm.cold_ms;
             server.vm = vm.clone();
             if leaving {
                 server.vm.state = VmState::Leaving;
             }
+            let slot = *slot;
+            if cold_again {
+                self.start_warm_up(slot, now_ms);
+            }
             return;
         }
         let slot = self.servers.insert(Server::new(vm.clone()));
+        self.servers[slot].evacuated = self.evacuated.contains(&vm.failure_domain);
+        self.start_warm_up(slot, now_ms);
         self.by_vm.insert(vm.vm.clone(), slot);
         self.by_service.entry(vm.service.clone()).or_default().push(slot);
     }
 
+    fn start_warm_up(&mut self, slot: ids::ServerSlot, now_ms: u64) {
+        let server = &mut self.servers[slot];
+        let limit = self.cold_limits.get(&server.vm.service).copied().unwrap_or_default();
+        let (cold_ms, name_hash) = (server.vm.cold_ms, server.name_hash);
+        server.warm_up = warm_up::WarmUp::start(cold_ms, limit, self.fleet, name_hash, now_ms);
+    }
+
     fn forget_gone(&mut self, listed: &collections::HashSet<&str>) {
         self.servers
             .retain(|_, server| server.in_flight > 0 || listed.contains(server.vm.vm.as_str()));
@@ -370,8 +428,11 @@
         }
     }
 
-    fn started(&mut self, slot: ids::ServerSlot) {
+    fn started(&mut self, slot: ids::ServerSlot, now_ms: u64) {
         let server = &mut self.servers[slot];
+        if let Some(warm_up) = &mut server.warm_up {
+            warm_up.count(now_ms);
+        }
         server.in_flight += 1;
         // A server that was ejected is tried with one request before it gets more.
         server.probing = server.failures >= FAILURES_TO_EJECT;
--- a/core/src/servers/by_prompt.rs
+++ b/core/src/servers/by_prompt.rs
@@ -81,14 +81,15 @@
         }
         let key = home_key(wanted.parts);
         fitting.sort_by_key(|slot| std::cmp::Reverse(self.home_weight(*slot, key)));
-        let open = fitting.iter().enumerate().filter(|(_, slot)| self.servers[**slot].has_room());
+        let open = fitting.iter().enumerate();
+        let open = open.filter(|(_, slot)| self.servers[**slot].has_room(now_ms));
         let considered = open.take(CONSIDERED).map(|(rank, slot)| {
             let unread_tokens = self.unread_tokens(*slot, wanted.parts, rank == 0, now_ms);
             Choice { slot: *slot, unread_tokens }
         });
         let choice =
             considered.min_by_key(|choice| self.reading_cost(*choice)).ok_or(Lack::Full)?;
-        self.started(choice.slot);
+        self.started(choice.slot, now_ms);
         if let Some(server) = self.servers.get_mut(choice.slot) {
             server.unread_tokens += choice.unread_tokens;
         }
--- /dev/null
+++ b/core/src/servers/warm_up.rs
@@ -0,0 +1,94 @@
+//! Cold servers: for some seconds after a start a server bears a few requests a second only, from all routers
+//! together.
+//!
+//! Routers share that out without a message: each one may use those cold servers that its own id and the server's
+//! name pick for it, as many as make the sum right on average, and sends each of them one request a second. That
+//! holds whichever of them hear each other, because it rests on the most routers that were ever known at once.
+
+use crate::{ids, limiter, rendezvous};
+
+/// Of what a cold server bears, so much is used, in percent: which routers a server's share falls to is left to
+/// chance, and twice the mean must not be too much.
+const USED_PERCENT: u64 = 60;
+/// A server that says that it is cold for longer is taken for cold for so long.
+const COLD_MAX_MS: u64 = 60_000;
+
+/// What cold servers of a service bear.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ColdLimit {
+    /// Requests a second from all routers together, in thousandths; 0 for no limit.
+    pub milli_per_s: u64,
+    /// How long a server is cold after its start, in milliseconds.
+    pub start_ms: u64,
+}
+
+/// What the share of one router rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// This router.
+    pub own: ids::Incarnation,
+    /// The most routers that were known at once.
+    pub routers: u64,
+    /// Whether the fleet had time to get known: before that a router sends nothing to cold servers.
+    pub settled: bool,
+}
+
+impl Default for Fleet {
+    /// A router that knows nobody yet.
+    fn default() -> Self {
+        Self { own: ids::Incarnation(0), routers: 1, settled: false }
+    }
+}
+
+/// How a server warms up.
+#[derive(Clone, Copy, Debug)]
+pub struct WarmUp {
+    until_ms: u64,
+    /// What this router may send; `None` if that is nothing.
+    limiter: Option<limiter::Limiter>,
+}
+
+impl WarmUp {
+    /// A server that is cold for `cold_ms` from now on; `None` if it needs no care.
+    pub fn start(
+        cold_ms: u64,
+        limit: ColdLimit,
+        fleet: Fleet,
+        name_hash: u64,
+        now_ms: u64,
+    ) -> Option<Self> {
+        if cold_ms == 0 || limit.milli_per_s == 0 {
+            return None;
+        }
+        let rate_per_s = rate_per_s(limit, fleet, name_hash);
+        let limiter = rate_per_s.map(|rate| limiter::Limiter::new(rate, 1, now_ms));
+        Some(Self { until_ms: now_ms + cold_ms.min(COLD_MAX_MS), limiter })
+    }
+
+    /// Whether this router must not send it a request now.
+    pub fn holds_back(&self, now_ms: u64) -> bool {
+        now_ms < self.until_ms && !self.limiter.is_some_and(|limiter| limiter.has_one(now_ms))
+    }
+
+    /// Counts a request.
+    pub fn count(&mut self, now_ms: u64) {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.try_take(now_ms);
+        }
+    }
+}
+
+/// The requests a second that a router may send to a cold server; `None` if another router may.
+fn rate_per_s(limit: ColdLimit, fleet: Fleet, name_hash: u64) -> Option<u64> {
+    let used_milli = limit.milli_per_s * USED_PERCENT / 100;
+    let routers_milli = fleet.routers.max(1) * 1_000;
+    if !fleet.settled {
+        return None;
+    }
+    if used_milli >= routers_milli {
+        return Some(used_milli / routers_milli);
+    }
+    let drawn = u128::from(rendezvous::weight(fleet.own.0, name_hash));
+    let picked = drawn * u128::from(routers_milli) < u128::from(used_milli) << u64::BITS;
+    picked.then_some(1)
+}
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -4,7 +4,7 @@
 //! others hear the news, and how old it is, from peers. A router whose knowledge gets too old asks the store
 //! itself, at a moment drawn at random, so that the whole fleet makes a bounded number of such calls a second.
 
-use crate::{backoff, config, ids, members, rendezvous, servers};
+use crate::{backoff, config, evacuation, ids, members, rendezvous, servers};
 use rand::RngExt;
 use rand::rngs;
 use serde::{Deserialize, Serialize};
@@ -50,7 +50,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Topic {
-    /// The configuration.
+    /// What the operator writes: the configuration, and what is evacuated.
     Configuration,
     /// The list of backend servers.
     Servers,
@@ -119,11 +119,20 @@
     Lapsed,
 }
 
+/// What the operator wrote.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigurationNews {
+    /// The configuration, if it changed or if all was asked for, and it can be read.
+    pub published: Option<Box<config::Published>>,
+    /// What is evacuated.
+    pub evacuations: evacuation::News,
+}
+
 /// What a topic's answer brought.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
-    /// The configuration, if it changed or if all was asked for, and it can be read.
-    Configuration(Option<Box<config::Published>>),
+    /// What the operator wrote.
+    Configuration(ConfigurationNews),
     /// Changes of servers' records.
     Servers(Vec<ServerChange>),
     /// All servers.
@@ -134,7 +143,7 @@
     /// Whether there is any.
     pub fn any(&self) -> bool {
         match self {
-            Self::Configuration(published) => published.is_some(),
+            Self::Configuration(news) => news.published.is_some() || news.evacuations.any(),
             Self::Servers(changes) => !changes.is_empty(),
             Self::AllServers(_) => true,
         }
--- a/core/tests/digests.rs
+++ b/core/tests/digests.rs
@@ -80,7 +80,12 @@
     let known = fleet.routers[0].node.config_version();
     let seen = message::Seen { revision: 1_000, age_ms: Some(0) };
     for value in [Vec::new(), vec![0xff; 40], vec![9, 9]] {
-        let message = message::Message::Config { version: known + 1, seen, value };
+        let message = message::Message::Config {
+            version: known + 1,
+            seen,
+            evacuations: Default::default(),
+            value,
+        };
         let to = fleet.routers[0].node.members().own().id;
         let now_ms = fleet.now_ms;
         let node = &mut fleet.routers[0].node;
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -21,13 +21,14 @@
         failure_domain: "a".to_owned(),
         state,
         slots: 0,
+        cold_ms: 0,
     }
 }
 
 impl Bench {
     fn new(vms: &[servers::Vm]) -> Self {
         let mut table = servers::Table::default();
-        table.follow(vms);
+        table.follow(vms, 0);
         Self { table, rng: StdRng::seed_from_u64(1), now_ms: 1_000 }
     }
 
@@ -73,7 +74,7 @@
     let mut bench = Bench::two();
     bench.table.leaving("one");
     let live = servers::VmState::Live;
-    bench.table.follow(&[vm("one", "new", live), vm("two", "old", live)]);
+    bench.table.follow(&[vm("one", "new", live), vm("two", "old", live)], 0);
     for _ in 0..8 {
         let slot = bench.choose().unwrap();
         assert_eq!(bench.name(slot), "two");
@@ -86,7 +87,7 @@
     let chosen = (0..1_000).map_while(|_| bench.choose().ok()).count();
     assert_eq!(chosen, 16, "eight slots on each of two");
     assert_eq!(bench.choose(), Err(servers::Lack::Full));
-    bench.table.follow(&[]);
+    bench.table.follow(&[], 0);
     assert_eq!(bench.choose(), Err(servers::Lack::None));
 }
 
@@ -235,9 +236,9 @@
     let live = servers::VmState::Live;
     let mut bench = Bench::new(&[vm("one", "new", live)]);
     bench.choose().unwrap();
-    bench.table.follow(&[]);
+    bench.table.follow(&[], 0);
     assert_eq!(bench.choose(), Err(servers::Lack::None), "it is not listed");
-    bench.table.follow(&[vm("one", "new", live)]);
+    bench.table.follow(&[vm("one", "new", live)], 0);
     assert!(bench.choose().is_ok(), "it is listed again");
 }
 
@@ -247,7 +248,7 @@
     let mut bench = Bench::new(&[vm("one", "new", live)]);
     bench.choose().unwrap();
     bench.table.leaving("one");
-    bench.table.follow(&[]);
-    bench.table.follow(&[vm("one", "new", live)]);
+    bench.table.follow(&[], 0);
+    bench.table.follow(&[vm("one", "new", live)], 0);
     assert_eq!(bench.choose(), Err(servers::Lack::None));
 }
--- a/core/tests/watch_fleet/checks.rs
+++ b/core/tests/watch_fleet/checks.rs
@@ -51,6 +51,18 @@
         }
     }
 
+    /// What a router in touch uses follows what is evacuated within the configuration's bound.
+    fn check_evacuations(&self, place: usize) {
+        let node = &self.routers[place].node;
+        let Some((at_ms, change)) = self.evacuations.last() else { return };
+        let stale_ms = self.now_ms - at_ms;
+        let knows = node.evacuated().contains(&change.domain) == change.evacuated;
+        assert!(
+            knows || stale_ms <= self.bounds.configuration_ms,
+            "entry-{place} has missed {change:?} for {stale_ms} ms"
+        );
+    }
+
     fn check_staleness(&mut self, place: usize) {
         let router = &self.routers[place];
         let calm_ms = self.now_ms - router.calm_since_ms.max(self.store_calm_since_ms);
@@ -58,6 +70,7 @@
             return;
         }
         self.check_content(place);
+        self.check_evacuations(place);
         let missed = |change: &&Change| match change.topic {
             watch::Topic::Configuration => {
                 change.revision == self.config_revision
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -7,7 +7,7 @@
 mod checks;
 mod store;
 
-use doorswitch_core::{config, ids, message, node, servers, watch};
+use doorswitch_core::{config, evacuation, ids, message, node, servers, watch};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -89,6 +89,9 @@
     published: config::Published,
     config_revision: u64,
     servers: BTreeMap<String, (u64, servers::Vm)>,
+    /// What is evacuated, and every change of that.
+    evacuated: BTreeSet<String>,
+    evacuations: Vec<(u64, evacuation::Change)>,
     history: Vec<Change>,
     store_calm_since_ms: u64,
     events: BTreeMap<(u64, u64), Event>,
@@ -126,6 +129,8 @@
             published: config::Published::next(None, "first", document()),
             config_revision: 1,
             servers: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            evacuations: Vec::new(),
             history: Vec::new(),
             store_calm_since_ms: 0,
             events: BTreeMap::new(),
@@ -153,6 +158,7 @@
             failure_domain: "a".to_owned(),
             state,
             slots: 4,
+            cold_ms: 0,
         };
         self.revision += 1;
         self.servers.insert(name.to_owned(), (self.revision, vm.clone()));
@@ -173,6 +179,18 @@
         self.note(watch::Topic::Configuration, None);
     }
 
+    /// The operator evacuates a failure domain, or takes that back.
+    pub fn evacuate(&mut self, domain: &str, evacuated: bool) {
+        self.revision += 1;
+        match evacuated {
+            true => self.evacuated.insert(domain.to_owned()),
+            false => self.evacuated.remove(domain),
+        };
+        let domain = domain.to_owned();
+        let change = evacuation::Change { revision: self.revision, domain, evacuated };
+        self.evacuations.push((self.now_ms, change));
+    }
+
     /// Something that nobody follows is written.
     pub fn write_elsewhere(&mut self) {
         self.revision += 1;
@@ -268,7 +286,8 @@
         let listed: BTreeSet<&str> =
             node.servers().iter().map(|(_, server)| server.vm.vm.as_str()).collect();
         let wanted: BTreeSet<&str> = self.servers.keys().map(String::as_str).collect();
-        node.config_version() == self.published.version && listed == wanted
+        let evacuated = *node.evacuated() == self.evacuated;
+        node.config_version() == self.published.version && listed == wanted && evacuated
     }
 
     pub fn step(&mut self) {
@@ -400,6 +419,7 @@
 
 fn document() -> config::Document {
     config::Document {
+        evacuated: Vec::new(),
         routes: Vec::new(),
         callers: config::CallerLimits::default(),
         layout: config::Layout { ledger_shards: 2, log_shards: 0, log_epoch_segments: 8 },
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -1,7 +1,7 @@
 //! How the fake store answers the routers' calls for news.
 
 use super::{CALL_TIMEOUT_MS, Fleet, Store, Waiting};
-use doorswitch_core::watch;
+use doorswitch_core::{evacuation, watch};
 use rand::RngExt;
 
 impl Fleet {
@@ -48,11 +48,22 @@
             .then_some(watch::Outcome::Answered { revision: self.revision, news })
     }
 
+    fn evacuations(&self, call: &watch::Call) -> evacuation::News {
+        if call.revision == 0 {
+            return evacuation::News::All(self.evacuated.clone());
+        }
+        let later = self.evacuations.iter().map(|(_, change)| change);
+        let later = later.filter(|change| change.revision > call.revision);
+        evacuation::News::Changes(later.cloned().collect())
+    }
+
     fn news(&self, call: &watch::Call) -> watch::News {
         match call.topic {
             watch::Topic::Configuration => {
                 let changed = self.config_revision > call.revision;
-                watch::News::Configuration(changed.then(|| Box::new(self.published.clone())))
+                let published = changed.then(|| Box::new(self.published.clone()));
+                let evacuations = self.evacuations(call);
+                watch::News::Configuration(watch::ConfigurationNews { published, evacuations })
             }
             watch::Topic::Servers if call.revision == 0 => {
                 watch::News::AllServers(self.servers.values().map(|(_, vm)| vm.clone()).collect())
--- a/core/tests/world/lives.rs
+++ b/core/tests/world/lives.rs
@@ -103,6 +103,7 @@
             failure_domain: "a".to_owned(),
             state: servers::VmState::Live,
             slots: 0,
+            cold_ms: 0,
         });
         let listed: BTreeSet<String> = self.vms.iter().map(|vm| vm.vm.clone()).collect();
         let new: Vec<servers::Vm> = routers.filter(|vm| !listed.contains(&vm.vm)).collect();
--- a/core/tests/world/sample.rs
+++ b/core/tests/world/sample.rs
@@ -12,12 +12,14 @@
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 0,
+        cold_ms: 0,
     };
     (0..shape.servers).map(vm).collect()
 }
 
 pub(super) fn document(shape: &Shape) -> config::Document {
     config::Document {
+        evacuated: Vec::new(),
         routes: Vec::new(),
         callers: config::CallerLimits::default(),
         layout: config::Layout { ledger_shards: 2, log_shards: 2, log_epoch_segments: 8 },
@@ -40,6 +42,8 @@
             answer_time_ms: 60_000,
             connections_max: None,
             event_tokens: 1,
+            cold_milli_per_s: 0,
+            cold_start_ms: 0,
         }],
         policies: vec![config::Policy { name: "policy".to_owned(), program: String::new() }],
     }
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -4,7 +4,7 @@
 
 use crate::{control, logging};
 use actix::prelude::Addr;
-use doorswitch_core::watch;
+use doorswitch_core::{evacuation, watch};
 use doorswitch_platform::{configuration, servers as records, store};
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,7 @@
                 );
             }
             let news = match call.topic {
-                watch::Topic::Configuration => configuration_news(changes.changes),
+                watch::Topic::Configuration => configuration_news(changes.changes, whole),
                 watch::Topic::Servers if whole => all_servers(changes.changes),
                 watch::Topic::Servers => server_news(changes.changes),
             };
@@ -91,7 +91,16 @@
     }
 }
 
-fn configuration_news(changes: Vec<store::Change>) -> watch::News {
+fn configuration_news(changes: Vec<store::Change>, whole: bool) -> watch::News {
+    let evacuated = changes.iter().filter_map(|change| {
+        let domain = configuration::evacuated_domain(&change.key)?.to_owned();
+        let (revision, evacuated) = (change.revision, change.value.is_some());
+        Some(evacuation::Change { revision, domain, evacuated })
+    });
+    let evacuations = match whole {
+        true => evacuation::News::All(evacuated.map(|change| change.domain).collect()),
+        false => evacuation::News::Changes(evacuated.collect()),
+    };
     let newest = changes.into_iter().rev().find(|change| change.key == configuration::KEY);
     let published = newest.and_then(|change| change.value).and_then(|value| {
         configuration::decode(&value)
@@ -100,7 +109,8 @@
             })
             .ok()
     });
-    watch::News::Configuration(published.map(Box::new))
+    let published = published.map(Box::new);
+    watch::News::Configuration(watch::ConfigurationNews { published, evacuations })
 }
 
 fn all_servers(items: Vec<store::Change>) -> watch::News {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -213,6 +213,9 @@
         node::Notice::ItemLapsed { vm, kept_ms } => {
             log::info!("event=item_lapsed vm={vm} kept_ms={kept_ms}");
         }
+        node::Notice::Evacuation { failure_domain, evacuated, servers } => log::info!(
+            "event=evacuation failure_domain={failure_domain} evacuated={evacuated} servers={servers}"
+        ),
         node::Notice::CallGivenUp { topic, call } => log::warn!(
             "event=call_given_up topic={topic:?} evidence={:?} waited_ms={}",
             call.evidence,
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -163,8 +163,13 @@
 
     /// A server records its state.
     pub fn record_server(&self, place: usize, state: &str) {
+        self.record_server_in(place, state, "a");
+    }
+
+    /// The same, in a failure domain.
+    pub fn record_server_in(&self, place: usize, state: &str, domain: &str) {
         let record = json!({
-            "service": "app", "address": self.server_address(place).to_string(), "zone": "a",
+            "service": "app", "address": self.server_address(place).to_string(), "zone": domain,
             "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
         });
         self.store.put(&format!("servers/i-{place}"), record.to_string().as_bytes());
