Fill up slowly after an outage

Now a holder that heard nothing of the ledger for 3 s and ran low has in hand a second of its spending, and a second more each second. Test that failed first: a_loss_just_after_an_outage_* (82,575 in hand two seconds after, of 10,000 a second).

--- a/core/src/grants.rs
+++ b/core/src/grants.rs
@@ -5,6 +5,7 @@
 //! out before the write is sent, and come back only once that write certainly did not apply.
 
 mod account;
+mod refill;
 
 pub use account::{Account, Prepaid};
 
--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -1,5 +1,6 @@
 //! One budget as this router holds it: what is free, what to draw and what to give back.
 
+use super::refill;
 use crate::{config, ledger};
 
 /// The spend rate is averaged over half the cover time, within these limits: over less, one request
@@ -16,6 +17,8 @@
 /// Of a budget that lasts for less than this at the present rate, a smaller share is held. Chosen on three
 /// sites, see docs/POLICY.md.
 const ENDS_SOON_MS: u64 = 25_000;
+/// A holder with less than this much spending in hand has little, in milliseconds.
+const LOW_MS: u64 = 2_000;
 /// While a budget is spent from, its holder has in hand at least as many requests of the largest size that had to wait:
 /// whoever asks once soon asks again, and what is spent a second is not known yet.
 const REQUESTS_AHEAD: u64 = 8;
@@ -91,6 +94,7 @@
     /// What the other holders spend a second, as the store showed last.
     pub others_rate_tokens_per_s: u64,
     rate_milli_tokens_per_s: u64,
+    refill: refill::Refill,
     spending_since_ms: u64,
     measured_tokens: u64,
     measured_ms: u64,
@@ -128,6 +132,7 @@
             draws: false,
             others_rate_tokens_per_s: 0,
             rate_milli_tokens_per_s: 0,
+            refill: refill::Refill::default(),
             spending_since_ms: now_ms,
             measured_tokens: 0,
             measured_ms: now_ms,
@@ -164,7 +169,12 @@
         if !self.holder {
             return 0;
         }
-        let cover = self.rate_tokens_per_s().saturating_mul(self.settings.cover_s);
+        let cover_ms = self.settings.cover_s.saturating_mul(1_000);
+        let cover_ms = match self.settings.held_percent {
+            0 => cover_ms,
+            _ => cover_ms.min(self.refill.most_ms(self.measured_ms).unwrap_or(u64::MAX)),
+        };
+        let cover = self.rate_tokens_per_s().saturating_mul(cover_ms) / 1_000;
         let wanted =
             cover.max(self.settings.minimum_grant_tokens).max(self.requests_ahead_tokens());
         match self.settings.held_percent {
@@ -317,6 +327,14 @@
         if self.shortage_tokens == 0 || yields { self.free_tokens() } else { 0 }
     }
 
+    /// Notes that the ledger was read.
+    pub fn note_ledger_read(&mut self, now_ms: u64) {
+        let low_tokens = self.rate_tokens_per_s().saturating_mul(LOW_MS) / 1_000;
+        let low = self.holder && self.free_tokens() < low_tokens;
+        self.refill.note_read(low, now_ms);
+        self.ledger_read_ms = Some(now_ms);
+    }
+
     /// This holder's last word on the budget.
     pub fn closing(&self) -> ledger::Closing {
         ledger::Closing {
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -366,7 +366,7 @@
             account.paid_tokens = budget.map_or(0, |budget| budget.paid_tokens);
             account.closed_spent_tokens = budget.map_or(0, |budget| budget.closed_spent_tokens);
             account.written_off_tokens = budget.map_or(0, |budget| budget.written_off_tokens);
-            account.ledger_read_ms = Some(context.now_ms);
+            account.note_ledger_read(context.now_ms);
             account.rows = budget.map_or(0, |budget| budget.grants.len() as u64);
             account.others_rate_tokens_per_s =
                 budget.map_or(0, |budget| budget.rate_beside(context.holder));
--- a/core/tests/crash_cost.rs
+++ b/core/tests/crash_cost.rs
@@ -23,11 +23,15 @@
 
 /// A fleet in which one router holds each budget, as on a platform whose machines may all be lost at once.
 fn fleet(seed: u64) -> World {
+    fleet_that_holds(33, seed)
+}
+
+fn fleet_that_holds(held_percent: u64, seed: u64) -> World {
     let mut shape = Shape { routers: ROUTERS, paid_tokens: PAID_TOKENS, ..Shape::default() };
     for budget in &mut shape.budgets {
         budget.cover_s = COVER_S;
         budget.minimum_grant_tokens = 0;
-        budget.held_percent = 33;
+        budget.held_percent = held_percent;
         budget.holders = 1;
     }
     let mut world = World::new(shape, seed);
@@ -158,3 +162,23 @@
         assert!(world.refusals.is_empty(), "seed {seed}: {:?}", world.refusals);
     }
 }
+
+/// All routers were cut from the store for 8 s and used up what they held; all died two seconds after that. Holders
+/// had filled up at once, and 5.8 million tokens were lost, three seconds of spending of the busiest budget.
+#[test]
+fn a_loss_just_after_an_outage_takes_seconds_of_spending() {
+    const TOKENS_PER_S: u64 = 10_000;
+    for seed in 1..6 {
+        let mut world = fleet_that_holds(50, seed);
+        spend(&mut world, TOKENS_PER_S, 15_000);
+        world.faults.store_out = true;
+        spend(&mut world, TOKENS_PER_S, 17_000);
+        world.faults.store_out = false;
+        spend(&mut world, TOKENS_PER_S, 2_000);
+        let most = world.routers.iter().map(|router| held(&world, router)).max().unwrap();
+        assert!(most <= 5 * TOKENS_PER_S, "seed {seed}: {most} in hand two seconds after");
+        spend(&mut world, TOKENS_PER_S, 8_000);
+        let most = world.routers.iter().map(|router| held(&world, router)).max().unwrap();
+        assert!(most >= 5 * TOKENS_PER_S, "seed {seed}: {most} in hand ten seconds after");
+    }
+}
