Hold less only of budgets that last under 10 s, not 25 s

Cause: the rate of a burst counts as the rate at which a budget ends. Ruled out: askers that cannot reach the holder (no holder was silent), tokens at askers.

--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -14,9 +14,9 @@
 /// an outage of 8 s that began 2 s after the first request, 81 requests were refused instead of none (the core's fleet
 /// of seven, one seed). Later it would take the backlog of an outage for a rate.
 const SHARE_WINDOW_UNSPENT_MS: u64 = 1_000;
-/// Of a budget that lasts for less than this at the present rate, a smaller share is held. Chosen on three
-/// sites, see docs/POLICY.md.
-const ENDS_SOON_MS: u64 = 25_000;
+/// Of a budget that lasts for less than this at the present rate, a smaller share is held: less than an outage that is
+/// ridden out is left of it. Chosen on four sites, see docs/POLICY.md.
+const ENDS_SOON_MS: u64 = 10_000;
 /// A holder with less than this much spending in hand has little, in milliseconds.
 const LOW_MS: u64 = 2_000;
 /// While a budget is spent from, its holder has in hand at least as many requests of the largest size that had to wait:
--- a/core/tests/crash_cost.rs
+++ b/core/tests/crash_cost.rs
@@ -182,3 +182,19 @@
         assert!(most >= 5 * TOKENS_PER_S, "seed {seed}: {most} in hand ten seconds after");
     }
 }
+
+/// A workspace sent several times its usual for six seconds before all routers were cut from the store. At that rate the
+/// budget would have ended in twelve seconds; its holder had two seconds of it in hand, refused 1,700 requests in the
+/// cut, and 2.8 million of 17.3 million tokens were left at the end of the day.
+#[test]
+fn a_budget_that_a_burst_would_use_up_soon_serves_through_an_outage() {
+    for seed in 1..6 {
+        let mut world = fleet_that_holds(50, seed);
+        spend(&mut world, 25_000, 30_000);
+        world.faults.store_out = true;
+        let before = world.refusals.len();
+        spend(&mut world, 25_000, 4_000);
+        let refused = world.refusals.len() - before;
+        assert!(refused == 0, "seed {seed}: {refused} refused");
+    }
+}
