--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -5,15 +5,16 @@
 //! routers with the same old view then do not all pick the same server.
 
 mod by_prompt;
+mod vm;
 mod warm_up;
 
 pub use by_prompt::{Choice, Part, chain};
+pub use vm::{Load, Vm, VmState};
 pub use warm_up::{ColdLimit, Fleet};
 
 use crate::{ids, rendezvous};
 use rand::rngs;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use std::collections;
 
 /// Requests at once on a server that has not reported its slots.
@@ -34,50 +35,6 @@
 /// Until a server's pace is known, this is assumed.
 const DEFAULT_ANSWER_MS: u64 = 500;
 
-/// A VM in the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Vm {
-    /// Its name.
-    pub vm: String,
-    /// What runs on it: a service's name, or `doorswitch`.
-    pub service: String,
-    /// Where it is reached.
-    pub address: String,
-    /// Its class of hardware.
-    pub class: String,
-    /// Its failure domain.
-    pub failure_domain: String,
-    /// Whether it stays.
-    pub state: VmState,
-    /// Requests that its server works on at once; 0 if the list does not say.
-    #[serde(default)]
-    pub slots: u64,
-    /// How long its server is cold, counted from when that was said, in milliseconds.
-    #[serde(default)]
-    pub cold_ms: u64,
-}
-
-/// Whether a VM stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum VmState {
-    /// It runs.
-    Live,
-    /// It will go: it gets nothing new.
-    Leaving,
-}
-
-/// What a server says of its load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests in its batch.
-    pub running: u64,
-    /// Requests that wait for a place in it.
-    pub queued: u64,
-    /// Places in its batch.
-    pub slots: u64,
-}
-
 /// One backend server.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -200,36 +157,6 @@
 }
 
 impl Table {
-    /// The failure domains whose servers get nothing new.
-    pub fn evacuated(&self) -> &collections::BTreeSet<String> {
-        &self.evacuated
-    }
-
-    /// Gives nothing new to servers of these failure domains. Servers of one that is taken back are cold.
-    pub fn evacuate(&mut self, domains: collections::BTreeSet<String>, now_ms: u64) {
-        let back =
-            |server: &&mut Server| server.evacuated && !domains.contains(&server.vm.failure_domain);
-        for server in self.servers.values_mut().filter(back) {
-            let limit = self.cold_limits.get(&server.vm.service).copied().unwrap_or_default();
-            server.warm_up =
-                warm_up::WarmUp::start(limit.start_ms, limit, self.fleet, server.name_hash, now_ms);
-        }
-        for server in self.servers.values_mut() {
-            server.evacuated = domains.contains(&server.vm.failure_domain);
-        }
-        self.evacuated = domains;
-    }
-
-    /// Says what cold servers bear, by service.
-    pub fn set_cold_limits(&mut self, limits: impl Iterator<Item = (String, ColdLimit)>) {
-        self.cold_limits = limits.collect();
-    }
-
-    /// Says with whom this router shares what cold servers bear.
-    pub fn set_fleet(&mut self, fleet: Fleet) {
-        self.fleet = fleet;
-    }
-
     /// Follows the platform's list. A server that is gone stays until its last request ends.
     pub fn follow(&mut self, vms: &[Vm], now_ms: u64) {
         let listed: collections::HashSet<&str> = vms.iter().map(|vm| vm.vm.as_str()).collect();
@@ -367,13 +294,6 @@
         self.by_service.entry(vm.service.clone()).or_default().push(slot);
     }
 
-    fn start_warm_up(&mut self, slot: ids::ServerSlot, now_ms: u64) {
-        let server = &mut self.servers[slot];
-        let limit = self.cold_limits.get(&server.vm.service).copied().unwrap_or_default();
-        let (cold_ms, name_hash) = (server.vm.cold_ms, server.name_hash);
-        server.warm_up = warm_up::WarmUp::start(cold_ms, limit, self.fleet, name_hash, now_ms);
-    }
-
     fn forget_gone(&mut self, listed: &collections::HashSet<&str>) {
         self.servers
             .retain(|_, server| server.in_flight > 0 || listed.contains(server.vm.vm.as_str()));
--- a/core/src/servers/warm_up.rs
+++ b/core/src/servers/warm_up.rs
@@ -5,7 +5,9 @@
 //! name pick for it, as many as make the sum right on average, and sends each of them one request a second. That
 //! holds whichever of them hear each other, because it rests on the most routers that were ever known at once.
 
+use super::{Server, Table};
 use crate::{ids, limiter, rendezvous};
+use std::collections;
 
 /// Of what a cold server bears, so much is used, in percent: which routers a server's share falls to is left to
 /// chance, and twice the mean must not be too much.
@@ -92,3 +94,43 @@
     let picked = drawn * u128::from(routers_milli) < u128::from(used_milli) << u64::BITS;
     picked.then_some(1)
 }
+
+impl Table {
+    /// The failure domains whose servers get nothing new.
+    pub fn evacuated(&self) -> &collections::BTreeSet<String> {
+        &self.evacuated
+    }
+
+    /// Gives nothing new to servers of these failure domains. Servers of one that is taken back are cold.
+    pub fn evacuate(&mut self, domains: collections::BTreeSet<String>, now_ms: u64) {
+        let back =
+            |server: &&mut Server| server.evacuated && !domains.contains(&server.vm.failure_domain);
+        for server in self.servers.values_mut().filter(back) {
+            let limit = self.cold_limits.get(&server.vm.service).copied().unwrap_or_default();
+            server.warm_up =
+                WarmUp::start(limit.start_ms, limit, self.fleet, server.name_hash, now_ms);
+        }
+        for server in self.servers.values_mut() {
+            server.evacuated = domains.contains(&server.vm.failure_domain);
+        }
+        self.evacuated = domains;
+    }
+
+    /// Says what cold servers bear, by service.
+    pub fn set_cold_limits(&mut self, limits: impl Iterator<Item = (String, ColdLimit)>) {
+        self.cold_limits = limits.collect();
+    }
+
+    /// Says with whom this router shares what cold servers bear.
+    pub fn set_fleet(&mut self, fleet: Fleet) {
+        self.fleet = fleet;
+    }
+
+    /// A server said that it is cold.
+    pub(super) fn start_warm_up(&mut self, slot: ids::ServerSlot, now_ms: u64) {
+        let server = &mut self.servers[slot];
+        let limit = self.cold_limits.get(&server.vm.service).copied().unwrap_or_default();
+        let (cold_ms, name_hash) = (server.vm.cold_ms, server.name_hash);
+        server.warm_up = WarmUp::start(cold_ms, limit, self.fleet, name_hash, now_ms);
+    }
+}
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -4,7 +4,15 @@
 //! others hear the news, and how old it is, from peers. A router whose knowledge gets too old asks the store
 //! itself, at a moment drawn at random, so that the whole fleet makes a bounded number of such calls a second.
 
-use crate::{backoff, config, evacuation, ids, members, rendezvous, servers};
+mod calls;
+mod news;
+mod watchers;
+
+pub use calls::{Evidence, Fleet, Flight, GivenUp};
+pub use news::{ConfigurationNews, News, Outcome, ServerChange, ServerRecord};
+pub use watchers::{WATCHERS, watchers};
+
+use crate::backoff;
 use rand::RngExt;
 use rand::rngs;
 use serde::{Deserialize, Serialize};
@@ -12,9 +20,6 @@
 /// Up to so many routers each one watches: two that watch with short waits for all would make as many
 /// calls (docs/DESIGN.md, "Who asks the store").
 pub const ALL_WATCH_MAX: usize = 12;
-/// How many routers watch for a larger fleet. Two, in different failure domains, so that nothing waits
-/// for an election when one is lost.
-pub const WATCHERS: usize = 2;
 /// How long a call waits for news where every router watches: the longer, the fewer calls.
 const ALL_WATCH_WAIT_MS: u64 = 25_000;
 /// Where every router watches, knowledge that is older than this part of the bound is overdue, in percent: whoever
@@ -97,116 +102,6 @@
     pub wait_ms: u64,
 }
 
-/// A change of one server's record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerChange {
-    /// The server's VM.
-    pub vm: String,
-    /// The store's revision of the change.
-    pub revision: u64,
-    /// What it says now.
-    pub record: ServerRecord,
-}
-
-/// A server's record after a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ServerRecord {
-    /// It is listed.
-    Listed(servers::Vm),
-    /// It is gone.
-    Gone,
-    /// It went while the store was away: records lapse then, and may be back soon.
-    Lapsed,
-}
-
-/// What the operator wrote.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct ConfigurationNews {
-    /// The configuration, if it changed or if all was asked for, and it can be read.
-    pub published: Option<Box<config::Published>>,
-    /// What is evacuated.
-    pub evacuations: evacuation::News,
-}
-
-/// What a topic's answer brought.
-#[derive(Clone, Debug, PartialEq)]
-pub enum News {
-    /// What the operator wrote.
-    Configuration(ConfigurationNews),
-    /// Changes of servers' records.
-    Servers(Vec<ServerChange>),
-    /// All servers.
-    AllServers(Vec<servers::Vm>),
-}
-
-impl News {
-    /// Whether there is any.
-    pub fn any(&self) -> bool {
-        match self {
-            Self::Configuration(news) => news.published.is_some() || news.evacuations.any(),
-            Self::Servers(changes) => !changes.is_empty(),
-            Self::AllServers(_) => true,
-        }
-    }
-}
-
-/// How a call ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Outcome {
-    /// The store answered.
-    Answered {
-        /// What the news stand for.
-        revision: u64,
-        /// What it brought.
-        news: News,
-    },
-    /// The store does not have the history since the revision any more.
-    Forgotten,
-    /// The store answered that it does not serve.
-    Refused,
-    /// No answer came.
-    Silent,
-}
-
-/// What shows that a call will not be answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Evidence {
-    /// A later call of this router brought news that this one should have brought.
-    LaterCall,
-    /// A peer told such news.
-    Peer,
-}
-
-/// A call that was given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct GivenUp {
-    /// Its number.
-    pub number: u64,
-    /// How long it had been in flight.
-    pub waited_ms: u64,
-    /// Why.
-    pub evidence: Evidence,
-}
-
-/// What a router knows of the fleet when it decides whether to call.
-#[derive(Clone, Copy, Debug)]
-pub struct Fleet {
-    /// How many routers there are.
-    pub routers: u64,
-    /// This router's place among them, by their ids.
-    pub rank: u64,
-    /// Whether no peer was heard for as long as knowledge may be old.
-    pub alone: bool,
-}
-
-/// A call in flight.
-#[derive(Clone, Copy, Debug)]
-pub struct Flight {
-    number: u64,
-    sent_ms: u64,
-    wait_ms: u64,
-}
-
 /// One topic as one router follows it.
 #[derive(Debug)]
 pub struct Watch {
@@ -492,20 +387,3 @@
         self.revision = self.revision.max(revision);
     }
 }
-
-/// The routers that watch for all: the first in rank, and the next one in another failure domain, if
-/// there is one. Every router that knows the same members names the same ones.
-pub fn watchers<'a>(members: impl Iterator<Item = &'a members::Record>) -> Vec<ids::Incarnation> {
-    let subject = rendezvous::digest("watch");
-    let mut ranked: Vec<&members::Record> = members.collect();
-    ranked.sort_by_cached_key(|member| {
-        std::cmp::Reverse((rendezvous::weight(subject, member.id.0), member.id))
-    });
-    let Some(first) = ranked.first().copied() else { return Vec::new() };
-    let elsewhere = |member: &&&members::Record| member.failure_domain != first.failure_domain;
-    let second = ranked.iter().skip(1).find(elsewhere).or(ranked.get(1));
-    let mut watchers: Vec<ids::Incarnation> =
-        [Some(&first), second].into_iter().flatten().map(|member| member.id).collect();
-    watchers.truncate(WATCHERS);
-    watchers
-}
--- /dev/null
+++ b/core/src/watch/calls.rs
@@ -0,0 +1,43 @@
+//! Calls for news in flight, and why one of them is given up.
+
+/// What shows that a call will not be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// A later call of this router brought news that this one should have brought.
+    LaterCall,
+    /// A peer told such news.
+    Peer,
+}
+
+/// A call that was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// Its number.
+    pub number: u64,
+    /// How long it had been in flight.
+    pub waited_ms: u64,
+    /// Why.
+    pub evidence: Evidence,
+}
+
+/// What a router knows of the fleet when it decides whether to call.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// How many routers there are.
+    pub routers: u64,
+    /// This router's place among them, by their ids.
+    pub rank: u64,
+    /// Whether no peer was heard for as long as knowledge may be old.
+    pub alone: bool,
+}
+
+/// A call in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct Flight {
+    /// Its number.
+    pub(super) number: u64,
+    /// When it went out.
+    pub(super) sent_ms: u64,
+    /// How long the store may wait.
+    pub(super) wait_ms: u64,
+}
--- /dev/null
+++ b/core/src/watch/news.rs
@@ -0,0 +1,75 @@
+//! What the store's answers bring.
+
+use crate::{config, evacuation, servers};
+use serde::{Deserialize, Serialize};
+
+/// A change of one server's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerChange {
+    /// The server's VM.
+    pub vm: String,
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// What it says now.
+    pub record: ServerRecord,
+}
+
+/// A server's record after a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerRecord {
+    /// It is listed.
+    Listed(servers::Vm),
+    /// It is gone.
+    Gone,
+    /// It went while the store was away: records lapse then, and may be back soon.
+    Lapsed,
+}
+
+/// What the operator wrote.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigurationNews {
+    /// The configuration, if it changed or if all was asked for, and it can be read.
+    pub published: Option<Box<config::Published>>,
+    /// What is evacuated.
+    pub evacuations: evacuation::News,
+}
+
+/// What a topic's answer brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// What the operator wrote.
+    Configuration(ConfigurationNews),
+    /// Changes of servers' records.
+    Servers(Vec<ServerChange>),
+    /// All servers.
+    AllServers(Vec<servers::Vm>),
+}
+
+impl News {
+    /// Whether there is any.
+    pub fn any(&self) -> bool {
+        match self {
+            Self::Configuration(news) => news.published.is_some() || news.evacuations.any(),
+            Self::Servers(changes) => !changes.is_empty(),
+            Self::AllServers(_) => true,
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The store answered.
+    Answered {
+        /// What the news stand for.
+        revision: u64,
+        /// What it brought.
+        news: News,
+    },
+    /// The store does not have the history since the revision any more.
+    Forgotten,
+    /// The store answered that it does not serve.
+    Refused,
+    /// No answer came.
+    Silent,
+}
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -148,29 +148,6 @@
         fleet
     }
 
-    /// A server records its state.
-    pub fn put_server(&mut self, name: &str, state: servers::VmState) {
-        let vm = servers::Vm {
-            vm: name.to_owned(),
-            service: "service".to_owned(),
-            address: "10.9.0.1:1".to_owned(),
-            class: String::new(),
-            failure_domain: "a".to_owned(),
-            state,
-            slots: 4,
-            cold_ms: 0,
-        };
-        self.revision += 1;
-        self.servers.insert(name.to_owned(), (self.revision, vm.clone()));
-        self.note(watch::Topic::Servers, Some((name.to_owned(), Some(vm))));
-    }
-
-    pub fn remove_server(&mut self, name: &str) {
-        self.revision += 1;
-        self.servers.remove(name);
-        self.note(watch::Topic::Servers, Some((name.to_owned(), None)));
-    }
-
     pub fn publish(&mut self) {
         self.revision += 1;
         let operation = format!("publish-{}", self.revision);
@@ -179,18 +156,6 @@
         self.note(watch::Topic::Configuration, None);
     }
 
-    /// The operator evacuates a failure domain, or takes that back.
-    pub fn evacuate(&mut self, domain: &str, evacuated: bool) {
-        self.revision += 1;
-        match evacuated {
-            true => self.evacuated.insert(domain.to_owned()),
-            false => self.evacuated.remove(domain),
-        };
-        let domain = domain.to_owned();
-        let change = evacuation::Change { revision: self.revision, domain, evacuated };
-        self.evacuations.push((self.now_ms, change));
-    }
-
     /// Something that nobody follows is written.
     pub fn write_elsewhere(&mut self) {
         self.revision += 1;
@@ -244,14 +209,6 @@
         self.routers[place].turned_away = turned_away;
     }
 
-    /// The store never answers the calls that this router has in flight.
-    pub fn leave_calls_unanswered(&mut self, place: usize) {
-        self.trouble(place);
-        for waiting in &mut self.routers[place].waiting {
-            waiting.unanswered = true;
-        }
-    }
-
     pub fn watchers(&self) -> Vec<usize> {
         let watches = |router: &Router| {
             router.alive && router.node.watch_duty() == Some(watch::Duty::Watcher)
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -1,10 +1,53 @@
 //! How the fake store answers the routers' calls for news.
 
 use super::{CALL_TIMEOUT_MS, Fleet, Store, Waiting};
-use doorswitch_core::{evacuation, watch};
+use doorswitch_core::{evacuation, servers, watch};
 use rand::RngExt;
 
 impl Fleet {
+    /// A server records its state.
+    pub fn put_server(&mut self, name: &str, state: servers::VmState) {
+        let vm = servers::Vm {
+            vm: name.to_owned(),
+            service: "service".to_owned(),
+            address: "10.9.0.1:1".to_owned(),
+            class: String::new(),
+            failure_domain: "a".to_owned(),
+            state,
+            slots: 4,
+            cold_ms: 0,
+        };
+        self.revision += 1;
+        self.servers.insert(name.to_owned(), (self.revision, vm.clone()));
+        self.note(watch::Topic::Servers, Some((name.to_owned(), Some(vm))));
+    }
+
+    pub fn remove_server(&mut self, name: &str) {
+        self.revision += 1;
+        self.servers.remove(name);
+        self.note(watch::Topic::Servers, Some((name.to_owned(), None)));
+    }
+
+    /// The operator evacuates a failure domain, or takes that back.
+    pub fn evacuate(&mut self, domain: &str, evacuated: bool) {
+        self.revision += 1;
+        match evacuated {
+            true => self.evacuated.insert(domain.to_owned()),
+            false => self.evacuated.remove(domain),
+        };
+        let domain = domain.to_owned();
+        let change = evacuation::Change { revision: self.revision, domain, evacuated };
+        self.evacuations.push((self.now_ms, change));
+    }
+
+    /// The store never answers the calls that this router has in flight.
+    pub fn leave_calls_unanswered(&mut self, place: usize) {
+        self.trouble(place);
+        for waiting in &mut self.routers[place].waiting {
+            waiting.unanswered = true;
+        }
+    }
+
     pub(super) fn reaches_store(&self, place: usize) -> bool {
         let router = &self.routers[place];
         self.store == Store::Well && !router.cut && !router.turned_away
