Tell which configuration decided: version, age and source in the log; a soak of real routers under drawn faults

Cause: no line told which version a router had in force when it refused a request for want of a route or placed one, from whom it came and which call for news waited. Now event=refused_by_configuration, config_version= of event=placed, and source=, age_ms=, open_calls= of event=config_in_force do. The soak: eight routers, a prober for each, faults by a list drawn from a seed.

--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -1,11 +1,21 @@
 //! What the platform and peers tell of the world: configurations, lists of VMs, what earlier lives left.
 
-use super::{Action, Lifecycle, Node, ROUTER_SERVICE};
+use super::{Action, ConfigSource, Lifecycle, Node, ROUTER_SERVICE};
 use crate::{config, grants, ids, ledger_writer, log_writer, servers};
 
 impl Node {
-    /// Takes over a configuration, if it is newer than the one in force.
+    /// Takes over a configuration of the store, if it is newer than the one in force.
     pub fn offer_config(&mut self, published: config::Published, now_ms: u64) -> bool {
+        self.adopt_config(published, ConfigSource::Store, now_ms)
+    }
+
+    /// Takes over a configuration, if it is newer than the one in force.
+    pub(super) fn adopt_config(
+        &mut self,
+        published: config::Published,
+        source: ConfigSource,
+        now_ms: u64,
+    ) -> bool {
         if published.version <= self.config_version() {
             return false;
         }
@@ -41,7 +51,7 @@
         self.config = Some(published);
         self.follow_evacuations(now_ms);
         self.become_ready();
-        self.actions.push(Action::ConfigInForce { version });
+        self.actions.push(Action::ConfigInForce { version, source });
         true
     }
 
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -46,7 +46,7 @@
             }
             message::Message::ConfigAsk => self.send_config(from, now_ms),
             message::Message::Config { seen, evacuations, value, .. } => {
-                self.take_config(seen, &evacuations, value, now_ms);
+                self.take_config(from, seen, &evacuations, value, now_ms);
             }
             message::Message::VmsAsk => self.send_vms(from, now_ms),
             message::Message::Vms { seen, vms } => self.hear_vms(seen, vms, now_ms),
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -4,7 +4,7 @@
 //! learns something by it passes it on to a few members drawn at random, so that news reach all routers
 //! after a few steps, whichever of them fail. What a datagram does not hold is asked for over a connection.
 
-use super::{Action, Node, Notice};
+use super::{Action, ConfigSource, Node, Notice};
 use crate::{config, evacuation, ids, members, message, servers, watch};
 use rand::seq::IndexedRandom;
 use std::collections;
@@ -245,6 +245,7 @@
 
     pub(super) fn take_config(
         &mut self,
+        from: ids::Incarnation,
         seen: message::Seen,
         evacuations: &evacuation::Evacuations,
         value: Vec<u8>,
@@ -255,7 +256,7 @@
         match postcard::from_bytes::<config::Published>(&value) {
             Ok(published) => {
                 let version = published.version;
-                self.offer_config(published, now_ms);
+                self.adopt_config(published, ConfigSource::Peer(from), now_ms);
                 if version == self.config_version() {
                     self.relay.encoded = Some((version, value));
                     self.hear_news(watch::Topic::Configuration, now_ms);
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -216,11 +216,22 @@
     ConfigInForce {
         /// Its version.
         version: u64,
+        /// From where it came.
+        source: ConfigSource,
     },
     /// Something an operator may want to know.
     Notice(Notice),
 }
 
+/// From where a router has its configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The platform's store.
+    Store,
+    /// Another router.
+    Peer(ids::Incarnation),
+}
+
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// The calls for a topic that wait for the store now.
+    pub fn open_calls(&self, topic: watch::Topic, now_ms: u64) -> Vec<watch::OpenCall> {
+        let Some(watching) = self.watching.as_ref() else { return Vec::new() };
+        match topic {
+            watch::Topic::Configuration => watching.configuration.open_calls(now_ms),
+            watch::Topic::Servers => watching.servers.open_calls(now_ms),
+        }
+    }
+
     /// Takes the end of a call that [`Action::Watch`] asked for. One that was given up before changes nothing.
     pub fn watched(&mut self, call: watch::Call, outcome: watch::Outcome, now_ms: u64) {
         let topic = call.topic;
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -8,7 +8,7 @@
 mod news;
 mod watchers;
 
-pub use calls::{Evidence, Fleet, Flight, GivenUp};
+pub use calls::{Evidence, Fleet, Flight, GivenUp, OpenCall};
 pub use news::{ConfigurationNews, News, Outcome, ServerChange, ServerRecord};
 pub use watchers::{WATCHERS, watchers};
 
@@ -231,6 +231,16 @@
         Call { number: flight.number, topic: self.topic, revision, wait_ms: flight.wait_ms }
     }
 
+    /// The calls that wait for the store now.
+    pub fn open_calls(&self, now_ms: u64) -> Vec<OpenCall> {
+        let open = |flight: &Flight| OpenCall {
+            number: flight.number,
+            wait_ms: flight.wait_ms,
+            sent_ms_ago: now_ms.saturating_sub(flight.sent_ms),
+        };
+        self.waiting.iter().chain(&self.proving).map(open).collect()
+    }
+
     /// Takes the call with this number out of those in flight; `None` if it was given up before.
     pub fn ended(&mut self, number: u64) -> Option<Flight> {
         let ends = |flight: &mut Flight| flight.number == number;
--- a/core/src/watch/calls.rs
+++ b/core/src/watch/calls.rs
@@ -20,6 +20,17 @@
     pub evidence: Evidence,
 }
 
+/// A call in flight, as a log line tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenCall {
+    /// Its number.
+    pub number: u64,
+    /// How long the store may wait.
+    pub wait_ms: u64,
+    /// How long ago it went out.
+    pub sent_ms_ago: u64,
+}
+
 /// What a router knows of the fleet when it decides whether to call.
 #[derive(Clone, Copy, Debug)]
 pub struct Fleet {
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,148 @@
+//! Soaks real routers: `doorswitch-soak --binary target/release/doorswitch --seeds 0..50`.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use doorswitch_soak::{observe, run, schedule};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        let arg = Arg::new(name).long(name).default_value(default).help(help);
+        arg.value_parser(value_parser!(u64))
+    };
+    Command::new("doorswitch-soak")
+        .about("Runs real routers under faults drawn from a seed")
+        .arg(
+            Arg::new("binary")
+                .long("binary")
+                .default_value("target/release/doorswitch")
+                .value_parser(value_parser!(PathBuf))
+                .help("The routers' program"),
+        )
+        .arg(number("seed", "0", "The first seed"))
+        .arg(number("seeds", "1", "How many seeds, one after the other"))
+        .arg(number("jobs", "1", "Fleets at once"))
+        .arg(number("routers", "8", "Routers of a fleet"))
+        .arg(number("for", "20", "Seconds over which faults begin"))
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_delimiter(',')
+                .value_parser(value_parser!(usize))
+                .help("Leave out all steps but these"),
+        )
+        .arg(
+            Arg::new("folder")
+                .long("folder")
+                .default_value("target/soak")
+                .value_parser(value_parser!(PathBuf))
+                .help("Where settings and logs go"),
+        )
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one(name).copied().unwrap_or_default()
+}
+
+fn path(matches: &ArgMatches, name: &str) -> PathBuf {
+    matches.get_one::<PathBuf>(name).cloned().unwrap_or_default()
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let first = number(&matches, "seed");
+    let next = AtomicU64::new(first);
+    let broken = AtomicU64::new(0);
+    let last = first + number(&matches, "seeds");
+    thread::scope(|scope| {
+        for job in 0..number(&matches, "jobs") {
+            let (matches, next, broken) = (&matches, &next, &broken);
+            scope.spawn(move || {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= last {
+                        return;
+                    }
+                    if !play(matches, seed, job) {
+                        broken.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner();
+    println!("event=soak_ended seeds={} broken={broken}", last - first);
+    ExitCode::from(u8::from(broken > 0))
+}
+
+/// Plays one seed; whether nothing was broken.
+fn play(matches: &ArgMatches, seed: u64, job: u64) -> bool {
+    let routers = number(matches, "routers") as usize;
+    let mut schedule = schedule::Schedule::drawn(seed, routers, number(matches, "for") * 1_000);
+    if let Some(only) = matches.get_many::<usize>("only") {
+        schedule = schedule.only(&only.copied().collect::<Vec<_>>());
+    }
+    let process = 1 + (std::process::id() % 250) as u8;
+    let options = run::Options {
+        binary: path(matches, "binary"),
+        folder: path(matches, "folder").join(format!("seed-{seed}")),
+        routers,
+        net: [process, 1 + job as u8],
+        seed,
+    };
+    match run::run(&options, &schedule) {
+        Ok(report) => tell(seed, &schedule, &report),
+        Err(error) => {
+            println!("event=soak_failed seed={seed} fault={error}");
+            false
+        }
+    }
+}
+
+/// Writes what a run has seen; whether nothing was broken.
+fn tell(seed: u64, schedule: &schedule::Schedule, report: &run::Report) -> bool {
+    let sound = report.violations.is_empty() && report.ended.is_empty();
+    let verdict = if sound { "sound" } else { "broken" };
+    let mut lines = vec![format!(
+        "event=soak_seed seed={seed} verdict={verdict} violations={} ended={:?} answers={:?}",
+        report.violations.len(),
+        report.ended,
+        report.statuses,
+    )];
+    if !sound {
+        lines.extend(schedule.steps.iter().map(ToString::to_string));
+        lines.extend(summaries(report));
+    }
+    println!("{}", lines.join("\n"));
+    sound
+}
+
+/// A line for each router and promise that was broken.
+fn summaries(report: &run::Report) -> Vec<String> {
+    let mut groups: BTreeMap<(observe::Broken, usize), Vec<&observe::Violation>> = BTreeMap::new();
+    for violation in &report.violations {
+        let key = (violation.broken, violation.answer.router);
+        groups.entry(key).or_default().push(violation);
+    }
+    let line = |broken: observe::Broken, router: usize, group: &[&observe::Violation]| {
+        let ms = |violation: &observe::Violation| {
+            violation.answer.sent.saturating_duration_since(report.began).as_millis()
+        };
+        let (first, last) = (group.first()?, group.last()?);
+        Some(format!(
+            "broken={broken:?} router={router} answers={} first_ms={} last_ms={} version={} status={:?} \
+             after_ack_ms={} after_harm_ms={}",
+            group.len(),
+            ms(first),
+            ms(last),
+            first.answer.version,
+            first.answer.status,
+            first.after_ack.as_millis(),
+            first.after_harm.as_millis(),
+        ))
+    };
+    groups.iter().filter_map(|((broken, router), group)| line(*broken, *router, group)).collect()
+}
--- /dev/null
+++ b/soak/src/schedule.rs
@@ -0,0 +1,270 @@
+//! What is done to a fleet, and when: one list of steps, drawn from a seed.
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use std::fmt;
+
+/// Faults begin after this time, when the fleet has started.
+const SETTLED_MS: u64 = 4_000;
+/// After the last step the fleet is watched for this long.
+const WATCHED_MS: u64 = 8_000;
+/// No fault lasts longer.
+const FAULT_LONGEST_MS: u64 = 5_000;
+
+/// Routers by their places.
+pub type Routers = Vec<usize>;
+
+/// How connections stop passing on what they carry; new ones work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dead {
+    /// Nothing arrives and nothing is acknowledged.
+    Silent,
+    /// What is sent is acknowledged and passed on to nobody.
+    Swallowing,
+}
+
+/// What is done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// The operator publishes a configuration with one route more.
+    Publish,
+    /// The store answers every call with 503.
+    StoreRefuses {
+        /// For how long.
+        for_ms: u64,
+    },
+    /// The store takes calls and never answers those that come or wait meanwhile.
+    StoreSilent {
+        /// For how long.
+        for_ms: u64,
+    },
+    /// The calls for news that wait now are never answered; all others are.
+    StoreLeavesWatchesUnanswered,
+    /// The store forgets its history.
+    StoreForgets,
+    /// Open connections of these routers to the store die.
+    StoreLinksDie {
+        /// Whose.
+        routers: Routers,
+        /// How.
+        dead: Dead,
+    },
+    /// Nothing passes between these routers and the store, and connections are reset.
+    StoreCut {
+        /// Which.
+        routers: Routers,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// What passes between these routers and the store waits and arrives afterwards.
+    StoreStalls {
+        /// Which.
+        routers: Routers,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// What passes between these routers and the store takes longer.
+    StoreSlow {
+        /// Which.
+        routers: Routers,
+        /// Added one way.
+        delay_ms: u64,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// Open connections from peers to these routers die.
+    PeerLinksDie {
+        /// To whom.
+        routers: Routers,
+        /// How.
+        dead: Dead,
+    },
+    /// Nothing passes from peers to these routers.
+    PeersCut {
+        /// Which.
+        routers: Routers,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// Datagrams to these routers are lost.
+    DatagramsLost {
+        /// Which.
+        routers: Routers,
+        /// Of a hundred, so many.
+        percent: u64,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// These processes stand still, while their kernel acknowledges.
+    Freeze {
+        /// Which.
+        routers: Routers,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// These processes are killed and started again.
+    Kill {
+        /// Which.
+        routers: Routers,
+        /// After how long they start again.
+        down_ms: u64,
+    },
+    /// Every router is killed at once and started again, in any order; right after a configuration was acknowledged.
+    LoseAll {
+        /// After how long they start again.
+        down_ms: u64,
+        /// Whether open connections fall silent first, as by a loss of power.
+        silent: bool,
+    },
+}
+
+impl Action {
+    /// How long it lasts, in milliseconds; 0 for what happens at once.
+    pub fn lasts_ms(&self) -> u64 {
+        match self {
+            Self::StoreRefuses { for_ms }
+            | Self::StoreSilent { for_ms }
+            | Self::StoreCut { for_ms, .. }
+            | Self::StoreStalls { for_ms, .. }
+            | Self::StoreSlow { for_ms, .. }
+            | Self::PeersCut { for_ms, .. }
+            | Self::DatagramsLost { for_ms, .. }
+            | Self::Freeze { for_ms, .. } => *for_ms,
+            Self::Kill { down_ms, .. } | Self::LoseAll { down_ms, .. } => *down_ms,
+            Self::Publish
+            | Self::StoreLeavesWatchesUnanswered
+            | Self::StoreForgets
+            | Self::StoreLinksDie { .. }
+            | Self::PeerLinksDie { .. } => 0,
+        }
+    }
+}
+
+/// One step of a schedule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Tells it from the others.
+    pub number: usize,
+    /// When it begins.
+    pub at_ms: u64,
+    /// What is done.
+    pub action: Action,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "step={} at_ms={} action={:?}", self.number, self.at_ms, self.action)
+    }
+}
+
+/// What is done to a fleet of some routers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// The steps in order of time.
+    pub steps: Vec<Step>,
+    /// When the run ends.
+    pub ends_ms: u64,
+}
+
+impl Schedule {
+    /// Numbers steps in order of time.
+    pub fn of(mut actions: Vec<(u64, Action)>) -> Self {
+        actions.sort_by_key(|(at_ms, _)| *at_ms);
+        let ends = actions.iter().map(|(at_ms, action)| at_ms + action.lasts_ms());
+        let ends_ms = ends.max().unwrap_or(SETTLED_MS) + WATCHED_MS;
+        let steps = actions.into_iter().enumerate();
+        let steps = steps.map(|(number, (at_ms, action))| Step { number, at_ms, action });
+        Self { steps: steps.collect(), ends_ms }
+    }
+
+    /// Draws the schedule of a seed: faults over `for_ms` that may overlap, changes during and after each of them, and
+    /// most often a loss of all.
+    pub fn drawn(seed: u64, routers: usize, for_ms: u64) -> Self {
+        let mut draw = Draw { rng: StdRng::seed_from_u64(seed), routers, actions: Vec::new() };
+        let last_ms = SETTLED_MS + for_ms;
+        for _ in 0..draw.rng.random_range(2..=6) {
+            let at_ms = draw.rng.random_range(SETTLED_MS..last_ms);
+            let action = draw.fault();
+            draw.push_with_changes(at_ms, action);
+        }
+        if draw.rng.random_bool(0.7) {
+            let at_ms = draw.rng.random_range(SETTLED_MS + for_ms / 2..last_ms);
+            let (down_ms, silent) = (draw.rng.random_range(200..1_500), draw.rng.random_bool(0.5));
+            draw.push_with_changes(at_ms, Action::LoseAll { down_ms, silent });
+        }
+        Self::of(draw.actions)
+    }
+
+    /// Leaves out all steps but those with these numbers.
+    pub fn only(mut self, numbers: &[usize]) -> Self {
+        self.steps.retain(|step| numbers.contains(&step.number));
+        self
+    }
+}
+
+/// A schedule while it is drawn.
+struct Draw {
+    rng: StdRng,
+    routers: usize,
+    actions: Vec<(u64, Action)>,
+}
+
+impl Draw {
+    fn push_with_changes(&mut self, at_ms: u64, action: Action) {
+        let end_ms = at_ms + action.lasts_ms();
+        self.actions.push((at_ms, action));
+        if self.rng.random_bool(0.4) {
+            let during_ms = self.rng.random_range(at_ms..=end_ms);
+            self.actions.push((during_ms, Action::Publish));
+        }
+        for _ in 0..self.rng.random_range(1..=3) {
+            let after_ms = end_ms + self.rng.random_range(50..4_000);
+            self.actions.push((after_ms, Action::Publish));
+        }
+    }
+
+    /// Some routers: all of them, one, or a part.
+    fn some(&mut self) -> Routers {
+        let all: Routers = (0..self.routers).collect();
+        let count = match self.rng.random_range(0..3) {
+            0 => self.routers,
+            1 => 1,
+            _ => self.rng.random_range(1..=self.routers),
+        };
+        all.sample(&mut self.rng, count).copied().collect()
+    }
+
+    fn dead(&mut self) -> Dead {
+        match self.rng.random_bool(0.5) {
+            true => Dead::Silent,
+            false => Dead::Swallowing,
+        }
+    }
+
+    fn fault(&mut self) -> Action {
+        let for_ms = self.rng.random_range(300..=FAULT_LONGEST_MS);
+        let (routers, dead) = (self.some(), self.dead());
+        match self.rng.random_range(0..13) {
+            0 => Action::StoreRefuses { for_ms },
+            1 | 2 => Action::StoreSilent { for_ms },
+            3 => Action::StoreLeavesWatchesUnanswered,
+            4 => Action::StoreForgets,
+            5 => Action::StoreLinksDie { routers, dead },
+            6 => Action::StoreCut { routers, for_ms },
+            7 => Action::StoreStalls { routers, for_ms },
+            8 => {
+                let delay_ms = self.rng.random_range(20..400);
+                Action::StoreSlow { routers, delay_ms, for_ms }
+            }
+            9 => Action::PeerLinksDie { routers, dead },
+            10 => Action::PeersCut { routers, for_ms },
+            11 => {
+                let percent = self.rng.random_range(5..=100);
+                Action::DatagramsLost { routers, percent, for_ms }
+            }
+            _ if self.rng.random_bool(0.5) => Action::Freeze { routers, for_ms },
+            _ => Action::Kill { routers, down_ms: for_ms },
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -92,6 +92,8 @@
         let now_ms = self.now_ms();
         self.node.tick(now_ms);
         self.carry_out(context);
+        let age_ms = self.node.age_ms(watch::Topic::Configuration, now_ms);
+        self.published.set_config_age_ms(age_ms);
         if self.node.lifecycle() == node::Lifecycle::Stopped {
             self.published.set_stopped();
         }
@@ -119,7 +121,9 @@
                     }
                 }
                 node::Action::Answer { slot, answer } => self.answer(slot, answer),
-                node::Action::ConfigInForce { version } => self.publish_config(version),
+                node::Action::ConfigInForce { version, source } => {
+                    self.publish_config(version, source)
+                }
                 node::Action::Notice(notice) => telemetry::log_notice(&notice),
             }
         }
@@ -151,14 +155,14 @@
         }
     }
 
-    fn publish_config(&mut self, version: u64) {
+    fn publish_config(&mut self, version: u64, source: node::ConfigSource) {
         let Some(published) = self.node.config().cloned() else { return };
         let workspaces = published.document.workspaces.iter();
         let budgets = workspaces.flat_map(|workspace| &workspace.budgets);
         let prepaid_tokens: u64 = budgets.filter_map(|budget| budget.prepaid_tokens).sum();
         let snapshot = snapshot::Snapshot::new(published);
         self.published.snapshot.store(Some(Arc::new(snapshot)));
-        log::info!("event=config_in_force version={version} prepaid_tokens={prepaid_tokens}");
+        telemetry::log_config(&self.node, version, source, prepaid_tokens, self.now_ms());
     }
 
     fn wait_for(&mut self, slot: ids::RequestSlot) -> Reply {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One request from its head to its answer.
 
 use super::{attempt, backends, body, listener, refusal, socket, streaming, ticket};
-use crate::{api_error, policy, snapshot, upstream};
+use crate::{api_error, logging, policy, snapshot, upstream};
 use bytes::Bytes;
 use doorswitch_core::{config, ids, node, rendezvous, routes, servers};
 use doorswitch_platform::headers;
@@ -57,18 +57,33 @@
         }
     }
 
+    /// Writes which configuration decided that a request is refused: a router that lags behind shows here.
+    fn log_refused_by_configuration(&self, request: &Request<Incoming>, error: &Error) {
+        let id = headers::asked(request.headers()).map_or_else(String::new, |asked| asked.id);
+        let version = self.published.snapshot.load().as_ref().map(|snapshot| snapshot.version);
+        log::info!(
+            "event=refused_by_configuration id={id} code={} config_version={} config_age_ms={}",
+            error.code,
+            version.unwrap_or(0),
+            logging::known_ms(self.published.config_age_ms()),
+        );
+    }
+
     async fn try_exchange(
         self: &Rc<Self>,
         request: Request<Incoming>,
         started: Instant,
         open: snapshot::OpenAnswer,
     ) -> Result<backends::Response, Error> {
-        let head = self.head(&request, started)?;
+        let head = self
+            .head(&request, started)
+            .inspect_err(|error| self.log_refused_by_configuration(&request, error))?;
         let (parts, body) = request.into_parts();
         let limit = head.snapshot.document.callers.body_bytes_max as usize;
         let body = read_body(body, limit).await?;
         let (wanted, cost, event_tokens) = self.wanted(&head, &parts.method, parts.uri.path())?;
         let id = head.asked.id.clone();
+        let config_version = head.snapshot.version;
         let asked = format!(
             "service={} budget={} bound_tokens={} priority={}",
             wanted.service, wanted.budget, wanted.bound_tokens, wanted.priority
@@ -87,7 +102,7 @@
         };
         let ticket = ticket::Ticket::new(self.control.clone(), placement.slot, cost, id);
         log::info!(
-            "event=placed id={} {asked} vm={} unread_tokens={} attempt=1",
+            "event=placed id={} {asked} vm={} unread_tokens={} config_version={config_version} attempt=1",
             head.asked.id,
             placement.vm,
             placement.unread_tokens,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -82,3 +82,13 @@
 pub fn quoted(value: impl std::fmt::Display) -> String {
     format!("{:?}", value.to_string())
 }
+
+/// A time for a log line, in milliseconds; `never` if there is none.
+pub fn known_ms(time_ms: Option<u64>) -> String {
+    time_ms.map_or_else(|| "never".to_owned(), |time_ms| time_ms.to_string())
+}
+
+/// Several values for a log line, parted by commas.
+pub fn listed(values: impl Iterator<Item = String>) -> String {
+    values.collect::<Vec<_>>().join(",")
+}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -69,17 +69,46 @@
 }
 
 /// What the control thread publishes to the traffic threads.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Published {
     /// The configuration in force.
     pub snapshot: arc_swap::ArcSwapOption<Snapshot>,
+    config_age_ms: AtomicU64,
     ready: AtomicBool,
     draining: AtomicBool,
     stopped: AtomicBool,
     open_answers: AtomicU64,
 }
 
+/// Stands for an age that is not known.
+const AGE_UNKNOWN_MS: u64 = u64::MAX;
+
+impl Default for Published {
+    fn default() -> Self {
+        Self {
+            snapshot: Default::default(),
+            config_age_ms: AtomicU64::new(AGE_UNKNOWN_MS),
+            ready: Default::default(),
+            draining: Default::default(),
+            stopped: Default::default(),
+            open_answers: Default::default(),
+        }
+    }
+}
+
 impl Published {
+    /// How long ago the configuration in force was the store's newest, as of the control thread's last tick; `None` if
+    /// it never was, or if nothing tells.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        let age_ms = self.config_age_ms.load(atomic::Ordering::Relaxed);
+        (age_ms != AGE_UNKNOWN_MS).then_some(age_ms)
+    }
+
+    /// Says how long ago the configuration in force was the store's newest.
+    pub fn set_config_age_ms(&self, age_ms: Option<u64>) {
+        self.config_age_ms.store(age_ms.unwrap_or(AGE_UNKNOWN_MS), atomic::Ordering::Relaxed);
+    }
+
     /// Whether the router takes work.
     pub fn ready(&self) -> bool {
         self.ready.load(atomic::Ordering::Relaxed) && !self.draining.load(atomic::Ordering::Relaxed)
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Metrics in Prometheus text, and log lines for what the core notices.
 
 use crate::logging;
-use doorswitch_core::{grants, ids, ledger, node};
+use doorswitch_core::{grants, ids, ledger, node, watch};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
 
@@ -142,11 +142,36 @@
 /// Writes how old the knowledge of what the store holds is: a copy that is older than a call waits has lost its watch.
 fn log_news_ages(node: &node::Node, now_ms: u64) {
     for (topic, age_ms) in node.news_ages_ms(now_ms) {
-        let age_ms = age_ms.map_or_else(|| "never".to_owned(), |age_ms| age_ms.to_string());
-        log::info!("event=news_age topic={topic:?} age_ms={age_ms}");
+        log::info!("event=news_age topic={topic:?} age_ms={}", logging::known_ms(age_ms));
     }
 }
 
+/// Writes a log line for a configuration that is in force from now on, with where it came from and how old the
+/// knowledge was that it replaced.
+pub fn log_config(
+    node: &node::Node,
+    version: u64,
+    source: node::ConfigSource,
+    prepaid_tokens: u64,
+    now_ms: u64,
+) {
+    let source = match source {
+        node::ConfigSource::Store => "store".to_owned(),
+        node::ConfigSource::Peer(peer) => peer.to_string(),
+    };
+    let age_ms = node.age_ms(watch::Topic::Configuration, now_ms);
+    let calls = node.open_calls(watch::Topic::Configuration, now_ms);
+    log::info!(
+        "event=config_in_force version={version} source={source} age_ms={} open_calls={} \
+         prepaid_tokens={prepaid_tokens}",
+        logging::known_ms(age_ms),
+        logging::quoted(logging::listed(calls.iter().map(|call| format!(
+            "{}:wait_ms={}:sent_ms_ago={}",
+            call.number, call.wait_ms, call.sent_ms_ago
+        )))),
+    );
+}
+
 /// Writes a log line for each budget that was spent from here.
 fn log_balances(node: &node::Node, now_ms: u64) {
     let used = |account: &&grants::Account| account.consumed_tokens > 0 || account.has_row;
@@ -175,7 +200,7 @@
         account.consumed_tokens,
         account.sent_tokens,
         account.returning_tokens,
-        ledger_age_ms.map_or_else(|| "never".to_owned(), |age_ms| age_ms.to_string()),
+        logging::known_ms(ledger_age_ms),
         account.paid_tokens,
         account.remaining_tokens.unwrap_or(0),
         account.held_tokens,
--- a/standins/src/network.rs
+++ b/standins/src/network.rs
@@ -19,6 +19,8 @@
     pub cut: HashSet<IpAddr>,
     /// Nothing gets through.
     pub cut_all: bool,
+    /// What is sent on connections waits, and arrives when this is over; meanwhile the kernel acknowledges it.
+    pub stalled: bool,
     /// Added to everything that passes, one way.
     pub delay_ms: u64,
     /// Of a hundred datagrams, so many are lost.
@@ -164,6 +166,7 @@
             if shared.faults().blocks(source.ip()) {
                 return;
             }
+            until_flowing(&shared).await;
             // The target sees the true source's address.
             let Ok(outbound) = connect_from(source.ip(), target).await else { return };
             relay(inbound, outbound, source.ip(), &shared).await;
@@ -245,6 +248,7 @@
         if delay_ms > 0 {
             time::sleep(Duration::from_millis(delay_ms)).await;
         }
+        until_flowing(shared).await;
         if length == 0 || shared.faults().blocks(source) {
             return;
         }
@@ -254,6 +258,12 @@
     }
 }
 
+async fn until_flowing(shared: &Shared) {
+    while shared.faults().stalled {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 async fn until_cut(source: IpAddr, shared: &Shared) {
     while !shared.faults().blocks(source) {
         time::sleep(Duration::from_millis(20)).await;
