--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -79,6 +79,7 @@
             route("brief", "idempotent", 1, false, 300),
             // Longer than a test waits: what ends earlier did not end by its deadline.
             route("long", "idempotent", 2, false, 300_000),
+            route("long-pay", "non_idempotent", 2, false, 300_000),
             route("long-stream", "streaming", 1, false, 300_000),
         ],
         "services": [{
@@ -175,6 +176,16 @@
         self.store.put(&format!("servers/i-{place}"), record.to_string().as_bytes());
     }
 
+    /// The same, and says when it started: the text of a JSON value.
+    pub fn record_server_born(&self, place: usize, state: &str, born: &str) {
+        let mut record = json!({
+            "service": "app", "address": self.server_address(place).to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+        });
+        record["born"] = serde_json::from_str(born).unwrap();
+        self.store.put(&format!("servers/i-{place}"), record.to_string().as_bytes());
+    }
+
     pub fn add_router(&mut self) {
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let [clients, operators, peers] = [(); 3].map(|()| fleet::free_port(ip));
