Bound what records of other writers may put into a datagram; arbitrary input for every decoder

Cause: a datagram that is too large was dropped without a word, and one readable record with long texts could make all of a router's datagrams too large for three seconds: 26,169 bytes in the test, 8,192 are sent. Before and after: long_names_* fails without the bound (26,169 bytes) and passes with it. 5,000 spoilt entries and 5,000 sets of headers for the platform's decoders, 4,000 spoilt datagrams for a router: no panic found.

--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -17,6 +17,9 @@
 const PUSH_AGAIN_MS: u64 = 100;
 /// The most changes in one datagram; at about 150 bytes each they stay below its size.
 const CHANGES_MAX: usize = 16;
+/// The most that the changes in one datagram take, by their names: what another writer calls a server may be long, and a
+/// datagram that is too large tells nothing at all.
+const CHANGES_BYTES_MAX: usize = 4 << 10;
 /// Changes are repeated for so long, so that a lost datagram costs no question.
 const CHANGES_KEPT_MS: u64 = 3_000;
 /// A question to a peer that stays unanswered is asked again, of whoever knows, after this long.
@@ -56,7 +59,7 @@
     /// Notes a change that was applied.
     pub(super) fn note_change(&mut self, change: watch::ServerChange, now_ms: u64) {
         self.changes.push_back((now_ms, change));
-        while self.changes.len() > CHANGES_MAX {
+        while self.changes.len() > CHANGES_MAX || self.changes_bytes() > CHANGES_BYTES_MAX {
             self.drop_oldest();
         }
     }
@@ -67,6 +70,10 @@
         self.changes_after = revision;
     }
 
+    fn changes_bytes(&self) -> usize {
+        self.changes.iter().map(|(_, change)| change.text_bytes()).sum()
+    }
+
     fn drop_oldest(&mut self) {
         if let Some((_, change)) = self.changes.pop_front() {
             self.changes_after = self.changes_after.max(change.revision);
--- a/core/src/servers/vm.rs
+++ b/core/src/servers/vm.rs
@@ -30,6 +30,12 @@
 }
 
 impl Vm {
+    /// The bytes of the texts in it.
+    pub fn text_bytes(&self) -> usize {
+        let texts = [&self.vm, &self.service, &self.address, &self.class, &self.failure_domain];
+        texts.into_iter().map(String::len).sum()
+    }
+
     /// What was heard, unless a later life of the same server is known: then that is late news, and what is known stays.
     pub fn unless_over(self, known: Option<&Self>) -> Self {
         match known {
--- a/core/src/watch/news.rs
+++ b/core/src/watch/news.rs
@@ -14,6 +14,17 @@
     pub record: ServerRecord,
 }
 
+impl ServerChange {
+    /// The bytes of the texts in it; what else it holds is small.
+    pub fn text_bytes(&self) -> usize {
+        let record = match &self.record {
+            ServerRecord::Listed(vm) => vm.text_bytes(),
+            ServerRecord::Gone | ServerRecord::Unreadable | ServerRecord::Lapsed => 0,
+        };
+        self.vm.len() + record
+    }
+}
+
 /// A server's record after a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerRecord {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -19,6 +19,14 @@
 const SEEDS: usize = 3;
 /// Routes of so many earlier versions stay.
 const ROUTES_KEPT: u64 = 8;
+/// Always there.
+pub const FIRST_SERVER: &str = "i-0";
+/// Leaves and starts again.
+pub const SECOND_SERVER: &str = "i-1";
+/// When the first life of a server started, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_796_000_000_000;
+/// What another writer puts.
+const BAD_VALUES: &[&[u8]] = &[b"", b"\xff\xfe", b"{", b"[]", b"null", b"{\"service\":7}"];
 /// Listening addresses are taken from this port on.
 const FIRST_PORT: u16 = 12_000;
 /// Processes start within this time of each other.
@@ -52,7 +60,8 @@
     binary: PathBuf,
     folder: PathBuf,
     store: store::Store,
-    backend: backend::Backend,
+    /// Every life of every server, by the number that its answers name. The earlier ones still answer.
+    lives: Vec<backend::Backend>,
     routers: Vec<Router>,
     version: u64,
 }
@@ -69,13 +78,11 @@
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let starting = |what: &str| IoSnafu { what: format!("start {what}") };
         let store = store::Store::start((local, 0).into()).context(starting("the store"))?;
-        let script: backend::Script = Box::new(|_, _| vec![backend::whole("200 OK", "ok")]);
-        let backend = backend::Backend::start(script).context(starting("a backend server"))?;
         let mut fleet = Self {
             binary: binary.to_owned(),
             folder: folder.to_owned(),
             store,
-            backend,
+            lives: Vec::new(),
             routers: Vec::new(),
             version: 0,
         };
@@ -83,12 +90,45 @@
             let router = fleet.new_router(place, net).context(starting("a network"))?;
             fleet.routers.push(router);
         }
+        fleet.start_server(FIRST_SERVER)?;
+        fleet.start_server(SECOND_SERVER)?;
+        Ok(fleet)
+    }
+
+    /// Starts a server, anew under its name if it ran before; returns the number that its answers name.
+    pub fn start_server(&mut self, name: &str) -> Result<usize, Error> {
+        let number = self.lives.len();
+        let script: backend::Script =
+            Box::new(move |_, _| vec![backend::whole("200 OK", &format!("{number:04}"))]);
+        let started = backend::Backend::start(script);
+        self.lives.push(started.context(IoSnafu { what: "start a backend server" })?);
+        self.record_server(name, number, "ready");
+        Ok(number)
+    }
+
+    /// A life of a server records its state.
+    pub fn record_server(&self, name: &str, number: usize, state: &str) {
         let record = json!({
-            "service": "app", "address": fleet.backend.address().to_string(), "zone": "domain-0",
-            "version": "v1", "slots": 64, "state": "ready", "coldLeftMs": 0, "born": 1,
+            "service": "app", "address": self.lives[number].address().to_string(),
+            "zone": "domain-0", "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0,
+            "born": FIRST_START_MS + number as u64,
         });
-        fleet.store.put("servers/i-0", record.to_string().as_bytes());
-        Ok(fleet)
+        self.store.put(&format!("servers/{name}"), record.to_string().as_bytes());
+    }
+
+    /// Another writer spoils a server's record.
+    pub fn spoil_record(&self, name: &str) {
+        self.store.put_undecodable(&format!("servers/{name}"));
+    }
+
+    /// Another writer puts entries that cannot be read under every prefix that routers follow.
+    pub fn put_bad_entries(&self) {
+        for prefix in ["op/", "servers/", "doorswitch/routers/"] {
+            self.store.put_undecodable(&format!("{prefix}undecodable"));
+            for (place, value) in BAD_VALUES.iter().enumerate() {
+                self.store.put(&format!("{prefix}bad-{place}"), value);
+            }
+        }
     }
 
     fn new_router(&self, place: usize, net: [u8; 2]) -> io::Result<Router> {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,6 @@
 //! Soaks real routers: `doorswitch-soak --binary target/release/doorswitch --seeds 0..50`.
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use doorswitch_soak::{observe, run, schedule};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -27,6 +27,12 @@
         .arg(number("jobs", "1", "Fleets at once"))
         .arg(number("routers", "8", "Routers of a fleet"))
         .arg(number("for", "20", "Seconds over which faults begin"))
+        .arg(
+            Arg::new("writers")
+                .long("writers")
+                .action(ArgAction::SetTrue)
+                .help("Add what other writers and servers do"),
+        )
         .arg(Arg::new("named").long("named").help("Play a schedule that is written down"))
         .arg(
             Arg::new("only")
@@ -87,6 +93,9 @@
     let mut schedule = named.unwrap_or_else(|| {
         schedule::Schedule::drawn(seed, routers, number(matches, "for") * 1_000)
     });
+    if matches.get_flag("writers") {
+        schedule = schedule.with_writers(seed, number(matches, "for") * 1_000);
+    }
     if let Some(only) = matches.get_many::<usize>("only") {
         schedule = schedule.only(&only.copied().collect::<Vec<_>>());
     }
--- a/soak/src/observe.rs
+++ b/soak/src/observe.rs
@@ -21,6 +21,8 @@
     pub sent: Instant,
     /// Its status; `None` if there was none.
     pub status: Option<u16>,
+    /// The life of a server that gave it.
+    pub life: Option<usize>,
 }
 
 /// A broken promise.
@@ -32,6 +34,8 @@
     Reverted,
     /// A router in touch did not serve.
     Unready,
+    /// A life of a server that had ended, or had said that it leaves, got a request.
+    EarlierLife,
 }
 
 /// A broken promise, with the answer that shows it.
@@ -55,6 +59,8 @@
     /// The newest version that each router's present life has shown.
     shown: Vec<u64>,
     acknowledged: HashMap<u64, Instant>,
+    /// Since when a life of a server must get nothing new.
+    ended: HashMap<usize, Instant>,
     newest: u64,
     /// Answers by status; 0 for none.
     statuses: HashMap<u16, u64>,
@@ -68,6 +74,7 @@
             harmed: vec![(0, Instant::now()); routers],
             shown: vec![0; routers],
             acknowledged: HashMap::new(),
+            ended: HashMap::new(),
             newest: 0,
             statuses: HashMap::new(),
             violations: Vec::new(),
@@ -80,6 +87,11 @@
         self.newest = version;
     }
 
+    /// Notes that the store has acknowledged that a life of a server ended or leaves.
+    pub fn end_life(&mut self, life: usize) {
+        self.ended.entry(life).or_insert_with(Instant::now);
+    }
+
     /// The newest version that was acknowledged; 0 before the first.
     pub fn newest(&self) -> u64 {
         self.newest
@@ -113,7 +125,11 @@
         };
         let in_touch = harms == 0 && after_harm > IN_TOUCH;
         let shown = self.shown[answer.router];
+        let ended = answer.life.and_then(|life| self.ended.get(&life));
+        let long_ended =
+            ended.is_some_and(|ended| answer.sent.saturating_duration_since(*ended) > IN_FORCE);
         let broken = match answer.status {
+            Some(200) if in_touch && long_ended => Some(Broken::EarlierLife),
             Some(404) if shown >= answer.version => Some(Broken::Reverted),
             Some(404) if in_touch && after_ack > IN_FORCE => Some(Broken::Stale),
             Some(200 | 404) => None,
--- a/soak/src/prober.rs
+++ b/soak/src/prober.rs
@@ -45,15 +45,16 @@
             let version = shared.record().newest();
             let sent = Instant::now();
             asked += 1;
-            let status = ask(address, version, &format!("{router}-{asked}")).ok();
-            shared.record().take(observe::Answer { router, version, sent, status });
+            let answer = ask(address, version, &format!("{router}-{asked}")).ok();
+            let (status, life) = answer.map_or((None, None), |(status, life)| (Some(status), life));
+            shared.record().take(observe::Answer { router, version, sent, status, life });
             thread::sleep(ASK_EVERY.saturating_sub(sent.elapsed()));
         }
     })
 }
 
-/// The status of one answer.
-fn ask(address: SocketAddr, version: u64, id: &str) -> io::Result<u16> {
+/// The status of one answer, and the life of a server that its body names.
+fn ask(address: SocketAddr, version: u64, id: &str) -> io::Result<(u16, Option<usize>)> {
     let mut stream = TcpStream::connect_timeout(&address, ANSWER_MAX)?;
     stream.set_read_timeout(Some(ANSWER_MAX))?;
     let request = format!(
@@ -63,8 +64,9 @@
         fleet::HOST,
     );
     stream.write_all(request.as_bytes())?;
-    let mut head = [0; 16];
-    stream.read_exact(&mut head)?;
-    let status = std::str::from_utf8(&head).ok().and_then(|text| text.split(' ').nth(1));
-    status.and_then(|status| status.parse().ok()).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let life = answer.rsplit("\r\n").next().and_then(|body| body.parse().ok());
+    status.map(|status| (status, life)).ok_or_else(|| io::ErrorKind::InvalidData.into())
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -46,6 +46,8 @@
 
 struct Run {
     fleet: fleet::Fleet,
+    /// The present life of the second server.
+    second: usize,
     shared: Arc<prober::Shared>,
     rng: StdRng,
 }
@@ -57,7 +59,8 @@
     let shared = prober::Shared::new(observe::Record::new(*routers));
     let version = fleet.publish();
     shared.record().acknowledge(version);
-    let mut run = Run { fleet, shared, rng: StdRng::seed_from_u64(*seed) };
+    // The servers' first lives have the numbers 0 and 1.
+    let mut run = Run { fleet, second: 1, shared, rng: StdRng::seed_from_u64(*seed) };
     run.start_all()?;
     let probers: Vec<thread::JoinHandle<()>> = (0..*routers)
         .map(|place| prober::start(place, run.fleet.clients_address(place), run.shared.clone()))
@@ -145,6 +148,24 @@
                 self.fleet.store().leave_open_watches_unanswered();
             }
             Action::StoreForgets => self.fleet.store().forget(),
+            Action::StoreDeaf { .. } => {
+                self.harm(&self.all());
+                self.fleet.store().go_deaf();
+            }
+            Action::BadEntries => self.fleet.put_bad_entries(),
+            Action::ServerRestarts => {
+                let ended = self.second;
+                self.second = self.fleet.start_server(fleet::SECOND_SERVER)?;
+                self.shared.record().end_life(ended);
+            }
+            Action::ServerLeaves => {
+                self.fleet.record_server(fleet::SECOND_SERVER, self.second, "draining");
+                self.shared.record().end_life(self.second);
+            }
+            Action::ServerRecordSpoilt => {
+                self.fleet.spoil_record(fleet::SECOND_SERVER);
+                self.shared.record().end_life(self.second);
+            }
             Action::StoreLinksDie { routers, dead } => {
                 self.harm(routers);
                 for place in routers {
@@ -214,7 +235,16 @@
     fn end(&mut self, action: &schedule::Action) -> Result<(), fleet::Error> {
         use schedule::Action;
         match action {
-            Action::Publish | Action::StoreForgets => {}
+            Action::Publish
+            | Action::StoreForgets
+            | Action::BadEntries
+            | Action::ServerRestarts
+            | Action::ServerLeaves
+            | Action::ServerRecordSpoilt => {}
+            Action::StoreDeaf { .. } => {
+                self.fleet.store().forget();
+                self.heal(&self.all());
+            }
             Action::StoreRefuses { .. } | Action::StoreSilent { .. } => {
                 self.fleet.store().set_mode(store::Mode::Well);
                 self.heal(&self.all());
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -43,6 +43,19 @@
     StoreLeavesWatchesUnanswered,
     /// The store forgets its history.
     StoreForgets,
+    /// Watches hear nothing while changes are made; then the store forgets its history.
+    StoreDeaf {
+        /// For how long.
+        for_ms: u64,
+    },
+    /// Another writer puts entries that cannot be read beside those that routers follow.
+    BadEntries,
+    /// The second server starts again under its name, at another address.
+    ServerRestarts,
+    /// The second server leaves.
+    ServerLeaves,
+    /// Another writer spoils the record of the second server.
+    ServerRecordSpoilt,
     /// Open connections of these routers to the store die.
     StoreLinksDie {
         /// Whose.
@@ -125,6 +138,7 @@
         match self {
             Self::StoreRefuses { for_ms }
             | Self::StoreSilent { for_ms }
+            | Self::StoreDeaf { for_ms }
             | Self::StoreCut { for_ms, .. }
             | Self::StoreStalls { for_ms, .. }
             | Self::StoreSlow { for_ms, .. }
@@ -135,6 +149,10 @@
             Self::Publish
             | Self::StoreLeavesWatchesUnanswered
             | Self::StoreForgets
+            | Self::BadEntries
+            | Self::ServerRestarts
+            | Self::ServerLeaves
+            | Self::ServerRecordSpoilt
             | Self::StoreLinksDie { .. }
             | Self::PeerLinksDie { .. } => 0,
         }
@@ -196,6 +214,27 @@
         Self::of(draw.actions)
     }
 
+    /// Adds what other writers and a server do over `for_ms`, drawn apart from the rest.
+    pub fn with_writers(self, seed: u64, for_ms: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(!seed);
+        let mut actions: Vec<(u64, Action)> =
+            self.steps.into_iter().map(|step| (step.at_ms, step.action)).collect();
+        for _ in 0..rng.random_range(2..=8) {
+            let at_ms = rng.random_range(SETTLED_MS..SETTLED_MS + for_ms);
+            let action = match rng.random_range(0..8) {
+                0 => Action::StoreDeaf { for_ms: rng.random_range(200..1_500) },
+                1 => Action::BadEntries,
+                2 | 3 => Action::ServerLeaves,
+                4 => Action::ServerRecordSpoilt,
+                _ => Action::ServerRestarts,
+            };
+            let during_ms = at_ms + rng.random_range(0..=action.lasts_ms());
+            actions.push((at_ms, action));
+            actions.push((during_ms, Action::Publish));
+        }
+        Self::of(actions)
+    }
+
     /// A schedule that is written down; `None` if none has this name.
     pub fn named(name: &str, routers: usize) -> Option<Self> {
         let all: Routers = (0..routers).collect();
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -118,8 +118,13 @@
     fn datagram(&self, address: &str, datagram: &message::Datagram) {
         let Ok(address) = address.parse::<net::SocketAddr>() else { return };
         let frame = encode(datagram);
-        if frame.len() <= DATAGRAM_BYTES_MAX {
-            let _ = self.datagrams.try_send_to(&frame, address);
+        if frame.len() > DATAGRAM_BYTES_MAX {
+            log::warn!("event=datagram_too_large to={address} bytes={}", frame.len());
+            return;
+        }
+        if let Err(error) = self.datagrams.try_send_to(&frame, address) {
+            // It counts as lost on the way, which is made up for.
+            log::debug!("event=datagram_not_sent to={address} fault={}", logging::quoted(error));
         }
     }
 }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -53,6 +53,8 @@
     waiting: usize,
     /// Watches up to this call are never answered.
     unanswered: u64,
+    /// Watches hear of no change after this revision.
+    deaf_after: Option<u64>,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -177,6 +179,13 @@
         let mut state = self.shared.lock();
         state.forgotten = state.revision;
         state.changes.clear();
+        state.deaf_after = None;
+    }
+
+    /// Watches hear of no change from now on, until the store forgets its history.
+    pub fn go_deaf(&self) {
+        let mut state = self.shared.lock();
+        state.deaf_after = Some(state.revision);
     }
 
     /// How many watches wait now.
@@ -271,12 +280,15 @@
             if after < state.forgotten {
                 return HttpResponse::Gone().finish();
             }
+            let heard = state.deaf_after.unwrap_or(state.revision);
             let new = |item: &&Item| {
-                item.revision > after && item.private_key.starts_with(&query.path_prefix)
+                let later = item.revision > after && item.revision <= heard;
+                later && item.private_key.starts_with(&query.path_prefix)
             };
             let events: Vec<&Item> = state.changes.iter().filter(new).collect();
             if !events.is_empty() || Instant::now() >= until {
-                return HttpResponse::Ok().json(json!({ "events": events, "at": state.revision }));
+                let at = heard.max(after);
+                return HttpResponse::Ok().json(json!({ "events": events, "at": at }));
             }
         }
         actix_rt::time::sleep(LOOK_EVERY).await;
