--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -90,7 +90,7 @@
     known: Option<(u64, ledger::Shard)>,
     /// Writes in a row that another router's write came before.
     overtaken: u32,
-    /// The unusable value that was told of.
+    /// The unusable value that was reported.
     unusable_index: Option<u64>,
 }
 
@@ -232,7 +232,7 @@
     ) -> Vec<Event> {
         self.fail(context, rng);
         match self.unusable_index.replace(index) {
-            Some(told) if told == index => Vec::new(),
+            Some(reported) if reported == index => Vec::new(),
             _ => vec![Event::Unusable(fault.to_owned())],
         }
     }
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -141,7 +141,7 @@
         backends
     }
 
-    /// Tells of servers that started again.
+    /// Reports servers that started again.
     fn note_restarted(&mut self) {
         for restarted in self.servers.take_restarted() {
             let servers::Restarted { vm, life, .. } = &restarted;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! Carries a schedule out and tells what was seen.
 
 use crate::{fleet, observe, prober, schedule};
-use doorswitch_standins::store;
+use doorswitch_standins::{network, store};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -304,24 +304,16 @@
         self.fleet.start(place)
     }
 
-    fn change_store_network(
-        &self,
-        routers: &[usize],
-        change: impl Fn(&mut doorswitch_standins::network::Faults),
-    ) {
+    fn change_store_network(&self, routers: &[usize], change: impl Fn(&mut network::Faults)) {
         routers.iter().for_each(|place| self.fleet.store_network(*place).change(&change));
     }
 
-    fn change_peer_network(
-        &self,
-        routers: &[usize],
-        change: impl Fn(&mut doorswitch_standins::network::Faults),
-    ) {
+    fn change_peer_network(&self, routers: &[usize], change: impl Fn(&mut network::Faults)) {
         routers.iter().for_each(|place| self.fleet.peer_network(*place).change(&change));
     }
 }
 
-fn kill_links(network: &doorswitch_standins::network::Proxy, dead: schedule::Dead) {
+fn kill_links(network: &network::Proxy, dead: schedule::Dead) {
     match dead {
         schedule::Dead::Silent => network.silence_connections(),
         schedule::Dead::Swallowing => network.swallow_connections(),
