--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,7 +1,6 @@
 //! Real routers before stand-ins: how they start, and what can be done to them from outside.
 
-use doorswitch_standins::{backend, network, store};
-use serde_json::json;
+use doorswitch_standins::{backend, network, store, wire};
 use snafu::ResultExt;
 use std::fs::{self, File, OpenOptions};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -13,6 +12,8 @@
 
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
+/// The only service.
+const SERVICE: &str = "app";
 /// The failure domains that the routers lie in.
 const FAILURE_DOMAINS: usize = 3;
 /// A router names so many others as seeds.
@@ -108,27 +109,23 @@
 
     /// A life of a server records its state.
     pub fn record_server(&self, name: &str, number: usize, state: &str) {
-        let record = json!({
-            "service": "app", "address": self.lives[number].address().to_string(),
-            "zone": "domain-0", "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0,
-            "born": FIRST_START_MS + number as u64,
-        });
-        self.store.put(&format!("servers/{name}"), record.to_string().as_bytes());
+        let record = wire::Record {
+            service: SERVICE,
+            address: self.lives[number].address(),
+            state,
+            started_ms: FIRST_START_MS + number as u64,
+        };
+        self.store.record_server(name, &record);
     }
 
     /// Another writer spoils a server's record.
     pub fn spoil_record(&self, name: &str) {
-        self.store.put_undecodable(&format!("servers/{name}"));
+        self.store.spoil_server(name);
     }
 
     /// Another writer puts entries that cannot be read under every prefix that routers follow.
     pub fn put_bad_entries(&self) {
-        for prefix in ["op/", "servers/", "doorswitch/routers/"] {
-            self.store.put_undecodable(&format!("{prefix}undecodable"));
-            for (place, value) in BAD_VALUES.iter().enumerate() {
-                self.store.put(&format!("{prefix}bad-{place}"), value);
-            }
-        }
+        self.store.put_bad_entries(BAD_VALUES);
     }
 
     fn new_router(&self, place: usize, net: [u8; 2]) -> io::Result<Router> {
@@ -160,8 +157,9 @@
     /// Publishes a configuration with one route more; returns its version, which the store has acknowledged then.
     pub fn publish(&mut self) -> u64 {
         self.version += 1;
-        let document = configuration(self.version);
-        self.store.put("op/config", document.to_string().as_bytes());
+        let first = self.version.saturating_sub(ROUTES_KEPT).max(1);
+        let paths = (first..=self.version).map(added_path);
+        self.store.publish(&wire::configuration(self.version, HOST, SERVICE, paths));
         self.version
     }
 
@@ -287,27 +285,6 @@
     format!("/added-{version}/")
 }
 
-fn configuration(version: u64) -> serde_json::Value {
-    let first = version.saturating_sub(ROUTES_KEPT).max(1);
-    let routes = (first..=version).map(|added| {
-        json!({
-            "name": format!("added-{added}"), "host": HOST, "pathPrefix": added_path(added),
-            "routeType": "idempotent", "timeoutMs": 1_000, "targetLatencyMs": 200, "priority": 1,
-            "service": "app", "maxAttempts": 1, "public": true,
-        })
-    });
-    json!({
-        "version": version,
-        "routes": routes.collect::<Vec<_>>(),
-        "services": [{ "name": "app", "healthPath": "/health", "maxConnections": 400 }],
-        "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
-        },
-        "tenants": [],
-    })
-}
-
 /// A free port below those that the kernel gives to outgoing connections: a router that starts again must find it free.
 fn free_address(ip: IpAddr) -> io::Result<SocketAddr> {
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod server;
 pub mod service;
 pub mod store;
+pub mod wire;
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,6 +1,6 @@
 //! The users' platform's store: keys with revisions, conditional transactions, ranges and watches.
 
-use crate::server;
+use crate::{server, wire};
 use actix_web::{HttpResponse, web};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -169,6 +169,31 @@
         self.shared.lock().write(key, Some("%".to_owned()));
     }
 
+    /// The operator publishes a configuration.
+    pub fn publish(&self, configuration: &[u8]) {
+        self.put("op/config", configuration);
+    }
+
+    /// A server records itself.
+    pub fn record_server(&self, name: &str, record: &wire::Record<'_>) {
+        self.put(&format!("servers/{name}"), &record.value());
+    }
+
+    /// Another writer spoils a server's record.
+    pub fn spoil_server(&self, name: &str) {
+        self.put_undecodable(&format!("servers/{name}"));
+    }
+
+    /// Another writer puts these values, and one that cannot be decoded, under every prefix that routers follow.
+    pub fn put_bad_entries(&self, values: &[&[u8]]) {
+        for prefix in ["op/", "servers/", "doorswitch/routers/"] {
+            for (place, value) in values.iter().enumerate() {
+                self.put(&format!("{prefix}bad-{place}"), value);
+            }
+            self.put_undecodable(&format!("{prefix}undecodable"));
+        }
+    }
+
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         self.shared.lock().write(key, None);
--- /dev/null
+++ b/standins/src/wire.rs
@@ -0,0 +1,92 @@
+//! What operators, servers and clients of the users' platform write, for tests that need no more than that.
+
+use serde_json::json;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// A server's record.
+#[derive(Clone, Copy, Debug)]
+pub struct Record<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its state, by the platform's word.
+    pub state: &'a str,
+    /// The Unix millisecond of its start.
+    pub started_ms: u64,
+}
+
+impl Record<'_> {
+    /// The record as it lies in the store.
+    pub fn value(&self) -> Vec<u8> {
+        let record = json!({
+            "service": self.service, "address": self.address.to_string(), "zone": "domain-0",
+            "version": "v1", "slots": 64, "state": self.state, "coldLeftMs": 0,
+            "born": self.started_ms,
+        });
+        record.to_string().into_bytes()
+    }
+}
+
+/// A configuration of public routes to one service, one for each path.
+pub fn configuration(
+    version: u64,
+    host: &str,
+    service: &str,
+    paths: impl Iterator<Item = String>,
+) -> Vec<u8> {
+    let route = |path: String| {
+        json!({
+            "name": path.trim_matches('/'), "host": host, "pathPrefix": path,
+            "routeType": "idempotent", "timeoutMs": 1_000, "targetLatencyMs": 200, "priority": 1,
+            "service": service, "maxAttempts": 1, "public": true,
+        })
+    };
+    let configuration = json!({
+        "version": version,
+        "routes": paths.map(route).collect::<Vec<_>>(),
+        "services": [{ "name": service, "healthPath": "/health", "maxConnections": 400 }],
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
+        },
+        "tenants": [],
+    });
+    configuration.to_string().into_bytes()
+}
+
+/// An answer to a client.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+}
+
+/// One request on a connection of its own. An answer that takes longer than `most` is an error.
+pub fn get(
+    address: SocketAddr,
+    host: &str,
+    path: &str,
+    id: &str,
+    most: Duration,
+) -> io::Result<Answer> {
+    let mut stream = TcpStream::connect_timeout(&address, most)?;
+    stream.set_read_timeout(Some(most))?;
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1000\r\n\
+         Connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let body = answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+    match (status, body) {
+        (Some(status), Some(body)) => Ok(Answer { status, body }),
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
--- a/tests/bad_entries.rs
+++ b/tests/bad_entries.rs
@@ -26,12 +26,7 @@
 }
 
 fn put_bad_entries(world: &World) {
-    for prefix in ["op/", "servers/", "doorswitch/routers/"] {
-        for (place, value) in UNREADABLE.iter().enumerate() {
-            world.store.put(&format!("{prefix}bad-{place}"), value);
-        }
-        world.store.put_undecodable(&format!("{prefix}undecodable"));
-    }
+    world.store.put_bad_entries(UNREADABLE);
 }
 
 fn new_configuration_is_heard(world: &mut World, place: usize) {
