Tell which sends are one request, when a run broke and whether its server still listens

Cause: the log could not tell the hypotheses of the incident apart: a placement names an id, and each repeat has another one. It is made when a run breaks. Before: `stream_broken` or `attempt_ended outcome=unknown`. After: `event=run_broken id= vm= fingerprint= server=Refuses|Accepts|Silent`; a broken connection is told from an answer that did not come. The look at the server is one connection, shared by all runs that broke there, and kept for the next request if it comes up. An answer larger than answers may be is no longer taken for a broken one. Conclusion: sight first, no decision changed.

--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -49,6 +49,22 @@
     }
 }
 
+/// What makes requests with different ids the same request: the caller and all that is sent. It names no one: it is made
+/// of digests that cannot be turned back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint {
+    /// Of all but the body: it is had without reading the body.
+    pub head: u64,
+    /// Of the whole request.
+    pub whole: [u8; 16],
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:032x}", self.head, u128::from_be_bytes(self.whole))
+    }
+}
+
 /// One try at running a request: a retry by the caller or by a router is another attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,9 +1,9 @@
 //! One try at one server.
 
 use super::backends;
-use crate::{control, upstream};
+use crate::{control, fingerprint, upstream};
 use bytes::Bytes;
-use doorswitch_core::{routes, servers};
+use doorswitch_core::{ids, routes, servers};
 use doorswitch_platform::headers;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -33,6 +33,24 @@
     pub deadline: Instant,
 }
 
+impl Call {
+    /// A digest of all but the body.
+    pub fn head_digest(&self) -> fingerprint::HeadDigest {
+        let head = fingerprint::Head {
+            workspace: self.workspace.as_deref().unwrap_or_default(),
+            method: self.method.as_str(),
+            host: &self.route.host,
+            target: self.uri.path_and_query().map_or_else(|| self.uri.path(), |it| it.as_str()),
+        };
+        head.digest()
+    }
+
+    /// What makes it the same request as another.
+    pub fn fingerprint(&self) -> ids::Fingerprint {
+        self.head_digest().with_body(&self.body)
+    }
+}
+
 /// What came of a try.
 #[derive(Debug)]
 pub enum Outcome {
@@ -45,6 +63,8 @@
     },
     /// It certainly did not run.
     NotRun,
+    /// It was sent, and its connection ended before an answer.
+    BrokenOff,
     /// It was sent, and no answer to it came.
     Unknown,
 }
@@ -74,7 +94,7 @@
         match (unsent, connection.used) {
             (true, true) => fresh = true,
             (true, false) => return Outcome::NotRun,
-            (false, _) => return Outcome::Unknown,
+            (false, _) => return Outcome::BrokenOff,
         }
     }
 }
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -9,12 +9,16 @@
 use hyper::client::conn::http1;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use std::{io, net};
+use tokio::sync::OnceCell;
 use tokio::task;
 
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long an answer is held back for [`Backends::probe`]: several round trips within a region.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long a connection that ended its last exchange may take until it can be used again.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// A connection is not used again this long before the server would close it.
@@ -44,6 +48,17 @@
     Handshake { source: hyper::Error },
 }
 
+/// What a server's address does with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probed {
+    /// It takes it.
+    Accepts,
+    /// Nothing listens there: the process that did is over.
+    Refuses,
+    /// Nothing was heard in time.
+    Silent,
+}
+
 /// A connection that serves one exchange; dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
@@ -111,12 +126,18 @@
     local: net::IpAddr,
     idle: RefCell<HashMap<Upstream, Vec<Idle>>>,
     open: RefCell<Vec<Open>>,
+    probes: RefCell<HashMap<Upstream, Rc<OnceCell<Probed>>>>,
 }
 
 impl Backends {
     /// No connections yet; new ones come from the address `local`.
     pub fn new(local: net::IpAddr) -> Self {
-        Self { local, idle: Default::default(), open: Default::default() }
+        Self {
+            local,
+            idle: Default::default(),
+            open: Default::default(),
+            probes: Default::default(),
+        }
     }
 
     /// A connection to a server: a resting one if there is one, and if `fresh` does not forbid it.
@@ -151,6 +172,31 @@
         Ok(Connection { sender, driver, upstream, used: false, keeps: None })
     }
 
+    /// Looks whether a server still takes connections; all that ask meanwhile share the answer. What comes up is kept for
+    /// the next request, so that looking costs no connection more than the one that broke.
+    pub async fn probe(&self, place: &upstream::Placement) -> Probed {
+        let upstream = Upstream { address: place.address.clone(), life: place.life };
+        let shared = self.probes.borrow_mut().entry(upstream.clone()).or_default().clone();
+        let probed = *shared.get_or_init(|| self.probe_alone(place)).await;
+        let mut probes = self.probes.borrow_mut();
+        if probes.get(&upstream).is_some_and(|known| Rc::ptr_eq(known, &shared)) {
+            probes.remove(&upstream);
+        }
+        probed
+    }
+
+    async fn probe_alone(&self, place: &upstream::Placement) -> Probed {
+        match tokio::time::timeout(PROBE_TIMEOUT, self.connect(place, true)).await {
+            Ok(Ok(mut connection)) => {
+                connection.keeps = Some(KEPT_DEFAULT);
+                self.rest(connection);
+                Probed::Accepts
+            }
+            Ok(Err(Error::Connect { source })) if is_refusal(&source) => Probed::Refuses,
+            Ok(Err(_)) | Err(_) => Probed::Silent,
+        }
+    }
+
     /// Takes a connection back whose exchange ended well.
     pub fn rest(&self, mut connection: Connection) {
         let Some(keeps) = connection.keeps else { return };
@@ -198,6 +244,10 @@
     }
 }
 
+fn is_refusal(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 /// The answer of a server, in the types that the rest uses.
 pub type Answer = http::Response<hyper::body::Incoming>;
 /// The answer to a client.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -38,6 +38,14 @@
     Ok(response)
 }
 
+/// Why an answer is not whole.
+enum Incomplete {
+    /// Its connection ended.
+    BrokenOff,
+    /// It is larger than answers may be.
+    TooLarge,
+}
+
 /// What the head of a request says, and what the configuration says to it.
 struct Head {
     snapshot: Arc<snapshot::Snapshot>,
@@ -247,6 +255,7 @@
                             gateway: self.clone(),
                             call,
                             ticket,
+                            place,
                             connection,
                             _open: open,
                         };
@@ -258,14 +267,19 @@
                             ticket.unknown();
                             return Err(refusal::too_late());
                         }
-                        Ok(Some(response)) if failed && repeatable => failure = Some(response),
-                        Ok(Some(response)) => {
+                        Ok(Ok(response)) if failed && repeatable => failure = Some(response),
+                        Ok(Ok(response)) => {
                             ticket.ran(!failed);
                             return Ok(response);
                         }
-                        Ok(None) => {}
+                        Ok(Err(Incomplete::BrokenOff)) => self.run_broken(&call, &place).await,
+                        Ok(Err(Incomplete::TooLarge)) => {}
                     }
                 }
+                Ok(attempt::Outcome::BrokenOff) => {
+                    may_have_run = true;
+                    self.run_broken(&call, &place).await;
+                }
                 Ok(attempt::Outcome::Unknown) => may_have_run = true,
                 Ok(attempt::Outcome::NotRun) => {}
             }
@@ -284,16 +298,31 @@
         }
     }
 
-    /// Reads an answer to its end; `None` if it is not whole.
+    /// Notes that a server's connection ended while it ran a request.
+    pub async fn run_broken(&self, call: &attempt::Call, place: &upstream::Placement) {
+        let fingerprint = call.fingerprint();
+        let server = self.backends.probe(place).await;
+        log::info!(
+            "event=run_broken id={} vm={} fingerprint={fingerprint} server={server:?}",
+            call.asked.id,
+            place.vm,
+        );
+    }
+
+    /// Reads an answer to its end.
     async fn whole(
         &self,
         answer: backends::Answer,
         connection: backends::Connection,
-    ) -> Option<backends::Response> {
+    ) -> Result<backends::Response, Incomplete> {
         let (parts, incoming) = answer.into_parts();
-        let bytes = Limited::new(incoming, ANSWER_BYTES_MAX).collect().await.ok()?.to_bytes();
+        let bytes = match Limited::new(incoming, ANSWER_BYTES_MAX).collect().await {
+            Ok(bytes) => bytes.to_bytes(),
+            Err(error) if error.is::<LengthLimitError>() => return Err(Incomplete::TooLarge),
+            Err(_) => return Err(Incomplete::BrokenOff),
+        };
         self.backends.rest(connection);
-        Some(with_head(&parts, body::Body::whole(bytes)))
+        Ok(with_head(&parts, body::Body::whole(bytes)))
     }
 }
 
@@ -368,6 +397,7 @@
         Ok(attempt::Outcome::Answered { answer, .. }) if answer.status().is_success() => return,
         Ok(attempt::Outcome::Answered { .. }) => "failed",
         Ok(attempt::Outcome::NotRun) => "not_run",
+        Ok(attempt::Outcome::BrokenOff) => "broken_off",
         Ok(attempt::Outcome::Unknown) => "unknown",
     };
     log::info!("event=attempt_ended id={} vm={} outcome={word}", call.asked.id, place.vm);
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -20,6 +20,8 @@
     pub call: attempt::Call,
     /// Its place in the control state.
     pub ticket: ticket::Ticket,
+    /// The server that it comes from.
+    pub place: upstream::Placement,
     /// The connection that the stream comes on.
     pub connection: backends::Connection,
     /// Counts the answer as open until it is dropped.
@@ -66,12 +68,16 @@
                 End::Late => log::info!("event=stream_late id={id}"),
                 End::Broken if self.call.route.resumable => {
                     log::info!("event=stream_broken id={id} resumable=true");
+                    self.gateway.run_broken(&self.call, &self.place).await;
                     if let Some(next) = self.resume(last_id.as_deref()).await {
                         incoming = next;
                         continue;
                     }
                 }
-                End::Broken => log::info!("event=stream_broken id={id} resumable=false"),
+                End::Broken => {
+                    log::info!("event=stream_broken id={id} resumable=false");
+                    self.gateway.run_broken(&self.call, &self.place).await;
+                }
             }
             self.ticket.unknown();
             let _ = sender.send(Err(body::BrokenOff)).await;
@@ -133,9 +139,14 @@
                 {
                     log::info!("event=stream_resumed id={} vm={}", self.call.asked.id, place.vm);
                     self.connection = connection;
+                    self.place = place;
                     return Some(answer.into_body());
                 }
                 Ok(attempt::Outcome::NotRun) => may_have_run = false,
+                Ok(attempt::Outcome::BrokenOff) => {
+                    may_have_run = true;
+                    gateway.run_broken(&self.call, &place).await;
+                }
                 Ok(_) => may_have_run = true,
                 Err(_) => return None,
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod control;
 pub mod document;
 pub mod feed;
+pub mod fingerprint;
 pub mod front;
 pub mod gateway;
 pub mod http_client;
@@ -30,6 +31,5 @@
 pub mod router;
 pub mod settings;
 pub mod snapshot;
-
 pub mod telemetry;
 pub mod upstream;
