Failing tests: a request that crashes each server that runs it

Cause: shown by real processes: three routers, six servers that crash for real (all connections end, new ones are refused for 2.5 s, back under another id or under theirs with a later start). One client repeats a body each 0.1 s for 14 s.

--- a/standins/src/backend.rs
+++ b/standins/src/backend.rs
@@ -4,12 +4,15 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{net, thread};
 
 /// How long a quiet read lasts before the server looks whether it should end.
 const READ_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// By then the acceptor has seen that its server crashed, and closed the listener.
+const LISTENER_ENDS: Duration = Duration::from_millis(15);
+
 /// A request as it arrived.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -44,6 +47,8 @@
     Close,
     /// Ends the connection with a reset.
     Reset,
+    /// Ends all connections and refuses new ones for so long, as a process does that crashes and is started again.
+    Crash(Duration),
 }
 
 /// Decides over a request; the number counts the requests of this server.
@@ -64,7 +69,16 @@
 struct State {
     script: Script,
     seen: Vec<Seen>,
+    /// When each request of `seen` came.
+    arrivals: Vec<Instant>,
     closed_by_client: usize,
+    /// Connections of the present life.
+    connections: Vec<net::TcpStream>,
+    crashes: Vec<Instant>,
+    /// Until when it refuses connections.
+    down_until: Option<Instant>,
+    /// How often it has listened.
+    starts: usize,
 }
 
 impl Shared {
@@ -79,10 +93,19 @@
         let listener = net::TcpListener::bind(("127.0.0.1", 0))?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let state = Mutex::new(State { script, seen: Vec::new(), closed_by_client: 0 });
+        let state = Mutex::new(State {
+            script,
+            seen: Vec::new(),
+            arrivals: Vec::new(),
+            closed_by_client: 0,
+            connections: Vec::new(),
+            crashes: Vec::new(),
+            down_until: None,
+            starts: 1,
+        });
         let shared = Arc::new(Shared { state, ended: AtomicBool::new(false) });
         let accepting = shared.clone();
-        let acceptor = thread::spawn(move || accept(&listener, &accepting));
+        let acceptor = thread::spawn(move || accept(listener, address, &accepting));
         Ok(Self { address, shared, acceptor: Some(acceptor) })
     }
 
@@ -96,6 +119,21 @@
         self.shared.lock().seen.clone()
     }
 
+    /// When each of them came.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.lock().arrivals.clone()
+    }
+
+    /// When it crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.shared.lock().crashes.clone()
+    }
+
+    /// How often it has started; a crash is followed by a start.
+    pub fn starts(&self) -> usize {
+        self.shared.lock().starts
+    }
+
     /// How many steps [`Step::AwaitClose`] saw their connection closed.
     pub fn closed_by_client(&self) -> usize {
         self.shared.lock().closed_by_client
@@ -111,17 +149,28 @@
     }
 }
 
-fn accept(listener: &net::TcpListener, shared: &Arc<Shared>) {
+fn accept(listener: net::TcpListener, address: net::SocketAddr, shared: &Arc<Shared>) {
     let mut threads = Vec::new();
+    let mut listener = Some(listener);
     while !shared.ended.load(Ordering::Relaxed) {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                let (shared, connection) = (shared.clone(), threads.len());
-                threads.push(thread::spawn(move || {
-                    let _ = serve(stream, connection, &shared);
-                }));
+        let down_until = shared.lock().down_until;
+        match (down_until, &listener) {
+            // Nothing listens: the kernel refuses connections.
+            (Some(_), Some(_)) => listener = None,
+            (Some(until), None) if Instant::now() >= until => {
+                listener = listen_again(address, shared)
             }
-            Err(_) => thread::sleep(Duration::from_millis(2)),
+            (Some(_), None) => thread::sleep(Duration::from_millis(2)),
+            (None, Some(open)) => match open.accept() {
+                Ok((stream, _)) => {
+                    let (shared, connection) = (shared.clone(), threads.len());
+                    threads.push(thread::spawn(move || {
+                        let _ = serve(stream, connection, &shared);
+                    }));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            },
+            (None, None) => return,
         }
     }
     for thread in threads {
@@ -129,8 +178,19 @@
     }
 }
 
+/// The next life's listener; `None` while its address is not free yet.
+fn listen_again(address: net::SocketAddr, shared: &Shared) -> Option<net::TcpListener> {
+    let listener = net::TcpListener::bind(address).ok()?;
+    listener.set_nonblocking(true).ok()?;
+    let mut state = shared.lock();
+    state.down_until = None;
+    state.starts += 1;
+    Some(listener)
+}
+
 fn serve(stream: net::TcpStream, connection: usize, shared: &Shared) -> io::Result<()> {
     stream.set_nonblocking(false)?;
+    shared.lock().connections.push(stream.try_clone()?);
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
     let mut reader = BufReader::new(stream.try_clone()?);
@@ -141,6 +201,7 @@
             let mut state = shared.lock();
             let number = state.seen.len();
             state.seen.push(seen.clone());
+            state.arrivals.push(Instant::now());
             (state.script)(number, &seen)
         };
         for step in steps {
@@ -177,10 +238,38 @@
             socket2::SockRef::from(&*writer).set_linger(Some(Duration::ZERO))?;
             return Ok(false);
         }
+        Step::Crash(down) => {
+            crash(down, shared)?;
+            return Ok(false);
+        }
     }
     Ok(true)
 }
 
+/// Ends the present life. The listener goes first, as all sockets of a process do at once.
+fn crash(down: Duration, shared: &Shared) -> io::Result<()> {
+    let connections = {
+        let mut state = shared.lock();
+        if state.down_until.is_some() {
+            return Ok(());
+        }
+        let now = Instant::now();
+        state.crashes.push(now);
+        state.down_until = Some(now + down);
+        std::mem::take(&mut state.connections)
+    };
+    thread::sleep(LISTENER_ENDS);
+    for connection in connections {
+        // One that its client closed already cannot be shut down.
+        if let Err(error) = connection.shutdown(net::Shutdown::Both)
+            && error.kind() != io::ErrorKind::NotConnected
+        {
+            return Err(error);
+        }
+    }
+    Ok(())
+}
+
 /// The next byte; `None` at the end of the connection or of the server.
 fn read_byte(reader: &mut BufReader<net::TcpStream>, shared: &Shared) -> io::Result<Option<u8>> {
     loop {
