Keep requests from servers under which three servers crashed

Cause: nothing tied one send of a request to the next (a router knew it by its id, and each repeat has another), and a crash was blamed on the server alone. Class: blame without evidence, and knowledge of a failure that ends with the request that met it. Now a run that breaks off is noted by its fingerprint (workspace, method, host, path with query, body) at its server's life; a life that is over (its address refuses connections, another life or server is recorded there, its record goes without leaving) makes it a crash under that request; three crashes by any routers keep it from servers for ten minutes, a run that ends well anywhere voids them. Sets of crashes travel with the routers' datagrams (protocol 7) and merge in any order; what is in quarantine lies in the store, read once by a router that starts, written by the router that saw the last crash. Both interfaces answer 503 `quarantined`, not run. Ruled out: counting broken answers for each request (an innocent at a flaky server would be put away); a client's id or a limit for each caller (a caller may repeat what is innocent); asking a home router for each count (one more message that may be lost, and a count that dies with it).

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -195,12 +195,14 @@
         digest: message::Digest { config_version: 1, ..Default::default() },
         news: Vec::new(),
         leaving: Vec::new(),
+        quarantine: Default::default(),
     }
 }
 
 fn wanted(key: u64, budget: usize) -> node::Wanted {
     node::Wanted {
         attempts_max: u32::MAX,
+        fingerprint: None,
         key: ids::RequestKey { high: key, low: key },
         keyed: false,
         body_hash: 1,
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -272,6 +272,7 @@
 fn wanted(request: &Request, now_ms: u64) -> node::Wanted {
     node::Wanted {
         attempts_max: u32::MAX,
+        fingerprint: None,
         key: ids::RequestKey { high: request.number as u64, low: 1 },
         keyed: false,
         body_hash: 1,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod message;
 pub mod node;
 pub mod outbox;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -1,10 +1,10 @@
 //! What routers say to each other. Every frame carries [`PROTOCOL`]; another one is not decoded.
 
-use crate::{evacuation, ids, log_index, members, servers, watch};
+use crate::{evacuation, ids, log_index, members, quarantine, servers, watch};
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of how they travel. It changes with every change of either.
-pub const PROTOCOL: u16 = 6;
+pub const PROTOCOL: u16 = 7;
 
 /// A message with its sender and the life that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,6 +151,8 @@
     pub news: Vec<members::Record>,
     /// Backend server VMs that are leaving, with the index of the list that said so.
     pub leaving: Vec<Leaving>,
+    /// Requests that crash servers.
+    pub quarantine: quarantine::News,
 }
 
 /// Whether a datagram is half of a probe.
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -12,6 +12,7 @@
 mod outage;
 mod peers;
 mod platform;
+mod quarantine;
 mod questions;
 mod queue;
 mod relay;
@@ -20,6 +21,7 @@
 mod types;
 mod watching;
 
+pub use quarantine::BrokenRun;
 pub use types::*;
 
 use crate::{
@@ -95,6 +97,8 @@
 enum Purpose {
     Ledger(usize),
     Log(usize),
+    /// The record of requests that are kept from servers.
+    Quarantine,
 }
 
 /// A call to the store that has no reply yet.
@@ -112,6 +116,8 @@
             (Purpose::Ledger(_), true) => CallPurpose::LedgerWrite,
             (Purpose::Log(_), false) => CallPurpose::LogRead,
             (Purpose::Log(_), true) => CallPurpose::LogWrite,
+            (Purpose::Quarantine, false) => CallPurpose::QuarantineRead,
+            (Purpose::Quarantine, true) => CallPurpose::QuarantineWrite,
         }
     }
 }
@@ -153,6 +159,7 @@
     /// VMs that are missing from the platform's list and may be back soon.
     lapsed: Vec<servers::Vm>,
     evacuations: evacuation::Evacuations,
+    quarantine: quarantine::Quarantine,
     /// How the store's news are followed; `None` where the shell follows them.
     watching: Option<watching::Watching>,
     relay: relay::Relay,
@@ -210,6 +217,7 @@
             outage: Default::default(),
             lapsed: Vec::new(),
             evacuations: Default::default(),
+            quarantine: Default::default(),
             watching,
             relay: relay::Relay::default(),
             started_ms: now_ms,
@@ -289,6 +297,7 @@
         self.tick_settlements(now_ms);
         self.tick_transfers(now_ms);
         self.tick_holders(now_ms);
+        self.tick_quarantine(now_ms);
         self.tick_platform(now_ms);
         self.tick_lifecycle(now_ms);
     }
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -60,7 +60,12 @@
         let sends = request.failed_servers.len();
         let most = request.wanted.attempts_max;
         let attempts = request.attempts;
+        let fingerprint = request.wanted.fingerprint;
         self.server_failed(server, now_ms);
+        if self.not_to_be_retried(fingerprint) {
+            self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
+            return;
+        }
         if attempts >= most || sends > most.saturating_add(TURNED_AWAY_MAX) as usize {
             self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
             return;
@@ -160,6 +165,9 @@
             Lifecycle::Stopping | Lifecycle::Stopped => return Some(Reason::Stopping),
             Lifecycle::Ready => {}
         }
+        if self.quarantined(wanted.fingerprint, now_ms) {
+            return Some(Reason::Quarantined);
+        }
         let unpaid = budget.is_none() && wanted.bound_tokens > 0;
         if unpaid || self.service(&wanted.service).is_none() {
             return Some(Reason::Unconfigured);
@@ -242,6 +250,12 @@
     }
 
     fn dispatch(&mut self, slot: ids::RequestSlot, now_ms: u64) {
+        let Some(request) = self.requests.get(slot) else { return };
+        if self.quarantined(request.wanted.fingerprint, now_ms) {
+            // Servers crashed under it elsewhere while it waited.
+            self.refuse(slot, Reason::Quarantined, now_ms);
+            return;
+        }
         let Some(request) = self.requests.get_mut(slot) else { return };
         let stage = std::mem::replace(&mut request.stage, Stage::Ending);
         let Stage::WaitingClaim { reservation, server, .. } = stage else {
@@ -311,6 +325,12 @@
                 let service = self.requests.get(slot).map(|request| &request.wanted.service);
                 service.map_or(RETRY_AFTER_SHORT_MS, |service| self.drain_time_ms(service))
             }
+            Reason::Quarantined => {
+                let request = self.requests.get(slot).and_then(|it| it.wanted.fingerprint);
+                let table = &self.quarantine.table;
+                let left_ms = request.and_then(|it| table.quarantined_ms(&it, now_ms));
+                left_ms.unwrap_or(RETRY_AFTER_SHORT_MS)
+            }
             _ => RETRY_AFTER_SHORT_MS,
         }
     }
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -113,6 +113,7 @@
         if self.listed_index == 0 && self.vms.contains_key(&self.settings.vm) {
             self.listed_index = index;
         }
+        self.note_ended_lives(now_ms);
         self.forget_leaving();
         if router_gone {
             // What it held is written off by whoever reads the ledger next.
--- a/core/src/node/dump.rs
+++ b/core/src/node/dump.rs
@@ -17,6 +17,7 @@
             "vms_index": self.vms_index,
             "leaving_vms": self.leaving.keys().collect::<Vec<_>>(),
             "counters": self.counters,
+            "quarantine": self.dump_quarantine(now_ms),
             "budgets": self.dump_budgets(),
             "servers": self.dump_servers(),
             "members": self.members.records().collect::<Vec<_>>(),
@@ -53,6 +54,18 @@
         budgets.collect::<serde_json::Map<_, _>>().into()
     }
 
+    fn dump_quarantine(&self, now_ms: u64) -> serde_json::Value {
+        let table = self.quarantine();
+        let quarantined = table.quarantined(now_ms).into_iter();
+        let quarantined = quarantined.map(
+            |(request, left_ms)| json!({ "request": request.to_string(), "left_ms": left_ms }),
+        );
+        json!({
+            "suspected": table.suspected(),
+            "quarantined": quarantined.collect::<Vec<_>>(),
+        })
+    }
+
     fn dump_servers(&self) -> serde_json::Value {
         let servers = self.servers.iter().map(|(_, server)| {
             let figures = json!({
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -63,6 +63,7 @@
     /// Takes a datagram from a peer.
     pub fn gossip(&mut self, gossip: &message::Gossip, now_ms: u64) {
         self.members.heard(gossip, now_ms);
+        let differs = self.hear_quarantine(&gossip.quarantine, now_ms);
         for leaving in &gossip.leaving {
             self.hear_leaving(leaving);
         }
@@ -75,7 +76,12 @@
             if news.is_empty() {
                 news = self.members.sample(&mut self.rng);
             }
+            self.quarantine.answers = differs;
             self.push_gossip(gossip.from.address.clone(), message::GossipKind::Ack, news, now_ms);
+        } else if differs && gossip.kind == message::GossipKind::Ack {
+            self.quarantine.answers = true;
+            let address = gossip.from.address.clone();
+            self.push_gossip(address, message::GossipKind::Push, Vec::new(), now_ms);
         }
     }
 
@@ -150,12 +156,15 @@
         let leaving = self.leaving.iter().take(LEAVING_ITEMS).map(|(vm, (life, list_index))| {
             message::Leaving { vm: vm.clone(), life: *life, list_index: *list_index }
         });
+        let leaving = leaving.collect();
+        let answers = std::mem::take(&mut self.quarantine.answers);
         let gossip = message::Gossip {
             from: self.members.own().clone(),
             kind,
             digest: self.digest(now_ms),
             news,
-            leaving: leaving.collect(),
+            leaving,
+            quarantine: self.quarantine.table.news(answers, now_ms),
         };
         self.counters.gossip_sent += 1;
         self.actions.push(Action::Gossip { address, gossip });
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -22,6 +22,7 @@
         match answered.purpose {
             Purpose::Ledger(shard) => self.ledger_reply(shard, call, reply, now_ms),
             Purpose::Log(shard) => self.log_reply(shard, call, reply, now_ms),
+            Purpose::Quarantine => self.record_reply(reply, now_ms),
         }
         self.tick_platform(now_ms);
     }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -38,6 +38,9 @@
         self.counters.consumed_tokens += charged_tokens;
         self.servers.ended(server);
         self.servers.has_read(server, unread_tokens);
+        if healthy && !cancelled {
+            self.server_answered(server, sent_ms);
+        }
         if !cancelled {
             self.note_health(&service, server, healthy, now_ms.saturating_sub(sent_ms), now_ms);
         }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -78,6 +78,8 @@
     pub attempts_max: u32,
     /// A digest of the prompt's beginning.
     pub prefix_hash: Option<u64>,
+    /// What makes it the same request as another; `None` while no request with its head is suspected.
+    pub fingerprint: Option<ids::Fingerprint>,
     /// The parts of the prompt, where they are known.
     pub parts: Vec<servers::Part>,
     /// When the caller stops waiting.
@@ -137,6 +139,8 @@
     IdConflict,
     /// Retries are used up.
     RetriesExhausted,
+    /// Servers crashed under it, again and again: it is kept from them for a while.
+    Quarantined,
 }
 
 /// A node's answer about one request.
@@ -241,6 +245,21 @@
     Peer(ids::Incarnation),
 }
 
+/// From where a router knows of a request that crashes servers, or of its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineSource {
+    /// It saw the crash itself.
+    Seen,
+    /// Another router told it.
+    Peer,
+    /// The platform's store keeps it.
+    Store,
+    /// A run of it ended well here.
+    GoodEnd,
+    /// An operator's command.
+    Operator,
+}
+
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
@@ -255,6 +274,49 @@
     },
     /// A server started again under its name.
     ServerRestarted(servers::Restarted),
+    /// A server crashed while requests of this router ran on it.
+    ServerCrashed {
+        /// The server's VM.
+        vm: String,
+        /// Its life that is over.
+        life: ids::ServerLife,
+        /// How many requests broke off.
+        requests: usize,
+    },
+    /// Servers crashed under a request; others may have been the cause.
+    RequestSuspected {
+        /// The request.
+        request: ids::Fingerprint,
+        /// How many crashes count against it.
+        crashes: usize,
+        /// From where it is known.
+        source: QuarantineSource,
+    },
+    /// A request is kept from servers.
+    RequestQuarantined {
+        /// The request.
+        request: ids::Fingerprint,
+        /// For how long from now on.
+        for_ms: u64,
+        /// From where it is known.
+        source: QuarantineSource,
+    },
+    /// Crashes do not count against a request any more.
+    RequestCleared {
+        /// The request.
+        request: ids::Fingerprint,
+        /// How many did.
+        crashes: usize,
+        /// From where it is known.
+        source: QuarantineSource,
+    },
+    /// What the store keeps cannot be read.
+    RecordUnreadable {
+        /// Its key.
+        key: &'static str,
+        /// Why.
+        fault: String,
+    },
     /// This router was counted as gone.
     Fenced,
     /// A value in the store is unusable.
@@ -324,6 +386,9 @@
     /// Of the log of settled requests.
     LogRead,
     LogWrite,
+    /// Of the record of requests that are kept from servers.
+    QuarantineRead,
+    QuarantineWrite,
 }
 
 /// What became of a call to the store.
@@ -360,6 +425,7 @@
     pub closed_unsafe: u64,
     pub not_run: u64,
     pub replayed: u64,
+    pub server_crashes: u64,
     pub refused: std::collections::BTreeMap<Reason, u64>,
     #[serde(skip)]
     pub store_calls: std::collections::BTreeMap<(CallPurpose, CallOutcome), u64>,
--- /dev/null
+++ b/core/src/quarantine/keeper.rs
@@ -0,0 +1,120 @@
+//! When a router reads and writes what the store keeps: it reads once after its start, and writes after a crash that it
+//! saw itself put a request into quarantine, or an operator took one out.
+
+use crate::{backoff, store};
+use rand::rngs;
+
+/// Pauses after calls that failed.
+const PAUSE_FIRST_MS: u64 = 500;
+const PAUSE_LONGEST_MS: u64 = 10_000;
+
+/// What the store's reply says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// This lies there.
+    Value(Vec<u8>),
+    /// What lies there is not encoded as the store encodes values.
+    Undecodable,
+    /// Nothing that is new here.
+    Nothing,
+}
+
+/// The calls of one router for the record.
+#[derive(Debug)]
+pub struct Keeper {
+    /// The modification index of what lies there; `None` if it is not known.
+    index: Option<u64>,
+    read_wanted: bool,
+    write_wanted: bool,
+    calling: bool,
+    not_before_ms: u64,
+    pause: backoff::Backoff,
+}
+
+impl Default for Keeper {
+    fn default() -> Self {
+        Self {
+            index: None,
+            read_wanted: true,
+            write_wanted: false,
+            calling: false,
+            not_before_ms: 0,
+            pause: backoff::Backoff::new(PAUSE_FIRST_MS, PAUSE_LONGEST_MS),
+        }
+    }
+}
+
+impl Keeper {
+    /// Has the record written.
+    pub fn want_write(&mut self) {
+        self.write_wanted = true;
+    }
+
+    /// Whether a call is due.
+    pub fn due(&self, now_ms: u64) -> bool {
+        let wanted = self.read_wanted || self.write_wanted;
+        wanted && !self.calling && now_ms >= self.not_before_ms
+    }
+
+    /// Starts the call that is due: the index to write at, or `None` for a read.
+    pub fn start(&mut self) -> Option<u64> {
+        self.calling = true;
+        let index = self.index.filter(|_| self.write_wanted && !self.read_wanted);
+        if index.is_some() {
+            self.write_wanted = false;
+        }
+        index
+    }
+
+    /// Takes the reply to a call.
+    pub fn reply(&mut self, reply: store::Reply, now_ms: u64, rng: &mut rngs::StdRng) -> Reply {
+        self.calling = false;
+        match reply {
+            store::Reply::Found { index, value } => {
+                self.has_read(index);
+                Reply::Value(value)
+            }
+            store::Reply::Undecodable { index } => {
+                self.has_read(index);
+                Reply::Undecodable
+            }
+            store::Reply::Missing => {
+                self.has_read(0);
+                Reply::Nothing
+            }
+            store::Reply::WrittenAt { index } => {
+                self.index = Some(index);
+                self.pause.reset();
+                Reply::Nothing
+            }
+            store::Reply::Written => {
+                self.index = None;
+                self.pause.reset();
+                Reply::Nothing
+            }
+            store::Reply::Overtaken { index, value } => {
+                self.has_read(index);
+                self.write_wanted = true;
+                Reply::Value(value)
+            }
+            store::Reply::Conflict => {
+                self.index = None;
+                self.write_wanted = true;
+                Reply::Nothing
+            }
+            store::Reply::Unknown => {
+                // A write may have been done or not: what lies there is read before the next.
+                self.write_wanted |= !self.read_wanted;
+                self.index = None;
+                self.not_before_ms = now_ms + self.pause.next_delay_ms(rng);
+                Reply::Nothing
+            }
+        }
+    }
+
+    fn has_read(&mut self, index: u64) {
+        self.index = Some(index);
+        self.read_wanted = false;
+        self.pause.reset();
+    }
+}
--- a/core/tests/digests.rs
+++ b/core/tests/digests.rs
@@ -27,7 +27,14 @@
         health: members::Health::Alive,
     };
     let kind = message::GossipKind::Push;
-    let gossip = message::Gossip { from, kind, digest, news: Vec::new(), leaving: Vec::new() };
+    let gossip = message::Gossip {
+        from,
+        kind,
+        digest,
+        news: Vec::new(),
+        leaving: Vec::new(),
+        quarantine: Default::default(),
+    };
     let now_ms = fleet.now_ms;
     let node = &mut fleet.routers[0].node;
     node.gossip(&gossip, now_ms);
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -240,6 +240,7 @@
             life: Default::default(),
             list_index: 900,
         }],
+        quarantine: Default::default(),
     }
 }
 
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -273,6 +273,7 @@
         let key = ids::RequestKey { high: key, low: budget as u64 };
         let wanted = node::Wanted {
             attempts_max: u32::MAX,
+            fingerprint: None,
             key,
             keyed: true,
             body_hash: 1,
--- a/src/api_error.rs
+++ b/src/api_error.rs
@@ -133,6 +133,11 @@
             "id_conflict",
             "this id was used for another request",
         ),
+        Reason::Quarantined => (
+            unavailable,
+            "quarantined",
+            "backend servers crashed while they ran this request: it is kept from them for a while",
+        ),
         Reason::RetriesExhausted => {
             (unavailable, "retries_exhausted", "the backend server failed and retries are used up")
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,8 @@
     /// Calls for news in flight.
     watches: collections::HashMap<(watch::Topic, u64), actix::SpawnHandle>,
     telemetry: telemetry::Reporter,
+    /// The revision of the suspected requests that traffic threads know.
+    suspected_revision: u64,
 }
 
 impl Control {
@@ -83,6 +85,7 @@
             polling: Default::default(),
             watches: Default::default(),
             telemetry: telemetry::Reporter::default(),
+            suspected_revision: 0,
             settings,
         }
     }
@@ -105,6 +108,7 @@
 
     fn carry_out(&mut self, context: &mut Context<Self>) {
         self.published.set_ready(self.node.lifecycle() == node::Lifecycle::Ready);
+        self.publish_suspected();
         for action in self.node.take_actions() {
             match action {
                 node::Action::Store { call, request } => self.call_store(call, request, context),
@@ -135,6 +139,14 @@
         }
     }
 
+    fn publish_suspected(&mut self) {
+        let table = self.node.quarantine();
+        if table.revision() != self.suspected_revision {
+            self.suspected_revision = table.revision();
+            self.published.set_suspected(table.suspected_heads());
+        }
+    }
+
     fn call_store(
         &self,
         call: ids::CallId,
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -71,6 +71,47 @@
     }
 }
 
+impl Handler<messages::RunBroken> for Control {
+    type Result = ();
+
+    fn handle(&mut self, broken: messages::RunBroken, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.run_broken(&broken.0, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<messages::ServerRefused> for Control {
+    type Result = ();
+
+    fn handle(&mut self, refused: messages::ServerRefused, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.server_refused(&refused.0, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<messages::EndedWell> for Control {
+    type Result = ();
+
+    fn handle(&mut self, ended: messages::EndedWell, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.ended_well(ended.0, now_ms);
+        self.carry_out(context);
+    }
+}
+
+impl Handler<messages::Release> for Control {
+    type Result = usize;
+
+    fn handle(&mut self, release: messages::Release, context: &mut Self::Context) -> usize {
+        let now_ms = self.now_ms();
+        let crashes = self.node.release(release.request, release.dry_run, now_ms);
+        self.carry_out(context);
+        crashes
+    }
+}
+
 impl Handler<messages::Answering> for Control {
     type Result = ();
 
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -2,7 +2,7 @@
 
 use super::Reply;
 use actix::prelude::Message;
-use doorswitch_core::{ids, node, servers};
+use doorswitch_core::{ids, node, quarantine, servers};
 
 /// Asks to admit a request. The reply names its slot, for what follows.
 #[derive(Debug, Message)]
@@ -44,6 +44,31 @@
     pub load: servers::Load,
 }
 
+/// A run broke off before its answer was whole.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct RunBroken(pub node::BrokenRun);
+
+/// A server's address refuses connections.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct ServerRefused(pub quarantine::LifeOf);
+
+/// A run of a request ended well against which a crash may count.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct EndedWell(pub ids::Fingerprint);
+
+/// Releases a request from quarantine; how many crashes counted against it.
+#[derive(Debug, Message)]
+#[rtype(result = "usize")]
+pub struct Release {
+    /// The request.
+    pub request: ids::Fingerprint,
+    /// Only tells.
+    pub dry_run: bool,
+}
+
 /// The answer of a dispatched request has begun.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,8 +1,8 @@
 //! The address for callers: checks a request, asks the control thread, carries it.
 
 use crate::{
-    answers, api_error, auth, completion, control, model, plain, policy, reply, settings, snapshot,
-    telemetry, upstream,
+    answers, api_error, auth, completion, control, fingerprint, model, plain, policy, reply,
+    settings, snapshot, telemetry, upstream,
 };
 use actix::prelude::Addr;
 use actix_web::http::{Method, StatusCode, header};
@@ -181,6 +181,8 @@
         let deadline_ms = self.deadline_ms(&http)?;
         let (mut wanted, priority) = wanted(&caller, service, &facts, &id, deadline_ms)?;
         wanted.body_hash = body_hash(endpoint.path(), &body);
+        let reports = self.run_reports(&caller, &http, &body);
+        wanted.fingerprint = reports.suspected();
         wanted.prefix_hash = Some(request.prefix_hash);
         wanted.keyed = http.headers().contains_key(ID_HEADER);
         let (stream, include_usage) = (request.stream, request.include_usage);
@@ -212,6 +214,7 @@
             answer_tokens,
             priority,
             deadline: model::deadline(service.answer_time_ms, deadline_ms),
+            reports,
             id: envelope.id.clone(),
             place,
         };
@@ -262,6 +265,8 @@
         let query = http.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
         let target = format!("{path}{query}");
         wanted.body_hash = body_hash(&format!("{} {target}", http.method()), &body);
+        let reports = self.run_reports(&caller, &http, &body);
+        wanted.fingerprint = reports.suspected();
         wanted.unrepeatable = unrepeatable;
         wanted.keyed = http.headers().contains_key(ID_HEADER);
         let open = self.shared.published.open_answer();
@@ -281,6 +286,7 @@
             unrepeatable,
             call_tokens: service.call_tokens,
             deadline: model::deadline(service.answer_time_ms, deadline_ms),
+            reports,
         };
         // On a task of its own: a caller that leaves does not stop what may run only once.
         let run = actix_web::rt::spawn(async move {
@@ -290,6 +296,29 @@
         run.await.map_err(|_| Rejection::closing())
     }
 
+    /// What tells how runs of a request ended. Callers of this interface name no host that matters.
+    fn run_reports(
+        &self,
+        caller: &Caller,
+        request: &HttpRequest,
+        body: &bytes::Bytes,
+    ) -> upstream::RunReports {
+        let target = request.uri().path_and_query().map(|target| target.as_str());
+        let head = fingerprint::Head {
+            workspace: &caller.workspace.name,
+            method: request.method().as_str(),
+            host: "",
+            target: target.unwrap_or_else(|| request.path()),
+        };
+        upstream::RunReports {
+            control: self.shared.control.clone(),
+            published: self.shared.published.clone(),
+            local: self.shared.settings.peers.listen.ip(),
+            head: head.digest(),
+            body: body.clone(),
+        }
+    }
+
     fn caller(&self, request: &HttpRequest) -> Result<Caller, Rejection> {
         let snapshot = self.shared.published.snapshot.load_full();
         let snapshot = snapshot.ok_or_else(|| api_error::refusal(node::Reason::NotReady, 1_000))?;
@@ -364,6 +393,7 @@
                 unrepeatable: false,
                 attempts_max: u32::MAX,
                 prefix_hash: None,
+                fingerprint: None,
                 parts: Vec::new(),
                 deadline_ms,
             };
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,7 +11,7 @@
 mod listener;
 mod pace;
 mod refusal;
-mod socket;
+pub(crate) mod socket;
 mod streaming;
 mod ticket;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use super::backends;
 use crate::{control, fingerprint, upstream};
 use bytes::Bytes;
-use doorswitch_core::{ids, routes, servers};
+use doorswitch_core::{ids, quarantine, routes, servers};
 use doorswitch_platform::headers;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -36,13 +36,7 @@
 impl Call {
     /// A digest of all but the body.
     pub fn head_digest(&self) -> fingerprint::HeadDigest {
-        let head = fingerprint::Head {
-            workspace: self.workspace.as_deref().unwrap_or_default(),
-            method: self.method.as_str(),
-            host: &self.route.host,
-            target: self.uri.path_and_query().map_or_else(|| self.uri.path(), |it| it.as_str()),
-        };
-        head.digest()
+        head_digest(self.workspace.as_deref(), &self.method, &self.route, &self.uri)
     }
 
     /// What makes it the same request as another.
@@ -51,6 +45,22 @@
     }
 }
 
+/// A digest of all of a request but its body.
+pub fn head_digest(
+    workspace: Option<&str>,
+    method: &Method,
+    route: &routes::Route,
+    uri: &Uri,
+) -> fingerprint::HeadDigest {
+    let head = fingerprint::Head {
+        workspace: workspace.unwrap_or_default(),
+        method: method.as_str(),
+        host: &route.host,
+        target: uri.path_and_query().map_or_else(|| uri.path(), |target| target.as_str()),
+    };
+    head.digest()
+}
+
 /// What came of a try.
 #[derive(Debug)]
 pub enum Outcome {
@@ -79,8 +89,16 @@
 ) -> Outcome {
     let mut fresh = false;
     loop {
-        let Ok(mut connection) = backends.connect(place, fresh).await else {
-            return Outcome::NotRun;
+        let mut connection = match backends.connect(place, fresh).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                if error.refused() {
+                    let vm = place.vm.clone();
+                    let server = quarantine::LifeOf { vm, life: place.life };
+                    control.do_send(control::ServerRefused(server));
+                }
+                return Outcome::NotRun;
+            }
         };
         let request = request(call, place, last_event_id);
         let error = match connection.sender.try_send_request(request).await {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -17,8 +17,6 @@
 
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long an answer is held back for [`Backends::probe`]: several round trips within a region.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long a connection that ended its last exchange may take until it can be used again.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// A connection is not used again this long before the server would close it.
@@ -48,15 +46,11 @@
     Handshake { source: hyper::Error },
 }
 
-/// What a server's address does with a new connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Probed {
-    /// It takes it.
-    Accepts,
-    /// Nothing listens there: the process that did is over.
-    Refuses,
-    /// Nothing was heard in time.
-    Silent,
+impl Error {
+    /// Whether nothing listens at the address: the process that did is over.
+    pub fn refused(&self) -> bool {
+        matches!(self, Self::Connect { source } if upstream::is_refusal(source))
+    }
 }
 
 /// A connection that serves one exchange; dropping it closes it.
@@ -126,7 +120,7 @@
     local: net::IpAddr,
     idle: RefCell<HashMap<Upstream, Vec<Idle>>>,
     open: RefCell<Vec<Open>>,
-    probes: RefCell<HashMap<Upstream, Rc<OnceCell<Probed>>>>,
+    probes: RefCell<HashMap<Upstream, Rc<OnceCell<upstream::Probed>>>>,
 }
 
 impl Backends {
@@ -174,7 +168,7 @@
 
     /// Looks whether a server still takes connections; all that ask meanwhile share the answer. What comes up is kept for
     /// the next request, so that looking costs no connection more than the one that broke.
-    pub async fn probe(&self, place: &upstream::Placement) -> Probed {
+    pub async fn probe(&self, place: &upstream::Placement) -> upstream::Probed {
         let upstream = Upstream { address: place.address.clone(), life: place.life };
         let shared = self.probes.borrow_mut().entry(upstream.clone()).or_default().clone();
         let probed = *shared.get_or_init(|| self.probe_alone(place)).await;
@@ -185,15 +179,16 @@
         probed
     }
 
-    async fn probe_alone(&self, place: &upstream::Placement) -> Probed {
-        match tokio::time::timeout(PROBE_TIMEOUT, self.connect(place, true)).await {
+    async fn probe_alone(&self, place: &upstream::Placement) -> upstream::Probed {
+        let connecting = tokio::time::timeout(upstream::PROBE_TIMEOUT, self.connect(place, true));
+        match connecting.await {
             Ok(Ok(mut connection)) => {
                 connection.keeps = Some(KEPT_DEFAULT);
                 self.rest(connection);
-                Probed::Accepts
+                upstream::Probed::Accepts
             }
-            Ok(Err(Error::Connect { source })) if is_refusal(&source) => Probed::Refuses,
-            Ok(Err(_)) | Err(_) => Probed::Silent,
+            Ok(Err(error)) if error.refused() => upstream::Probed::Refuses,
+            Ok(Err(_)) | Err(_) => upstream::Probed::Silent,
         }
     }
 
@@ -244,10 +239,6 @@
     }
 }
 
-fn is_refusal(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::ConnectionRefused
-}
-
 /// The answer of a server, in the types that the rest uses.
 pub type Answer = http::Response<hyper::body::Incoming>;
 /// The answer to a client.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One request from its head to its answer.
 
 use super::{attempt, backends, body, listener, refusal, socket, streaming, ticket};
-use crate::{api_error, logging, policy, snapshot, upstream};
+use crate::{api_error, control, logging, policy, snapshot, upstream};
 use bytes::Bytes;
 use doorswitch_core::{config, ids, node, rendezvous, routes, servers};
 use doorswitch_platform::headers;
@@ -89,7 +89,11 @@
         let (parts, body) = request.into_parts();
         let limit = head.snapshot.document.callers.body_bytes_max as usize;
         let body = read_body(body, limit).await?;
-        let (wanted, cost, event_tokens) = self.wanted(&head, &parts.method, parts.uri.path())?;
+        let (mut wanted, cost, event_tokens) =
+            self.wanted(&head, &parts.method, parts.uri.path())?;
+        let workspace = head.workspace.as_ref().map(|workspace| workspace.name.as_str());
+        let digest = || attempt::head_digest(workspace, &parts.method, &head.route, &parts.uri);
+        wanted.fingerprint = self.published.suspected(digest, &body);
         let id = head.asked.id.clone();
         let config_version = head.snapshot.version;
         let asked = format!(
@@ -179,6 +183,7 @@
             unrepeatable: !head.route.repeatable(),
             attempts_max: head.route.attempts_max,
             prefix_hash: None,
+            fingerprint: None,
             parts,
             deadline_ms: left.as_millis() as u64,
         };
@@ -269,6 +274,9 @@
                         }
                         Ok(Ok(response)) if failed && repeatable => failure = Some(response),
                         Ok(Ok(response)) => {
+                            if response.status().is_success() {
+                                self.ended_well(&call);
+                            }
                             ticket.ran(!failed);
                             return Ok(response);
                         }
@@ -300,13 +308,16 @@
 
     /// Notes that a server's connection ended while it ran a request.
     pub async fn run_broken(&self, call: &attempt::Call, place: &upstream::Placement) {
-        let fingerprint = call.fingerprint();
-        let server = self.backends.probe(place).await;
-        log::info!(
-            "event=run_broken id={} vm={} fingerprint={fingerprint} server={server:?}",
-            call.asked.id,
-            place.vm,
-        );
+        let probing = self.backends.probe(place);
+        let (id, request) = (&call.asked.id, call.fingerprint());
+        upstream::run_broken(&self.control, place, id, request, probing).await;
+    }
+
+    /// Notes that a run of a request ended well.
+    pub fn ended_well(&self, call: &attempt::Call) {
+        if let Some(request) = self.published.suspected(|| call.head_digest(), &call.body) {
+            self.control.do_send(control::EndedWell(request));
+        }
     }
 
     /// Reads an answer to its end.
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -58,6 +58,7 @@
             match end {
                 End::Whole => {
                     self.gateway.backends.rest(self.connection);
+                    self.gateway.ended_well(&self.call);
                     self.ticket.ran(true);
                     return;
                 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -46,6 +46,8 @@
     pub priority: u8,
     /// When to give up.
     pub deadline: Instant,
+    /// Tells how its runs ended.
+    pub reports: upstream::RunReports,
     /// The answer's id towards the caller.
     pub id: String,
     /// Its place among the answers, for callers that ask again.
@@ -64,6 +66,8 @@
     NotRun,
     /// The engine failed on the way.
     Broken,
+    /// The connection to the engine ended on the way.
+    BrokenOff,
     /// The engine refused the request as wrong.
     Rejected(StatusCode, String),
 }
@@ -104,6 +108,7 @@
             let ended = self.try_engine(&place, &mut progress, &pieces).await;
             match ended {
                 Try::Whole => {
+                    self.reports.ended_well();
                     self.settle(slot, &progress, true).await;
                     let usage = progress.usage();
                     self.place.record(answers::Recorded {
@@ -126,6 +131,10 @@
                     return Err(Failure { error });
                 }
                 Try::Broken => progress.may_have_run = true,
+                Try::BrokenOff => {
+                    progress.may_have_run = true;
+                    self.reports.broken(&place, &self.id).await;
+                }
                 Try::NotRun => {}
             }
             log::info!(
@@ -174,6 +183,7 @@
         let mut response = match request.send_json(&body).await {
             Ok(response) => response,
             Err(error) if upstream::not_sent(&error) => return Try::NotRun,
+            Err(error) if upstream::broke_off(&error) => return Try::BrokenOff,
             Err(_) => return Try::Broken,
         };
         let status = response.status();
@@ -184,7 +194,7 @@
         progress.may_have_run = true;
         let mut events = response.eventsource();
         while let Some(event) = events.next().await {
-            let Ok(event) = event else { return Try::Broken };
+            let Ok(event) = event else { return Try::BrokenOff };
             if event.data == "[DONE]" {
                 return Try::Whole;
             }
@@ -194,7 +204,7 @@
                 Some(ended) => return ended,
             }
         }
-        Try::Broken
+        Try::BrokenOff
     }
 
     /// Passes a chunk on; returns how the try ended, if it did.
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -5,6 +5,7 @@
 
 use crate::{api_error, control, upstream};
 use actix::prelude::Addr;
+use actix_web::error::PayloadError;
 use actix_web::http::{Method, StatusCode, header};
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use doorswitch_core::{log_index, node};
@@ -37,11 +38,19 @@
     pub call_tokens: u64,
     /// When to give up.
     pub deadline: Instant,
+    /// Tells how its runs ended.
+    pub reports: upstream::RunReports,
 }
 
 enum Try {
-    Answered { status: StatusCode, content_type: String, body: bytes::Bytes },
+    Answered {
+        status: StatusCode,
+        content_type: String,
+        body: bytes::Bytes,
+    },
     NotRun,
+    /// The connection ended on the way.
+    BrokenOff,
     Unknown,
 }
 
@@ -52,8 +61,15 @@
         let mut place = placement;
         let mut may_have_run = false;
         loop {
-            match self.try_server(&place).await {
+            let tried = self.try_server(&place).await;
+            if matches!(tried, Try::BrokenOff) {
+                self.reports.broken(&place, &self.id).await;
+            }
+            match tried {
                 Try::Answered { status, content_type, body } => {
+                    if status.is_success() {
+                        self.reports.ended_well();
+                    }
                     let outcome = self.unrepeatable.then(|| record(status, &content_type, &body));
                     let consumed_tokens = self.call_tokens;
                     let healthy = !status.is_server_error();
@@ -63,11 +79,11 @@
                     return response.insert_header(("Content-Type", content_type)).body(body);
                 }
                 Try::NotRun => {}
-                Try::Unknown if self.unrepeatable => {
+                Try::Unknown | Try::BrokenOff if self.unrepeatable => {
                     upstream::finish(&self.control, slot, node::Ending::Unknown).await;
                     return outcome_unknown().response();
                 }
-                Try::Unknown => may_have_run = true,
+                Try::Unknown | Try::BrokenOff => may_have_run = true,
             }
             log::info!("event=server_failed vm={} attempt={}", place.vm, place.attempt.0);
             let mut error = match upstream::retry(&self.control, slot, true).await {
@@ -108,6 +124,7 @@
         let mut response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
             Err(error) if upstream::not_sent(&error) => return Try::NotRun,
+            Err(error) if upstream::broke_off(&error) => return Try::BrokenOff,
             Err(_) => return Try::Unknown,
         };
         let status = response.status();
@@ -117,7 +134,8 @@
         match response.body().limit(ANSWER_BYTES_MAX).await {
             Ok(body) if upstream::says_not_run(status, &body) => Try::NotRun,
             Ok(body) => Try::Answered { status, content_type, body },
-            Err(_) => Try::Unknown,
+            Err(PayloadError::Overflow) => Try::Unknown,
+            Err(_) => Try::BrokenOff,
         }
     }
 }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! What traffic threads read without asking the control thread: the configuration, compiled.
 
-use crate::{auth, logging, policy};
+use crate::{auth, fingerprint, logging, policy};
 use doorswitch_core::{config, ids};
 use std::{collections, sync::atomic, sync::atomic::AtomicBool, sync::atomic::AtomicU64};
 use tokio::sync::watch;
@@ -75,6 +75,8 @@
     /// The configuration in force.
     pub snapshot: arc_swap::ArcSwapOption<Snapshot>,
     config_age_ms: AtomicU64,
+    /// What the fingerprints have in common of requests under which servers crashed.
+    suspected: arc_swap::ArcSwap<collections::HashSet<u64>>,
     restarted: watch::Sender<Lives>,
     ready: AtomicBool,
     draining: AtomicBool,
@@ -96,6 +98,7 @@
         Self {
             snapshot: Default::default(),
             config_age_ms: AtomicU64::new(AGE_UNKNOWN_MS),
+            suspected: Default::default(),
             restarted: watch::Sender::new(Lives::new()),
             ready: Default::default(),
             draining: Default::default(),
@@ -118,6 +121,26 @@
         self.config_age_ms.store(age_ms.unwrap_or(AGE_UNKNOWN_MS), atomic::Ordering::Relaxed);
     }
 
+    /// The fingerprint of a request, if it may be one under which servers crashed. While there is none, nothing is
+    /// computed; a body is read only for a request whose head is suspected.
+    pub fn suspected(
+        &self,
+        head: impl FnOnce() -> fingerprint::HeadDigest,
+        body: &[u8],
+    ) -> Option<ids::Fingerprint> {
+        let suspected = self.suspected.load();
+        if suspected.is_empty() {
+            return None;
+        }
+        let head = head();
+        suspected.contains(&head.key()).then(|| head.with_body(body))
+    }
+
+    /// Says which requests are suspected, by what their fingerprints have in common.
+    pub fn set_suspected(&self, heads: collections::HashSet<u64>) {
+        self.suspected.store(std::sync::Arc::new(heads));
+    }
+
     /// Says that a server started again.
     pub fn restarted(&self, vm: String, life: ids::ServerLife) {
         self.restarted.send_modify(|lives| {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -55,6 +55,7 @@
             ("doorswitch_closed_unsafe_total", counters.closed_unsafe),
             ("doorswitch_not_run_total", counters.not_run),
             ("doorswitch_replayed_total", counters.replayed),
+            ("doorswitch_server_crashes_total", counters.server_crashes),
             ("doorswitch_consumed_tokens_total", counters.consumed_tokens),
             ("doorswitch_written_off_tokens_total", counters.written_off_tokens),
             ("doorswitch_overrun_tokens_total", counters.overrun_tokens),
@@ -85,6 +86,10 @@
         }
         metrics::gauge!("doorswitch_config_version").set(node.config_version() as f64);
         metrics::gauge!("doorswitch_members").set(node.members().live_count() as f64);
+        let quarantined = node.quarantine().quarantined(now_ms).len();
+        metrics::gauge!("doorswitch_quarantined_requests").set(quarantined as f64);
+        let suspected = node.quarantine().suspected();
+        metrics::gauge!("doorswitch_suspected_requests").set(suspected as f64);
         for (_, account) in node.grants().iter() {
             let budget = account.name.clone();
             let free = account.free_tokens() as f64;
@@ -256,6 +261,21 @@
             restarted.life.0,
             restarted.open_requests,
         ),
+        node::Notice::ServerCrashed { vm, life, requests } => {
+            log::warn!("event=server_crashed vm={vm} born_ms={} requests={requests}", life.0);
+        }
+        node::Notice::RequestSuspected { request, crashes, source } => log::info!(
+            "event=request_suspected fingerprint={request} crashes={crashes} source={source:?}"
+        ),
+        node::Notice::RequestQuarantined { request, for_ms, source } => log::warn!(
+            "event=request_quarantined fingerprint={request} for_ms={for_ms} source={source:?}"
+        ),
+        node::Notice::RequestCleared { request, crashes, source } => log::info!(
+            "event=request_cleared fingerprint={request} crashes={crashes} source={source:?}"
+        ),
+        node::Notice::RecordUnreadable { key, fault } => {
+            log::error!("event=record_unreadable key={key} fault={}", logging::quoted(fault));
+        }
         node::Notice::Fenced => log::error!("event=fenced cause=written_off_by_another_router"),
         node::Notice::Unusable(fault) => {
             log::error!("event=ledger_unusable fault={}", logging::quoted(fault));
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,9 +1,61 @@
 //! What calls to backend servers have in common.
 
-use crate::{api_error, control};
+use crate::gateway::socket;
+use crate::{api_error, control, fingerprint, snapshot};
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
-use doorswitch_core::{ids, node};
+use doorswitch_core::{ids, node, quarantine};
+use std::sync::Arc;
+use std::time::Duration;
+use std::{io, net};
+
+/// How long an answer is held back until it is known whether a server still listens: several round trips within a region.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// What a server's address does with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probed {
+    /// It takes it.
+    Accepts,
+    /// Nothing listens there: the process that did is over.
+    Refuses,
+    /// Nothing was heard in time.
+    Silent,
+}
+
+/// Tells the control thread how runs of one request ended, where that may concern other requests.
+pub struct RunReports {
+    /// The control thread.
+    pub control: Addr<control::Control>,
+    /// What it published.
+    pub published: Arc<snapshot::Published>,
+    /// The router's own address.
+    pub local: net::IpAddr,
+    /// A digest of all of the request but its body.
+    pub head: fingerprint::HeadDigest,
+    /// The request's body.
+    pub body: bytes::Bytes,
+}
+
+impl RunReports {
+    /// The request's fingerprint, if it may be one under which servers crashed.
+    pub fn suspected(&self) -> Option<ids::Fingerprint> {
+        self.published.suspected(|| self.head, &self.body)
+    }
+
+    /// A run of it ended well.
+    pub fn ended_well(&self) {
+        if let Some(request) = self.suspected() {
+            self.control.do_send(control::EndedWell(request));
+        }
+    }
+
+    /// The connection to a server ended while that ran it.
+    pub async fn broken(&self, place: &Placement, id: &str) {
+        let request = self.head.with_body(&self.body);
+        run_broken(&self.control, place, id, request, probe(&place.address, self.local)).await;
+    }
+}
 
 /// A request that the control thread has placed on a server.
 #[derive(Clone, Debug)]
@@ -62,6 +114,46 @@
     control::ask(reply).await;
 }
 
+/// Looks whether a server still takes connections.
+pub async fn probe(address: &str, local: net::IpAddr) -> Probed {
+    let Ok(target) = address.parse() else { return Probed::Silent };
+    match tokio::time::timeout(PROBE_TIMEOUT, socket::Socket::connect(target, local)).await {
+        Ok(Ok(_)) => Probed::Accepts,
+        Ok(Err(error)) if is_refusal(&error) => Probed::Refuses,
+        Ok(Err(_)) | Err(_) => Probed::Silent,
+    }
+}
+
+/// Whether a connection failed because nothing listens.
+pub fn is_refusal(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
+/// Tells the control thread that a server's connection ended while it ran a request, and whether it still listens.
+pub async fn run_broken(
+    control: &Addr<control::Control>,
+    place: &Placement,
+    id: &str,
+    request: ids::Fingerprint,
+    probing: impl Future<Output = Probed>,
+) {
+    let server = quarantine::LifeOf { vm: place.vm.clone(), life: place.life };
+    let (slot, address) = (place.slot, place.address.clone());
+    let run = node::BrokenRun { slot, server: server.clone(), address, request };
+    control.do_send(control::RunBroken(run));
+    let probed = probing.await;
+    log::info!("event=run_broken id={id} vm={} fingerprint={request} server={probed:?}", place.vm);
+    if probed == Probed::Refuses {
+        control.do_send(control::ServerRefused(server));
+    }
+}
+
+/// Whether a failed call ended with its connection, and not by a limit of this router.
+pub fn broke_off(error: &awc::error::SendRequestError) -> bool {
+    use awc::error::SendRequestError;
+    matches!(error, SendRequestError::Send(_) | SendRequestError::Response(_))
+}
+
 /// Whether a failed call certainly sent nothing.
 pub fn not_sent(error: &awc::error::SendRequestError) -> bool {
     use awc::error::SendRequestError;
--- a/standins/src/backend.rs
+++ b/standins/src/backend.rs
@@ -1,6 +1,7 @@
 //! A server of the users' platform, byte by byte: each request gets the answer that the test wants,
 //! broken in whatever way.
 
+use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -72,8 +73,8 @@
     /// When each request of `seen` came.
     arrivals: Vec<Instant>,
     closed_by_client: usize,
-    /// Connections of the present life.
-    connections: Vec<net::TcpStream>,
+    /// Open connections, by their numbers.
+    connections: HashMap<usize, net::TcpStream>,
     crashes: Vec<Instant>,
     /// Until when it refuses connections.
     down_until: Option<Instant>,
@@ -98,7 +99,7 @@
             seen: Vec::new(),
             arrivals: Vec::new(),
             closed_by_client: 0,
-            connections: Vec::new(),
+            connections: HashMap::new(),
             crashes: Vec::new(),
             down_until: None,
             starts: 1,
@@ -166,6 +167,8 @@
                     let (shared, connection) = (shared.clone(), threads.len());
                     threads.push(thread::spawn(move || {
                         let _ = serve(stream, connection, &shared);
+                        // The last handle: only now the connection ends.
+                        shared.lock().connections.remove(&connection);
                     }));
                 }
                 Err(_) => thread::sleep(Duration::from_millis(1)),
@@ -190,7 +193,7 @@
 
 fn serve(stream: net::TcpStream, connection: usize, shared: &Shared) -> io::Result<()> {
     stream.set_nonblocking(false)?;
-    shared.lock().connections.push(stream.try_clone()?);
+    shared.lock().connections.insert(connection, stream.try_clone()?);
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
     let mut reader = BufReader::new(stream.try_clone()?);
@@ -259,7 +262,7 @@
         std::mem::take(&mut state.connections)
     };
     thread::sleep(LISTENER_ENDS);
-    for connection in connections {
+    for connection in connections.into_values() {
         // One that its client closed already cannot be shut down.
         if let Err(error) = connection.shutdown(net::Shutdown::Both)
             && error.kind() != io::ErrorKind::NotConnected
