A send that no server saw uses up no retry; a server that refuses connections is passed over at once

Cause: while a crashed server's record lasts (2 to 4 s), requests placed there find its address refusing connections. Ruled out: a larger retry budget (it is the operators' bound on arrivals; a refused connection is none); leaving out the server for good (its record may be right, and another process may listen there). Now a try ends as not sent, turned away or may have run; only the last two spend a retry. The first refusal ejects. The log's `attempt_ended` tells `not_sent` from `not_run`.

--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -162,7 +162,7 @@
     fn ended(&mut self, ended: &Ended, now_ms: u64) {
         let (router, slot) = self.numbers[&ended.number];
         if ended.broken {
-            self.nodes[router].retry(slot, true, now_ms);
+            self.nodes[router].retry(slot, node::Tried::MayHaveRun, now_ms);
             self.carry_out(router, now_ms);
             return;
         }
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -1,6 +1,6 @@
 //! From a request to its dispatch: tokens, then a server, then (if unrepeatable) the claim.
 
-use super::{Action, Answer, Node, Reason, Request, Stage, Wanted};
+use super::{Action, Answer, Node, Reason, Request, Stage, Tried, Wanted};
 use crate::node::types::Lifecycle;
 use crate::{config, ids, log_index, log_writer, message, rendezvous, servers};
 use rand::RngExt;
@@ -46,9 +46,8 @@
         slot
     }
 
-    /// Moves a request whose server failed before the answer to another server. `may_have_run` tells
-    /// whether the failed one counts as an attempt.
-    pub fn retry(&mut self, slot: ids::RequestSlot, may_have_run: bool, now_ms: u64) {
+    /// Moves a request whose server failed before the answer to another server.
+    pub fn retry(&mut self, slot: ids::RequestSlot, tried: Tried, now_ms: u64) {
         let Some(request) = self.requests.get_mut(slot) else { return };
         let Stage::Running { server, .. } = &request.stage else { return };
         let server = *server;
@@ -56,7 +55,7 @@
         self.servers.has_read(server, tokens);
         let service = request.wanted.service.clone();
         request.failed_servers.push(server);
-        request.attempts += u32::from(may_have_run);
+        request.attempts += u32::from(tried == Tried::MayHaveRun);
         let sends = request.failed_servers.len();
         let most = request.wanted.attempts_max;
         let attempts = request.attempts;
@@ -70,8 +69,10 @@
             self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
             return;
         }
+        // What no server has seen is no retry: a crashed server does not use up those of its service.
+        let arrived = tried != Tried::NotSent;
         let routers = self.most_routers;
-        if !self.retries.entry(service).or_default().try_spend(routers) {
+        if arrived && !self.retries.entry(service).or_default().try_spend(routers) {
             self.answer(slot, refusal(Reason::RetriesExhausted, RETRY_AFTER_SHORT_MS));
             return;
         }
--- a/core/src/node/quarantine.rs
+++ b/core/src/node/quarantine.rs
@@ -3,6 +3,7 @@
 use super::{Action, Node, Notice, Purpose, QuarantineSource};
 use crate::{ids, members, message, quarantine, servers, store};
 use rand::seq::IndexedRandom;
+use std::collections;
 
 /// Members that are told at once. With four, 98 in 100 hear it within a few steps, the others by probes.
 const FANOUT: usize = 4;
@@ -42,6 +43,18 @@
         &self.quarantine.table
     }
 
+    /// What the fingerprints have in common of requests whose good end would tell something.
+    pub fn suspected_heads(&self) -> collections::HashSet<u64> {
+        let mut heads = self.quarantine.table.suspected_heads();
+        heads.extend(self.quarantine.runs.heads());
+        heads
+    }
+
+    /// Grows with each change of [`Node::suspected_heads`].
+    pub fn suspected_revision(&self) -> u64 {
+        self.quarantine.table.revision() + self.quarantine.runs.revision()
+    }
+
     /// Notes a run that broke off.
     pub fn run_broken(&mut self, run: &BrokenRun, now_ms: u64) {
         if let Some(request) = self.requests.get_mut(run.slot) {
@@ -55,15 +68,29 @@
 
     /// Notes that a server's address refuses connections: the process that listened there is over.
     pub fn server_refused(&mut self, server: &quarantine::LifeOf, now_ms: u64) {
+        let slot = self.servers.find(&server.vm);
+        let same = |slot: &ids::ServerSlot| {
+            self.servers.get(*slot).is_some_and(|it| it.vm.life == server.life)
+        };
+        if let Some(slot) = slot.filter(same) {
+            self.servers.refused(slot, now_ms);
+        }
         let leaves = self.leaving.get(&server.vm).is_some_and(|(life, _)| *life >= server.life);
         // One that leaves ends as planned.
         if !leaves {
-            self.server_crashed(server, now_ms);
+            let broken = self.quarantine.runs.refused(server, now_ms);
+            self.server_crashed(server, broken, now_ms);
         }
     }
 
+    /// Notes that a server takes connections after a run broke off.
+    pub fn server_accepted(&mut self, server: &quarantine::LifeOf) {
+        self.quarantine.runs.accepted(server);
+    }
+
     /// Notes that a run of a request ended well: it does not crash servers.
     pub fn ended_well(&mut self, request: ids::Fingerprint, now_ms: u64) {
+        self.quarantine.runs.ended_well(request);
         let change = self.quarantine.table.clear(request, now_ms);
         self.note_change(request, change, QuarantineSource::GoodEnd, now_ms);
     }
@@ -112,7 +139,8 @@
             .map(|(server, _)| server.clone())
             .collect();
         for server in over {
-            self.server_crashed(&server, now_ms);
+            let broken = self.quarantine.runs.crashed(&server, now_ms);
+            self.server_crashed(&server, broken, now_ms);
         }
     }
 
@@ -132,8 +160,12 @@
         }
     }
 
-    fn server_crashed(&mut self, server: &quarantine::LifeOf, now_ms: u64) {
-        let broken = self.quarantine.runs.crashed(server, now_ms);
+    fn server_crashed(
+        &mut self,
+        server: &quarantine::LifeOf,
+        broken: Vec<(ids::Fingerprint, u64)>,
+        now_ms: u64,
+    ) {
         if broken.is_empty() {
             return;
         }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -109,6 +109,17 @@
     Unknown,
 }
 
+/// What became of a try at a server that gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tried {
+    /// Not a byte of it was sent: the server has not seen it.
+    NotSent,
+    /// The server said that it did not run it.
+    TurnedAway,
+    /// The server may have run it.
+    MayHaveRun,
+}
+
 /// Why a request was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -242,6 +242,16 @@
         Some(ejected_ms)
     }
 
+    /// Notes that a server's address refuses connections: it is ejected with its next failure, which each send to it
+    /// would be.
+    pub fn refused(&mut self, slot: ids::ServerSlot, now_ms: u64) {
+        if let Some(server) = self.servers.get_mut(slot) {
+            server.failures = server.failures.max(FAILURES_TO_EJECT);
+            server.probing = false;
+            server.ejected_until_ms = server.ejected_until_ms.max(now_ms + EJECTED_BASE_MS);
+        }
+    }
+
     /// Takes in a load report of a server.
     pub fn reported(&mut self, slot: ids::ServerSlot, load: Load) {
         if let Some(server) = self.servers.get_mut(slot) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -140,10 +140,10 @@
     }
 
     fn publish_suspected(&mut self) {
-        let table = self.node.quarantine();
-        if table.revision() != self.suspected_revision {
-            self.suspected_revision = table.revision();
-            self.published.set_suspected(table.suspected_heads());
+        let revision = self.node.suspected_revision();
+        if revision != self.suspected_revision {
+            self.suspected_revision = revision;
+            self.published.set_suspected(self.node.suspected_heads());
         }
     }
 
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -57,7 +57,7 @@
     fn handle(&mut self, retry: messages::Retry, context: &mut Self::Context) -> Self::Result {
         let now_ms = self.now_ms();
         let reply = self.wait_for(retry.slot);
-        self.node.retry(retry.slot, retry.may_have_run, now_ms);
+        self.node.retry(retry.slot, retry.tried, now_ms);
         self.carry_out(context);
         actix::MessageResult(reply)
     }
@@ -91,6 +91,14 @@
     }
 }
 
+impl Handler<messages::ServerAccepted> for Control {
+    type Result = ();
+
+    fn handle(&mut self, accepted: messages::ServerAccepted, _: &mut Self::Context) {
+        self.node.server_accepted(&accepted.0);
+    }
+}
+
 impl Handler<messages::EndedWell> for Control {
     type Result = ();
 
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -28,8 +28,8 @@
 pub struct Retry {
     /// The request.
     pub slot: ids::RequestSlot,
-    /// Whether it may have run where it failed.
-    pub may_have_run: bool,
+    /// What became of the try.
+    pub tried: node::Tried,
 }
 
 /// A server said on an answer how loaded it is.
@@ -54,6 +54,11 @@
 #[rtype(result = "()")]
 pub struct ServerRefused(pub quarantine::LifeOf);
 
+/// A server took a connection after a run on it broke off.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct ServerAccepted(pub quarantine::LifeOf);
+
 /// A run of a request ended well against which a crash may count.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -71,8 +71,10 @@
         /// The connection on which the body comes.
         connection: backends::Connection,
     },
-    /// It certainly did not run.
-    NotRun,
+    /// No connection came up, or not a byte of it was sent.
+    NotSent,
+    /// The server said that it did not run it.
+    TurnedAway,
     /// It was sent, and its connection ended before an answer.
     BrokenOff,
     /// It was sent, and no answer to it came.
@@ -97,7 +99,7 @@
                     let server = quarantine::LifeOf { vm, life: place.life };
                     control.do_send(control::ServerRefused(server));
                 }
-                return Outcome::NotRun;
+                return Outcome::NotSent;
             }
         };
         let request = request(call, place, last_event_id);
@@ -111,7 +113,7 @@
         let unsent = error.message().is_some();
         match (unsent, connection.used) {
             (true, true) => fresh = true,
-            (true, false) => return Outcome::NotRun,
+            (true, false) => return Outcome::NotSent,
             (false, _) => return Outcome::BrokenOff,
         }
     }
@@ -133,7 +135,7 @@
     if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
         connection.note_keep_alive(answer.headers());
         rest_after_body(backends, answer, connection).await;
-        return Outcome::NotRun;
+        return Outcome::TurnedAway;
     }
     if !said.echoes {
         // An answer to another request: what became of this one is not known.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -243,17 +243,16 @@
             let sending = attempt::send(&self.backends, &self.control, &call, &place, None);
             let outcome = time::timeout_at(given_up_at.unwrap_or(deadline), sending).await;
             log_outcome(&call, &place, &outcome);
-            match outcome {
+            let tried = match outcome {
                 Err(_) if given_up_at.is_some() => {
                     given_up_at = None;
-                    may_have_run = true;
+                    node::Tried::MayHaveRun
                 }
                 Err(_) => {
                     ticket.unknown();
                     return Err(refusal::too_late());
                 }
                 Ok(attempt::Outcome::Answered { answer, connection }) => {
-                    may_have_run = true;
                     let streams = call.route.kind == routes::RouteKind::Stream;
                     if streams && answer.status().is_success() {
                         let stream = streaming::Stream {
@@ -283,19 +282,22 @@
                         Ok(Err(Incomplete::BrokenOff)) => self.run_broken(&call, &place).await,
                         Ok(Err(Incomplete::TooLarge)) => {}
                     }
+                    node::Tried::MayHaveRun
                 }
                 Ok(attempt::Outcome::BrokenOff) => {
-                    may_have_run = true;
                     self.run_broken(&call, &place).await;
+                    node::Tried::MayHaveRun
                 }
-                Ok(attempt::Outcome::Unknown) => may_have_run = true,
-                Ok(attempt::Outcome::NotRun) => {}
-            }
+                Ok(attempt::Outcome::Unknown) => node::Tried::MayHaveRun,
+                Ok(attempt::Outcome::TurnedAway) => node::Tried::TurnedAway,
+                Ok(attempt::Outcome::NotSent) => node::Tried::NotSent,
+            };
+            may_have_run |= tried == node::Tried::MayHaveRun;
             if may_have_run && !repeatable {
                 ticket.unknown();
                 return Err(refusal::outcome_unknown());
             }
-            match ticket.retry(may_have_run).await {
+            match ticket.retry(tried).await {
                 upstream::Admission::Placed(next) => {
                     let id = &call.asked.id;
                     log::info!("event=placed_again id={id} vm={} after={}", next.vm, place.vm);
@@ -407,7 +409,8 @@
         Err(_) => "timeout",
         Ok(attempt::Outcome::Answered { answer, .. }) if answer.status().is_success() => return,
         Ok(attempt::Outcome::Answered { .. }) => "failed",
-        Ok(attempt::Outcome::NotRun) => "not_run",
+        Ok(attempt::Outcome::NotSent) => "not_sent",
+        Ok(attempt::Outcome::TurnedAway) => "not_run",
         Ok(attempt::Outcome::BrokenOff) => "broken_off",
         Ok(attempt::Outcome::Unknown) => "unknown",
     };
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -3,6 +3,7 @@
 
 use super::{attempt, backends, body, events, exchange, listener, ticket};
 use crate::{snapshot, upstream};
+use doorswitch_core::node;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::rc::Rc;
@@ -126,9 +127,9 @@
     /// Goes on at another server after the last event that was passed on.
     async fn resume(&mut self, last_id: Option<&str>) -> Option<Incoming> {
         let deadline = time::Instant::from_std(self.call.deadline);
-        let mut may_have_run = true;
+        let mut tried = node::Tried::MayHaveRun;
         loop {
-            let upstream::Admission::Placed(place) = self.ticket.retry(may_have_run).await else {
+            let upstream::Admission::Placed(place) = self.ticket.retry(tried).await else {
                 return None;
             };
             let gateway = &self.gateway;
@@ -143,12 +144,13 @@
                     self.place = place;
                     return Some(answer.into_body());
                 }
-                Ok(attempt::Outcome::NotRun) => may_have_run = false,
+                Ok(attempt::Outcome::NotSent) => tried = node::Tried::NotSent,
+                Ok(attempt::Outcome::TurnedAway) => tried = node::Tried::TurnedAway,
                 Ok(attempt::Outcome::BrokenOff) => {
-                    may_have_run = true;
+                    tried = node::Tried::MayHaveRun;
                     gateway.run_broken(&self.call, &place).await;
                 }
-                Ok(_) => may_have_run = true,
+                Ok(_) => tried = node::Tried::MayHaveRun,
                 Err(_) => return None,
             }
         }
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -57,9 +57,9 @@
         Self { control, slot, cost, pace, id, admitted: Instant::now(), open: true }
     }
 
-    /// Asks for another server; `may_have_run` tells whether the failed try counts as an attempt.
-    pub async fn retry(&self, may_have_run: bool) -> upstream::Admission {
-        upstream::retry(&self.control, self.slot, may_have_run).await
+    /// Asks for another server.
+    pub async fn retry(&self, tried: node::Tried) -> upstream::Admission {
+        upstream::retry(&self.control, self.slot, tried).await
     }
 
     /// The answer has begun.
--- a/src/model.rs
+++ b/src/model.rs
@@ -62,7 +62,9 @@
     CallerGone,
     /// The time is up.
     TooLate,
-    /// Nothing was sent, or the engine did not start.
+    /// Nothing was sent.
+    NotSent,
+    /// The engine did not start.
     NotRun,
     /// The engine failed on the way.
     Broken,
@@ -106,7 +108,7 @@
         let mut progress = Progress::default();
         loop {
             let ended = self.try_engine(&place, &mut progress, &pieces).await;
-            match ended {
+            let tried = match ended {
                 Try::Whole => {
                     self.reports.ended_well();
                     self.settle(slot, &progress, true).await;
@@ -130,20 +132,22 @@
                     upstream::finish(&self.control, slot, node::Ending::NotRun).await;
                     return Err(Failure { error });
                 }
-                Try::Broken => progress.may_have_run = true,
+                Try::Broken => node::Tried::MayHaveRun,
                 Try::BrokenOff => {
-                    progress.may_have_run = true;
                     self.reports.broken(&place, &self.id).await;
+                    node::Tried::MayHaveRun
                 }
-                Try::NotRun => {}
-            }
+                Try::NotRun => node::Tried::TurnedAway,
+                Try::NotSent => node::Tried::NotSent,
+            };
+            progress.may_have_run |= tried == node::Tried::MayHaveRun;
             log::info!(
                 "event=engine_failed vm={} attempt={} delivered_tokens={}",
                 place.vm,
                 place.attempt.0,
                 progress.delivered_tokens
             );
-            match upstream::retry(&self.control, slot, true).await {
+            match upstream::retry(&self.control, slot, tried).await {
                 upstream::Admission::Placed(next) => place = next,
                 upstream::Admission::Refused(error) => {
                     return self.fail(slot, &progress, error).await;
@@ -182,7 +186,7 @@
         let request = self.http.post(url).insert_header(("x-attempt-id", place.attempt.0));
         let mut response = match request.send_json(&body).await {
             Ok(response) => response,
-            Err(error) if upstream::not_sent(&error) => return Try::NotRun,
+            Err(error) if upstream::not_sent(&error) => return Try::NotSent,
             Err(error) if upstream::broke_off(&error) => return Try::BrokenOff,
             Err(_) => return Try::Broken,
         };
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -48,7 +48,10 @@
         content_type: String,
         body: bytes::Bytes,
     },
-    NotRun,
+    /// Nothing was sent.
+    NotSent,
+    /// The server said that it did not run it.
+    TurnedAway,
     /// The connection ended on the way.
     BrokenOff,
     Unknown,
@@ -65,7 +68,7 @@
             if matches!(tried, Try::BrokenOff) {
                 self.reports.broken(&place, &self.id).await;
             }
-            match tried {
+            let tried = match tried {
                 Try::Answered { status, content_type, body } => {
                     if status.is_success() {
                         self.reports.ended_well();
@@ -78,15 +81,17 @@
                     let mut response = HttpResponseBuilder::new(status);
                     return response.insert_header(("Content-Type", content_type)).body(body);
                 }
-                Try::NotRun => {}
+                Try::NotSent => node::Tried::NotSent,
+                Try::TurnedAway => node::Tried::TurnedAway,
                 Try::Unknown | Try::BrokenOff if self.unrepeatable => {
                     upstream::finish(&self.control, slot, node::Ending::Unknown).await;
                     return outcome_unknown().response();
                 }
-                Try::Unknown | Try::BrokenOff => may_have_run = true,
-            }
+                Try::Unknown | Try::BrokenOff => node::Tried::MayHaveRun,
+            };
+            may_have_run |= tried == node::Tried::MayHaveRun;
             log::info!("event=server_failed vm={} attempt={}", place.vm, place.attempt.0);
-            let mut error = match upstream::retry(&self.control, slot, true).await {
+            let mut error = match upstream::retry(&self.control, slot, tried).await {
                 upstream::Admission::Placed(next) if Instant::now() < self.deadline => {
                     place = next;
                     continue;
@@ -123,7 +128,7 @@
         }
         let mut response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
-            Err(error) if upstream::not_sent(&error) => return Try::NotRun,
+            Err(error) if upstream::not_sent(&error) => return Try::NotSent,
             Err(error) if upstream::broke_off(&error) => return Try::BrokenOff,
             Err(_) => return Try::Unknown,
         };
@@ -132,7 +137,7 @@
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
         let content_type = content_type.to_owned();
         match response.body().limit(ANSWER_BYTES_MAX).await {
-            Ok(body) if upstream::says_not_run(status, &body) => Try::NotRun,
+            Ok(body) if upstream::says_not_run(status, &body) => Try::TurnedAway,
             Ok(body) => Try::Answered { status, content_type, body },
             Err(PayloadError::Overflow) => Try::Unknown,
             Err(_) => Try::BrokenOff,
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -94,13 +94,12 @@
 }
 
 /// Asks the control thread for another server.
-/// `may_have_run` tells whether the failed try counts as an attempt.
 pub async fn retry(
     control: &Addr<control::Control>,
     slot: ids::RequestSlot,
-    may_have_run: bool,
+    tried: node::Tried,
 ) -> Admission {
-    let reply = control.send(control::Retry { slot, may_have_run }).await;
+    let reply = control.send(control::Retry { slot, tried }).await;
     admission(slot, control::ask(reply).await)
 }
 
@@ -143,8 +142,10 @@
     control.do_send(control::RunBroken(run));
     let probed = probing.await;
     log::info!("event=run_broken id={id} vm={} fingerprint={request} server={probed:?}", place.vm);
-    if probed == Probed::Refuses {
-        control.do_send(control::ServerRefused(server));
+    match probed {
+        Probed::Refuses => control.do_send(control::ServerRefused(server)),
+        Probed::Accepts => control.do_send(control::ServerAccepted(server)),
+        Probed::Silent => {}
     }
 }
 
