--- a/core/tests/unanswered_calls.rs
+++ b/core/tests/unanswered_calls.rs
@@ -76,6 +76,30 @@
     unanswered_calls_of_forty_routers: unanswered_at_each_moment(40);
 }
 
+/// A router that was cut off from its peers made a call that waits for long, as in a small fleet. Its peers are back, and
+/// the call is never answered; then they are gone again.
+#[test]
+fn an_unanswered_call_of_a_small_fleet_holds_up_no_listener() {
+    let mut fleet = settled(24, BOUNDS, 3);
+    let place = 13;
+    fleet.routers[place].group = 1;
+    fleet.trouble(place);
+    fleet.run_until("it watches alone", 120_000, |fleet| {
+        let calls = fleet.routers[place].node.open_calls(watch::Topic::Servers, fleet.now_ms);
+        calls.iter().any(|call| call.wait_ms > 20_000)
+    });
+    fleet.leave_calls_unanswered(place);
+    fleet.routers[place].group = 0;
+    fleet.run_until("it listens again", 10_000, |fleet| {
+        fleet.routers[place].node.watch_duty() == Some(watch::Duty::Listener)
+    });
+    fleet.routers[place].group = 1;
+    fleet.trouble(place);
+    change(&mut fleet);
+    // The fleet holds it to its bound.
+    fleet.run_ms(8_000);
+}
+
 /// Calls that stay unanswered at any moment, beside outages, cuts, restarts and changes.
 fn random_schedule(routers: usize, seed: u64) {
     let mut fleet = Fleet::new(routers, 3, BOUNDS, seed);
