A call that waits for long is proved beside whatever the fleet is now

Cause: the proof beside a waiting call was made by routers of small fleets only, while the call may be older than the fleet's size. Ruled out: giving the call up at each change of duty (its answer may be on its way; the proof costs one call and only when overdue).

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -193,8 +193,10 @@
         if now_ms < self.not_before_ms {
             return None;
         }
-        if self.waiting.is_some() {
-            let proves = duty == Duty::EveryRouter && overdue && self.proving.is_none();
+        if let Some(waiting) = self.waiting {
+            // A call that was made in a small fleet waits for long; it may never be answered, whatever the fleet is now.
+            let long = duty == Duty::EveryRouter || waiting.wait_ms >= ALL_WATCH_WAIT_MS;
+            let proves = long && overdue && self.proving.is_none();
             if !proves || !self.has_turn(fleet, now_ms) {
                 return None;
             }
