Failing test: a call whose connection ends without an answer is sent once

A server that takes an unrepeatable call and ends its connection without a word gets it again through the next one, and the caller is told `not_run`.

--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -4,7 +4,7 @@
 
 mod fleet;
 
-use doorswitch_standins::{platform, service};
+use doorswitch_standins::{backend, platform, service};
 use fleet::{Answer, Fleet, Options, eventually};
 use std::thread;
 
@@ -32,6 +32,35 @@
     assert_eq!(fleet.totals("kitchen").repeated_tokens, 0);
 }
 
+/// Servers that take a call and end its connection without a word, as a server does that crashes or closes too early.
+#[test]
+fn a_call_whose_connection_ends_without_an_answer_is_sent_once() {
+    let fleet = Fleet::start("claims-closed", Options { services: 0, ..Options::default() });
+    let closing = || -> backend::Script { Box::new(|_, _| vec![backend::Step::Close]) };
+    let servers: Vec<backend::Backend> =
+        (0..2).map(|_| backend::Backend::start(closing()).unwrap()).collect();
+    let mut vms = fleet.vms();
+    vms.extend(servers.iter().enumerate().map(|(place, server)| platform::Vm {
+        vm: format!("closing-{place}"),
+        service: "payments".to_owned(),
+        address: server.address().to_string(),
+        class: "new".to_owned(),
+        failure_domain: "a".to_owned(),
+        state: "live".to_owned(),
+    }));
+    fleet.platform.set_vms(vms);
+    eventually("the servers are known", || fleet.dump(0)["servers"]["closing-1"].is_object());
+    let answer = fleet.release(0, "hold", "{}").unwrap();
+    let calls = |server: &backend::Backend| {
+        server.seen().iter().filter(|seen| seen.line.starts_with("POST")).count()
+    };
+    let sent: usize = servers.iter().map(calls).sum();
+    assert_eq!(
+        (sent, answer.code(), answer.ran()),
+        (1, "outcome_unknown".into(), "unknown".into())
+    );
+}
+
 #[test]
 fn lost_replies_of_the_store_run_nothing_twice() {
     let fleet = Fleet::start("claims-lost", Options::default());
