A connection that ends before the answer is no failure to connect

Cause: the HTTP client names a connection that ends before the answer, after all was sent, by an error of its connecting (`ConnectError::Disconnected`). The callers' interface took that for a call that was not sent: it sent an unrepeatable call again and told its caller that it did not run. Ruled out: the interface by routes (its client tells what was written; tests/gateway.rs has the case).

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod key;
 mod policy;
 mod publish;
+mod quarantine;
 mod router;
 mod status;
 
@@ -63,6 +64,8 @@
     NothingPublished,
     #[snafu(display("no {kind} {name:?} in the document"))]
     NotDeclared { kind: &'static str, name: String },
+    #[snafu(display("no crash counts against the request {request}"))]
+    NotQuarantined { request: doorswitch_core::ids::Fingerprint },
     #[snafu(display("cannot read standard input: {source}"))]
     Input { source: std::io::Error },
 }
@@ -97,6 +100,7 @@
         .subcommand(budget::command())
         .subcommand(status::command())
         .subcommand(dump::command())
+        .subcommand(quarantine::command())
         .subcommand(policy::command())
         .subcommand(key::command())
         .subcommand(completions::command())
@@ -112,6 +116,7 @@
         Some(("budget", matches)) => budget::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("dump", matches)) => dump::run(matches),
+        Some(("quarantine", matches)) => quarantine::run(matches),
         Some(("policy", matches)) => policy::run(matches),
         Some(("key", matches)) => key::run(matches),
         Some(("completions", matches)) => completions::run(matches),
@@ -185,9 +190,23 @@
 
 /// Asks a router for its whole state.
 async fn ask_dump(url: &str) -> Result<serde_json::Value, OperatorError> {
+    call_router(url, awc::http::Method::GET, "/dump").await
+}
+
+/// Has a router do something.
+async fn tell_router(url: &str, target: &str) -> Result<serde_json::Value, OperatorError> {
+    call_router(url, awc::http::Method::POST, target).await
+}
+
+async fn call_router(
+    url: &str,
+    method: awc::http::Method,
+    target: &str,
+) -> Result<serde_json::Value, OperatorError> {
     let key = std::env::var(KEY_VARIABLE).map_err(|_| OperatorError::NoKey)?;
     let client = awc::Client::builder().timeout(PATIENCE).finish();
-    let request = client.get(format!("{}/dump", url.trim_end_matches('/'))).bearer_auth(key);
+    let target = format!("{}{target}", url.trim_end_matches('/'));
+    let request = client.request(method, target).bearer_auth(key);
     let unreachable = |fault: String| OperatorError::Unreachable { url: url.to_owned(), fault };
     let mut response = request.send().await.map_err(|error| unreachable(error.to_string()))?;
     let status = response.status().as_u16();
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -49,6 +49,7 @@
         "config_version": dump["config_version"],
         "members": members + 1,
         "leaving_vms": dump["leaving_vms"],
+        "quarantined": dump["quarantine"]["quarantined"].as_array().map_or(0, Vec::len),
         "requests": dump["requests"].as_array().map_or(0, Vec::len),
         "unsettled": dump["unsettled"],
     })
@@ -56,8 +57,8 @@
 
 fn show(rows: &[Value]) {
     println!(
-        "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10}  LEAVING",
-        "ROUTER", "VM", "STATE", "VERSION", "MEMBERS", "REQUESTS", "UNSETTLED"
+        "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10} {:>11}  LEAVING",
+        "ROUTER", "VM", "STATE", "VERSION", "MEMBERS", "REQUESTS", "UNSETTLED", "QUARANTINED"
     );
     for row in rows {
         let plain = |key: &str| match &row[key] {
@@ -70,7 +71,7 @@
             .map(|vms| vms.iter().filter_map(Value::as_str).collect())
             .unwrap_or_default();
         println!(
-            "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10}  {}",
+            "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10} {:>11}  {}",
             plain("router"),
             plain("vm"),
             if row["fault"].is_null() { plain("lifecycle") } else { "unreachable".to_owned() },
@@ -78,6 +79,7 @@
             plain("members"),
             plain("requests"),
             plain("unsettled"),
+            plain("quarantined"),
             leaving.join(", ")
         );
     }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,4 +1,4 @@
-//! The address for operators: status, dump and metrics, behind a key of their own.
+//! The address for operators: status, metrics and, behind a key of their own, the dump and the end of a quarantine.
 
 use crate::{auth, control, front, telemetry};
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -10,7 +10,8 @@
         .route("/healthz", web::get().to(healthz))
         .route("/readyz", web::get().to(readyz))
         .route("/metrics", web::get().to(metrics))
-        .route("/dump", web::get().to(dump));
+        .route("/dump", web::get().to(dump))
+        .route("/quarantine/release", web::post().to(release));
 }
 
 async fn healthz() -> HttpResponse {
@@ -29,14 +30,51 @@
 }
 
 async fn dump(shared: web::Data<front::Shared>, request: HttpRequest) -> HttpResponse {
-    let wanted = shared.settings.operators.key_sha256.as_deref().and_then(auth::parse_digest);
-    let given = auth::bearer(request.headers()).map(auth::digest);
-    let allowed = matches!((wanted, given), (Some(one), Some(other)) if auth::same(&one, &other));
-    if !allowed {
-        return HttpResponse::Unauthorized().body("an operator's key is needed\n");
+    if !is_operator(&shared, &request) {
+        return key_needed();
     }
     match shared.control.send(control::Dump).await {
         Ok(dump) => HttpResponse::Ok().json(dump),
-        Err(_) => HttpResponse::ServiceUnavailable().body("stopping\n"),
+        Err(_) => stopping(),
+    }
+}
+
+/// Which request to release.
+#[derive(serde::Deserialize)]
+struct ReleaseQuery {
+    fingerprint: String,
+    #[serde(default)]
+    dry_run: bool,
+}
+
+async fn release(
+    shared: web::Data<front::Shared>,
+    request: HttpRequest,
+    query: web::Query<ReleaseQuery>,
+) -> HttpResponse {
+    if !is_operator(&shared, &request) {
+        return key_needed();
+    }
+    let Ok(fingerprint) = query.fingerprint.parse() else {
+        return HttpResponse::BadRequest().body("a fingerprint is 48 hexadecimal digits\n");
+    };
+    let release = control::Release { request: fingerprint, dry_run: query.dry_run };
+    match shared.control.send(release).await {
+        Ok(crashes) => HttpResponse::Ok().json(serde_json::json!({ "crashes": crashes })),
+        Err(_) => stopping(),
     }
 }
+
+fn is_operator(shared: &front::Shared, request: &HttpRequest) -> bool {
+    let wanted = shared.settings.operators.key_sha256.as_deref().and_then(auth::parse_digest);
+    let given = auth::bearer(request.headers()).map(auth::digest);
+    matches!((wanted, given), (Some(one), Some(other)) if auth::same(&one, &other))
+}
+
+fn key_needed() -> HttpResponse {
+    HttpResponse::Unauthorized().body("an operator's key is needed\n")
+}
+
+fn stopping() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("stopping\n")
+}
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -151,14 +151,17 @@
 
 /// Whether a failed call ended with its connection, and not by a limit of this router.
 pub fn broke_off(error: &awc::error::SendRequestError) -> bool {
-    use awc::error::SendRequestError;
-    matches!(error, SendRequestError::Send(_) | SendRequestError::Response(_))
+    use awc::error::{ConnectError, SendRequestError};
+    let disconnected = matches!(error, SendRequestError::Connect(ConnectError::Disconnected));
+    disconnected || matches!(error, SendRequestError::Send(_) | SendRequestError::Response(_))
 }
 
 /// Whether a failed call certainly sent nothing.
 pub fn not_sent(error: &awc::error::SendRequestError) -> bool {
     use awc::error::SendRequestError;
-    matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_))
+    // The library calls it a failure to connect as well when a connection ends before the answer, after all was sent:
+    // an unrepeatable call would run twice.
+    !broke_off(error) && matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_))
 }
 
 /// Whether a server said that it did not start the request.
