--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -1,7 +1,7 @@
 //! Identifiers that cross module or process boundaries.
 
 use serde::{Deserialize, Serialize};
-use std::fmt;
+use std::{fmt, str};
 
 /// One life of a router process: drawn at random at every start and never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -59,6 +59,28 @@
     pub whole: [u8; 16],
 }
 
+/// Why a text names no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("a fingerprint is 48 hexadecimal digits"))]
+pub struct FingerprintError;
+
+impl str::FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, FingerprintError> {
+        let (head, whole) = text.split_at_checked(16).ok_or(FingerprintError)?;
+        let digits = |part: &str, length| {
+            part.len() == length && part.bytes().all(|byte| byte.is_ascii_hexdigit())
+        };
+        if !digits(head, 16) || !digits(whole, 32) {
+            return Err(FingerprintError);
+        }
+        let head = u64::from_str_radix(head, 16).map_err(|_| FingerprintError)?;
+        let whole = u128::from_str_radix(whole, 16).map_err(|_| FingerprintError)?;
+        Ok(Self { head, whole: whole.to_be_bytes() })
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}{:032x}", self.head, u128::from_be_bytes(self.whole))
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -127,6 +127,8 @@
 struct Entry {
     /// The latest ones that count, the oldest first.
     crashes: Vec<Seen>,
+    /// How many of them count.
+    counted: usize,
     cleared_ms: Option<i64>,
     sends_left: u32,
 }
@@ -141,15 +143,15 @@
         if let Some(known) = self.crashes.iter_mut().find(same) {
             // Each hop lets it seem younger by the hop's time: the oldest word is the nearest.
             known.at_ms = known.at_ms.min(at_ms);
+            self.sort();
             return false;
         }
         self.crashes.push(Seen { server, at_ms });
-        self.crashes.sort_by_key(|crash| crash.at_ms);
-        if self.crashes.len() > CRASHES_KEPT {
-            let dropped = self.crashes.remove(self.least_telling());
-            return (dropped.server, dropped.at_ms) != (server, at_ms);
-        }
-        true
+        self.sort();
+        let surplus = self.crashes.len() > CRASHES_KEPT;
+        let dropped = surplus.then(|| self.crashes.remove(self.least_telling()));
+        self.count();
+        dropped.is_none_or(|dropped| (dropped.server, dropped.at_ms) != (server, at_ms))
     }
 
     /// The crash that tells the least: the last of those that do not count, or the oldest.
@@ -165,7 +167,7 @@
         }
         self.cleared_ms = Some(at_ms);
         let before = self.crashes.len();
-        self.crashes.retain(|crash| crash.at_ms > at_ms);
+        self.keep(|crash| crash.at_ms > at_ms);
         before - self.crashes.len()
     }
 
@@ -181,14 +183,24 @@
         counting
     }
 
-    /// How many crashes count.
-    fn counted(&self) -> usize {
-        self.counting().len()
+    fn sort(&mut self) {
+        self.crashes.sort_by_key(|crash| crash.at_ms);
+        self.count();
+    }
+
+    fn count(&mut self) {
+        self.counted = self.counting().len();
+    }
+
+    /// Keeps some of the crashes.
+    fn keep(&mut self, kept: impl Fn(&Seen) -> bool) {
+        self.crashes.retain(kept);
+        self.count();
     }
 
     fn quarantined_until_ms(&self) -> Option<i64> {
         let latest = self.crashes.last()?;
-        let enough = self.counted() >= CRASHES_TO_QUARANTINE;
+        let enough = self.counted >= CRASHES_TO_QUARANTINE;
         enough.then_some(latest.at_ms + QUARANTINE_MS)
     }
 
@@ -199,7 +211,7 @@
     }
 
     fn urgent(&self) -> bool {
-        self.counted() >= CRASHES_TO_STOP_RETRIES
+        self.counted >= CRASHES_TO_STOP_RETRIES
     }
 
     fn tell(&mut self) {
@@ -211,10 +223,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     entries: collections::HashMap<ids::Fingerprint, Entry>,
-    summary: u64,
     revision: u64,
-    /// How many entries are still to be told.
-    fresh: usize,
     /// Where the next answer to a peer that knows something else begins.
     answered: usize,
 }
@@ -228,12 +237,12 @@
         if added {
             entry.tell();
         }
-        let change = match (added, entry.counted()) {
+        let change = match (added, entry.counted) {
             (false, _) => Change::None,
             (true, crashes) if crashes < CRASHES_TO_QUARANTINE => Change::Suspected { crashes },
             (true, _) => Change::Quarantined,
         };
-        self.changed();
+        self.revision += 1;
         change
     }
 
@@ -246,7 +255,7 @@
         // The repeats of what it was: others may know of more.
         entry.tell();
         let crashes = entry.clear(signed(now_ms));
-        self.changed();
+        self.revision += 1;
         Change::Cleared { crashes }
     }
 
@@ -272,19 +281,19 @@
         if added > 0 || taken_away > 0 || sender_is_behind {
             entry.tell();
         }
-        let change = match (added, taken_away, entry.counted()) {
+        let change = match (added, taken_away, entry.counted) {
             (0, 0, _) => Change::None,
             (0, crashes, _) => Change::Cleared { crashes },
             (_, _, crashes) if crashes < CRASHES_TO_QUARANTINE => Change::Suspected { crashes },
             _ => Change::Quarantined,
         };
-        self.changed();
+        self.revision += 1;
         change
     }
 
     /// How many crashes count against a request.
     pub fn crashes(&self, request: &ids::Fingerprint) -> usize {
-        self.entries.get(request).map_or(0, Entry::counted)
+        self.entries.get(request).map_or(0, |entry| entry.counted)
     }
 
     /// How much longer a request is kept from servers, in milliseconds; `None` if it is not.
@@ -321,45 +330,44 @@
 
     /// Tells whether two routers know the same of requests with more than one crash.
     pub fn summary(&self) -> u64 {
-        self.summary
+        let urgent = self.entries.iter().filter(|(_, entry)| entry.urgent());
+        urgent.fold(0, |summary, (request, entry)| {
+            let [.., a, b, c, d, e, f, g, h] = request.whole;
+            let low = u64::from_be_bytes([a, b, c, d, e, f, g, h]);
+            let mixed = rendezvous::mix(low) ^ entry.counted as u64;
+            summary ^ rendezvous::mix(request.head ^ mixed)
+        })
     }
 
     /// Whether something is to be told, and whether that is urgent.
     pub fn fresh(&self) -> Option<Urgency> {
         let fresh = self.entries.values().filter(|entry| entry.sends_left > 0);
-        match (self.fresh > 0).then(|| fresh.map(Entry::urgent).max()).flatten() {
-            None => None,
-            Some(true) => Some(Urgency::AtOnce),
-            Some(false) => Some(Urgency::Soon),
+        match fresh.map(Entry::urgent).max()? {
+            true => Some(Urgency::AtOnce),
+            false => Some(Urgency::Soon),
         }
     }
 
     /// What the next datagram says: what was not told often enough, with the most crashes first, and for a peer that
     /// knows something else a part of the rest.
     pub fn news(&mut self, peer_differs: bool, now_ms: u64) -> News {
-        let mut told: Vec<ids::Fingerprint> = Vec::new();
-        if self.fresh > 0 {
-            let mut fresh: Vec<(usize, i64, ids::Fingerprint)> = self
-                .entries
-                .iter()
-                .filter(|(_, entry)| entry.sends_left > 0)
-                .map(|(request, entry)| (entry.counted(), entry.latest_ms(), *request))
-                .collect();
-            fresh.sort_unstable_by(|one, other| other.cmp(one));
-            fresh.truncate(REPORTS_MAX);
-            for (_, _, request) in fresh {
-                if let Some(entry) = self.entries.get_mut(&request) {
-                    entry.sends_left -= 1;
-                    self.fresh -= usize::from(entry.sends_left == 0);
-                }
-                told.push(request);
+        let fresh = self.entries.iter().filter(|(_, entry)| entry.sends_left > 0);
+        let mut fresh: Vec<(usize, i64, ids::Fingerprint)> =
+            fresh.map(|(request, entry)| (entry.counted, entry.latest_ms(), *request)).collect();
+        fresh.sort_unstable_by(|one, other| other.cmp(one));
+        fresh.truncate(REPORTS_MAX);
+        let mut told: Vec<ids::Fingerprint> =
+            fresh.into_iter().map(|(_, _, request)| request).collect();
+        for request in &told {
+            if let Some(entry) = self.entries.get_mut(request) {
+                entry.sends_left -= 1;
             }
         }
         if peer_differs {
             told.extend(self.next_answer(REPORTS_MAX - told.len(), &told));
         }
         let reports = told.iter().filter_map(|request| self.report(request, now_ms)).collect();
-        News { summary: self.summary, reports }
+        News { summary: self.summary(), reports }
     }
 
     /// All that the store keeps: what is kept from servers.
@@ -378,12 +386,14 @@
         let mut dropped = 0;
         self.entries.retain(|_, entry| {
             let known = entry.crashes.len();
-            entry.crashes.retain(|crash| counts(crash.at_ms));
+            if !entry.crashes.iter().all(|crash| counts(crash.at_ms)) {
+                entry.keep(|crash| counts(crash.at_ms));
+            }
             dropped += known - entry.crashes.len();
             !entry.crashes.is_empty() || entry.cleared_ms.is_some_and(counts)
         });
         if dropped > 0 || self.entries.len() < before {
-            self.changed();
+            self.revision += 1;
         }
     }
 
@@ -424,22 +434,11 @@
         let least = self
             .entries
             .iter()
-            .min_by_key(|(request, entry)| (entry.counted(), entry.latest_ms(), **request));
+            .min_by_key(|(request, entry)| (entry.counted, entry.latest_ms(), **request));
         if let Some(request) = least.map(|(request, _)| *request) {
             self.entries.remove(&request);
         }
     }
-
-    fn changed(&mut self) {
-        self.revision += 1;
-        let urgent = self.entries.iter().filter(|(_, entry)| entry.urgent());
-        self.summary = urgent.fold(0, |summary, (request, entry)| {
-            let [.., a, b, c, d, e, f, g, h] = request.whole;
-            let low = u64::from_be_bytes([a, b, c, d, e, f, g, h]);
-            summary ^ rendezvous::mix(request.head ^ rendezvous::mix(low) ^ entry.counted() as u64)
-        });
-        self.fresh = self.entries.values().filter(|entry| entry.sends_left > 0).count();
-    }
 }
 
 /// How soon something is to be told.
--- /dev/null
+++ b/core/tests/quarantine.rs
@@ -0,0 +1,228 @@
+//! What routers know of requests that crash servers: views merge in any order, are bounded, and are kept by the store.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use doorswitch_core::{ids, quarantine};
+use quarantine::{Change, Report, Server, Table};
+use rand::rngs::StdRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{RngExt, SeedableRng};
+
+const NOW_MS: u64 = 100_000;
+
+fn request(number: u64) -> ids::Fingerprint {
+    let mut whole = [0; 16];
+    whole[..8].copy_from_slice(&number.to_be_bytes());
+    ids::Fingerprint { head: number, whole }
+}
+
+fn server(number: u64) -> Server {
+    Server::new(&format!("vm-{number}"), ids::ServerLife(1))
+}
+
+/// Three crashes under a request, a second apart.
+fn quarantine(table: &mut Table, number: u64) {
+    for crash in 0..3 {
+        table.crashed(request(number), server(crash), NOW_MS + crash * 1_000);
+    }
+}
+
+fn told(table: &mut Table, now_ms: u64) -> Vec<Report> {
+    table.news(true, now_ms).reports
+}
+
+#[test]
+fn three_crashes_of_different_lives_keep_a_request_from_servers_and_two_do_not() {
+    let mut table = Table::default();
+    assert_eq!(table.crashed(request(1), server(1), NOW_MS), Change::Suspected { crashes: 1 });
+    assert_eq!(table.crashed(request(1), server(1), NOW_MS + 2_000), Change::None);
+    let second = table.crashed(request(1), server(2), NOW_MS + 2_000);
+    assert_eq!(second, Change::Suspected { crashes: 2 });
+    assert_eq!(table.quarantined_ms(&request(1), NOW_MS + 2_000), None);
+    assert_eq!(table.crashed(request(1), server(3), NOW_MS + 4_000), Change::Quarantined);
+    let left_ms = table.quarantined_ms(&request(1), NOW_MS + 4_000);
+    assert_eq!(left_ms, Some(quarantine::QUARANTINE_MS as u64));
+    assert_eq!(table.quarantined_ms(&request(2), NOW_MS + 4_000), None);
+}
+
+#[test]
+fn a_vm_whose_lives_have_no_names_crashes_again_after_a_while() {
+    let vm = Server::new("vm", ids::ServerLife::UNKNOWN);
+    let mut table = Table::default();
+    table.crashed(request(1), vm, NOW_MS);
+    assert_eq!(table.crashed(request(1), vm, NOW_MS + 300), Change::None, "seen by another router");
+    table.crashed(request(1), vm, NOW_MS + 3_000);
+    assert_eq!(table.crashed(request(1), vm, NOW_MS + 6_000), Change::Quarantined);
+}
+
+#[test]
+fn after_the_quarantine_one_more_crash_is_enough() {
+    let mut table = Table::default();
+    quarantine(&mut table, 1);
+    let over_ms = NOW_MS + 2_000 + quarantine::QUARANTINE_MS as u64;
+    assert_eq!(table.quarantined_ms(&request(1), over_ms), None);
+    table.expire(over_ms);
+    assert_eq!(table.crashed(request(1), server(9), over_ms), Change::Quarantined);
+}
+
+#[test]
+fn a_good_end_voids_what_was_before_it_and_not_what_comes_after() {
+    let mut table = Table::default();
+    quarantine(&mut table, 1);
+    assert_eq!(table.clear(request(1), NOW_MS + 5_000), Change::Cleared { crashes: 3 });
+    assert_eq!(table.quarantined_ms(&request(1), NOW_MS + 5_000), None);
+    assert_eq!(table.crashed(request(1), server(7), NOW_MS + 4_000), Change::None, "late news");
+    let after = table.crashed(request(1), server(8), NOW_MS + 6_000);
+    assert_eq!(after, Change::Suspected { crashes: 1 });
+}
+
+/// Crashes and a good end at several routers, told in any order, more than once, some only at the end: all know the same.
+fn views_merge(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut tables: Vec<Table> = (0..5).map(|_| Table::default()).collect();
+    let mut reports: Vec<Report> = Vec::new();
+    let end_ms = NOW_MS + 20_000;
+    for crash in 0..rng.random_range(1..9) {
+        let at_ms = NOW_MS + crash * 1_000;
+        let table = tables.choose_mut_in(&mut rng);
+        table.crashed(request(1), server(crash), at_ms);
+        if rng.random_range(0..6) == 0 {
+            table.clear(request(1), at_ms + 500);
+        }
+        reports.extend(told(table, end_ms));
+    }
+    for _ in 0..4 {
+        for table in &mut tables {
+            reports.extend(told(table, end_ms));
+        }
+        let repeated: Vec<Report> = reports.sample(&mut rng, 3).cloned().collect();
+        reports.extend(repeated);
+        reports.shuffle(&mut rng);
+        for table in &mut tables {
+            for report in &reports {
+                table.hear(report, end_ms);
+            }
+        }
+    }
+    let first = tables[0].quarantined_ms(&request(1), end_ms);
+    for table in &tables {
+        assert_eq!(table.crashes(&request(1)), tables[0].crashes(&request(1)), "seed {seed}");
+        assert_eq!(table.quarantined_ms(&request(1), end_ms), first, "seed {seed}");
+        assert_eq!(table.summary(), tables[0].summary(), "seed {seed}");
+    }
+}
+
+trait ChooseMut {
+    type Item;
+    fn choose_mut_in(&mut self, rng: &mut StdRng) -> &mut Self::Item;
+}
+
+impl ChooseMut for Vec<Table> {
+    type Item = Table;
+    fn choose_mut_in(&mut self, rng: &mut StdRng) -> &mut Table {
+        let place = rng.random_range(0..self.len());
+        &mut self[place]
+    }
+}
+
+#[test]
+fn views_merge_in_any_order() {
+    (0..300).for_each(views_merge);
+}
+
+#[test]
+fn endless_new_requests_drive_out_no_request_that_is_kept_from_servers() {
+    let mut table = Table::default();
+    quarantine(&mut table, 1);
+    for number in 0..20_000 {
+        table.crashed(request(100 + number), server(number), NOW_MS + 10 + number);
+    }
+    assert!(table.quarantined_ms(&request(1), NOW_MS + 30_000).is_some());
+    assert!(table.suspected() <= 2_048, "{} entries", table.suspected());
+}
+
+#[test]
+fn a_datagram_tells_a_bounded_part_and_all_is_told_in_the_end() {
+    let mut table = Table::default();
+    for number in 0..100 {
+        quarantine(&mut table, number);
+    }
+    let mut other = Table::default();
+    let mut datagrams = 0;
+    while other.summary() != table.summary() {
+        let news = table.news(true, NOW_MS + 5_000);
+        let bytes = postcard::to_stdvec(&news).unwrap().len();
+        assert!(bytes <= 2_500, "{bytes} bytes");
+        for report in &news.reports {
+            other.hear(report, NOW_MS + 5_000);
+        }
+        datagrams += 1;
+        assert!(datagrams < 200, "not all is told");
+    }
+}
+
+#[test]
+fn a_calm_fleet_is_told_nothing() {
+    let mut table = Table::default();
+    assert_eq!(table.news(false, NOW_MS), quarantine::News::default());
+    assert_eq!(table.fresh(), None);
+    table.crashed(request(1), server(1), NOW_MS);
+    while table.fresh().is_some() {
+        assert_eq!(table.news(false, NOW_MS).reports.len(), 1);
+    }
+    assert!(table.news(false, NOW_MS).reports.is_empty());
+}
+
+#[test]
+fn reports_of_any_age_and_length_are_taken() {
+    let mut table = Table::default();
+    for age_ms in [0, 1, u64::MAX, u64::MAX / 2, i64::MAX as u64, 3_600_000] {
+        let crashes = (0..500).map(|number| quarantine::Crash { server: server(number), age_ms });
+        let crashes: Vec<_> = crashes.collect();
+        for cleared_age_ms in [None, Some(0), Some(u64::MAX)] {
+            let report =
+                Report { request: request(age_ms), crashes: crashes.clone(), cleared_age_ms };
+            table.hear(&report, NOW_MS);
+            table.expire(NOW_MS);
+            table.expire(u64::MAX);
+        }
+    }
+    assert_eq!(table.suspected(), 0);
+}
+
+#[test]
+fn what_the_store_keeps_is_the_same_for_the_next_life() {
+    let mut table = Table::default();
+    quarantine(&mut table, 1);
+    table.crashed(request(2), server(1), NOW_MS);
+    let now_ms = NOW_MS + 10_000;
+    let unix_ms = 1_796_000_000_000;
+    let record = quarantine::Record::new(table.reports_of_quarantined(now_ms), unix_ms);
+    let record = quarantine::Record::decode(&record.encode()).unwrap();
+    // Another process, whose clock has just begun, five seconds later.
+    let mut next = Table::default();
+    for report in record.reports(unix_ms + 5_000) {
+        next.hear(&report, 20);
+    }
+    let left_ms = table.quarantined_ms(&request(1), now_ms).unwrap();
+    assert_eq!(next.quarantined_ms(&request(1), 20), Some(left_ms - 5_000));
+    assert_eq!(next.crashes(&request(2)), 0, "only what is kept from servers");
+}
+
+#[test]
+fn a_value_that_is_no_record_is_an_error() {
+    for value in [&b""[..], b"{", b"[]", b"null", b"{\"requests\":[{}]}", b"\xff"] {
+        assert!(quarantine::Record::decode(value).is_err());
+    }
+}
+
+#[test]
+fn a_fingerprint_reads_as_it_is_written() {
+    let fingerprint = request(0x0123_4567_89ab_cdef);
+    assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
+    for text in
+        ["", "0", "zz", &"0".repeat(47), &"0".repeat(49), &"+".repeat(48), &"\u{e9}".repeat(24)]
+    {
+        assert!(text.parse::<ids::Fingerprint>().is_err(), "{text}");
+    }
+}
