Soak with a request that crashes each server that runs it

Cause: the soak knew no such client. Five servers of their own crash under one path (all connections end, new ones are refused for 1.5 s, back under their ids with a later start); a client sends it every 0.3 s and an innocent request beside it, while the drawn faults go on. Late sends by routers in touch beyond 3, and an innocent request that is kept from servers, break a promise.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -6,14 +6,19 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use std::{io, thread};
 
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
-/// The only service.
+/// The service of the first two servers.
 const SERVICE: &str = "app";
+/// The service whose servers crash.
+pub const FRAGILE_SERVICE: &str = "fragile";
+/// The path of its route.
+pub const FRAGILE_PATH: &str = "/fragile/";
 /// The failure domains that the routers lie in.
 const FAILURE_DOMAINS: usize = 3;
 /// A router names so many others as seeds.
@@ -35,6 +40,7 @@
 
 /// Why a fleet could not be set up or changed.
 #[derive(Debug, snafu::Snafu)]
+#[snafu(visibility(pub(crate)))]
 #[allow(missing_docs)]
 pub enum Error {
     #[snafu(display("cannot {what}: {source}"))]
@@ -60,7 +66,7 @@
 pub struct Fleet {
     binary: PathBuf,
     folder: PathBuf,
-    store: store::Store,
+    store: Arc<store::Store>,
     /// Every life of every server, by the number that its answers name. The earlier ones still answer.
     lives: Vec<backend::Backend>,
     routers: Vec<Router>,
@@ -82,7 +88,7 @@
         let mut fleet = Self {
             binary: binary.to_owned(),
             folder: folder.to_owned(),
-            store,
+            store: Arc::new(store),
             lives: Vec::new(),
             routers: Vec::new(),
             version: 0,
@@ -158,8 +164,10 @@
     pub fn publish(&mut self) -> u64 {
         self.version += 1;
         let first = self.version.saturating_sub(ROUTES_KEPT).max(1);
-        let paths = (first..=self.version).map(added_path);
-        self.store.publish(&wire::configuration(self.version, HOST, SERVICE, paths));
+        let added = (first..=self.version).map(|version| (added_path(version), SERVICE));
+        let routes = added.chain([(FRAGILE_PATH.to_owned(), FRAGILE_SERVICE)]);
+        let services = [SERVICE, FRAGILE_SERVICE];
+        self.store.publish(&wire::configuration(self.version, HOST, &services, routes));
         self.version
     }
 
@@ -250,7 +258,7 @@
     }
 
     /// The store.
-    pub fn store(&self) -> &store::Store {
+    pub fn store(&self) -> &Arc<store::Store> {
         &self.store
     }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod fleet;
 pub mod observe;
+pub mod poison;
 pub mod prober;
 pub mod run;
 pub mod schedule;
--- a/soak/src/observe.rs
+++ b/soak/src/observe.rs
@@ -36,6 +36,10 @@
     Unready,
     /// A life of a server that had ended, or had said that it leaves, got a request.
     EarlierLife,
+    /// A request that crashes servers reached one, long after it had crashed the third.
+    PoisonSent,
+    /// A request that crashes none was kept from servers.
+    InnocentKept,
 }
 
 /// A broken promise, with the answer that shows it.
@@ -114,6 +118,19 @@
         self.shown[router] = 0;
     }
 
+    /// Whether a router is bound by its promises now.
+    pub fn in_touch(&self, router: usize) -> bool {
+        let (harms, harmed) = self.harmed[router];
+        harms == 0 && harmed.elapsed() > IN_TOUCH
+    }
+
+    /// Notes a promise that was broken by an answer which another judged.
+    pub fn break_promise(&mut self, broken: Broken, router: usize, sent: Instant) {
+        let answer = Answer { router, version: self.newest, sent, status: None, life: None };
+        let (after_ack, after_harm) = (Duration::ZERO, self.harmed[router].1.elapsed());
+        self.violations.push(Violation { broken, answer, after_ack, after_harm });
+    }
+
     /// Judges an answer.
     pub fn take(&mut self, answer: Answer) {
         *self.statuses.entry(answer.status.unwrap_or(0)).or_default() += 1;
--- a/soak/src/prober.rs
+++ b/soak/src/prober.rs
@@ -31,6 +31,11 @@
         self.record.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the run has ended.
+    pub fn ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     /// Ends the probers.
     pub fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Carries a schedule out and tells what was seen.
 
-use crate::{fleet, observe, prober, schedule};
+use crate::{fleet, observe, poison, prober, schedule};
 use doorswitch_standins::{network, store};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -36,6 +36,8 @@
     pub began: Instant,
     /// Routers whose processes ended by themselves.
     pub ended: Vec<usize>,
+    /// What the request did that crashes servers.
+    pub poison: poison::Seen,
 }
 
 /// A moment of a run.
@@ -65,12 +67,16 @@
     let probers: Vec<thread::JoinHandle<()>> = (0..*routers)
         .map(|place| prober::start(place, run.fleet.clients_address(place), run.shared.clone()))
         .collect();
+    let store = run.fleet.store().clone();
+    let clients = (0..*routers).map(|place| run.fleet.clients_address(place)).collect();
+    let poison = poison::start(store, clients, run.shared.clone())?;
     let began = Instant::now();
     let carried_out = run.carry_out(schedule, began);
     run.shared.end();
     for prober in probers {
         let _ = prober.join();
     }
+    let poison = poison.join().unwrap_or_default();
     let ended = run.fleet.ended_by_itself().into_iter().collect();
     carried_out?;
     let record = run.shared.record();
@@ -79,6 +85,7 @@
         statuses: record.statuses(),
         began,
         ended,
+        poison,
     })
 }
 
--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -30,24 +30,26 @@
     }
 }
 
-/// A configuration of public routes to one service, one for each path.
-pub fn configuration(
+/// A configuration of public routes, each by its path and service.
+pub fn configuration<'a>(
     version: u64,
     host: &str,
-    service: &str,
-    paths: impl Iterator<Item = String>,
+    services: &[&str],
+    routes: impl Iterator<Item = (String, &'a str)>,
 ) -> Vec<u8> {
-    let route = |path: String| {
+    let route = |(path, service): (String, &str)| {
         json!({
             "name": path.trim_matches('/'), "host": host, "pathPrefix": path,
             "routeType": "idempotent", "timeoutMs": 1_000, "targetLatencyMs": 200, "priority": 1,
             "service": service, "maxAttempts": 1, "public": true,
         })
     };
+    let service =
+        |name: &&str| json!({ "name": name, "healthPath": "/health", "maxConnections": 400 });
     let configuration = json!({
         "version": version,
-        "routes": paths.map(route).collect::<Vec<_>>(),
-        "services": [{ "name": service, "healthPath": "/health", "maxConnections": 400 }],
+        "routes": routes.map(route).collect::<Vec<_>>(),
+        "services": services.iter().map(service).collect::<Vec<_>>(),
         "limits": {
             "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
             "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
