A router that misses its peers reads the store's record after a crash that it sees

Cause: a router that is cut off from its peers and reaches the store hears of no quarantine, and takes three crashes of its own for each request. Ruled out: watching the record (a waiting call for each router all the time). One read after a crash that it saw, where routers are missing, at most two a second; a calm router reads once in its life (a test counts 7 calls of 7 routers in a minute).

--- a/core/src/node/quarantine.rs
+++ b/core/src/node/quarantine.rs
@@ -199,6 +199,10 @@
         if change == quarantine::Change::Quarantined {
             self.quarantine.keeper.want_write();
         }
+        // Routers that this one does not reach may have put it into quarantine already.
+        if self.members.live_count() < self.most_routers {
+            self.quarantine.keeper.want_read();
+        }
         self.note_change(request, change, QuarantineSource::Seen, at_ms);
     }
 
--- a/core/src/quarantine/keeper.rs
+++ b/core/src/quarantine/keeper.rs
@@ -1,5 +1,5 @@
-//! When a router reads and writes what the store keeps: it reads once after its start, and writes after a crash that it
-//! saw itself put a request into quarantine, or an operator took one out.
+//! When a router reads and writes what the store keeps: it reads after its start, and where it misses routers after a
+//! crash that it saw; it writes after such a crash has put a request into quarantine, or an operator took one out.
 
 use crate::{backoff, store};
 use rand::rngs;
@@ -7,6 +7,8 @@
 /// Pauses after calls that failed.
 const PAUSE_FIRST_MS: u64 = 500;
 const PAUSE_LONGEST_MS: u64 = 10_000;
+/// Crashes that come together cost one read.
+const READ_AGAIN_MS: u64 = 500;
 
 /// What the store's reply says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +47,11 @@
 }
 
 impl Keeper {
+    /// Has the record read once more.
+    pub fn want_read(&mut self) {
+        self.read_wanted = true;
+    }
+
     /// Has the record written.
     pub fn want_write(&mut self) {
         self.write_wanted = true;
@@ -72,6 +79,7 @@
         match reply {
             store::Reply::Found { index, value } => {
                 self.has_read(index);
+                self.not_before_ms = now_ms + READ_AGAIN_MS;
                 Reply::Value(value)
             }
             store::Reply::Undecodable { index } => {
@@ -80,6 +88,7 @@
             }
             store::Reply::Missing => {
                 self.has_read(0);
+                self.not_before_ms = now_ms + READ_AGAIN_MS;
                 Reply::Nothing
             }
             store::Reply::WrittenAt { index } => {
--- a/core/tests/poison_schedules.rs
+++ b/core/tests/poison_schedules.rs
@@ -391,3 +391,48 @@
         scenario.check_spared(seed);
     }
 }
+
+/// A run that crashes its server, as a router sees it.
+fn crash_at(fleet: &mut Fleet, router: usize, number: u8) {
+    let vm = format!("crashed-{number}");
+    let broken = node::BrokenRun {
+        slot: ids::RequestSlot::default(),
+        server: quarantine::LifeOf { vm, life: ids::ServerLife(1) },
+        address: format!("10.9.2.{number}:1"),
+        request: fingerprint(0),
+    };
+    let now_ms = fleet.now_ms;
+    let node = &mut fleet.routers[router].node;
+    node.run_broken(&broken, now_ms);
+    node.server_refused(&broken.server, now_ms);
+}
+
+#[test]
+fn a_router_that_misses_its_peers_learns_from_the_store_after_one_crash() {
+    let mut fleet = watch_fleet::settled(7, TIGHT, 400);
+    let alone = 3;
+    fleet.routers[alone].group = 1;
+    fleet.trouble(alone);
+    fleet.run_until("it knows that it is alone", 60_000, |fleet| {
+        fleet.routers[alone].node.members().live_count() == 1
+    });
+    for crash in 0..3 {
+        crash_at(&mut fleet, usize::from(crash), crash);
+        fleet.run_ms(1_000);
+    }
+    let kept = |fleet: &Fleet, router: usize| {
+        let table = fleet.routers[router].node.quarantine();
+        table.quarantined_ms(&fingerprint(0), fleet.now_ms).is_some()
+    };
+    assert!(kept(&fleet, 0) && !kept(&fleet, alone));
+    crash_at(&mut fleet, alone, 7);
+    fleet.run_ms(1_000);
+    assert!(kept(&fleet, alone));
+}
+
+#[test]
+fn a_calm_router_reads_the_record_once() {
+    let mut fleet = watch_fleet::settled(7, TIGHT, 401);
+    fleet.run_ms(60_000);
+    assert_eq!(fleet.value_calls, 7);
+}
