--- a/core/tests/poison_schedules.rs
+++ b/core/tests/poison_schedules.rs
@@ -458,3 +458,22 @@
     fleet.run_ms(60_000);
     assert_eq!(fleet.value_calls, 7);
 }
+
+#[test]
+fn a_router_that_starts_while_the_store_is_away_learns_from_its_peers() {
+    for seed in 410..420 {
+        let mut fleet = watch_fleet::settled(7, TIGHT, seed);
+        fleet.loss_percent = 10;
+        for crash in 0..3 {
+            crash_at(&mut fleet, usize::from(crash), crash);
+            fleet.run_ms(1_000);
+        }
+        fleet.run_ms(5_000);
+        fleet.set_store(Store::Silent);
+        fleet.restart(5);
+        fleet.run_until("it knows", CONTACT_MS, |fleet| {
+            let table = fleet.routers[5].node.quarantine();
+            table.quarantined_ms(&fingerprint(0), fleet.now_ms).is_some()
+        });
+    }
+}
