--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod messages;
 mod path;
+mod quarantine;
 mod values;
 
 #[global_allocator]
@@ -33,11 +34,12 @@
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).filter(|it| !it.starts_with("--")).collect();
-    let parts: [(&str, fn()); 4] = [
+    let parts: [(&str, fn()); 5] = [
         ("control", control::show),
         ("messages", messages::show),
         ("values", values::show),
         ("path", path::show),
+        ("quarantine", quarantine::show),
     ];
     for (name, show) in parts {
         if wanted.is_empty() || wanted.iter().any(|it| it == name) {
