Routers log when a server says in an answer that it leaves or asks for a backoff

Cause of the change: logs could not tell whether a router was told, when, and by whom, so a header that is not read looked like one that is read and then passed over. The heads of answers are now read in one place of platform/ into one type, told to the control state, and kept: leavings by life and source, backoffs by their latest end. event=server_leaving, server_leaving_ended, server_backoff, server_backoff_ended, header_unreadable (which replaces limit_unreadable); metrics by service, dump, status. Nothing acts on them yet: the choice of a server, retries and refusals are as before.

Leavings and limits share the rule by which a datagram tells a long table in turn; before, a datagram named the first 16 leaving VMs by name, always the same. Datagrams name who told of a leaving (protocol 9); the index of a list, which nothing read, is gone.

--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -1,10 +1,10 @@
 //! What routers say to each other. Every frame carries [`PROTOCOL`]; another one is not decoded.
 
-use crate::{evacuation, ids, log_index, members, quarantine, servers, watch};
+use crate::{evacuation, ids, leavings, log_index, members, quarantine, servers, watch};
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of how they travel. It changes with every change of either.
-pub const PROTOCOL: u16 = 8;
+pub const PROTOCOL: u16 = 9;
 
 /// A message with its sender and the life that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -237,6 +237,6 @@
     pub vm: String,
     /// The life of its server that is leaving.
     pub life: ids::ServerLife,
-    /// The index of the platform's list that showed it as leaving.
-    pub list_index: u64,
+    /// Who told that.
+    pub source: leavings::Source,
 }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Node`] takes events as method calls and leaves what is to be done in a list of [`Action`]s. The
 //! systems live in the modules beside this one: `admit` (from request to dispatch), `tokens` and `queue`
-//! (what requests wait for), `limits` (what servers take), `settle` (their ends), `platform` (calls to the store), `peers` (messages).
+//! (what requests wait for), `limits` (what servers take), `said` (what they say of themselves), `settle` (their ends), `platform` (calls to the store), `peers` (messages).
 
 mod admit;
 mod adopt;
@@ -19,6 +19,7 @@
 mod questions;
 mod queue;
 mod relay;
+mod said;
 mod settle;
 mod tokens;
 mod types;
@@ -30,8 +31,8 @@
 pub use types::*;
 
 use crate::{
-    config, evacuation, grants, ids, ledger, ledger_writer, limiter, log_writer, members, outbox,
-    retry, servers, store, watch,
+    config, evacuation, grants, ids, leavings, ledger, ledger_writer, limiter, log_writer, members,
+    outbox, retry, servers, store, watch,
 };
 use rand::SeedableRng;
 use rand::rngs;
@@ -140,8 +141,8 @@
     vms_heard_ms: u64,
     /// The first list in which this router saw its own VM; 0 before that.
     listed_index: u64,
-    /// Servers that are leaving: which life of them, and the index of the list that said so.
-    leaving: collections::BTreeMap<String, (ids::ServerLife, u64)>,
+    leavings: leavings::Leavings,
+    leavings_told_ms: u64,
     grants: grants::Table,
     servers: servers::Table,
     members: members::Table,
@@ -203,7 +204,8 @@
             vms_index: 0,
             vms_heard_ms: 0,
             listed_index: 0,
-            leaving: Default::default(),
+            leavings: Default::default(),
+            leavings_told_ms: 0,
             grants: grants::Table::default(),
             servers: servers::Table::default(),
             members,
@@ -283,6 +285,11 @@
         &self.servers
     }
 
+    /// The servers that are known to leave.
+    pub fn leavings(&self) -> &leavings::Leavings {
+        &self.leavings
+    }
+
     /// The routers as seen from here.
     pub fn members(&self) -> &members::Table {
         &self.members
@@ -299,6 +306,7 @@
         self.tick_watching(now_ms);
         self.tick_rates(now_ms);
         self.tick_waiting_budget(now_ms);
+        self.tick_said(now_ms);
         self.tick_limits(now_ms);
         self.tick_waiting_servers(now_ms);
         self.tick_waiting_claims(now_ms);
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -1,7 +1,7 @@
 //! What the platform and peers tell of the world: configurations, lists of VMs, what earlier lives left.
 
 use super::{Action, ConfigSource, Lifecycle, Node, Notice, ROUTER_SERVICE};
-use crate::{config, grants, ids, ledger_writer, log_writer, servers};
+use crate::{config, grants, ids, leavings, ledger_writer, log_writer, servers};
 use std::collections;
 
 impl Node {
@@ -100,7 +100,7 @@
         });
         let vms: Vec<servers::Vm> = vms.collect();
         for vm in vms.iter().filter(|vm| vm.state == servers::VmState::Leaving) {
-            self.note_leaving(&vm.vm, vm.life, index);
+            self.hear_leaving(&vm.vm, vm.life, leavings::Source::Record, None);
         }
         let routers = vms.iter().filter(|vm| vm.service == ROUTER_SERVICE);
         self.members.add_seeds(routers.map(|vm| vm.address.clone()));
@@ -114,7 +114,7 @@
             self.listed_index = index;
         }
         self.note_ended_lives(now_ms);
-        self.forget_leaving();
+        self.forget_leavings(now_ms);
         if router_gone {
             // What it held is written off by whoever reads the ledger next.
             self.ledgers.iter_mut().for_each(ledger_writer::Writer::poke);
@@ -124,10 +124,7 @@
 
     /// The backend servers that may be used: those of the list, and those whose records lapsed but may be back soon.
     fn backends(&self, vms: &[servers::Vm]) -> Vec<servers::Vm> {
-        let stays = |vm: &&servers::Vm| match self.leaving.get(&vm.vm) {
-            Some((life, _)) => *life < vm.life,
-            None => true,
-        };
+        let stays = |vm: &&servers::Vm| !self.leavings.holds(&vm.vm, vm.life);
         let back_soon = self.lapsed.iter().filter(stays);
         let mut backends: Vec<servers::Vm> = vms
             .iter()
@@ -152,12 +149,13 @@
     }
 
     /// A leaving that was heard holds also for a record that lapsed meanwhile, and not for a later life.
-    fn forget_leaving(&mut self) {
+    fn forget_leavings(&mut self, now_ms: u64) {
         let known = self.vms.values().chain(&self.lapsed);
         let lives: collections::HashMap<&str, ids::ServerLife> =
             known.map(|vm| (vm.vm.as_str(), vm.life)).collect();
-        self.leaving
-            .retain(|vm, (life, _)| lives.get(vm.as_str()).is_some_and(|present| present <= life));
+        for (vm, life) in self.leavings.forget(&lives, now_ms) {
+            self.actions.push(Action::Notice(Notice::ServerLeavingEnded { vm, life }));
+        }
     }
 
     /// Requests are taken once both the configuration and the servers are known.
--- a/core/src/node/counters.rs
+++ b/core/src/node/counters.rs
@@ -60,6 +60,8 @@
     pub refused: std::collections::BTreeMap<Reason, u64>,
     /// Requests refused because all fitting servers were limited, by service.
     pub refused_for_limits: std::collections::BTreeMap<String, u64>,
+    /// Backoffs that servers asked for, by service.
+    pub server_backoffs: std::collections::BTreeMap<String, u64>,
     #[serde(skip)]
     pub store_calls: std::collections::BTreeMap<(CallPurpose, CallOutcome), u64>,
     pub consumed_tokens: u64,
--- a/core/src/node/dump.rs
+++ b/core/src/node/dump.rs
@@ -15,7 +15,9 @@
             "lifecycle": self.lifecycle,
             "config_version": self.config_version(),
             "vms_index": self.vms_index,
-            "leaving_vms": self.leaving.keys().collect::<Vec<_>>(),
+            "leaving_vms": self.leavings.iter().map(|(vm, _)| vm).collect::<Vec<_>>(),
+            "leaving_servers": self.dump_leavings(),
+            "backing_off_servers": self.dump_backoffs(now_ms),
             "counters": self.counters,
             "quarantine": self.dump_quarantine(now_ms),
             "budgets": self.dump_budgets(),
@@ -80,6 +82,26 @@
         servers.collect::<serde_json::Map<_, _>>().into()
     }
 
+    fn dump_leavings(&self) -> serde_json::Value {
+        let leavings = self.leavings.iter().map(|(vm, leaving)| {
+            let figures = json!({ "life": leaving.life.0, "source": leaving.source });
+            (vm.to_owned(), figures)
+        });
+        leavings.collect::<serde_json::Map<_, _>>().into()
+    }
+
+    fn dump_backoffs(&self, now_ms: u64) -> serde_json::Value {
+        let backoffs = self.servers.backing_off().filter_map(|(slot, backoff)| {
+            let server = self.servers.get(slot)?;
+            let figures = json!({
+                "service": server.vm.service,
+                "left_ms": backoff.opens_ms().saturating_sub(now_ms),
+            });
+            Some((server.vm.vm.clone(), figures))
+        });
+        backoffs.collect::<serde_json::Map<_, _>>().into()
+    }
+
     fn dump_limits(&self, now_ms: u64) -> serde_json::Value {
         let limits = self.servers.limits().iter_limited().filter_map(|(slot, known)| {
             let server = self.servers.get(slot)?;
--- a/core/src/node/limits.rs
+++ b/core/src/node/limits.rs
@@ -74,21 +74,15 @@
         &mut self,
         vm: &str,
         life: ids::ServerLife,
-        said: servers::LimitSaid,
+        said: servers::Stated<u64>,
         took_ms: u64,
         now_ms: u64,
     ) {
         let Some(slot) = self.servers.find_life(vm, life) else { return };
         let limit_milli_per_s = match said {
-            servers::LimitSaid::MilliPerS(limit) => Some(limit),
-            servers::LimitSaid::Nothing => None,
-            servers::LimitSaid::Unreadable => {
-                if self.servers.limits_mut().note_unreadable(slot) {
-                    let notice = Notice::LimitUnreadable { vm: vm.to_owned() };
-                    self.actions.push(Action::Notice(notice));
-                }
-                return;
-            }
+            servers::Stated::Value(limit) => Some(limit),
+            servers::Stated::Nothing => None,
+            servers::Stated::Unreadable => return,
         };
         if limit_milli_per_s.is_none() && self.servers.limits().limited(slot).is_none() {
             return;
--- a/core/src/node/notices.rs
+++ b/core/src/node/notices.rs
@@ -1,6 +1,6 @@
 //! Events for the log, and from where a router knows what it acts on.
 
-use crate::{ids, ledger, servers, watch};
+use crate::{ids, leavings, ledger, servers, watch};
 
 /// From where a router has its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,10 +116,50 @@
         /// From where this is known.
         source: LimitSource,
     },
-    /// What a server names as its limit is no number.
-    LimitUnreadable {
+    /// A server leaves: it gets nothing new.
+    ServerLeaving {
         /// The server's VM.
         vm: String,
+        /// The life that leaves.
+        life: ids::ServerLife,
+        /// What runs on it; empty if that is not known.
+        service: String,
+        /// Who told.
+        source: leavings::Source,
+        /// The router that told this one; `None` if it heard it itself.
+        from: Option<ids::Incarnation>,
+    },
+    /// That a server leaves holds no more: a later life of it began, or it is gone.
+    ServerLeavingEnded {
+        /// The server's VM.
+        vm: String,
+        /// The life that left.
+        life: ids::ServerLife,
+    },
+    /// A server asked this router to send it nothing for a while.
+    ServerBackoff {
+        /// The server's VM.
+        vm: String,
+        /// The life that asked.
+        life: ids::ServerLife,
+        /// What runs on it.
+        service: String,
+        /// For how long from now on.
+        for_ms: u64,
+    },
+    /// A server that asked for a backoff has its part again.
+    ServerBackoffEnded {
+        /// The server's VM.
+        vm: String,
+        /// What runs on it.
+        service: String,
+    },
+    /// A header of a server's answers cannot be read.
+    HeaderUnreadable {
+        /// The server's VM.
+        vm: String,
+        /// The header.
+        header: servers::Header,
     },
     /// A server's record went while the store was away; it is kept for so long.
     ItemLapsed {
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -1,12 +1,10 @@
 //! Messages between routers.
 
 use super::{Action, Node};
-use crate::{ids, log_index, log_writer, members, message, outbox, servers};
+use crate::{ids, log_index, log_writer, members, message, outbox};
 
 /// After this long without the platform's list of VMs, peers are asked for theirs.
 const PLATFORM_SILENT_MS: u64 = 3_000;
-/// The most leaving VMs that one datagram names.
-const LEAVING_ITEMS: usize = 16;
 
 impl Node {
     /// Takes a message from a peer.
@@ -72,7 +70,7 @@
         let differs = self.hear_quarantine(&gossip.quarantine, now_ms);
         self.hear_limits(&gossip.limits, now_ms);
         for leaving in &gossip.leaving {
-            self.hear_leaving(leaving);
+            self.hear_leaving_of(gossip.from.id, leaving);
         }
         match self.watching {
             Some(_) => self.hear_digest(gossip.from.id, &gossip.digest, now_ms),
@@ -160,10 +158,7 @@
         news: Vec<members::Record>,
         now_ms: u64,
     ) {
-        let leaving = self.leaving.iter().take(LEAVING_ITEMS).map(|(vm, (life, list_index))| {
-            message::Leaving { vm: vm.clone(), life: *life, list_index: *list_index }
-        });
-        let leaving = leaving.collect();
+        let leaving = self.leavings.take_news();
         let answers = std::mem::take(&mut self.quarantine.answers);
         let gossip = message::Gossip {
             from: self.members.own().clone(),
@@ -178,25 +173,6 @@
         self.actions.push(Action::Gossip { address, gossip });
     }
 
-    /// Notes that a life of a server is leaving, unless that was known, or a later life is.
-    pub(super) fn note_leaving(&mut self, vm: &str, life: ids::ServerLife, list_index: u64) {
-        let known = self.leaving.entry(vm.to_owned()).or_insert((life, list_index));
-        if known.0 < life {
-            *known = (life, list_index);
-        }
-    }
-
-    fn hear_leaving(&mut self, leaving: &message::Leaving) {
-        // An older list than the one known here says nothing new of a VM that is in neither.
-        let known = self.vms.get(&leaving.vm);
-        let live =
-            known.is_some_and(|vm| vm.state == servers::VmState::Live && vm.life == leaving.life);
-        if live {
-            self.servers.leaving(&leaving.vm, leaving.life);
-            self.note_leaving(&leaving.vm, leaving.life, leaving.list_index);
-        }
-    }
-
     fn take_settlement(
         &mut self,
         from: ids::Incarnation,
--- a/core/src/node/quarantine.rs
+++ b/core/src/node/quarantine.rs
@@ -146,7 +146,7 @@
 
     /// Whether a life of a server said that it leaves.
     fn leaves(&self, server: &quarantine::LifeOf) -> bool {
-        self.leaving.get(&server.vm).is_some_and(|(life, _)| *life >= server.life)
+        self.leavings.holds(&server.vm, server.life)
     }
 
     fn is_over(&self, server: &quarantine::LifeOf, address: &str) -> bool {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -4,20 +4,24 @@
 //! only what others have there, on average. Of two candidates drawn at random the better one is taken:
 //! routers with the same old view then do not all pick the same server.
 
+mod backoff;
 mod by_prompt;
 mod limits;
 mod lives;
 mod permits;
+mod said;
 mod sharing;
 mod vm;
 mod warm_up;
 
+pub use backoff::Backoff;
 pub use by_prompt::{Choice, Part, chain};
-pub use limits::{AnswerId, Known, LimitChange, LimitNews, LimitReport, LimitSaid, Limits};
+pub use limits::{AnswerId, Known, LimitChange, LimitNews, LimitReport, Limits};
 pub use lives::Restarted;
 pub use permits::{
     KEPT_MS as PERMIT_KEPT_MS, PermitsGranted, PermitsWanted, TRIAL_EVERY_MAX_MS, trial_every_ms,
 };
+pub use said::{AnswerAge, Header, Said, Stated};
 pub use vm::{Load, Vm, VmState};
 pub use warm_up::{ColdLimit, Fleet};
 
@@ -71,6 +75,10 @@
     failures: u32,
     ejected_until_ms: u64,
     probing: bool,
+    /// What it asked this router for, until it has its part again.
+    backoff: Option<Backoff>,
+    /// Its headers that could not be read: told once each.
+    unreadable: collections::BTreeSet<Header>,
 }
 
 impl Server {
@@ -91,6 +99,8 @@
             failures: 0,
             ejected_until_ms: 0,
             probing: false,
+            backoff: None,
+            unreadable: Default::default(),
         }
     }
 
@@ -124,6 +134,16 @@
         !self.over && self.listed && !self.evacuated && self.vm.state == VmState::Live
     }
 
+    /// Whether it is listed and leaves.
+    pub fn leaves(&self) -> bool {
+        !self.over && self.listed && self.vm.state == VmState::Leaving
+    }
+
+    /// Whether it asked this router to send it nothing now.
+    fn backs_off(&self, now_ms: u64) -> bool {
+        self.backoff.is_some_and(|backoff| backoff.binds(now_ms))
+    }
+
     fn has_room(&self, now_ms: u64) -> bool {
         let held_back = self.warm_up.is_some_and(|warm_up| warm_up.holds_back(now_ms));
         self.estimated_load() < self.slots() && !held_back
@@ -180,6 +200,8 @@
     fleet: Fleet,
     restarted: Vec<Restarted>,
     limits: Limits,
+    /// Servers with a backoff.
+    backing_off: collections::BTreeSet<ids::ServerSlot>,
     /// Requests that a limited server did not get, by service.
     held_back: collections::BTreeMap<String, u64>,
 }
@@ -244,6 +266,11 @@
         Ok(Choice { slot: chosen, unread_tokens: 0 })
     }
 
+    /// Whether a header of a server could not be read for the first time.
+    pub fn note_unreadable(&mut self, slot: ids::ServerSlot, header: Header) -> bool {
+        self.servers.get_mut(slot).is_some_and(|server| server.unreadable.insert(header))
+    }
+
     /// Counts a request off a server again.
     pub fn ended(&mut self, slot: ids::ServerSlot) {
         if let Some(server) = self.servers.get_mut(slot) {
--- a/core/src/servers/limits.rs
+++ b/core/src/servers/limits.rs
@@ -4,9 +4,9 @@
 //! whose request was sent last; the end of a limit only on an answer whose request was sent after the limit was heard.
 
 use super::permits;
-use crate::ids;
+use crate::{ids, rotation};
 use serde::{Deserialize, Serialize};
-use std::{cmp, collections, ops};
+use std::collections;
 
 /// A limit that no answer confirms any more runs out after this time: long enough for a trial where few requests come.
 const KEPT_MS: u64 = 120_000;
@@ -14,26 +14,9 @@
 const ENDED_KEPT_MS: u64 = 10_000;
 /// What a peer heard longer ago says nothing: here the end of it may be forgotten already.
 const NEWS_OLDEST_MS: u64 = ENDED_KEPT_MS;
-/// How often each change is told.
-const NEWS_REPEATS: u32 = 6;
-/// Items in one datagram, of about 30 bytes each beside the server's name.
-const NEWS_ITEMS: usize = 16;
-/// The most that the names in one datagram take: what another writer calls a server may be long.
-const NEWS_NAMES_BYTES_MAX: usize = 1 << 10;
 /// Changes of a limit by less than one part in so many are no news.
 const NOTABLE_PART: u64 = 10;
 
-/// What an answer of a server says of its limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitSaid {
-    /// It names none.
-    Nothing,
-    /// Requests a second that the server takes from all routers together, in thousandths.
-    MilliPerS(u64),
-    /// What it names is no number.
-    Unreadable,
-}
-
 /// The answer by which something is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerId {
@@ -129,10 +112,7 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     known: collections::BTreeMap<ids::ServerSlot, Known>,
-    /// Servers whose value could not be read: told once each.
-    unreadable: collections::BTreeSet<ids::ServerSlot>,
-    /// Where the next datagram goes on with what is no news.
-    next_told: Option<ids::ServerSlot>,
+    rotation: rotation::Rotation<ids::ServerSlot>,
 }
 
 impl Limits {
@@ -174,11 +154,6 @@
         }
     }
 
-    /// Whether a server's value was not read before.
-    pub fn note_unreadable(&mut self, slot: ids::ServerSlot) -> bool {
-        self.unreadable.insert(slot)
-    }
-
     /// Takes a report in, in any order and any number of times.
     pub fn hear(&mut self, slot: ids::ServerSlot, report: LimitReport, now_ms: u64) -> LimitChange {
         let Some(known) = self.known.get_mut(&slot) else {
@@ -241,51 +216,35 @@
     /// Forgets a server whose life is over.
     pub fn forget(&mut self, slot: ids::ServerSlot) {
         self.known.remove(&slot);
-        self.unreadable.remove(&slot);
     }
 
     /// Forgets servers that are gone.
     pub fn retain(&mut self, stays: impl Fn(ids::ServerSlot) -> bool) {
         self.known.retain(|slot, _| stays(*slot));
-        self.unreadable.retain(|slot| stays(*slot));
     }
 
     /// Whether something is to be told at once.
     pub fn has_news(&self) -> bool {
-        self.known.values().any(|known| known.news_left == NEWS_REPEATS)
+        rotation::has_news(&self.known)
     }
 
-    /// What the next datagram tells: changes first, then one after the other what was told before.
+    /// What the next datagram tells.
     pub fn take_news(
         &mut self,
         name_bytes: impl Fn(ids::ServerSlot) -> usize,
     ) -> Vec<(ids::ServerSlot, LimitReport)> {
-        let mut slots: Vec<ids::ServerSlot> = self.known.keys().copied().collect();
-        let next = self.next_told;
-        let told_before = |slot: &ids::ServerSlot| next.is_some_and(|next| *slot < next);
-        slots.sort_by_key(|slot| {
-            (cmp::Reverse(self.known[slot].news_left), told_before(slot), *slot)
-        });
-        let mut bytes = 0;
-        let fits = |slot: &ids::ServerSlot| {
-            bytes += name_bytes(*slot);
-            bytes <= NEWS_NAMES_BYTES_MAX
-        };
-        let slots: Vec<ids::ServerSlot> =
-            slots.into_iter().take(NEWS_ITEMS).take_while(fits).collect();
-        slots.into_iter().filter_map(|slot| Some((slot, self.tell(slot)?))).collect()
+        let slots = self.rotation.take(&mut self.known, |slot| name_bytes(*slot));
+        slots.into_iter().filter_map(|slot| Some((slot, self.known.get(&slot)?.report))).collect()
+    }
+}
+
+impl rotation::Told for Known {
+    fn news_left(&self) -> u32 {
+        self.news_left
     }
 
-    /// Notes that a server's limit is told, and returns it.
-    fn tell(&mut self, slot: ids::ServerSlot) -> Option<LimitReport> {
-        let after = (ops::Bound::Excluded(slot), ops::Bound::Unbounded);
-        let next = self.known.range(after).next().map(|(next, _)| *next);
-        let known = self.known.get_mut(&slot)?;
-        match known.news_left {
-            0 => self.next_told = next,
-            _ => known.news_left -= 1,
-        }
-        Some(known.report)
+    fn news_left_mut(&mut self) -> &mut u32 {
+        &mut self.news_left
     }
 }
 
@@ -301,7 +260,7 @@
             return LimitChange::Nothing;
         }
         self.told_milli_per_s = now;
-        self.news_left = NEWS_REPEATS;
+        self.news_left = rotation::REPEATS;
         now.map_or(LimitChange::Ended, LimitChange::Limited)
     }
 }
--- a/core/tests/arbitrary_messages.rs
+++ b/core/tests/arbitrary_messages.rs
@@ -26,7 +26,7 @@
         .collect();
     let now_ms = fleet.now_ms;
     for (vm, life) in &names {
-        let said = servers::LimitSaid::MilliPerS(1_100);
+        let said = servers::Stated::Value(1_100);
         fleet.routers[0].node.report_limit(vm, *life, said, 5, now_ms);
     }
     let mut found = permits(fleet, &names[0]);
--- a/core/tests/limit_schedules.rs
+++ b/core/tests/limit_schedules.rs
@@ -47,7 +47,7 @@
     sent_ms: u64,
     answers_ms: u64,
     /// What the answer says, once it is made; it arrives later.
-    said: Option<(servers::LimitSaid, u64)>,
+    said: Option<(servers::Stated<u64>, u64)>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -243,7 +243,7 @@
             if limit.is_some() {
                 server.named_ms.get_or_insert(now_ms);
             }
-            let said = limit.map_or(servers::LimitSaid::Nothing, servers::LimitSaid::MilliPerS);
+            let said = limit.map_or(servers::Stated::Nothing, servers::Stated::Value);
             // Answers overtake each other on their way.
             run.said = Some((said, now_ms + self.rng.random_range(1..60)));
         }
@@ -475,7 +475,7 @@
         scenario.run_ms(15_000);
         scenario.fleet.loss_percent = 10;
         let now_ms = scenario.fleet.now_ms;
-        let said = servers::LimitSaid::MilliPerS(1_000);
+        let said = servers::Stated::Value(1_000);
         let node = &mut scenario.fleet.routers[0].node;
         node.report_limit("vm-0", ids::ServerLife(1), said, 10, now_ms);
         scenario.fleet.run_until("all know", CONTACT_MS, |fleet| {
@@ -609,7 +609,7 @@
 #[test]
 fn one_router_paces_whoever_asks() {
     let mut fleet = watch_fleet::settled(7, BOUNDS, 12);
-    let said = servers::LimitSaid::MilliPerS(1_100);
+    let said = servers::Stated::Value(1_100);
     let now_ms = fleet.now_ms;
     fleet.routers[0].node.report_limit("server-0", ids::ServerLife(1), said, 10, now_ms);
     fleet.run_ms(5_000);
@@ -637,13 +637,13 @@
     let life = ids::ServerLife(1);
     let node = &mut fleet.routers[0].node;
     let limited = |node: &node::Node| node.servers().limits().iter_limited().next().is_some();
-    node.report_limit("server-0", life, servers::LimitSaid::MilliPerS(1_100), 20, now_ms);
+    node.report_limit("server-0", life, servers::Stated::Value(1_100), 20, now_ms);
     assert!(limited(node));
-    node.report_limit("server-0", life, servers::LimitSaid::Nothing, 500, now_ms + 100);
+    node.report_limit("server-0", life, servers::Stated::Nothing, 500, now_ms + 100);
     assert!(limited(node));
-    node.report_limit("server-0", life, servers::LimitSaid::Nothing, 50, now_ms + 100);
+    node.report_limit("server-0", life, servers::Stated::Nothing, 50, now_ms + 100);
     assert!(!limited(node));
-    node.report_limit("server-0", life, servers::LimitSaid::MilliPerS(1_100), 400, now_ms + 110);
+    node.report_limit("server-0", life, servers::Stated::Value(1_100), 400, now_ms + 110);
     assert!(!limited(node), "an answer to an earlier request began it again");
 }
 
@@ -654,7 +654,7 @@
     let limited = |fleet: &Fleet| {
         fleet.routers.iter().any(|it| it.node.servers().limits().iter_limited().count() > 0)
     };
-    let said = servers::LimitSaid::MilliPerS(0);
+    let said = servers::Stated::Value(0);
     let now_ms = fleet.now_ms;
     fleet.routers[0].node.report_limit("server-0", ids::ServerLife(1), said, 5, now_ms);
     fleet.run_ms(5_000);
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use doorswitch_core::{config, message, node, servers};
+use doorswitch_core::{config, leavings, message, node, servers};
 use world::{End, Shape, World};
 
 #[test]
@@ -240,7 +240,7 @@
         leaving: vec![message::Leaving {
             vm: vm.to_owned(),
             life: Default::default(),
-            list_index: 900,
+            source: leavings::Source::Record,
         }],
         quarantine: Default::default(),
         limits: Vec::new(),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -50,15 +50,20 @@
         "members": members + 1,
         "leaving_vms": dump["leaving_vms"],
         "quarantined": dump["quarantine"]["quarantined"].as_array().map_or(0, Vec::len),
-        "limited_servers": dump["limited_servers"].as_object().map_or(0, serde_json::Map::len),
+        "limited_servers": count(&dump["limited_servers"]),
+        "backing_off_servers": count(&dump["backing_off_servers"]),
         "requests": dump["requests"].as_array().map_or(0, Vec::len),
         "unsettled": dump["unsettled"],
     })
 }
 
+fn count(servers: &Value) -> usize {
+    servers.as_object().map_or(0, serde_json::Map::len)
+}
+
 fn show(rows: &[Value]) {
     println!(
-        "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10} {:>11} {:>7}  LEAVING",
+        "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7}  LEAVING",
         "ROUTER",
         "VM",
         "STATE",
@@ -67,7 +72,8 @@
         "REQUESTS",
         "UNSETTLED",
         "QUARANTINED",
-        "LIMITED"
+        "LIMITED",
+        "BACKOFF"
     );
     for row in rows {
         let plain = |key: &str| match &row[key] {
@@ -80,7 +86,7 @@
             .map(|vms| vms.iter().filter_map(Value::as_str).collect())
             .unwrap_or_default();
         println!(
-            "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10} {:>11} {:>7}  {}",
+            "{:<28} {:<12} {:<10} {:>8} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7}  {}",
             plain("router"),
             plain("vm"),
             if row["fault"].is_null() { plain("lifecycle") } else { "unreachable".to_owned() },
@@ -90,6 +96,7 @@
             plain("unsettled"),
             plain("quarantined"),
             plain("limited_servers"),
+            plain("backing_off_servers"),
             leaving.join(", ")
         );
     }
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -3,6 +3,7 @@
 use super::{Control, messages};
 use crate::peers;
 use actix::prelude::Handler;
+use doorswitch_core::servers;
 
 impl peers::Receiver for Control {}
 
@@ -71,13 +72,17 @@
     }
 }
 
-impl Handler<messages::LimitReported> for Control {
+impl Handler<messages::HeadReported> for Control {
     type Result = ();
 
-    fn handle(&mut self, reported: messages::LimitReported, context: &mut Self::Context) {
+    fn handle(&mut self, reported: messages::HeadReported, context: &mut Self::Context) {
         let now_ms = self.now_ms();
-        let messages::LimitReported { vm, life, said, took_ms } = reported;
-        self.node.report_limit(&vm, life, said, took_ms, now_ms);
+        let messages::HeadReported { vm, life, said, sent, heard } = reported;
+        let age = servers::AnswerAge {
+            sent_ms: sent.elapsed().as_millis() as u64,
+            heard_ms: heard.elapsed().as_millis() as u64,
+        };
+        self.node.report_said(&vm, life, &said, age, now_ms);
         self.carry_out(context);
     }
 }
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -3,6 +3,7 @@
 use super::Reply;
 use actix::prelude::Message;
 use doorswitch_core::{ids, node, quarantine, servers};
+use std::time::Instant;
 
 /// Asks to admit a request. The reply names its slot, for what follows.
 #[derive(Debug, Message)]
@@ -44,18 +45,20 @@
     pub load: servers::Load,
 }
 
-/// A server said on an answer how many requests it takes, or names no limit.
+/// A server said something of itself in the head of an answer.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub struct LimitReported {
+pub struct HeadReported {
     /// The server's VM.
     pub vm: String,
     /// The life of the server that said so.
     pub life: ids::ServerLife,
     /// What it said.
-    pub said: servers::LimitSaid,
-    /// How long ago the request was sent, in milliseconds.
-    pub took_ms: u64,
+    pub said: servers::Said,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// When the head came.
+    pub heard: Instant,
 }
 
 /// A run broke off before its answer was whole.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 use crate::{control, fingerprint, snapshot, upstream};
 use bytes::Bytes;
 use doorswitch_core::{ids, routes, servers};
-use doorswitch_platform::headers;
+use doorswitch_platform::{answers, headers};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use std::rc::Rc;
@@ -134,22 +134,22 @@
     answer: backends::Answer,
     mut connection: backends::Connection,
 ) -> Outcome {
-    let said = headers::said(answer.headers(), &call.asked.id);
-    if let Some((running, queued, slots)) = said.load {
+    let head = answers::head(answer.status().as_u16(), answer.headers(), &call.asked.id);
+    if let Some((running, queued, slots)) = head.load {
         let load = servers::Load { running, queued, slots };
         context.control.do_send(control::Reported { vm: place.vm.clone(), life: place.life, load });
     }
     // Another instance speaks for itself, and an answer to another request comes from no known time.
     let misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
-    if !misdirected && (said.not_run || said.echoes) {
-        upstream::report_limit(context.control, context.published, place, said.limit, sent);
+    if !misdirected && (head.not_run || head.echoes) {
+        upstream::report_head(context.control, context.published, place, head.said, sent);
     }
-    if said.not_run || misdirected {
+    if head.not_run || misdirected {
         connection.note_keep_alive(answer.headers());
         rest_after_body(context.backends, answer, connection).await;
         return Outcome::TurnedAway;
     }
-    if !said.echoes {
+    if !head.echoes {
         // An answer to another request: what became of this one is not known.
         return Outcome::Unknown;
     }
--- a/src/model.rs
+++ b/src/model.rs
@@ -194,8 +194,8 @@
             Err(error) if upstream::broke_off(&error) => return Try::BrokenOff,
             Err(_) => return Try::Broken,
         };
-        self.reports.answered(place, response.headers(), sent);
         let status = response.status();
+        self.reports.answered(place, status, response.headers(), sent);
         if !status.is_success() {
             let body = response.body().limit(ERROR_BYTES_MAX).await.unwrap_or_default();
             return failed_status(status, &body);
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -133,8 +133,8 @@
             Err(error) if upstream::broke_off(&error) => return Try::BrokenOff,
             Err(_) => return Try::Unknown,
         };
-        self.reports.answered(place, response.headers(), sent);
         let status = response.status();
+        self.reports.answered(place, status, response.headers(), sent);
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
         let content_type = content_type.to_owned();
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,7 +1,11 @@
 //! Metrics in Prometheus text, and log lines for what the core notices.
 
+mod notices;
+
+pub use notices::log_notice;
+
 use crate::logging;
-use doorswitch_core::{grants, ids, ledger, node, watch};
+use doorswitch_core::{grants, node, servers, watch};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
 
@@ -75,7 +79,7 @@
             let reason = format!("{reason:?}");
             metrics::counter!("doorswitch_refused_total", "reason" => reason).absolute(*count);
         }
-        report_limits(node);
+        report_said(node);
         for ((purpose, outcome), count) in &counters.store_calls {
             let labels = [("purpose", format!("{purpose:?}")), ("outcome", format!("{outcome:?}"))];
             metrics::counter!("doorswitch_store_calls_total", &labels).absolute(*count);
@@ -102,14 +106,27 @@
     }
 }
 
-/// Sets what servers' limits do, by service.
-fn report_limits(node: &node::Node) {
+/// Sets how many servers say something of themselves that holds requests back, and what that did, by service.
+fn report_said(node: &node::Node) {
     let servers = node.servers();
     let limited = servers.limited_services();
     for service in node.config().iter().flat_map(|config| &config.document.services) {
-        let count = limited.get(service.name.as_str()).map_or(0, Vec::len);
-        let service = service.name.clone();
-        metrics::gauge!("doorswitch_limited_servers", "service" => service).set(count as f64);
+        let of_service = |server: &servers::Server| server.vm.service == service.name;
+        let backing_off = servers.backing_off().filter_map(|(slot, _)| servers.get(slot));
+        let leaving = servers.iter().filter(|(_, server)| server.leaves());
+        let counts = [
+            ("doorswitch_limited_servers", limited.get(service.name.as_str()).map_or(0, Vec::len)),
+            ("doorswitch_backing_off_servers", backing_off.filter(|it| of_service(it)).count()),
+            ("doorswitch_leaving_servers", leaving.filter(|(_, it)| of_service(it)).count()),
+        ];
+        for (name, count) in counts {
+            metrics::gauge!(name, "service" => service.name.clone()).set(count as f64);
+        }
+    }
+    for (service, count) in &node.counters().server_backoffs {
+        let service = service.clone();
+        metrics::counter!("doorswitch_server_backoffs_total", "service" => service)
+            .absolute(*count);
     }
     for (service, count) in servers.held_back() {
         let service = service.clone();
@@ -234,86 +251,3 @@
         account.written_off_tokens,
     );
 }
-
-/// Writes a log line for a grant that was written off.
-fn log_dead_grant(holder: ids::Incarnation, dead: &ledger::DeadGrant) {
-    log::warn!(
-        "event=grant_written_off holder={holder} budget={} written_off_tokens={} granted_tokens={} \
-         reported_tokens={} free_tokens={} rate_tokens_per_s={}",
-        dead.budget,
-        dead.written_off_tokens(),
-        dead.grant.granted_tokens,
-        dead.grant.consumed_tokens,
-        dead.grant.free_tokens,
-        dead.grant.rate_tokens_per_s,
-    );
-}
-
-/// Writes a log line for something the core noticed.
-pub fn log_notice(notice: &node::Notice) {
-    match notice {
-        node::Notice::ClosedDead { holder, written_off_tokens, grants } => {
-            log::warn!(
-                "event=dead_holder_closed holder={holder} written_off_tokens={written_off_tokens}"
-            );
-            grants.iter().for_each(|dead| log_dead_grant(*holder, dead));
-        }
-        node::Notice::HolderSilent { vm, budget } => {
-            log::warn!("event=holder_silent vm={vm} budget={budget}");
-        }
-        node::Notice::ServerLimit { vm, service, limit_milli_per_s, source } => log::info!(
-            "event=server_limit vm={vm} service={service} limit_per_s={} source={}",
-            limit_milli_per_s
-                .map_or_else(|| "none".to_owned(), |it| format!("{:.3}", it as f64 / 1e3)),
-            match source {
-                node::LimitSource::Answer => "answer".to_owned(),
-                node::LimitSource::Peer(peer) => peer.to_string(),
-                node::LimitSource::Lapsed => "lapsed".to_owned(),
-            }
-        ),
-        node::Notice::LimitUnreadable { vm } => log::warn!("event=limit_unreadable vm={vm}"),
-        node::Notice::ItemLapsed { vm, kept_ms } => {
-            log::info!("event=item_lapsed vm={vm} kept_ms={kept_ms}");
-        }
-        node::Notice::Evacuation { failure_domain, evacuated, servers } => log::info!(
-            "event=evacuation failure_domain={failure_domain} evacuated={evacuated} servers={servers}"
-        ),
-        node::Notice::CallGivenUp { topic, call } => log::warn!(
-            "event=call_given_up topic={topic:?} evidence={:?} waited_ms={}",
-            call.evidence,
-            call.waited_ms,
-        ),
-        node::Notice::WatchDuty { duty } => log::info!("event=watch_duty duty={duty:?}"),
-        node::Notice::Ejected { vm, ejected_ms } => {
-            log::info!("event=server_ejected vm={vm} ejected_ms={ejected_ms}");
-        }
-        node::Notice::ServerRestarted(restarted) => log::info!(
-            "event=server_restarted vm={} born_ms={} open_requests={}",
-            restarted.vm,
-            restarted.life.0,
-            restarted.open_requests,
-        ),
-        node::Notice::ServerCrashed { vm, life, requests } => {
-            log::warn!("event=server_crashed vm={vm} born_ms={} requests={requests}", life.0);
-        }
-        node::Notice::RequestSuspected { request, crashes, source } => log::info!(
-            "event=request_suspected fingerprint={request} crashes={crashes} source={source:?}"
-        ),
-        node::Notice::RequestQuarantined { request, for_ms, source } => log::warn!(
-            "event=request_quarantined fingerprint={request} for_ms={for_ms} source={source:?}"
-        ),
-        node::Notice::RequestCleared { request, crashes, source } => log::info!(
-            "event=request_cleared fingerprint={request} crashes={crashes} source={source:?}"
-        ),
-        node::Notice::RecordUnreadable { key, fault } => {
-            log::error!("event=record_unreadable key={key} fault={}", logging::quoted(fault));
-        }
-        node::Notice::Fenced => log::error!("event=fenced cause=written_off_by_another_router"),
-        node::Notice::Unusable(fault) => {
-            log::error!("event=ledger_unusable fault={}", logging::quoted(fault));
-        }
-        node::Notice::Overrun { budget, tokens } => {
-            log::error!("event=overrun budget={budget} tokens={tokens}");
-        }
-    }
-}
--- /dev/null
+++ b/src/telemetry/notices.rs
@@ -0,0 +1,104 @@
+//! Log lines for what the core notices.
+
+use crate::logging;
+use doorswitch_core::{ids, ledger, node};
+
+/// Writes a log line for a grant that was written off.
+fn log_dead_grant(holder: ids::Incarnation, dead: &ledger::DeadGrant) {
+    log::warn!(
+        "event=grant_written_off holder={holder} budget={} written_off_tokens={} granted_tokens={} \
+         reported_tokens={} free_tokens={} rate_tokens_per_s={}",
+        dead.budget,
+        dead.written_off_tokens(),
+        dead.grant.granted_tokens,
+        dead.grant.consumed_tokens,
+        dead.grant.free_tokens,
+        dead.grant.rate_tokens_per_s,
+    );
+}
+
+/// Writes a log line for something the core noticed.
+pub fn log_notice(notice: &node::Notice) {
+    match notice {
+        node::Notice::ClosedDead { holder, written_off_tokens, grants } => {
+            log::warn!(
+                "event=dead_holder_closed holder={holder} written_off_tokens={written_off_tokens}"
+            );
+            grants.iter().for_each(|dead| log_dead_grant(*holder, dead));
+        }
+        node::Notice::HolderSilent { vm, budget } => {
+            log::warn!("event=holder_silent vm={vm} budget={budget}");
+        }
+        node::Notice::ServerLimit { vm, service, limit_milli_per_s, source } => log::info!(
+            "event=server_limit vm={vm} service={service} limit_per_s={} source={}",
+            limit_milli_per_s
+                .map_or_else(|| "none".to_owned(), |it| format!("{:.3}", it as f64 / 1e3)),
+            match source {
+                node::LimitSource::Answer => "answer".to_owned(),
+                node::LimitSource::Peer(peer) => peer.to_string(),
+                node::LimitSource::Lapsed => "lapsed".to_owned(),
+            }
+        ),
+        node::Notice::ServerLeaving { vm, life, service, source, from } => log::info!(
+            "event=server_leaving vm={vm} born_ms={} service={service} source={source:?} from={}",
+            life.0,
+            from.map_or_else(|| "self".to_owned(), |peer| peer.to_string()),
+        ),
+        node::Notice::ServerLeavingEnded { vm, life } => {
+            log::info!("event=server_leaving_ended vm={vm} born_ms={}", life.0);
+        }
+        node::Notice::ServerBackoff { vm, life, service, for_ms } => log::info!(
+            "event=server_backoff vm={vm} born_ms={} service={service} for_ms={for_ms}",
+            life.0,
+        ),
+        node::Notice::ServerBackoffEnded { vm, service } => {
+            log::info!("event=server_backoff_ended vm={vm} service={service}");
+        }
+        node::Notice::HeaderUnreadable { vm, header } => {
+            log::warn!("event=header_unreadable vm={vm} header={header:?}");
+        }
+        node::Notice::ItemLapsed { vm, kept_ms } => {
+            log::info!("event=item_lapsed vm={vm} kept_ms={kept_ms}");
+        }
+        node::Notice::Evacuation { failure_domain, evacuated, servers } => log::info!(
+            "event=evacuation failure_domain={failure_domain} evacuated={evacuated} servers={servers}"
+        ),
+        node::Notice::CallGivenUp { topic, call } => log::warn!(
+            "event=call_given_up topic={topic:?} evidence={:?} waited_ms={}",
+            call.evidence,
+            call.waited_ms,
+        ),
+        node::Notice::WatchDuty { duty } => log::info!("event=watch_duty duty={duty:?}"),
+        node::Notice::Ejected { vm, ejected_ms } => {
+            log::info!("event=server_ejected vm={vm} ejected_ms={ejected_ms}");
+        }
+        node::Notice::ServerRestarted(restarted) => log::info!(
+            "event=server_restarted vm={} born_ms={} open_requests={}",
+            restarted.vm,
+            restarted.life.0,
+            restarted.open_requests,
+        ),
+        node::Notice::ServerCrashed { vm, life, requests } => {
+            log::warn!("event=server_crashed vm={vm} born_ms={} requests={requests}", life.0);
+        }
+        node::Notice::RequestSuspected { request, crashes, source } => log::info!(
+            "event=request_suspected fingerprint={request} crashes={crashes} source={source:?}"
+        ),
+        node::Notice::RequestQuarantined { request, for_ms, source } => log::warn!(
+            "event=request_quarantined fingerprint={request} for_ms={for_ms} source={source:?}"
+        ),
+        node::Notice::RequestCleared { request, crashes, source } => log::info!(
+            "event=request_cleared fingerprint={request} crashes={crashes} source={source:?}"
+        ),
+        node::Notice::RecordUnreadable { key, fault } => {
+            log::error!("event=record_unreadable key={key} fault={}", logging::quoted(fault));
+        }
+        node::Notice::Fenced => log::error!("event=fenced cause=written_off_by_another_router"),
+        node::Notice::Unusable(fault) => {
+            log::error!("event=ledger_unusable fault={}", logging::quoted(fault));
+        }
+        node::Notice::Overrun { budget, tokens } => {
+            log::error!("event=overrun budget={budget} tokens={tokens}");
+        }
+    }
+}
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -5,7 +5,7 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderValue};
 use doorswitch_core::{ids, node, quarantine, servers};
-use doorswitch_platform::headers;
+use doorswitch_platform::answers;
 use std::net;
 use std::sync::Arc;
 use std::time::Instant;
@@ -38,9 +38,10 @@
     }
 
     /// An answer to it came from a server, with this head.
-    pub fn answered(&self, place: &Placement, head: &HeaderMap, sent: Instant) {
-        let values = head.get_all(headers::SERVER_LIMIT).map(HeaderValue::as_bytes);
-        report_limit(&self.control, &self.published, place, headers::limit(values), sent);
+    pub fn answered(&self, place: &Placement, status: StatusCode, head: &HeaderMap, sent: Instant) {
+        let values = |name| head.get_all(name).map(HeaderValue::as_bytes);
+        let said = answers::said(status.as_u16(), values);
+        report_head(&self.control, &self.published, place, said, sent);
     }
 
     /// The connection to a server ended while that ran it.
@@ -95,23 +96,20 @@
     Refused(api_error::ApiError),
 }
 
-/// Tells the control thread what an answer says of its server's limit, where that says something.
-pub fn report_limit(
+/// Tells the control thread what the head of an answer says of its server, where that says something.
+pub fn report_head(
     control: &Addr<control::Control>,
     published: &snapshot::Published,
     place: &Placement,
-    limit: headers::Limit,
+    said: servers::Said,
     sent: Instant,
 ) {
-    let said = match limit {
-        headers::Limit::Unnamed if !published.knows_limits() => return,
-        headers::Limit::Unnamed => servers::LimitSaid::Nothing,
-        headers::Limit::MilliPerS(limit) => servers::LimitSaid::MilliPerS(limit),
-        headers::Limit::Unreadable => servers::LimitSaid::Unreadable,
-    };
-    let took_ms = sent.elapsed().as_millis() as u64;
-    let (vm, life) = (place.vm.clone(), place.life);
-    control.do_send(control::LimitReported { vm, life, said, took_ms });
+    // While limits are known, answers that name none say something too.
+    if said.is_silent() && !published.knows_limits() {
+        return;
+    }
+    let (vm, life, heard) = (place.vm.clone(), place.life, Instant::now());
+    control.do_send(control::HeadReported { vm, life, said, sent, heard });
 }
 
 /// Asks the control thread for a placement.
