Failing tests: servers that say in answers that they leave, or ask for a backoff, go on getting requests

Real processes, servers of our own that answer after 15 ms (250 ms where parts are compared), each router a request each 40 to 50 ms.

Servers whose replies a test changes, and clients that send to several routers, stand in one place each for both interfaces; the tests of limits use them, their checks unchanged.

--- a/standins/src/backend.rs
+++ b/standins/src/backend.rs
@@ -409,3 +409,11 @@
 pub fn limit_line(value: Option<&str>) -> String {
     value.map_or_else(String::new, |value| format!("Server-Limit: {value}\r\n"))
 }
+
+/// The line in which a server says that it leaves.
+pub const LEAVING_LINE: &str = "Server-Leaving: 1\r\n";
+
+/// The line in which a server asks to be left alone for so many seconds, or until a date.
+pub fn retry_after_line(value: &str) -> String {
+    format!("Retry-After: {value}\r\n")
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod http;
 mod observe;
+pub mod scripted;
 mod start;
 
 pub use http::{Answer, call, parse, send};
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, missing_docs, dead_code)]
 
+pub mod load;
+pub mod replying;
+
 use crate::fleet;
 use doorswitch_standins::{backend, network, store};
 use serde_json::json;
@@ -169,11 +172,20 @@
 
     /// The same, in a failure domain.
     pub fn record_server_in(&self, place: usize, state: &str, domain: &str) {
+        self.record(place, &format!("i-{place}"), state, domain);
+    }
+
+    /// A server of another id records its state with the address of the one at `place`.
+    pub fn record_server_as(&self, place: usize, id: &str, state: &str) {
+        self.record(place, id, state, "a");
+    }
+
+    fn record(&self, place: usize, id: &str, state: &str, domain: &str) {
         let record = json!({
             "service": "app", "address": self.server_address(place).to_string(), "zone": domain,
             "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
         });
-        self.store.put(&format!("servers/i-{place}"), record.to_string().as_bytes());
+        self.store.put(&format!("servers/{id}"), record.to_string().as_bytes());
     }
 
     /// The same, and says when it started: the text of a JSON value.
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -12,9 +12,9 @@
 mod routes;
 
 use doorswitch_standins::backend;
-use routes::{World, patient, request};
+use routes::World;
+use routes::load::{self, Got, all, check_served};
 use std::sync::{Arc, Mutex};
-use std::thread;
 use std::time::{Duration, Instant};
 
 /// A limit holds from this time on after a server first named it.
@@ -76,15 +76,6 @@
     })
 }
 
-/// What a client got, and how long it waited.
-#[derive(Clone, Debug)]
-struct Got {
-    sent: Instant,
-    status: u16,
-    took: Duration,
-    retry_after_s: Option<f64>,
-}
-
 struct Limited {
     world: World,
     named: Vec<Named>,
@@ -122,54 +113,14 @@
             0 => first(named.clone()),
             _ => naming(named.clone(), work),
         };
-        let mut world = World::unready(name, named.iter().enumerate().map(script).collect());
-        world.publish(&[routes::KEY], routes::PREPAID);
-        for place in 0..routers {
-            world.add_router();
-            world.wait_ready(place);
-        }
-        let members = format!("doorswitch_members {routers}");
-        for place in 0..routers {
-            fleet::eventually("the router serves and knows the others", || {
-                let served = world.ask(place, &patient("/read/x", "warm")).status == 200;
-                served && world.metrics(place).contains(&members)
-            });
-        }
+        let scripts = named.iter().enumerate().map(script).collect();
+        let world = load::start(name, routers, scripts);
         Self { world, named }
     }
 
     /// Sends a request to each of these routers again and again, for a while; what clients got.
     fn send(&self, routers: &[usize], path: &str, every: Duration, for_: Duration) -> Vec<Got> {
-        let got = Mutex::new(Vec::new());
-        let began = Instant::now();
-        thread::scope(|scope| {
-            for place in routers {
-                let got = &got;
-                scope.spawn(move || {
-                    for number in 0.. {
-                        let due = every * number;
-                        if due >= for_ {
-                            return;
-                        }
-                        thread::sleep((began + due).saturating_duration_since(Instant::now()));
-                        scope.spawn(move || {
-                            let one = self.ask(*place, path, number);
-                            got.lock().unwrap().push(one);
-                        });
-                    }
-                });
-            }
-        });
-        got.into_inner().unwrap()
-    }
-
-    fn ask(&self, place: usize, path: &str, number: u32) -> Got {
-        let sent = Instant::now();
-        let id = format!("{place}-{number}-{:?}", sent);
-        let answer = self.world.ask(place, &request(path, &id));
-        let status = if answer.whole { answer.status } else { 0 };
-        let retry_after_s = answer.header("retry-after").and_then(|value| value.parse().ok());
-        Got { sent, status, took: sent.elapsed(), retry_after_s }
+        load::send(&self.world, routers, path, every, for_)
     }
 
     /// The most requests that reached a server within any [`WINDOW`] after a moment.
@@ -196,17 +147,6 @@
     }
 }
 
-/// At least 97 in 100 were served.
-fn check_served(got: &[Got]) {
-    let served = got.iter().filter(|one| one.status == 200).count();
-    let others: Vec<u16> = got.iter().map(|one| one.status).filter(|it| *it != 200).collect();
-    assert!(served * 100 >= got.len() * 97, "{served} of {} served, others {others:?}", got.len());
-}
-
-fn all(routers: usize) -> Vec<usize> {
-    (0..routers).collect()
-}
-
 macro_rules! one_server_in_need {
     ($($name:ident: $routers:literal routers, $servers:literal servers, $path:literal, each $every_ms:literal ms,
         names $limit:literal;)*) => {$(
