A server that says in an answer that it leaves gets nothing new, whatever its record says

What callers and operators saw: requests reached a server 3.7 s after it had told the router that it leaves; its record said so 12 s later only, as the store was away. Cause: a leaving was known from the store's records alone; no router read the answer's header.

Now an answer's word marks that life of the server as leaving in the table from which every send is chosen: first tries, retries, the queue, trials of limits, resumed streams. A request whose claim was recorded meanwhile chooses again. The word outlasts the record (which may lapse, come back or go on saying ready) for an hour after it is gone, and holds for no later life and no other server at the address. Routers tell each other, at once and then in turn, so one that starts anew keeps away too. Its failures do not eject it; connections that rest to it are closed; the router that paces its requests gives out no permits. Where all servers leave, what waits and what comes is refused at once (no_server), no longer after the queue's time.

--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -273,8 +273,8 @@
             self.refuse(slot, reason, now_ms);
             return;
         }
-        if !self.confirm_server(slot, now_ms) {
-            self.refuse(slot, Reason::Limited, now_ms);
+        if let Err(lack) = self.confirm_server(slot, now_ms) {
+            self.refuse(slot, lack.into(), now_ms);
             return;
         }
         let Some(request) = self.requests.get_mut(slot) else { return };
@@ -290,24 +290,23 @@
         self.answer_dispatch(slot, server);
     }
 
-    /// Whether a request may still go to the server that was chosen for it, which may have become limited while its claim
-    /// was recorded; if not, chooses another.
-    fn confirm_server(&mut self, slot: ids::RequestSlot, now_ms: u64) -> bool {
-        let Some(request) = self.requests.get(slot) else { return true };
-        let Stage::WaitingClaim { server, .. } = request.stage else { return true };
-        if self.may_still_send(server, request.stage_since_ms, now_ms) {
-            return true;
+    /// Chooses another server for a request if the one that was chosen may not be sent to any more: while its claim was
+    /// recorded it may have said that it leaves, or become limited.
+    fn confirm_server(&mut self, slot: ids::RequestSlot, now_ms: u64) -> Result<(), servers::Lack> {
+        let Some(request) = self.requests.get(slot) else { return Ok(()) };
+        let Stage::WaitingClaim { server, .. } = request.stage else { return Ok(()) };
+        if self.servers.may_still_send(server, request.stage_since_ms, now_ms) {
+            return Ok(());
         }
-        let chosen = choose(&mut self.servers, request, now_ms, &mut self.rng);
-        let Ok(choice) = chosen else { return false };
-        let Some(request) = self.requests.get_mut(slot) else { return true };
+        let choice = choose(&mut self.servers, request, now_ms, &mut self.rng)?;
+        let Some(request) = self.requests.get_mut(slot) else { return Ok(()) };
         let unread_tokens = std::mem::replace(&mut request.unread_tokens, choice.unread_tokens);
         if let Stage::WaitingClaim { server, .. } = &mut request.stage {
             *server = choice.slot;
         }
         self.servers.ended(server);
         self.servers.has_read(server, unread_tokens);
-        true
+        Ok(())
     }
 
     fn answer_dispatch(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot) {
--- a/core/src/node/adopt.rs
+++ b/core/src/node/adopt.rs
@@ -122,7 +122,8 @@
         self.become_ready();
     }
 
-    /// The backend servers that may be used: those of the list, and those whose records lapsed but may be back soon.
+    /// The backend servers: those of the list, and those whose records lapsed but may be back soon. One that is known to
+    /// leave does so whatever its record says.
     fn backends(&self, vms: &[servers::Vm]) -> Vec<servers::Vm> {
         let stays = |vm: &&servers::Vm| !self.leavings.holds(&vm.vm, vm.life);
         let back_soon = self.lapsed.iter().filter(stays);
@@ -133,6 +134,9 @@
             .cloned()
             .collect();
         // Where servers say when they started, a record that does not is another writer's.
+        for vm in backends.iter_mut().filter(|vm| self.leavings.holds(&vm.vm, vm.life)) {
+            vm.state = servers::VmState::Leaving;
+        }
         if backends.iter().any(|vm| vm.life != ids::ServerLife::UNKNOWN) {
             backends.retain(|vm| vm.life != ids::ServerLife::UNKNOWN);
         }
--- a/core/src/node/limits.rs
+++ b/core/src/node/limits.rs
@@ -294,7 +294,9 @@
     ) -> servers::PermitsGranted {
         // A router that has just started does not know yet with whom it shares.
         let settled = now_ms >= self.started_ms + super::watching::SETTLE_MS;
-        if !settled || self.pacing_router(slot) != Some(self.settings.incarnation) {
+        let paces = self.pacing_router(slot) == Some(self.settings.incarnation);
+        let live = self.servers.get(slot).is_some_and(servers::Server::is_live);
+        if !settled || !paces || !live {
             return servers::PermitsGranted::none(NOT_PACING_MS);
         }
         let (routers, most_routers) = (self.members.live_count(), self.most_routers.max(1));
@@ -389,15 +391,4 @@
         let wait_ms = next_ms.map_or(0, |at_ms| at_ms.saturating_sub(now_ms));
         wait_ms.max(RETRY_AFTER_MIN_MS) + self.rng.random_range(0..spread_ms)
     }
-
-    /// Whether a request whose claim took a while may still go to the server that was chosen for it.
-    pub(super) fn may_still_send(
-        &self,
-        server: ids::ServerSlot,
-        chosen_ms: u64,
-        now_ms: u64,
-    ) -> bool {
-        let Some(known) = self.servers.limits().limited(server) else { return true };
-        known.since_ms < chosen_ms && now_ms < chosen_ms + servers::PERMIT_KEPT_MS
-    }
 }
--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for a server: in order of priority, bounded by length and age.
 
 use super::{Node, Reason, admit};
-use crate::ids;
+use crate::{ids, servers};
 use std::cmp;
 
 /// Every so many dequeued requests, one of the lowest priority that waits goes first.
@@ -75,6 +75,7 @@
                     self.drained.entry(service.to_owned()).or_default().dequeued += 1;
                     self.placed(place.slot, choice, now_ms);
                 }
+                Err(servers::Lack::None) => self.refuse(place.slot, Reason::NoServer, now_ms),
                 Err(_) => return,
             }
         }
--- a/core/src/node/said.rs
+++ b/core/src/node/said.rs
@@ -57,9 +57,7 @@
         source: leavings::Source,
         from: Option<ids::Incarnation>,
     ) {
-        if source == leavings::Source::Record {
-            self.servers.leaving(vm, life);
-        }
+        self.servers.leaving(vm, life);
         if !self.leavings.note(vm, life, source) {
             return;
         }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -1,7 +1,7 @@
 //! Ends of requests: what they cost, and how that becomes durable.
 
 use super::{Answer, Ending, Node, Notice, Stage};
-use crate::{ids, log_index, log_writer, message, outbox, rendezvous};
+use crate::{ids, log_index, log_writer, message, outbox, rendezvous, servers};
 
 /// After this many tries to hand a settlement over the router also appends it itself.
 const TRIES_BEFORE_OWN_APPEND: usize = 1;
@@ -138,8 +138,11 @@
         }
     }
 
-    /// Notes that a server failed; its ejection is told.
+    /// Notes that a server failed; its ejection is told. One that leaves says so itself.
     pub(super) fn server_failed(&mut self, slot: ids::ServerSlot, now_ms: u64) {
+        if self.servers.get(slot).is_some_and(servers::Server::leaves) {
+            return;
+        }
         let Some(ejected_ms) = self.servers.failed(slot, now_ms) else { return };
         let Some(server) = self.servers.get(slot) else { return };
         let vm = server.vm.vm.clone();
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -159,6 +159,16 @@
     Limited,
 }
 
+impl From<servers::Lack> for Reason {
+    fn from(lack: servers::Lack) -> Self {
+        match lack {
+            servers::Lack::Full => Self::Overloaded,
+            servers::Lack::Limited => Self::Limited,
+            servers::Lack::None => Self::NoServer,
+        }
+    }
+}
+
 /// A node's answer about one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -130,7 +130,7 @@
     }
 
     /// Whether it may get new work.
-    fn live(&self) -> bool {
+    pub fn is_live(&self) -> bool {
         !self.over && self.listed && !self.evacuated && self.vm.state == VmState::Live
     }
 
@@ -151,7 +151,7 @@
 
     fn usable(&self, now_ms: u64) -> bool {
         let ejected = now_ms < self.ejected_until_ms || (self.failures > 0 && self.probing);
-        self.live() && !ejected
+        self.is_live() && !ejected
     }
 
     /// The time that one more request would take: the server's pace, stretched by its load.
@@ -323,7 +323,7 @@
         let mut chosen = Vec::new();
         for slots in self.by_service.values() {
             let mut ranked: Vec<ids::ServerSlot> = slots.clone();
-            ranked.retain(|slot| self.servers[*slot].live());
+            ranked.retain(|slot| self.servers[*slot].is_live());
             ranked.sort_by_key(|slot| {
                 std::cmp::Reverse(rendezvous::weight(
                     own.0,
@@ -354,7 +354,7 @@
         let fits = |slot: &&ids::ServerSlot| {
             let server = &self.servers[**slot];
             let class = wanted.classes.is_empty() || wanted.classes.contains(&server.vm.class);
-            class && server.live() && !wanted.not.contains(slot)
+            class && server.is_live() && !wanted.not.contains(slot)
         };
         let live: Vec<ids::ServerSlot> = slots.iter().filter(fits).copied().collect();
         let usable = |slot: &ids::ServerSlot| self.servers[*slot].usable(now_ms);
--- a/core/src/servers/lives.rs
+++ b/core/src/servers/lives.rs
@@ -19,7 +19,7 @@
 impl Table {
     /// Notes that a life of a server is leaving; it gets nothing new from here on.
     pub fn leaving(&mut self, vm: &str, life: ids::ServerLife) {
-        if let Some(slot) = self.find(vm).filter(|slot| self.servers[*slot].vm.life == life) {
+        if let Some(slot) = self.find_life(vm, life) {
             self.servers[slot].vm.state = VmState::Leaving;
         }
     }
--- a/core/src/servers/sharing.rs
+++ b/core/src/servers/sharing.rs
@@ -3,7 +3,7 @@
 //! Every send is chosen here, so that no way around it exceeds what a server takes: a router that kept to a limit by itself,
 //! or only on some of its ways, would add to what the others send.
 
-use super::{Lack, LimitReport, Limits, Table};
+use super::{Lack, LimitReport, Limits, Server, Table};
 use crate::ids;
 use std::collections;
 
@@ -34,7 +34,7 @@
     pub fn limit_ended(&mut self, slot: ids::ServerSlot) {
         let Some(server) = self.servers.get(slot) else { return };
         let peers = self.by_service.get(&server.vm.service).into_iter().flatten();
-        let peers = peers.filter(|peer| **peer != slot && self.servers[**peer].live());
+        let peers = peers.filter(|peer| **peer != slot && self.servers[**peer].is_live());
         let answer_ms = peers.map(|peer| self.servers[*peer].answer_ms).min();
         if let (Some(answer_ms), Some(server)) = (answer_ms, self.servers.get_mut(slot)) {
             server.answer_ms = answer_ms.min(server.answer_ms);
@@ -45,7 +45,7 @@
     pub fn limited_services(&self) -> collections::BTreeMap<&str, Vec<ids::ServerSlot>> {
         let mut services: collections::BTreeMap<&str, Vec<ids::ServerSlot>> = Default::default();
         for (slot, _) in self.limits.iter_limited() {
-            if let Some(server) = self.servers.get(slot).filter(|server| server.live()) {
+            if let Some(server) = self.servers.get(slot).filter(|server| server.is_live()) {
                 services.entry(&server.vm.service).or_default().push(slot);
             }
         }
@@ -55,7 +55,7 @@
     /// Whether every server of a service that may get new work is limited.
     pub fn all_limited(&self, service: &str) -> bool {
         let slots = self.by_service.get(service).into_iter().flatten();
-        let mut live = slots.filter(|slot| self.servers[**slot].live()).peekable();
+        let mut live = slots.filter(|slot| self.servers[**slot].is_live()).peekable();
         live.peek().is_some() && live.all(|slot| self.limits.limited(*slot).is_some())
     }
 
@@ -64,6 +64,14 @@
         &self.held_back
     }
 
+    /// Whether a request may still go to the server that was chosen for it a while ago.
+    pub fn may_still_send(&self, slot: ids::ServerSlot, chosen_ms: u64, now_ms: u64) -> bool {
+        let limit_holds = self.limits.limited(slot).is_none_or(|known| {
+            known.since_ms < chosen_ms && now_ms < chosen_ms + super::PERMIT_KEPT_MS
+        });
+        limit_holds && self.servers.get(slot).is_some_and(Server::is_live)
+    }
+
     /// Whether a server has room and this router may send to it.
     pub(super) fn is_open(&self, slot: ids::ServerSlot, now_ms: u64) -> bool {
         self.limits.may_send(slot, now_ms) && self.servers[slot].has_room(now_ms)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -141,11 +141,16 @@
     }
     // Another instance speaks for itself, and an answer to another request comes from no known time.
     let misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
-    if !misdirected && (head.not_run || head.echoes) {
+    let of_server = !misdirected && (head.not_run || head.echoes);
+    if of_server {
         upstream::report_head(context.control, context.published, place, head.said, sent);
     }
+    connection.note_keep_alive(answer.headers());
+    if of_server && head.said.leaves == servers::Stated::Value(true) {
+        connection.close_after_exchange();
+        context.backends.close_resting(place);
+    }
     if head.not_run || misdirected {
-        connection.note_keep_alive(answer.headers());
         rest_after_body(context.backends, answer, connection).await;
         return Outcome::TurnedAway;
     }
@@ -153,7 +158,6 @@
         // An answer to another request: what became of this one is not known.
         return Outcome::Unknown;
     }
-    connection.note_keep_alive(answer.headers());
     Outcome::Answered { answer: Box::new(answer), connection }
 }
 
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -76,6 +76,11 @@
 }
 
 impl Connection {
+    /// Does not use it again.
+    pub fn close_after_exchange(&mut self) {
+        self.keeps = None;
+    }
+
     /// Reads from an answer's head how long the server keeps the connection.
     pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
         let closes = headers
@@ -246,6 +251,12 @@
         }
     }
 
+    /// Closes the resting connections to a server.
+    pub fn close_resting(&self, place: &upstream::Placement) {
+        let upstream = Upstream { address: place.address.clone(), life: place.life };
+        self.idle.borrow_mut().remove(&upstream);
+    }
+
     /// Closes connections that rested too long.
     pub fn sweep(&self) {
         let now = Instant::now();
