--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -23,6 +23,10 @@
 pub const LIMITED_SERVICE: &str = "limited";
 /// The path of its route.
 pub const LIMITED_PATH: &str = "/limited/";
+/// The service whose servers leave, or ask for backoffs, by their answers.
+pub const OUTSPOKEN_SERVICE: &str = "outspoken";
+/// The path of its route.
+pub const OUTSPOKEN_PATH: &str = "/outspoken/";
 /// The failure domains that the routers lie in.
 const FAILURE_DOMAINS: usize = 3;
 /// A router names so many others as seeds.
@@ -169,9 +173,13 @@
         self.version += 1;
         let first = self.version.saturating_sub(ROUTES_KEPT).max(1);
         let added = (first..=self.version).map(|version| (added_path(version), SERVICE));
-        let fixed = [(FRAGILE_PATH, FRAGILE_SERVICE), (LIMITED_PATH, LIMITED_SERVICE)];
+        let fixed = [
+            (FRAGILE_PATH, FRAGILE_SERVICE),
+            (LIMITED_PATH, LIMITED_SERVICE),
+            (OUTSPOKEN_PATH, OUTSPOKEN_SERVICE),
+        ];
         let routes = added.chain(fixed.map(|(path, service)| (path.to_owned(), service)));
-        let services = [SERVICE, FRAGILE_SERVICE, LIMITED_SERVICE];
+        let services = [SERVICE, FRAGILE_SERVICE, LIMITED_SERVICE, OUTSPOKEN_SERVICE];
         self.store.publish(&wire::configuration(self.version, HOST, &services, routes));
         self.version
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod fleet;
 pub mod limited;
 pub mod observe;
+pub mod outspoken;
 pub mod poison;
 pub mod prober;
 pub mod run;
 pub mod schedule;
+mod servers;
--- a/soak/src/limited.rs
+++ b/soak/src/limited.rs
@@ -1,11 +1,10 @@
 //! Servers that name how many requests a second they take, for a while each, and a client that sends to them through all
 //! routers in turn.
 
-use crate::{fleet, observe, prober};
+use crate::{fleet, observe, prober, servers};
 use doorswitch_standins::{backend, store, wire};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use snafu::ResultExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -109,15 +108,10 @@
     let mut servers = Vec::new();
     for place in 0..SERVERS {
         let named = Arc::new(Mutex::new(Named::default()));
-        let backend = backend::Backend::start(naming(named.clone()));
-        let backend = backend.context(fleet::IoSnafu { what: "start a server in need" })?;
-        let record = wire::Record {
-            service: fleet::LIMITED_SERVICE,
-            address: backend.address(),
-            state: "ready",
-            started_ms: FIRST_START_MS + place as u64,
-        };
-        store.record_server(&format!("i-limited-{place}"), &record);
+        let backend = servers::start(naming(named.clone()))?;
+        let name = format!("i-limited-{place}");
+        let started_ms = FIRST_START_MS + place as u64;
+        servers::record(store, fleet::LIMITED_SERVICE, &name, &backend, started_ms);
         servers.push(Server { backend, named, changes: Instant::now(), periods: Vec::new() });
     }
     let rng = StdRng::seed_from_u64(seed ^ 0x11a1);
--- a/soak/src/observe.rs
+++ b/soak/src/observe.rs
@@ -42,8 +42,12 @@
     InnocentKept,
     /// A server got more requests than it takes from all routers together.
     LimitExceeded,
-    /// A request was refused because of limits while a server without one stood there.
+    /// A request was refused for want of a server while one stood there that takes all.
     RefusedBesideFree,
+    /// A request reached a server long after its router had passed on that this server leaves.
+    SentToLeaving,
+    /// Requests reached a server that had asked their router for none.
+    SentInBackoff,
 }
 
 /// A broken promise, with the answer that shows it.
@@ -66,6 +70,8 @@
     harmed: Vec<(u32, Instant)>,
     /// The newest version that each router's present life has shown.
     shown: Vec<u64>,
+    /// How often each router's process started anew.
+    lives: Vec<u64>,
     acknowledged: HashMap<u64, Instant>,
     /// Since when a life of a server must get nothing new.
     ended: HashMap<usize, Instant>,
@@ -81,6 +87,7 @@
         Self {
             harmed: vec![(0, Instant::now()); routers],
             shown: vec![0; routers],
+            lives: vec![0; routers],
             acknowledged: HashMap::new(),
             ended: HashMap::new(),
             newest: 0,
@@ -120,6 +127,12 @@
     /// Notes that a router's process started anew.
     pub fn restarted(&mut self, router: usize) {
         self.shown[router] = 0;
+        self.lives[router] += 1;
+    }
+
+    /// How often a router's process started anew.
+    pub fn life(&self, router: usize) -> u64 {
+        self.lives[router]
     }
 
     /// Whether a router is bound by its promises now.
--- a/soak/src/poison.rs
+++ b/soak/src/poison.rs
@@ -1,8 +1,7 @@
 //! A client that sends a request again and again that crashes each server which runs it, and an innocent one beside it.
 
-use crate::{fleet, observe, prober};
+use crate::{fleet, observe, prober, servers};
 use doorswitch_standins::{backend, store, wire};
-use snafu::ResultExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -69,9 +68,8 @@
             false => vec![backend::whole("200 OK", "answer")],
         })
     };
-    let started: Result<Vec<_>, _> =
-        (0..SERVERS).map(|_| backend::Backend::start(script())).collect();
-    let servers = started.context(fleet::IoSnafu { what: "start a fragile server" })?;
+    let servers: Result<Vec<_>, _> = (0..SERVERS).map(|_| servers::start(script())).collect();
+    let servers = servers?;
     let recorded = vec![0; SERVERS];
     let seen = Seen::default();
     let mut client = Client { store, routers, shared, servers, recorded, third_crash: None, seen };
@@ -101,13 +99,10 @@
             let starts = server.starts();
             if self.recorded[place] < starts {
                 self.recorded[place] = starts;
-                let record = wire::Record {
-                    service: fleet::FRAGILE_SERVICE,
-                    address: server.address(),
-                    state: "ready",
-                    started_ms: FIRST_START_MS + starts as u64,
-                };
-                self.store.record_server(&format!("i-fragile-{place}"), &record);
+                let name = format!("i-fragile-{place}");
+                let started_ms = FIRST_START_MS + starts as u64;
+                let service = fleet::FRAGILE_SERVICE;
+                servers::record(&self.store, service, &name, server, started_ms);
             }
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Carries a schedule out and tells what was seen.
 
-use crate::{fleet, limited, observe, poison, prober, schedule};
+use crate::{fleet, limited, observe, outspoken, poison, prober, schedule};
 use doorswitch_standins::{network, store};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -41,6 +41,8 @@
     pub poison: poison::Seen,
     /// What servers got that name how many requests they take.
     pub limited: limited::Seen,
+    /// What servers got that say that they leave, or ask for a backoff.
+    pub outspoken: outspoken::Seen,
 }
 
 /// A moment of a run.
@@ -74,6 +76,7 @@
     let clients: Vec<SocketAddr> =
         (0..*routers).map(|place| run.fleet.clients_address(place)).collect();
     let limited = limited::start(&store, clients.clone(), run.shared.clone(), *seed)?;
+    let outspoken = outspoken::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
     let poison = poison::start(store, clients, run.shared.clone())?;
     let began = Instant::now();
     let carried_out = run.carry_out(schedule, began);
@@ -83,6 +86,7 @@
     }
     let poison = poison.join().unwrap_or_default();
     let limited = limited.join().unwrap_or_default();
+    let outspoken = outspoken.join().unwrap_or_default();
     let ended = run.fleet.ended_by_itself().into_iter().collect();
     carried_out?;
     let record = run.shared.record();
@@ -93,6 +97,7 @@
         ended,
         poison,
         limited,
+        outspoken,
     })
 }
 
