--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -279,3 +279,43 @@
     assert!(told_ms.is_sorted(), "{told_ms:?}");
     assert!(told_ms[0] >= 2_000 && told_ms[11] >= 2 * told_ms[0], "{told_ms:?}");
 }
+
+/// What the server of a request says while that request's claim is recorded.
+fn said_while_claimed(servers: usize, said: servers::Said) -> (World, usize, String) {
+    let mut world = World::new(Shape { servers, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let given = world.admit(0, 0, 1, 20, 20, true).unwrap();
+    let node = &mut world.routers[0].node;
+    let chosen = node.servers().iter().find(|(_, server)| server.in_flight == 1);
+    let chosen = chosen.unwrap().1.vm.clone();
+    assert!(!world.given[given].dispatched, "the claim takes a while");
+    node.report_said(&chosen.vm, chosen.life, &said, servers::AnswerAge::default(), world.now_ms);
+    (world, given, chosen.vm)
+}
+
+macro_rules! words_while_a_claim_is_recorded {
+    ($($name:ident: $said:expr, $reason:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (mut world, given, chosen) = said_while_claimed(3, $said);
+            while !world.given[given].dispatched {
+                world.run_ms(world::TICK_MS);
+            }
+            let busy = world.routers[0].node.servers().iter().find(|(_, it)| it.in_flight == 1);
+            assert_ne!(busy.unwrap().1.vm.vm, chosen);
+            let (mut world, given, _) = said_while_claimed(1, $said);
+            world.run_ms(2_000);
+            assert_eq!(world.given[given].end, Some(End::Refused($reason)));
+            assert!(world.executions.is_empty());
+        }
+    )*};
+}
+
+words_while_a_claim_is_recorded! {
+    a_claimed_request_does_not_go_to_a_server_that_leaves_meanwhile:
+        servers::Said { leaves: servers::Stated::Value(true), ..Default::default() },
+        node::Reason::NoServer;
+    a_claimed_request_does_not_go_to_a_server_that_backs_off_meanwhile:
+        servers::Said { backoff_ms: servers::Stated::Value(60_000), ..Default::default() },
+        node::Reason::Backoff;
+}
