What a server seems slower than its peers is forgotten by time, so that it is asked again

What was seen: one of four equal servers got nothing for 12 s and more, and one that had been slow for 4 s nothing for 18 s after. Cause: its pace was learned from few or old answers, began at a constant 500 ms, and one that is not asked has no newer answers; the choice by the lower of two then never took it.

Now a longer answer counts whole and what it adds over the service's own average halves each second; a shorter one counts an eighth; a server that has not answered is taken to be as fast as its service. The cost is counted in microseconds, so that fast servers with many slots don't all cost the same.

--- a/core/src/node/limits.rs
+++ b/core/src/node/limits.rs
@@ -126,7 +126,7 @@
     /// A server is limited no more: what waited for it may go.
     fn end_limit(&mut self, slot: ids::ServerSlot, source: LimitSource, now_ms: u64) {
         self.note_limit(slot, None, source);
-        self.servers.take_pace_of_peers(slot);
+        self.servers.forget_pace(slot);
         let service = self.servers.get(slot).map(|server| server.vm.service.clone());
         if let Some(service) = service {
             self.drain_queue(&service, now_ms);
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -131,7 +131,7 @@
     ) {
         self.drained.entry(service.to_owned()).or_default().ended += 1;
         if healthy {
-            self.servers.succeeded(server, took_ms);
+            self.servers.succeeded(server, took_ms, now_ms);
             let routers = self.most_routers;
             self.retries.entry(service.to_owned()).or_default().earn(routers);
         } else {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -8,6 +8,7 @@
 mod by_prompt;
 mod limits;
 mod lives;
+mod pace;
 mod permits;
 mod said;
 mod sharing;
@@ -45,8 +46,6 @@
 /// Of a hundred servers with room, so many are compared; at least two.
 const DRAWN_PERCENT: usize = 50;
 const DRAWN_MIN: usize = 2;
-/// Until a server's pace is known, this is assumed.
-const DEFAULT_ANSWER_MS: u64 = 500;
 
 /// One backend server.
 #[derive(Clone, Debug)]
@@ -68,7 +67,7 @@
     all_milli: u64,
     /// This router's requests on it when reports came, averaged alike.
     own_milli: u64,
-    answer_ms: u64,
+    pace: pace::Pace,
     /// Tokens of prompts that this router sent and that are not read yet.
     unread_tokens: u64,
     name_hash: u64,
@@ -95,7 +94,7 @@
             in_flight: 0,
             all_milli: 0,
             own_milli: 0,
-            answer_ms: DEFAULT_ANSWER_MS,
+            pace: pace::Pace::default(),
             failures: 0,
             ejected_until_ms: 0,
             probing: false,
@@ -156,9 +155,9 @@
         self.is_live() && !ejected
     }
 
-    /// The time that one more request would take: the server's pace, stretched by its load.
-    fn cost(&self) -> u64 {
-        (self.estimated_load() + 1) * self.answer_ms.max(1) * 16 / self.slots()
+    /// The time that one more request would take, in microseconds: the server's pace, stretched by its load.
+    fn cost_us(&self, service: pace::ServicePace, now_ms: u64) -> u64 {
+        (self.estimated_load() + 1) * self.pace.answer_us(service, now_ms).max(1) / self.slots()
     }
 }
 
@@ -208,6 +207,8 @@
     backing_off: collections::BTreeSet<ids::ServerSlot>,
     /// Requests that a limited server did not get, by service.
     held_back: collections::BTreeMap<String, u64>,
+    /// How fast services answer.
+    paces: collections::HashMap<String, pace::ServicePace>,
 }
 
 impl Table {
@@ -258,9 +259,9 @@
         let chosen = match trial {
             Some(slot) => slot,
             None => {
-                let better = self.best_of_some(&open, rng);
+                let better = self.best_of_some(&open, now_ms, rng);
                 let better = better.ok_or_else(|| self.lack(&fitting, now_ms))?;
-                self.with_affinity(better, &open, wanted.prefix_hash)
+                self.with_affinity(better, &open, wanted.prefix_hash, now_ms)
             }
         };
         self.count_held_back(wanted.service, &fitting, now_ms);
@@ -284,11 +285,12 @@
     }
 
     /// Notes that a server answered in full, and its pace.
-    pub fn succeeded(&mut self, slot: ids::ServerSlot, took_ms: u64) {
-        if let Some(server) = self.servers.get_mut(slot) {
-            server.failures = 0;
-            server.probing = false;
-            server.answer_ms = (server.answer_ms * 7 + took_ms) / 8;
+    pub fn succeeded(&mut self, slot: ids::ServerSlot, took_ms: u64, now_ms: u64) {
+        let Some(server) = self.servers.get_mut(slot) else { return };
+        server.failures = 0;
+        server.probing = false;
+        if let Some(service) = self.paces.get_mut(&server.vm.service) {
+            server.pace.heard(took_ms, service, now_ms);
         }
     }
 
@@ -384,10 +386,12 @@
     fn best_of_some(
         &self,
         open: &[ids::ServerSlot],
+        now_ms: u64,
         rng: &mut rngs::StdRng,
     ) -> Option<ids::ServerSlot> {
+        let service = self.service_pace(open);
         let drawn = open.sample(rng, (open.len() * DRAWN_PERCENT).div_ceil(100).max(DRAWN_MIN));
-        drawn.min_by_key(|slot| self.servers[**slot].cost()).copied()
+        drawn.min_by_key(|slot| self.servers[**slot].cost_us(service, now_ms)).copied()
     }
 
     fn with_affinity(
@@ -395,19 +399,23 @@
         better: ids::ServerSlot,
         open: &[ids::ServerSlot],
         prefix_hash: Option<u64>,
+        now_ms: u64,
     ) -> ids::ServerSlot {
+        let service = self.service_pace(open);
+        let cost_us = |slot: ids::ServerSlot| self.servers[slot].cost_us(service, now_ms);
         let cached = prefix_hash.and_then(|hash| self.prefixes.get(&hash)).copied();
         match cached.filter(|slot| open.contains(slot)) {
-            Some(slot)
-                if self.servers[slot].cost() * 100
-                    <= self.servers[better].cost() * AFFINITY_MARGIN_PERCENT =>
-            {
-                slot
-            }
+            Some(slot) if cost_us(slot) * 100 <= cost_us(better) * AFFINITY_MARGIN_PERCENT => slot,
             _ => better,
         }
     }
 
+    /// How fast the service of these servers answers.
+    fn service_pace(&self, slots: &[ids::ServerSlot]) -> pace::ServicePace {
+        let service = slots.first().map(|slot| &self.servers[*slot].vm.service);
+        service.and_then(|service| self.paces.get(service)).copied().unwrap_or_default()
+    }
+
     fn started(&mut self, slot: ids::ServerSlot, now_ms: u64) {
         let server = &mut self.servers[slot];
         if let Some(warm_up) = &mut server.warm_up {
--- a/core/src/servers/backoff.rs
+++ b/core/src/servers/backoff.rs
@@ -108,7 +108,7 @@
         let spread_ms = part_ms.max(routers * SPREAD_FOR_ROUTER_MS).min(SPREAD_MAX_MS);
         server.backoff = Some(Backoff::new(until_ms, rng.random_range(0..=spread_ms)));
         self.backing_off.insert(slot);
-        self.take_pace_of_peers(slot);
+        self.forget_pace(slot);
         known.is_none_or(|known| until_ms >= known.asked_until_ms + NOTABLE_MS)
     }
 
--- a/core/src/servers/lives.rs
+++ b/core/src/servers/lives.rs
@@ -42,6 +42,7 @@
         self.start_warm_up(slot, now_ms);
         self.by_vm.insert(vm.vm.clone(), slot);
         self.by_service.entry(vm.service.clone()).or_default().push(slot);
+        self.paces.entry(vm.service.clone()).or_default();
     }
 
     /// A later life of a server begins. Nothing that was learned of this one holds for it: it gets a slot of its own.
--- a/core/src/servers/sharing.rs
+++ b/core/src/servers/sharing.rs
@@ -29,15 +29,10 @@
         self.find(vm).filter(|slot| self.servers[*slot].vm.life == life)
     }
 
-    /// Takes a server to be as fast as its peers until it has served again. Its pace is that of a few requests while it was
-    /// in need, or an old one; its peers would get all its part.
-    pub fn take_pace_of_peers(&mut self, slot: ids::ServerSlot) {
-        let Some(server) = self.servers.get(slot) else { return };
-        let peers = self.by_service.get(&server.vm.service).into_iter().flatten();
-        let peers = peers.filter(|peer| **peer != slot && self.servers[**peer].is_live());
-        let answer_ms = peers.map(|peer| self.servers[*peer].answer_ms).min();
-        if let (Some(answer_ms), Some(server)) = (answer_ms, self.servers.get_mut(slot)) {
-            server.answer_ms = answer_ms.min(server.answer_ms);
+    /// Forgets how fast a server is: what is known is that of a few requests while it was in need, or old.
+    pub fn forget_pace(&mut self, slot: ids::ServerSlot) {
+        if let Some(server) = self.servers.get_mut(slot) {
+            server.pace = Default::default();
         }
     }
 
--- a/core/tests/fair_parts.rs
+++ b/core/tests/fair_parts.rs
@@ -152,7 +152,7 @@
             }
             let took_ms = self.now_ms - run.sent_ms;
             self.took_ms.push(took_ms);
-            table.succeeded(run.slot, took_ms);
+            table.succeeded(run.slot, took_ms, self.now_ms);
         }
     }
 
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -105,7 +105,7 @@
     bench.now_ms += 60_000;
     let tries = (0..12).filter(|_| bench.choose() == Ok(bad)).count();
     assert_eq!(tries, 1);
-    bench.table.succeeded(bad, 10);
+    bench.table.succeeded(bad, 10, 0);
     let tries = (0..4).filter(|_| bench.choose() == Ok(bad)).count();
     assert!(tries > 0);
 }
