Requests that a server turns away together count as one failure

What was seen: a server that was full for one moment and turned ten requests of a router away together was ejected for 30 s, and got nothing although it was well. Cause: each counted as a failure in a row, and each beyond the third doubles the time. Requests that were under way when the last one that counts was turned away do not count any more; errors, resets and silence count as before, so that grey servers are found no later.

--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -54,8 +54,8 @@
     /// Moves a request whose server failed before the answer to another server.
     pub fn retry(&mut self, slot: ids::RequestSlot, tried: Tried, now_ms: u64) {
         let Some(request) = self.requests.get_mut(slot) else { return };
-        let Stage::Running { server, .. } = &request.stage else { return };
-        let server = *server;
+        let Stage::Running { server, sent_ms, .. } = &request.stage else { return };
+        let (server, sent_ms) = (*server, *sent_ms);
         let tokens = std::mem::take(&mut request.unread_tokens);
         self.servers.has_read(server, tokens);
         let service = request.wanted.service.clone();
@@ -65,7 +65,10 @@
         let most = request.wanted.attempts_max;
         let attempts = request.attempts;
         let fingerprint = request.wanted.fingerprint;
-        self.server_failed(server, now_ms);
+        match tried {
+            Tried::TurnedAway => self.server_turned_away(server, sent_ms, now_ms),
+            Tried::NotSent | Tried::MayHaveRun => self.server_failed(server, now_ms),
+        }
         let tried_out = attempts >= most || sends > most.saturating_add(TURNED_AWAY_MAX) as usize;
         if tried_out || self.not_to_be_retried(fingerprint) {
             self.end_retries(slot, Reason::RetriesExhausted, now_ms);
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -43,7 +43,14 @@
             self.servers.answered(server, sent_ms);
         }
         if !cancelled {
-            self.note_health(&service, server, healthy, now_ms.saturating_sub(sent_ms), now_ms);
+            self.drained.entry(service.clone()).or_default().ended += 1;
+        }
+        if !cancelled && healthy {
+            self.server_served(&service, server, now_ms.saturating_sub(sent_ms), now_ms);
+        } else if not_run {
+            self.server_turned_away(server, sent_ms, now_ms);
+        } else if !cancelled {
+            self.server_failed(server, now_ms);
         }
         if not_run {
             self.end_not_run(slot, now_ms);
@@ -121,31 +128,36 @@
         }
     }
 
-    fn note_health(
-        &mut self,
-        service: &str,
-        server: ids::ServerSlot,
-        healthy: bool,
-        took_ms: u64,
-        now_ms: u64,
-    ) {
-        self.drained.entry(service.to_owned()).or_default().ended += 1;
-        if healthy {
-            self.servers.succeeded(server, took_ms, now_ms);
-            let routers = self.most_routers;
-            self.retries.entry(service.to_owned()).or_default().earn(routers);
-        } else {
-            self.server_failed(server, now_ms);
-        }
+    fn server_served(&mut self, service: &str, server: ids::ServerSlot, took_ms: u64, now_ms: u64) {
+        self.servers.succeeded(server, took_ms, now_ms);
+        let routers = self.most_routers;
+        self.retries.entry(service.to_owned()).or_default().earn(routers);
     }
 
-    /// Notes that a server failed; its ejection is told. That it leaves or backs off is no failure.
+    /// Notes that a server failed; its ejection is told.
     pub(super) fn server_failed(&mut self, slot: ids::ServerSlot, now_ms: u64) {
-        let leaves = self.servers.get(slot).is_some_and(servers::Server::leaves);
-        if leaves || self.servers.backs_off(slot, now_ms) {
-            return;
+        if !self.says_why_it_fails(slot, now_ms) {
+            let ejected_ms = self.servers.failed(slot, now_ms);
+            self.note_ejected(slot, ejected_ms);
         }
-        let Some(ejected_ms) = self.servers.failed(slot, now_ms) else { return };
+    }
+
+    /// Notes that a server turned a request away that was sent then; its ejection is told.
+    pub(super) fn server_turned_away(&mut self, slot: ids::ServerSlot, sent_ms: u64, now_ms: u64) {
+        if !self.says_why_it_fails(slot, now_ms) {
+            let ejected_ms = self.servers.turned_away(slot, sent_ms, now_ms);
+            self.note_ejected(slot, ejected_ms);
+        }
+    }
+
+    /// That a server leaves or backs off is no failure.
+    fn says_why_it_fails(&self, slot: ids::ServerSlot, now_ms: u64) -> bool {
+        let leaves = self.servers.get(slot).is_some_and(servers::Server::leaves);
+        leaves || self.servers.backs_off(slot, now_ms)
+    }
+
+    fn note_ejected(&mut self, slot: ids::ServerSlot, ejected_ms: Option<u64>) {
+        let Some(ejected_ms) = ejected_ms else { return };
         let Some(server) = self.servers.get(slot) else { return };
         let vm = server.vm.vm.clone();
         self.actions.push(super::Action::Notice(Notice::Ejected { vm, ejected_ms }));
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -76,6 +76,8 @@
     probing: bool,
     /// What it asked this router for, until it has its part again.
     backoff: Option<Backoff>,
+    /// When it last turned a request away, of those that count.
+    turned_away_ms: Option<u64>,
     /// Its headers that could not be read: told once each.
     unreadable: collections::BTreeSet<Header>,
 }
@@ -99,6 +101,7 @@
             ejected_until_ms: 0,
             probing: false,
             backoff: None,
+            turned_away_ms: None,
             unreadable: Default::default(),
         }
     }
@@ -294,6 +297,17 @@
         }
     }
 
+    /// Notes that a server turned a request away that was sent then; returns for how long it is ejected. Of requests that
+    /// were under way together only the first counts: a server that is full for one moment is not ejected for it.
+    pub fn turned_away(&mut self, slot: ids::ServerSlot, sent_ms: u64, now_ms: u64) -> Option<u64> {
+        let server = self.servers.get_mut(slot)?;
+        if server.turned_away_ms.is_some_and(|at_ms| sent_ms <= at_ms) {
+            return None;
+        }
+        server.turned_away_ms = Some(now_ms);
+        self.failed(slot, now_ms)
+    }
+
     /// Notes that a server failed; after a few in a row it is ejected for a while: returns how long.
     pub fn failed(&mut self, slot: ids::ServerSlot, now_ms: u64) -> Option<u64> {
         let server = self.servers.get_mut(slot)?;
