Split by job: a server's health and affinity, retries, planned stops, calls to the store; one traffic for schedules

The clients and troubles of the schedules of limits and of what servers say stand in one place (watch_fleet/traffic), their checks and the draws of the limits' seeds as they were. All schedules pass.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -1,7 +1,7 @@
 //! One router's control state: tables, and the systems that run over them each tick.
 //!
 //! [`Node`] takes events as method calls and leaves what is to be done in a list of [`Action`]s. The
-//! systems live in the modules beside this one: `admit` (from request to dispatch), `tokens` and `queue`
+//! systems live in the modules beside this one: `admit` (from request to dispatch), `retries`, `tokens` and `queue`
 //! (what requests wait for), `limits` (what servers take), `said` (what they say of themselves), `settle` (their ends), `platform` (calls to the store), `peers` (messages).
 
 mod admit;
@@ -10,6 +10,7 @@
 mod dump;
 mod evacuate;
 mod holders;
+mod lifecycle;
 mod limits;
 mod notices;
 mod outage;
@@ -19,6 +20,7 @@
 mod questions;
 mod queue;
 mod relay;
+mod retries;
 mod said;
 mod settle;
 mod tokens;
@@ -32,7 +34,7 @@
 
 use crate::{
     config, evacuation, grants, ids, leavings, ledger, ledger_writer, limiter, log_writer, members,
-    outbox, retry, servers, store, watch,
+    outbox, retry, servers, watch,
 };
 use rand::SeedableRng;
 use rand::rngs;
@@ -98,36 +100,6 @@
     direct_until_ms: u64,
 }
 
-/// What a call to the store is for.
-#[derive(Clone, Copy, Debug)]
-enum Purpose {
-    Ledger(usize),
-    Log(usize),
-    /// The record of requests that are kept from servers.
-    Quarantine,
-}
-
-/// A call to the store that has no reply yet.
-#[derive(Clone, Copy, Debug)]
-struct StoreCall {
-    purpose: Purpose,
-    writes: bool,
-}
-
-impl StoreCall {
-    /// What it is counted as.
-    fn counted_as(self) -> CallPurpose {
-        match (self.purpose, self.writes) {
-            (Purpose::Ledger(_), false) => CallPurpose::LedgerRead,
-            (Purpose::Ledger(_), true) => CallPurpose::LedgerWrite,
-            (Purpose::Log(_), false) => CallPurpose::LogRead,
-            (Purpose::Log(_), true) => CallPurpose::LogWrite,
-            (Purpose::Quarantine, false) => CallPurpose::QuarantineRead,
-            (Purpose::Quarantine, true) => CallPurpose::QuarantineWrite,
-        }
-    }
-}
-
 /// A router's control state.
 #[derive(Debug)]
 pub struct Node {
@@ -171,7 +143,7 @@
     watching: Option<watching::Watching>,
     relay: relay::Relay,
     started_ms: u64,
-    calls: collections::HashMap<ids::CallId, StoreCall>,
+    calls: collections::HashMap<ids::CallId, platform::StoreCall>,
     next_call: u64,
     reads: limiter::Limiter,
     writes: limiter::Limiter,
@@ -350,25 +322,6 @@
         self.members.add_seeds(seeds.into_iter());
     }
 
-    /// Starts a planned stop: nothing new is taken, what runs is finished, all is handed back.
-    pub fn stop(&mut self, now_ms: u64) {
-        if matches!(self.lifecycle, Lifecycle::Stopping | Lifecycle::Stopped) {
-            return;
-        }
-        self.lifecycle = Lifecycle::Stopping;
-        let waiting: Vec<ids::RequestSlot> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| {
-                matches!(request.stage, Stage::WaitingBudget | Stage::WaitingServer { .. })
-            })
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in waiting {
-            self.refuse(slot, Reason::Stopping, now_ms);
-        }
-    }
-
     fn tick_rates(&mut self, now_ms: u64) {
         if now_ms < self.measured_ms + MEASURE_EVERY_MS {
             return;
@@ -387,23 +340,6 @@
         }
     }
 
-    fn tick_lifecycle(&mut self, now_ms: u64) {
-        if self.lifecycle != Lifecycle::Stopping {
-            return;
-        }
-        let idle = self.requests.is_empty()
-            && self.outbox.unsettled.is_empty()
-            && self.outbox.transfers.is_empty()
-            && self.logs.iter().all(|log| log.pending() == 0)
-            && self.ledgers.iter().all(|ledger| !ledger.busy())
-            && self.grants.iter().all(|(_, account)| !account.has_row);
-        if idle {
-            self.members.leave();
-            self.announce_leaving(now_ms);
-            self.lifecycle = Lifecycle::Stopped;
-        }
-    }
-
     /// Takes a request out of the table.
     fn forget_request(&mut self, slot: ids::RequestSlot) -> Option<Request> {
         let request = self.requests.remove(slot)?;
@@ -414,27 +350,6 @@
         Some(request)
     }
 
-    fn call(&mut self, purpose: Purpose) -> ids::CallId {
-        self.next_call += 1;
-        let call = ids::CallId(self.next_call);
-        self.calls.insert(call, StoreCall { purpose, writes: false });
-        call
-    }
-
-    fn push_store(&mut self, call: ids::CallId, request: store::Request) {
-        let writes = request.is_write();
-        match writes {
-            true => self.counters.platform_writes += 1,
-            false => self.counters.platform_reads += 1,
-        }
-        if let Some(pending) = self.calls.get_mut(&call) {
-            pending.writes = writes;
-            let purpose = pending.counted_as();
-            self.count_call(purpose, CallOutcome::Sent);
-        }
-        self.actions.push(Action::Store { call, request });
-    }
-
     fn ledger_holder(&self) -> ledger::Holder {
         ledger::Holder {
             vm: self.settings.vm.clone(),
--- /dev/null
+++ b/core/src/node/lifecycle.rs
@@ -0,0 +1,42 @@
+//! How a router stops by plan: nothing new is taken, what runs is finished, all is handed back.
+
+use super::{Lifecycle, Node, Reason, Stage};
+use crate::ids;
+
+impl Node {
+    /// Starts a planned stop: nothing new is taken, what runs is finished, all is handed back.
+    pub fn stop(&mut self, now_ms: u64) {
+        if matches!(self.lifecycle, Lifecycle::Stopping | Lifecycle::Stopped) {
+            return;
+        }
+        self.lifecycle = Lifecycle::Stopping;
+        let waiting: Vec<ids::RequestSlot> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                matches!(request.stage, Stage::WaitingBudget | Stage::WaitingServer { .. })
+            })
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in waiting {
+            self.refuse(slot, Reason::Stopping, now_ms);
+        }
+    }
+
+    pub(super) fn tick_lifecycle(&mut self, now_ms: u64) {
+        if self.lifecycle != Lifecycle::Stopping {
+            return;
+        }
+        let idle = self.requests.is_empty()
+            && self.outbox.unsettled.is_empty()
+            && self.outbox.transfers.is_empty()
+            && self.logs.iter().all(|log| log.pending() == 0)
+            && self.ledgers.iter().all(|ledger| !ledger.busy())
+            && self.grants.iter().all(|(_, account)| !account.has_row);
+        if idle {
+            self.members.leave();
+            self.announce_leaving(now_ms);
+            self.lifecycle = Lifecycle::Stopped;
+        }
+    }
+}
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -1,9 +1,39 @@
 //! Calls to the platform's store, within this router's share of its rates.
 
-use super::{Action, CallOutcome, Lifecycle, Node, Notice, Purpose};
+use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice};
 use crate::{ids, ledger, ledger_writer, message, store};
 use std::collections;
 
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Purpose {
+    Ledger(usize),
+    Log(usize),
+    /// The record of requests that are kept from servers.
+    Quarantine,
+}
+
+/// A call to the store that has no reply yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreCall {
+    purpose: Purpose,
+    writes: bool,
+}
+
+impl StoreCall {
+    /// What it is counted as.
+    pub(super) fn counted_as(self) -> CallPurpose {
+        match (self.purpose, self.writes) {
+            (Purpose::Ledger(_), false) => CallPurpose::LedgerRead,
+            (Purpose::Ledger(_), true) => CallPurpose::LedgerWrite,
+            (Purpose::Log(_), false) => CallPurpose::LogRead,
+            (Purpose::Log(_), true) => CallPurpose::LogWrite,
+            (Purpose::Quarantine, false) => CallPurpose::QuarantineRead,
+            (Purpose::Quarantine, true) => CallPurpose::QuarantineWrite,
+        }
+    }
+}
+
 impl Node {
     /// Takes the store's reply to a call.
     pub fn store_reply(&mut self, call: ids::CallId, reply: store::Reply, now_ms: u64) {
@@ -27,6 +57,27 @@
         self.tick_platform(now_ms);
     }
 
+    pub(super) fn call(&mut self, purpose: Purpose) -> ids::CallId {
+        self.next_call += 1;
+        let call = ids::CallId(self.next_call);
+        self.calls.insert(call, StoreCall { purpose, writes: false });
+        call
+    }
+
+    pub(super) fn push_store(&mut self, call: ids::CallId, request: store::Request) {
+        let writes = request.is_write();
+        match writes {
+            true => self.counters.platform_writes += 1,
+            false => self.counters.platform_reads += 1,
+        }
+        if let Some(pending) = self.calls.get_mut(&call) {
+            pending.writes = writes;
+            let purpose = pending.counted_as();
+            self.count_call(purpose, CallOutcome::Sent);
+        }
+        self.actions.push(Action::Store { call, request });
+    }
+
     /// Starts the calls that are due.
     pub(super) fn tick_platform(&mut self, now_ms: u64) {
         for shard in 0..self.logs.len() {
--- a/core/src/node/quarantine.rs
+++ b/core/src/node/quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the servers that run them: what this router sees, hears, keeps from servers and has kept.
 
-use super::{Action, Node, Notice, Purpose, QuarantineSource, Reason};
+use super::{Action, Node, Notice, QuarantineSource, Reason, platform};
 use crate::{ids, quarantine, servers, store};
 use std::collections;
 
@@ -258,7 +258,7 @@
 
     fn call_for_record(&mut self, now_ms: u64) {
         let key = quarantine::KEY.to_owned();
-        let call = self.call(Purpose::Quarantine);
+        let call = self.call(platform::Purpose::Quarantine);
         let request = match self.quarantine.keeper.start() {
             None => store::Request::Read { key },
             Some(expected_index) => {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -4,8 +4,10 @@
 //! only what others have there, on average. Of two candidates drawn at random the better one is taken:
 //! routers with the same old view then do not all pick the same server.
 
+mod affinity;
 mod backoff;
 mod by_prompt;
+mod health;
 mod limits;
 mod lives;
 mod pace;
@@ -33,14 +35,6 @@
 
 /// Requests at once on a server that has not reported its slots.
 const DEFAULT_SLOTS: u64 = 8;
-/// After this many failures in a row a server is ejected.
-const FAILURES_TO_EJECT: u32 = 3;
-const EJECTED_BASE_MS: u64 = 500;
-const EJECTED_LIMIT_MS: u64 = 30_000;
-/// How much busier than the better choice the server with the cached prefix may be, in percent.
-const AFFINITY_MARGIN_PERCENT: u64 = 150;
-/// Prefixes remembered, over all servers.
-const PREFIXES_REMEMBERED: usize = 4_096;
 /// A report counts for one part in so many of the average load.
 const REPORT_WEIGHT: u64 = 16;
 /// Of a hundred servers with room, so many are compared; at least two.
@@ -153,11 +147,6 @@
         class && self.is_live()
     }
 
-    fn usable(&self, now_ms: u64) -> bool {
-        let ejected = now_ms < self.ejected_until_ms || (self.failures > 0 && self.probing);
-        self.is_live() && !ejected
-    }
-
     /// The time that one more request would take, in microseconds: the server's pace, stretched by its load.
     fn cost_us(&self, service: pace::ServicePace, now_ms: u64) -> u64 {
         (self.estimated_load() + 1) * self.pace.answer_us(service, now_ms).max(1) / self.slots()
@@ -287,48 +276,6 @@
         }
     }
 
-    /// Notes that a server answered in full, and its pace.
-    pub fn succeeded(&mut self, slot: ids::ServerSlot, took_ms: u64, now_ms: u64) {
-        let Some(server) = self.servers.get_mut(slot) else { return };
-        server.failures = 0;
-        server.probing = false;
-        if let Some(service) = self.paces.get_mut(&server.vm.service) {
-            server.pace.heard(took_ms, service, now_ms);
-        }
-    }
-
-    /// Notes that a server turned a request away that was sent then; returns for how long it is ejected. Of requests that
-    /// were under way together only the first counts: a server that is full for one moment is not ejected for it.
-    pub fn turned_away(&mut self, slot: ids::ServerSlot, sent_ms: u64, now_ms: u64) -> Option<u64> {
-        let server = self.servers.get_mut(slot)?;
-        if server.turned_away_ms.is_some_and(|at_ms| sent_ms <= at_ms) {
-            return None;
-        }
-        server.turned_away_ms = Some(now_ms);
-        self.failed(slot, now_ms)
-    }
-
-    /// Notes that a server failed; after a few in a row it is ejected for a while: returns how long.
-    pub fn failed(&mut self, slot: ids::ServerSlot, now_ms: u64) -> Option<u64> {
-        let server = self.servers.get_mut(slot)?;
-        server.failures = server.failures.saturating_add(1);
-        server.probing = false;
-        let times = server.failures.checked_sub(FAILURES_TO_EJECT)?;
-        let ejected_ms = (EJECTED_BASE_MS << times.min(10)).min(EJECTED_LIMIT_MS);
-        server.ejected_until_ms = now_ms + ejected_ms;
-        Some(ejected_ms)
-    }
-
-    /// Notes that a server's address refuses connections: it is ejected with its next failure, which each send to it
-    /// would be.
-    pub fn refused(&mut self, slot: ids::ServerSlot, now_ms: u64) {
-        if let Some(server) = self.servers.get_mut(slot) {
-            server.failures = server.failures.max(FAILURES_TO_EJECT);
-            server.probing = false;
-            server.ejected_until_ms = server.ejected_until_ms.max(now_ms + EJECTED_BASE_MS);
-        }
-    }
-
     /// Takes in a load report of a server.
     pub fn reported(&mut self, slot: ids::ServerSlot, load: Load) {
         if let Some(server) = self.servers.get_mut(slot) {
@@ -408,22 +355,6 @@
         drawn.min_by_key(|slot| self.servers[**slot].cost_us(service, now_ms)).copied()
     }
 
-    fn with_affinity(
-        &self,
-        better: ids::ServerSlot,
-        open: &[ids::ServerSlot],
-        prefix_hash: Option<u64>,
-        now_ms: u64,
-    ) -> ids::ServerSlot {
-        let service = self.service_pace(open);
-        let cost_us = |slot: ids::ServerSlot| self.servers[slot].cost_us(service, now_ms);
-        let cached = prefix_hash.and_then(|hash| self.prefixes.get(&hash)).copied();
-        match cached.filter(|slot| open.contains(slot)) {
-            Some(slot) if cost_us(slot) * 100 <= cost_us(better) * AFFINITY_MARGIN_PERCENT => slot,
-            _ => better,
-        }
-    }
-
     /// How fast the service of these servers answers.
     fn service_pace(&self, slots: &[ids::ServerSlot]) -> pace::ServicePace {
         let service = slots.first().map(|slot| &self.servers[*slot].vm.service);
@@ -440,19 +371,7 @@
         }
         server.in_flight += 1;
         self.limits.count(slot, now_ms);
-        // A server that was ejected is tried with one request before it gets more.
-        server.probing = server.failures >= FAILURES_TO_EJECT;
-    }
-
-    fn remember_prefix(&mut self, hash: u64, slot: ids::ServerSlot) {
-        if self.prefixes.insert(hash, slot).is_none() {
-            self.prefix_order.push_back(hash);
-        }
-        if self.prefix_order.len() > PREFIXES_REMEMBERED
-            && let Some(oldest) = self.prefix_order.pop_front()
-        {
-            self.prefixes.remove(&oldest);
-        }
+        server.note_probing();
     }
 }
 
--- /dev/null
+++ b/core/src/servers/affinity.rs
@@ -0,0 +1,38 @@
+//! Servers that saw a prompt's beginning before, where its parts are not named: the last one is chosen unless it is much busier.
+
+use super::Table;
+use crate::ids;
+
+/// How much busier than the better choice the server with the cached prefix may be, in percent.
+const AFFINITY_MARGIN_PERCENT: u64 = 150;
+/// Prefixes remembered, over all servers.
+const PREFIXES_REMEMBERED: usize = 4_096;
+
+impl Table {
+    pub(super) fn with_affinity(
+        &self,
+        better: ids::ServerSlot,
+        open: &[ids::ServerSlot],
+        prefix_hash: Option<u64>,
+        now_ms: u64,
+    ) -> ids::ServerSlot {
+        let service = self.service_pace(open);
+        let cost_us = |slot: ids::ServerSlot| self.servers[slot].cost_us(service, now_ms);
+        let cached = prefix_hash.and_then(|hash| self.prefixes.get(&hash)).copied();
+        match cached.filter(|slot| open.contains(slot)) {
+            Some(slot) if cost_us(slot) * 100 <= cost_us(better) * AFFINITY_MARGIN_PERCENT => slot,
+            _ => better,
+        }
+    }
+
+    pub(super) fn remember_prefix(&mut self, hash: u64, slot: ids::ServerSlot) {
+        if self.prefixes.insert(hash, slot).is_none() {
+            self.prefix_order.push_back(hash);
+        }
+        if self.prefix_order.len() > PREFIXES_REMEMBERED
+            && let Some(oldest) = self.prefix_order.pop_front()
+        {
+            self.prefixes.remove(&oldest);
+        }
+    }
+}
--- a/core/tests/limit_schedules.rs
+++ b/core/tests/limit_schedules.rs
@@ -7,11 +7,10 @@
 mod watch_fleet;
 
 use doorswitch_core::{ids, message, node, servers, watch};
-use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use std::collections::{BTreeMap, HashMap};
-use watch_fleet::{BOUNDS, CONTACT_MS, Fleet, Store, TICK_MS};
+use watch_fleet::traffic::{Handed, Traffic};
+use watch_fleet::{BOUNDS, CONTACT_MS, Fleet, TICK_MS};
 
 /// Requests are counted over windows of this length.
 const WINDOW_MS: u64 = 4_000;
@@ -58,15 +57,11 @@
 }
 
 struct Scenario {
-    fleet: Fleet,
-    rng: StdRng,
+    traffic: Traffic,
     servers: Vec<Server>,
     runs: Vec<Run>,
     /// When requests that wait were given, by router, its life and their slots.
-    waiting: HashMap<(usize, u64, ids::RequestSlot), u64>,
-    per_s: u64,
-    owed_milli: u64,
-    keys: u64,
+    waiting: HashMap<Handed, u64>,
     counts: Counts,
     /// Whether some server never names a limit.
     some_free: bool,
@@ -74,14 +69,9 @@
 
 impl Scenario {
     fn new(routers: usize, servers: usize, seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed ^ 0x11a1);
-        let mut fleet = Fleet::with_service(routers, 3, BOUNDS, seed);
-        fleet.loss_percent = rng.random_range(0..15);
-        for place in 0..6 {
-            fleet.remove_server(&format!("server-{place}"));
-        }
+        let mut traffic = Traffic::new(routers, seed, 0x11a1);
         // Alike, so that their parts show what holds one of them back.
-        let work_ms = rng.random_range(10..200);
+        let work_ms = traffic.rng.random_range(10..200);
         let server = |place: usize| Server {
             name: format!("vm-{place}"),
             life: ids::ServerLife(1),
@@ -93,26 +83,22 @@
         };
         let servers: Vec<Server> = (0..servers).map(server).collect();
         for server in &servers {
-            fleet.put_server_with_slots(&server.name, servers::VmState::Live, 1_000);
+            traffic.fleet.put_server_with_slots(&server.name, servers::VmState::Live, 1_000);
         }
         Self {
-            fleet,
-            rng,
+            traffic,
             servers,
             runs: Vec::new(),
             waiting: HashMap::new(),
-            per_s: 0,
-            owed_milli: 0,
-            keys: 0,
             counts: Counts::default(),
             some_free: false,
         }
     }
 
     fn run_ms(&mut self, time_ms: u64) {
-        let end_ms = self.fleet.now_ms + time_ms;
-        while self.fleet.now_ms < end_ms {
-            self.fleet.step();
+        let end_ms = self.traffic.fleet.now_ms + time_ms;
+        while self.traffic.fleet.now_ms < end_ms {
+            self.traffic.fleet.step();
             self.take_answers();
             self.step_servers();
             self.step_clients();
@@ -131,55 +117,18 @@
     }
 
     fn step_clients(&mut self) {
-        self.owed_milli += self.per_s * TICK_MS;
-        while self.owed_milli >= 1_000 {
-            self.owed_milli -= 1_000;
-            let up = |place: &usize| {
-                let router = &self.fleet.routers[*place];
-                router.alive && !router.frozen
-            };
-            let places: Vec<usize> = (0..self.fleet.routers.len()).filter(up).collect();
-            if let Some(place) = places.choose(&mut self.rng) {
-                self.admit(*place);
+        for _ in 0..self.traffic.due() {
+            let now_ms = self.traffic.fleet.now_ms;
+            if let Some(handed) = self.traffic.hand() {
+                self.waiting.insert(handed, now_ms);
+                self.counts.sent += 1;
+                self.take_answers();
             }
         }
     }
 
-    fn admit(&mut self, place: usize) {
-        self.keys += 1;
-        let now_ms = self.fleet.now_ms;
-        let parts = match self.rng.random_bool(0.5) {
-            true => {
-                servers::chain([(self.rng.random_range(0..20), 500), (self.keys, 50)].into_iter())
-            }
-            false => Vec::new(),
-        };
-        let wanted = node::Wanted {
-            key: ids::RequestKey { high: self.keys, low: 1 },
-            keyed: false,
-            body_hash: 1,
-            budget: String::new(),
-            service: "service".to_owned(),
-            classes: Vec::new(),
-            priority: self.rng.random_range(0..3),
-            bound_tokens: 0,
-            unrepeatable: false,
-            attempts_max: 2,
-            prefix_hash: None,
-            fingerprint: None,
-            parts,
-            deadline_ms: now_ms + 3_000,
-        };
-        let router = &mut self.fleet.routers[place];
-        let slot = router.node.admit(wanted, now_ms);
-        self.waiting.insert((place, router.life, slot), now_ms);
-        self.counts.sent += 1;
-        self.fleet.carry_out(place);
-        self.take_answers();
-    }
-
     fn take_answers(&mut self) {
-        for (place, life, slot, answer) in std::mem::take(&mut self.fleet.answers) {
+        for (place, life, slot, answer) in std::mem::take(&mut self.traffic.fleet.answers) {
             match answer {
                 node::Answer::Dispatch { vm, life: server_life, .. } => {
                     self.waiting.remove(&(place, life, slot));
@@ -202,15 +151,15 @@
         vm: &str,
         server_life: ids::ServerLife,
     ) {
-        let now_ms = self.fleet.now_ms;
+        let now_ms = self.traffic.fleet.now_ms;
         let place = self.servers.iter().position(|server| server.name == vm).unwrap();
-        let in_touch = self.fleet.in_touch(router);
+        let in_touch = self.traffic.fleet.in_touch(router);
         let server = &mut self.servers[place];
         if server.life == server_life && in_touch {
             server.sends_ms.push(now_ms);
         }
         server.all_sends_ms.push(now_ms);
-        let answers_ms = now_ms + self.rng.random_range(server.work_ms.clone());
+        let answers_ms = now_ms + self.traffic.rng.random_range(server.work_ms.clone());
         let (server, sent_ms) = (place, now_ms);
         let run = Run { router, life, slot, server, server_life, sent_ms, answers_ms, said: None };
         self.runs.push(run);
@@ -225,15 +174,15 @@
         assert!(
             !self.some_free,
             "refused at {} while a free server stands there",
-            self.fleet.now_ms
+            self.traffic.fleet.now_ms
         );
-        let calm = self.fleet.in_touch(place);
-        let waited_ms = self.fleet.now_ms - given_ms;
+        let calm = self.traffic.fleet.in_touch(place);
+        let waited_ms = self.traffic.fleet.now_ms - given_ms;
         assert!(!calm || waited_ms <= REFUSED_WITHIN_MS, "refused after {waited_ms} ms");
     }
 
     fn step_servers(&mut self) {
-        let now_ms = self.fleet.now_ms;
+        let now_ms = self.traffic.fleet.now_ms;
         for run in self.runs.iter_mut().filter(|run| run.said.is_none()) {
             if now_ms < run.answers_ms {
                 continue;
@@ -245,9 +194,9 @@
             }
             let said = limit.map_or(servers::Stated::Nothing, servers::Stated::Value);
             // Answers overtake each other on their way.
-            run.said = Some((said, now_ms + self.rng.random_range(1..60)));
+            run.said = Some((said, now_ms + self.traffic.rng.random_range(1..60)));
         }
-        let routers = &self.fleet.routers;
+        let routers = &self.traffic.fleet.routers;
         let arrived = |run: &mut Run| {
             let router = &routers[run.router];
             let reads = !router.frozen || router.life != run.life;
@@ -260,8 +209,8 @@
     }
 
     fn answered(&mut self, run: &Run) {
-        let now_ms = self.fleet.now_ms;
-        let router = &mut self.fleet.routers[run.router];
+        let now_ms = self.traffic.fleet.now_ms;
+        let router = &mut self.traffic.fleet.routers[run.router];
         if !router.alive || router.life != run.life {
             return;
         }
@@ -272,7 +221,7 @@
         router.node.report_limit(vm, run.server_life, said, took_ms, now_ms);
         let ending = node::Ending::Ran { consumed_tokens: 0, outcome: None, healthy: true };
         router.node.finish(run.slot, ending, now_ms);
-        self.fleet.carry_out(run.router);
+        self.traffic.fleet.carry_out(run.router);
     }
 
     /// No server got more than is allowed in any window since it named what it names now.
@@ -300,52 +249,30 @@
         self.check_limits(seed);
         let first = usize::from(self.some_free);
         for place in first..self.servers.len() {
-            let limit = match self.rng.random_range(0..10) {
+            let limit = match self.traffic.rng.random_range(0..10) {
                 0..=3 => self.servers[place].limit_milli_per_s,
                 4..=5 => None,
                 6 => Some(0),
-                7 => Some(self.rng.random_range(100..2_000)),
-                _ => Some(self.rng.random_range(1_000..40_000)),
+                7 => Some(self.traffic.rng.random_range(100..2_000)),
+                _ => Some(self.traffic.rng.random_range(1_000..40_000)),
             };
             self.name(place, limit);
         }
     }
 
     fn trouble(&mut self) {
-        let place = self.rng.random_range(0..self.fleet.routers.len());
-        match self.rng.random_range(0..13) {
-            0 | 1 => self.fleet.restart(place),
-            2 => self.fleet.set_frozen(place, true),
-            3 | 4 => self.fleet.set_frozen(place, false),
-            5 => self.fleet.set_cut(place, true),
-            6 => self.fleet.set_cut(place, false),
-            7 => self.fleet.set_store(Store::Refuses),
-            8 => self.fleet.set_store(Store::Well),
-            9 => self.set_group(place, 1),
-            10 => self.set_group(place, 0),
+        let place = self.traffic.rng.random_range(0..self.traffic.fleet.routers.len());
+        match self.traffic.rng.random_range(0..13) {
+            number @ 0..=10 => self.traffic.trouble(place, number),
             11 => {
-                let server = self.rng.random_range(0..self.servers.len());
+                let server = self.traffic.rng.random_range(0..self.servers.len());
                 let name = self.servers[server].name.clone();
                 self.servers[server].life.0 += 1;
-                self.fleet.restart_server_with_slots(&name, servers::VmState::Live, 1_000);
+                self.traffic.fleet.restart_server_with_slots(&name, servers::VmState::Live, 1_000);
                 let limit = self.servers[server].limit_milli_per_s.take();
                 self.name(server, limit);
             }
-            _ => self.fleet.publish(),
-        }
-    }
-
-    fn set_group(&mut self, place: usize, group: u64) {
-        self.fleet.routers[place].group = group;
-        self.fleet.trouble(place);
-    }
-
-    fn end_troubles(&mut self) {
-        self.fleet.set_store(Store::Well);
-        for place in 0..self.fleet.routers.len() {
-            self.fleet.set_frozen(place, false);
-            self.fleet.set_cut(place, false);
-            self.set_group(place, 0);
+            _ => self.traffic.fleet.publish(),
         }
     }
 
@@ -371,23 +298,23 @@
     let mut scenario = Scenario::new(routers, 5, seed);
     scenario.some_free = some_free;
     scenario.run_ms(8_000);
-    scenario.per_s = scenario.rng.random_range(20..200);
+    scenario.traffic.per_s = scenario.traffic.rng.random_range(20..200);
     scenario.run_ms(2_000);
     for _ in 0..steps {
-        match scenario.rng.random_range(0..4) {
+        match scenario.traffic.rng.random_range(0..4) {
             0 => scenario.change_limits(seed),
             _ => scenario.trouble(),
         }
-        let pause_ms = scenario.rng.random_range(20..2_500);
+        let pause_ms = scenario.traffic.rng.random_range(20..2_500);
         scenario.run_ms(pause_ms);
     }
     scenario.check_limits(seed);
-    scenario.end_troubles();
+    scenario.traffic.end_troubles();
     for place in 0..scenario.servers.len() {
         scenario.name(place, None);
     }
     scenario.run_ms(BACK_MS);
-    let since_ms = scenario.fleet.now_ms;
+    let since_ms = scenario.traffic.fleet.now_ms;
     scenario.run_ms(4 * WINDOW_MS);
     let reached = scenario.reached(since_ms);
     let even = reached.values().sum::<usize>() / reached.len();
@@ -396,6 +323,7 @@
     let least = first_lives.map(|server| reached[server.name.as_str()]).min().unwrap_or(even);
     assert!(least * 3 >= even, "seed {seed}: {reached:?} long after all limits ended");
     let held_back = scenario
+        .traffic
         .fleet
         .routers
         .iter()
@@ -429,9 +357,9 @@
     for place in 0..servers {
         scenario.name(place, Some(milli_per_s));
     }
-    scenario.per_s = (milli_per_s * servers as u64 * load_percent / 100_000).max(1);
+    scenario.traffic.per_s = (milli_per_s * servers as u64 * load_percent / 100_000).max(1);
     scenario.run_ms(CALM_MS);
-    let since_ms = scenario.fleet.now_ms;
+    let since_ms = scenario.traffic.fleet.now_ms;
     let before = scenario.counts;
     scenario.run_ms(20_000);
     scenario.check_limits(seed);
@@ -473,12 +401,12 @@
     for (routers, seed) in [(7, 1), (7, 2), (75, 3)] {
         let mut scenario = Scenario::new(routers, 3, seed);
         scenario.run_ms(15_000);
-        scenario.fleet.loss_percent = 10;
-        let now_ms = scenario.fleet.now_ms;
+        scenario.traffic.fleet.loss_percent = 10;
+        let now_ms = scenario.traffic.fleet.now_ms;
         let said = servers::Stated::Value(1_000);
-        let node = &mut scenario.fleet.routers[0].node;
+        let node = &mut scenario.traffic.fleet.routers[0].node;
         node.report_limit("vm-0", ids::ServerLife(1), said, 10, now_ms);
-        scenario.fleet.run_until("all know", CONTACT_MS, |fleet| {
+        scenario.traffic.fleet.run_until("all know", CONTACT_MS, |fleet| {
             fleet.routers.iter().all(|it| it.node.servers().limits().iter_limited().count() == 1)
         });
     }
@@ -494,12 +422,12 @@
         for (place, limit) in [(1, 0), (2, 400), (3, 1_100)] {
             scenario.name(place, Some(limit));
         }
-        scenario.per_s = 20;
+        scenario.traffic.per_s = 20;
         scenario.run_ms(CALM_MS);
-        scenario.per_s = 2;
+        scenario.traffic.per_s = 2;
         scenario.run_ms(60_000);
         scenario.name(0, Some(200));
-        scenario.per_s = 200;
+        scenario.traffic.per_s = 200;
         scenario.run_ms(CALM_MS);
         scenario.check_limits(seed);
     }
@@ -512,11 +440,11 @@
         let mut scenario = Scenario::new(7, 3, seed);
         scenario.run_ms(10_000);
         (0..3).for_each(|place| scenario.name(place, Some(1_100)));
-        scenario.per_s = 20;
+        scenario.traffic.per_s = 20;
         scenario.run_ms(CALM_MS);
-        scenario.per_s = 0;
+        scenario.traffic.per_s = 0;
         scenario.run_ms(20_000);
-        scenario.per_s = 200;
+        scenario.traffic.per_s = 200;
         scenario.run_ms(CALM_MS);
         scenario.check_limits(seed);
     }
@@ -529,7 +457,7 @@
         let mut scenario = Scenario::new(12, 3, seed);
         scenario.run_ms(10_000);
         (0..3).for_each(|place| scenario.name(place, Some(0)));
-        scenario.per_s = 100;
+        scenario.traffic.per_s = 100;
         scenario.run_ms(CALM_MS);
         (0..3).for_each(|place| scenario.name(place, Some(20_000)));
         let limits = |node: &node::Node| -> Vec<Option<u64>> {
@@ -539,11 +467,11 @@
         let all_know = |fleet: &Fleet| {
             fleet.routers.iter().all(|router| limits(&router.node) == [Some(20_000); 3])
         };
-        while !all_know(&scenario.fleet) {
-            assert!(scenario.fleet.now_ms < 60_000, "seed {seed}: not all know of it");
+        while !all_know(&scenario.traffic.fleet) {
+            assert!(scenario.traffic.fleet.now_ms < 60_000, "seed {seed}: not all know of it");
             scenario.run_ms(TICK_MS);
         }
-        let since_ms = scenario.fleet.now_ms;
+        let since_ms = scenario.traffic.fleet.now_ms;
         scenario.run_ms(1_500);
         let reached: usize = scenario.reached(since_ms).values().sum();
         assert!(reached * 100 >= 60 * 3 / 2 * 70, "seed {seed}: {reached} of 90");
@@ -557,19 +485,19 @@
         let mut scenario = Scenario::new(8, 3, seed);
         scenario.run_ms(10_000);
         (0..3).for_each(|place| scenario.name(place, Some(20_000)));
-        scenario.per_s = 300;
+        scenario.traffic.per_s = 300;
         scenario.run_ms(5_000);
-        (0..4).for_each(|place| scenario.set_group(place, 1));
+        (0..4).for_each(|place| scenario.traffic.set_group(place, 1));
         let alone = |fleet: &Fleet| {
             fleet.routers.iter().all(|router| router.node.members().live_count() == 4)
         };
         for _ in 0..60 {
-            if !alone(&scenario.fleet) {
+            if !alone(&scenario.traffic.fleet) {
                 scenario.run_ms(1_000);
             }
         }
-        assert!(alone(&scenario.fleet), "seed {seed}: the groups do not know of their cut");
-        let since_ms = scenario.fleet.now_ms + WINDOW_MS;
+        assert!(alone(&scenario.traffic.fleet), "seed {seed}: the groups do not know of their cut");
+        let since_ms = scenario.traffic.fleet.now_ms + WINDOW_MS;
         scenario.run_ms(3 * WINDOW_MS);
         for server in &scenario.servers {
             let sends = server.all_sends_ms.iter().copied().filter(|at_ms| *at_ms >= since_ms);
--- a/core/tests/said_schedules.rs
+++ b/core/tests/said_schedules.rs
@@ -7,11 +7,10 @@
 mod watch_fleet;
 
 use doorswitch_core::{ids, leavings, node, servers};
-use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use std::collections::HashMap;
-use watch_fleet::{BOUNDS, CONTACT_MS, Fleet, Store, TICK_MS};
+use watch_fleet::traffic::{Handed, Traffic};
+use watch_fleet::{BOUNDS, CONTACT_MS, Fleet};
 
 /// Routers that served for so long are back in touch.
 const CALM_MS: u64 = 12_000;
@@ -73,17 +72,13 @@
 }
 
 struct Scenario {
-    fleet: Fleet,
-    rng: StdRng,
+    traffic: Traffic,
     seed: u64,
     servers: Vec<Server>,
     runs: Vec<Run>,
     told: HashMap<(usize, u64), Told>,
-    waiting: HashMap<(usize, u64, ids::RequestSlot), u64>,
+    waiting: HashMap<Handed, u64>,
     work_ms: std::ops::Range<u64>,
-    per_s: u64,
-    owed_milli: u64,
-    keys: u64,
     counts: Counts,
     /// Whether the first server always serves.
     some_free: bool,
@@ -91,12 +86,7 @@
 
 impl Scenario {
     fn new(routers: usize, servers: usize, seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed ^ 0x5a1d);
-        let mut fleet = Fleet::with_service(routers, 3, BOUNDS, seed);
-        fleet.loss_percent = rng.random_range(0..15);
-        for place in 0..6 {
-            fleet.remove_server(&format!("server-{place}"));
-        }
+        let mut traffic = Traffic::new(routers, seed, 0x5a1d);
         let server = |place: usize| Server {
             name: format!("vm-{place}"),
             life: ids::ServerLife(1),
@@ -107,29 +97,25 @@
         };
         let servers: Vec<Server> = (0..servers).map(server).collect();
         for server in &servers {
-            fleet.put_server_with_slots(&server.name, servers::VmState::Live, 1_000);
+            traffic.fleet.put_server_with_slots(&server.name, servers::VmState::Live, 1_000);
         }
         Self {
-            fleet,
-            rng,
+            traffic,
             seed,
             servers,
             runs: Vec::new(),
             told: HashMap::new(),
             waiting: HashMap::new(),
             work_ms: 100..300,
-            per_s: 0,
-            owed_milli: 0,
-            keys: 0,
             counts: Counts::default(),
             some_free: false,
         }
     }
 
     fn run_ms(&mut self, time_ms: u64) {
-        let end_ms = self.fleet.now_ms + time_ms;
-        while self.fleet.now_ms < end_ms {
-            self.fleet.step();
+        let end_ms = self.traffic.fleet.now_ms + time_ms;
+        while self.traffic.fleet.now_ms < end_ms {
+            self.traffic.fleet.step();
             self.take_answers();
             self.step_servers();
             self.step_clients();
@@ -137,51 +123,18 @@
     }
 
     fn step_clients(&mut self) {
-        self.owed_milli += self.per_s * TICK_MS;
-        while self.owed_milli >= 1_000 {
-            self.owed_milli -= 1_000;
-            let up = |place: &usize| {
-                let router = &self.fleet.routers[*place];
-                router.alive && !router.frozen
-            };
-            let places: Vec<usize> = (0..self.fleet.routers.len()).filter(up).collect();
-            if let Some(place) = places.choose(&mut self.rng) {
-                self.give(*place);
+        for _ in 0..self.traffic.due() {
+            let now_ms = self.traffic.fleet.now_ms;
+            if let Some(handed) = self.traffic.hand() {
+                self.waiting.insert(handed, now_ms);
+                self.counts.given += 1;
+                self.take_answers();
             }
         }
     }
 
-    fn give(&mut self, place: usize) {
-        self.keys += 1;
-        let now_ms = self.fleet.now_ms;
-        let prompt = self.rng.random_bool(0.5);
-        let parts = [(self.rng.random_range(0..20), 500), (self.keys, 50)];
-        let wanted = node::Wanted {
-            key: ids::RequestKey { high: self.keys, low: 1 },
-            keyed: false,
-            body_hash: 1,
-            budget: String::new(),
-            service: "service".to_owned(),
-            classes: Vec::new(),
-            priority: self.rng.random_range(0..3),
-            bound_tokens: 0,
-            unrepeatable: false,
-            attempts_max: 2,
-            prefix_hash: None,
-            fingerprint: None,
-            parts: if prompt { servers::chain(parts.into_iter()) } else { Vec::new() },
-            deadline_ms: now_ms + 3_000,
-        };
-        let router = &mut self.fleet.routers[place];
-        let slot = router.node.admit(wanted, now_ms);
-        self.waiting.insert((place, router.life, slot), now_ms);
-        self.counts.given += 1;
-        self.fleet.carry_out(place);
-        self.take_answers();
-    }
-
     fn take_answers(&mut self) {
-        for (place, life, slot, answer) in std::mem::take(&mut self.fleet.answers) {
+        for (place, life, slot, answer) in std::mem::take(&mut self.traffic.fleet.answers) {
             let given_ms = self.waiting.get(&(place, life, slot)).copied();
             match answer {
                 node::Answer::Dispatch { vm, life: of_server, .. } => {
@@ -199,7 +152,7 @@
 
     /// Nothing goes to a server that told this router otherwise.
     fn check_send(&self, router: (usize, u64), vm: &str, life: ids::ServerLife) {
-        let (now_ms, seed) = (self.fleet.now_ms, self.seed);
+        let (now_ms, seed) = (self.traffic.fleet.now_ms, self.seed);
         let Some(told) = self.told.get(&router) else { return };
         let server = (vm.to_owned(), life);
         let leaves = told.leaving.get(&server);
@@ -221,9 +174,9 @@
         vm: &str,
         life: ids::ServerLife,
     ) {
-        let now_ms = self.fleet.now_ms;
+        let now_ms = self.traffic.fleet.now_ms;
         let place = self.servers.iter().position(|server| server.name == vm).unwrap();
-        let work_ms = self.rng.random_range(self.work_ms.clone());
+        let work_ms = self.traffic.rng.random_range(self.work_ms.clone());
         let server = &mut self.servers[place];
         server.sends_ms.push(now_ms);
         let running = self.runs.iter().filter(|run| run.server == place).count();
@@ -236,7 +189,7 @@
         };
         self.counts.turned_away += u64::from(matches!(manner, Manner::TurnsAway { .. }));
         let takes_ms = match manner {
-            Manner::TurnsAway { .. } => self.rng.random_range(1..20),
+            Manner::TurnsAway { .. } => self.traffic.rng.random_range(1..20),
             _ => work_ms,
         };
         let (sent_ms, answers_ms) = (now_ms, now_ms + takes_ms);
@@ -250,12 +203,12 @@
         retry_after_ms: u64,
         given_ms: Option<u64>,
     ) {
-        let (now_ms, seed) = (self.fleet.now_ms, self.seed);
+        let (now_ms, seed) = (self.traffic.fleet.now_ms, self.seed);
         let waited_ms = given_ms.map_or(0, |given_ms| now_ms - given_ms);
         self.counts.refused += 1;
         self.counts.refused_late += u64::from(waited_ms > 100);
         assert!(retry_after_ms > 0);
-        let calm = self.fleet.in_touch(place);
+        let calm = self.traffic.fleet.in_touch(place);
         let lacks = matches!(reason, node::Reason::Backoff | node::Reason::NoServer);
         assert!(
             !(lacks && calm && self.some_free),
@@ -264,8 +217,8 @@
     }
 
     fn step_servers(&mut self) {
-        let now_ms = self.fleet.now_ms;
-        let routers = &self.fleet.routers;
+        let now_ms = self.traffic.fleet.now_ms;
+        let routers = &self.traffic.fleet.routers;
         let arrives = |run: &mut Run| {
             let router = &routers[run.router.0];
             now_ms >= run.answers_ms && (!router.frozen || router.life != run.router.1)
@@ -277,9 +230,9 @@
     }
 
     fn answered(&mut self, run: &Run) {
-        let now_ms = self.fleet.now_ms;
+        let now_ms = self.traffic.fleet.now_ms;
         let (place, life) = run.router;
-        let router = &mut self.fleet.routers[place];
+        let router = &mut self.traffic.fleet.routers[place];
         if !router.alive || router.life != life {
             return;
         }
@@ -315,14 +268,14 @@
                 self.counts.waited_ms += run.sent_ms - given_ms;
             }
         }
-        self.fleet.carry_out(place);
+        self.traffic.fleet.carry_out(place);
         self.take_answers();
     }
 
     fn draw_manner(&mut self) -> Manner {
-        match self.rng.random_range(0..6) {
+        match self.traffic.rng.random_range(0..6) {
             0 => Manner::Leaves,
-            1..=3 => Manner::TurnsAway { backoff_ms: self.rng.random_range(50..6_000) },
+            1..=3 => Manner::TurnsAway { backoff_ms: self.traffic.rng.random_range(50..6_000) },
             _ => Manner::Serves,
         }
     }
@@ -330,11 +283,12 @@
     /// Servers behave otherwise; one that left stays so in that life.
     fn change_manners(&mut self) {
         for place in usize::from(self.some_free)..self.servers.len() {
-            if self.rng.random_bool(0.4) && self.servers[place].manner != Manner::Leaves {
+            if self.traffic.rng.random_bool(0.4) && self.servers[place].manner != Manner::Leaves {
                 self.servers[place].manner = self.draw_manner();
             }
-            let limit = self.rng.random_range(500..20_000);
-            self.servers[place].limit_milli_per_s = self.rng.random_bool(0.15).then_some(limit);
+            let limit = self.traffic.rng.random_range(500..20_000);
+            self.servers[place].limit_milli_per_s =
+                self.traffic.rng.random_bool(0.15).then_some(limit);
         }
     }
 
@@ -345,49 +299,31 @@
         server.manner = Manner::Serves;
         server.listed = true;
         let name = server.name.clone();
-        self.fleet.restart_server_with_slots(&name, servers::VmState::Live, 1_000);
+        self.traffic.fleet.restart_server_with_slots(&name, servers::VmState::Live, 1_000);
     }
 
     /// A server's record goes, or comes back and calls it live.
     fn lapse(&mut self, place: usize) {
         let name = self.servers[place].name.clone();
         match self.servers[place].listed {
-            true => self.fleet.remove_server(&name),
-            false => self.fleet.put_server_with_slots(&name, servers::VmState::Live, 1_000),
+            true => self.traffic.fleet.remove_server(&name),
+            false => self.traffic.fleet.put_server_with_slots(&name, servers::VmState::Live, 1_000),
         }
         self.servers[place].listed = !self.servers[place].listed;
     }
 
     fn trouble(&mut self) {
-        let place = self.rng.random_range(0..self.fleet.routers.len());
-        let server = self.rng.random_range(usize::from(self.some_free)..self.servers.len());
-        match self.rng.random_range(0..14) {
-            0 | 1 => self.fleet.restart(place),
-            2 => self.fleet.set_frozen(place, true),
-            3 | 4 => self.fleet.set_frozen(place, false),
-            5 => self.fleet.set_cut(place, true),
-            6 => self.fleet.set_cut(place, false),
-            7 => self.fleet.set_store(Store::Refuses),
-            8 => self.fleet.set_store(Store::Well),
-            9 => self.set_group(place, 1),
-            10 => self.set_group(place, 0),
+        let place = self.traffic.rng.random_range(0..self.traffic.fleet.routers.len());
+        let server = self.traffic.rng.random_range(usize::from(self.some_free)..self.servers.len());
+        match self.traffic.rng.random_range(0..14) {
+            number @ 0..=10 => self.traffic.trouble(place, number),
             11 => self.restart_server(server),
             _ => self.lapse(server),
         }
     }
 
-    fn set_group(&mut self, place: usize, group: u64) {
-        self.fleet.routers[place].group = group;
-        self.fleet.trouble(place);
-    }
-
     fn end_troubles(&mut self) {
-        self.fleet.set_store(Store::Well);
-        for place in 0..self.fleet.routers.len() {
-            self.fleet.set_frozen(place, false);
-            self.fleet.set_cut(place, false);
-            self.set_group(place, 0);
-        }
+        self.traffic.end_troubles();
         for place in 0..self.servers.len() {
             if !self.servers[place].listed {
                 self.lapse(place);
@@ -397,7 +333,7 @@
 
     /// Each server that does not leave may be sent to by all routers.
     fn check_nothing_held_back(&self) {
-        for (place, router) in self.fleet.routers.iter().enumerate() {
+        for (place, router) in self.traffic.fleet.routers.iter().enumerate() {
             let table = router.node.servers();
             assert_eq!(table.backing_off().count(), 0, "seed {}: at {place}", self.seed);
             for server in self.servers.iter().filter(|it| it.manner != Manner::Leaves) {
@@ -433,14 +369,14 @@
     let mut scenario = Scenario::new(routers, 5, seed);
     scenario.some_free = some_free;
     scenario.run_ms(8_000);
-    scenario.per_s = scenario.rng.random_range(20..200);
+    scenario.traffic.per_s = scenario.traffic.rng.random_range(20..200);
     scenario.run_ms(2_000);
     for _ in 0..steps {
-        match scenario.rng.random_range(0..3) {
+        match scenario.traffic.rng.random_range(0..3) {
             0 => scenario.change_manners(),
             _ => scenario.trouble(),
         }
-        let pause_ms = scenario.rng.random_range(20..2_500);
+        let pause_ms = scenario.traffic.rng.random_range(20..2_500);
         scenario.run_ms(pause_ms);
     }
     scenario.end_troubles();
@@ -455,12 +391,12 @@
     let told = |(vm, life): &&Life| {
         let mut told = scenario.told.iter();
         told.any(|(router, told)| {
-            let present = scenario.fleet.routers[router.0].life == router.1;
+            let present = scenario.traffic.fleet.routers[router.0].life == router.1;
             present && told.leaving.contains_key(&(vm.clone(), *life))
         })
     };
     let leaving: Vec<Life> = leaving.iter().filter(told).cloned().collect();
-    for (place, router) in scenario.fleet.routers.iter().enumerate() {
+    for (place, router) in scenario.traffic.fleet.routers.iter().enumerate() {
         let knows = scenario.knows(&router.node, &leaving);
         assert!(knows, "seed {seed}: router {place} does not know that {leaving:?} leave");
     }
@@ -491,7 +427,7 @@
 fn all_back_off(routers: usize, per_s: u64, seed: u64) -> Counts {
     let mut scenario = Scenario::new(routers, 4, seed);
     scenario.run_ms(8_000);
-    scenario.per_s = per_s;
+    scenario.traffic.per_s = per_s;
     scenario.run_ms(3_000);
     for server in &mut scenario.servers {
         server.manner = Manner::TurnsAway { backoff_ms: 3_000 };
@@ -537,13 +473,13 @@
     let mut scenario = Scenario::new(routers, 4, seed);
     scenario.some_free = true;
     scenario.run_ms(8_000);
-    scenario.per_s = per_s;
+    scenario.traffic.per_s = per_s;
     scenario.run_ms(5_000);
     scenario.servers[3].manner = Manner::TurnsAway { backoff_ms };
     scenario.run_ms(3_000);
     scenario.servers[3].manner = Manner::Serves;
     scenario.run_ms(backoff_ms + BACK_MS);
-    let since_ms = scenario.fleet.now_ms;
+    let since_ms = scenario.traffic.fleet.now_ms;
     scenario.run_ms(WINDOW_MS);
     let parts = scenario.parts(since_ms);
     let even = parts.iter().sum::<usize>() / parts.len();
@@ -577,12 +513,12 @@
     }
     scenario.run_ms(8_000);
     let taken_per_s = (servers * places) as u64 * 1_000 / work_ms;
-    scenario.per_s = taken_per_s * load_percent / 100;
+    scenario.traffic.per_s = taken_per_s * load_percent / 100;
     scenario.run_ms(5_000);
     scenario.counts = Counts::default();
     scenario.run_ms(30_000);
     let counts = scenario.counts;
-    (counts.served * 100 / (taken_per_s.min(scenario.per_s) * 30), counts)
+    (counts.served * 100 / (taken_per_s.min(scenario.traffic.per_s) * 30), counts)
 }
 
 macro_rules! shedding_servers_are_used {
@@ -611,21 +547,21 @@
     for (routers, leaving, seed) in [(7, 1, 1), (7, 100, 2), (75, 1, 3), (75, 100, 4)] {
         let mut scenario = Scenario::new(routers, 120, seed);
         scenario.run_ms(15_000);
-        scenario.fleet.loss_percent = 10;
-        let now_ms = scenario.fleet.now_ms;
+        scenario.traffic.fleet.loss_percent = 10;
+        let now_ms = scenario.traffic.fleet.now_ms;
         let said =
             servers::Said { leaves: servers::Stated::Value(true), ..servers::Said::default() };
         for place in 0..leaving {
             let vm = format!("vm-{place}");
             let age = servers::AnswerAge::default();
-            let node = &mut scenario.fleet.routers[0].node;
+            let node = &mut scenario.traffic.fleet.routers[0].node;
             node.report_said(&vm, ids::ServerLife(1), &said, age, now_ms);
         }
-        scenario.fleet.run_until("all know", CONTACT_MS, |fleet| {
+        scenario.traffic.fleet.run_until("all know", CONTACT_MS, |fleet| {
             fleet.routers.iter().all(|it| it.node.leavings().iter().count() == leaving)
         });
-        scenario.fleet.restart(routers - 1);
-        scenario.fleet.run_until("the new one knows", 2 * CONTACT_MS + 4_000, |fleet| {
+        scenario.traffic.fleet.restart(routers - 1);
+        scenario.traffic.fleet.run_until("the new one knows", 2 * CONTACT_MS + 4_000, |fleet| {
             fleet.routers[routers - 1].node.leavings().iter().count() == leaving
         });
     }
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -7,6 +7,7 @@
 mod checks;
 #[path = "store.rs"]
 mod fake_store;
+pub mod traffic;
 
 use doorswitch_core::{config, evacuation, ids, message, node, servers, store, watch};
 use rand::rngs::StdRng;
