Tests of the return from a backoff, its spread, ejection, permits and polls

Taking out one request first, or the spread, was seen by no test: the schedules' bounds on what shedding servers serve are wide. The table is asked directly now: one request, two for each answer, one a second without; thirty routers at twenty moments or more. And: ten requests turned away together with a backoff eject nobody and are refused with its time; no permits for a server that leaves, none asked for one that backs off; its load is not polled.

--- a/core/tests/limit_schedules.rs
+++ b/core/tests/limit_schedules.rs
@@ -604,3 +604,67 @@
         assert!(router.node.servers().limits().is_empty());
     }
 }
+
+/// Nobody is let to a server that leaves, whoever has not heard it yet.
+#[test]
+fn no_permits_are_given_for_a_server_that_leaves() {
+    let mut fleet = watch_fleet::settled(7, BOUNDS, 12);
+    let granting =
+        |fleet: &mut Fleet| (0..7).filter(|place| grants(fleet, *place, (place + 1) % 7)).count();
+    assert_eq!(granting(&mut fleet), 1);
+    let said = servers::Said { leaves: servers::Stated::Value(true), ..Default::default() };
+    let now_ms = fleet.now_ms;
+    for router in &mut fleet.routers {
+        let age = servers::AnswerAge::default();
+        router.node.report_said("server-0", ids::ServerLife(1), &said, age, now_ms);
+    }
+    fleet.run_ms(1_000);
+    assert_eq!(granting(&mut fleet), 0);
+}
+
+/// Permits for a server that backs off would be of no use, and would keep them from other routers.
+#[test]
+fn no_permits_are_asked_for_a_server_that_backs_off() {
+    let mut traffic = Traffic::new(2, 14, 0);
+    for place in 0..20 {
+        traffic.fleet.put_server_with_slots(&format!("vm-{place}"), servers::VmState::Live, 8);
+    }
+    traffic.fleet.run_ms(8_000);
+    let now_ms = traffic.fleet.now_ms;
+    let limit_milli_per_s = servers::Stated::Value(5_000);
+    let node = &mut traffic.fleet.routers[0].node;
+    for place in 0..20 {
+        let backoff_ms = match place {
+            0..10 => servers::Stated::Value(60_000),
+            _ => servers::Stated::Nothing,
+        };
+        let said = servers::Said { limit_milli_per_s, backoff_ms, ..Default::default() };
+        let age = servers::AnswerAge::default();
+        node.report_said(&format!("vm-{place}"), ids::ServerLife(1), &said, age, now_ms);
+    }
+    node.take_actions();
+    traffic.fleet.routers[1].alive = false;
+    for _ in 0..40 {
+        traffic.hand().unwrap();
+    }
+    let asked = |node: &mut node::Node| -> Vec<String> {
+        let actions = node.take_actions().into_iter();
+        let asks = actions.filter_map(|action| match action {
+            node::Action::Send { envelope, .. } => match envelope.message {
+                message::Message::PermitAsk { known, .. } => Some(known.vm),
+                _ => None,
+            },
+            _ => None,
+        });
+        asks.collect()
+    };
+    let node = &mut traffic.fleet.routers[0].node;
+    let mut all = Vec::new();
+    for tick in 0..20 {
+        node.tick(now_ms + 20 * tick);
+        all.extend(asked(node));
+    }
+    assert!(!all.is_empty(), "permits for the others are asked for");
+    let backs_off = |vm: &String| (0..10).any(|place| *vm == format!("vm-{place}"));
+    assert!(!all.iter().any(backs_off), "{all:?}");
+}
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use doorswitch_core::{config, leavings, message, node, servers};
+use doorswitch_core::{config, ids, leavings, message, node, servers};
 use world::{End, Shape, World};
 
 #[test]
@@ -319,3 +319,55 @@
         servers::Said { backoff_ms: servers::Stated::Value(60_000), ..Default::default() },
         node::Reason::Backoff;
 }
+
+/// Ejection is this router's guess: it follows neither from a backoff nor outlasts one.
+#[test]
+fn a_server_that_turns_ten_requests_away_with_a_backoff_is_not_ejected() {
+    let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let (now_ms, budget) = (world.now_ms, world.budget_name(0));
+    let node = &mut world.routers[0].node;
+    let vm = node.servers().iter().next().unwrap().1.vm.clone();
+    let wanted = |number: u64| node::Wanted {
+        key: ids::RequestKey { high: number, low: 0 },
+        keyed: false,
+        body_hash: 1,
+        budget: budget.clone(),
+        service: "service".to_owned(),
+        classes: Vec::new(),
+        priority: 5,
+        bound_tokens: 20,
+        unrepeatable: false,
+        attempts_max: 2,
+        prefix_hash: None,
+        fingerprint: None,
+        parts: Vec::new(),
+        deadline_ms: now_ms + 60_000,
+    };
+    let slots: Vec<ids::RequestSlot> =
+        (0..10).map(|number| node.admit(wanted(number), now_ms)).collect();
+    let said = servers::Said { backoff_ms: servers::Stated::Value(1_000), ..Default::default() };
+    for slot in slots {
+        let age = servers::AnswerAge::default();
+        node.report_said(&vm.vm, vm.life, &said, age, now_ms + 50);
+        node.retry(slot, node::Tried::TurnedAway, now_ms + 50);
+        node.finish(slot, node::Ending::NotRun, now_ms + 50);
+    }
+    let actions = node.take_actions();
+    let told = |wanted: fn(&node::Notice) -> bool| {
+        let notices = actions.iter().filter_map(|action| match action {
+            node::Action::Notice(notice) => Some(notice),
+            _ => None,
+        });
+        notices.filter(|notice| wanted(notice)).count()
+    };
+    assert_eq!(told(|notice| matches!(notice, node::Notice::ServerBackoff { .. })), 1);
+    assert_eq!(told(|notice| matches!(notice, node::Notice::Ejected { .. })), 0);
+    let refused = |action: &&node::Action| match action {
+        node::Action::Answer {
+            answer: node::Answer::Refuse { reason, retry_after_ms }, ..
+        } => *reason == node::Reason::Backoff && (950..2_000).contains(retry_after_ms),
+        _ => false,
+    };
+    assert_eq!(actions.iter().filter(refused).count(), 10);
+}
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -253,3 +253,62 @@
     bench.table.follow(&[vm("one", "new", live)], 0);
     assert_eq!(bench.choose(), Err(servers::Lack::None));
 }
+
+#[test]
+fn a_server_that_comes_back_from_a_backoff_gets_one_request_first() {
+    let mut bench = Bench::two();
+    let one = bench.table.find("one").unwrap();
+    let until_ms = bench.now_ms + 3_000;
+    assert!(bench.table.back_off(one, until_ms, bench.now_ms, &mut bench.rng));
+    while bench.table.backs_off(one, bench.now_ms) {
+        assert!((0..3).all(|_| bench.choose() != Ok(one)));
+        bench.now_ms += 50;
+    }
+    assert!(bench.now_ms >= until_ms);
+    let sent = |bench: &mut Bench| {
+        let not: Vec<ids::ServerSlot> = bench.table.find("two").into_iter().collect();
+        (0..6).filter(|_| bench.choose_for(&[], None, &not) == Ok(one)).count()
+    };
+    assert_eq!(sent(&mut bench), 1);
+    bench.table.answered(one, bench.now_ms);
+    assert_eq!(sent(&mut bench), 2, "two follow an answer");
+    bench.now_ms += 1_000;
+    assert_eq!(sent(&mut bench), 1, "one is tried though none is answered");
+}
+
+#[test]
+fn routers_that_were_turned_away_together_come_back_apart() {
+    let opens_ms = |seed: u64| {
+        let mut bench = Bench { rng: StdRng::seed_from_u64(seed), ..Bench::two() };
+        let one = bench.table.find("one").unwrap();
+        bench.table.back_off(one, bench.now_ms + 4_000, bench.now_ms, &mut bench.rng);
+        bench.table.backing_off().next().unwrap().1.opens_ms()
+    };
+    let mut moments: Vec<u64> = (0..30).map(opens_ms).collect();
+    moments.sort_unstable();
+    assert!(moments.last().unwrap() - moments[0] >= 250, "{moments:?}");
+    moments.dedup();
+    assert!(moments.len() >= 20, "{moments:?}");
+}
+
+#[test]
+fn an_answer_to_a_request_from_before_a_backoff_does_not_end_it() {
+    let mut bench = Bench::two();
+    let one = bench.table.find("one").unwrap();
+    bench.table.back_off(one, bench.now_ms + 1_000, bench.now_ms, &mut bench.rng);
+    (0..20).for_each(|_| bench.table.answered(one, bench.now_ms));
+    bench.now_ms += 2_000;
+    bench.table.end_backoffs(bench.now_ms);
+    assert_eq!(bench.table.backing_off().count(), 1);
+}
+
+#[test]
+fn a_server_in_its_backoff_is_not_polled_for_its_load() {
+    let mut bench = Bench::two();
+    let one = bench.table.find("one").unwrap();
+    bench.table.back_off(one, bench.now_ms + 1_000, bench.now_ms, &mut bench.rng);
+    let polled = |bench: &Bench| bench.table.subset(ids::Incarnation(1), 8, bench.now_ms).len();
+    assert_eq!(polled(&bench), 1);
+    bench.now_ms += 2_000;
+    assert_eq!(polled(&bench), 2);
+}
