--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -320,19 +320,13 @@
         node::Reason::Backoff;
 }
 
-/// Ejection is this router's guess: it follows neither from a backoff nor outlasts one.
-#[test]
-fn a_server_that_turns_ten_requests_away_with_a_backoff_is_not_ejected() {
-    let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
-    world.run_ms(2_000);
-    let (now_ms, budget) = (world.now_ms, world.budget_name(0));
-    let node = &mut world.routers[0].node;
-    let vm = node.servers().iter().next().unwrap().1.vm.clone();
-    let wanted = |number: u64| node::Wanted {
+/// A small request of the first budget.
+fn small(world: &World, number: u64) -> node::Wanted {
+    node::Wanted {
         key: ids::RequestKey { high: number, low: 0 },
         keyed: false,
         body_hash: 1,
-        budget: budget.clone(),
+        budget: world.budget_name(0),
         service: "service".to_owned(),
         classes: Vec::new(),
         priority: 5,
@@ -342,10 +336,21 @@
         prefix_hash: None,
         fingerprint: None,
         parts: Vec::new(),
-        deadline_ms: now_ms + 60_000,
-    };
+        deadline_ms: world.now_ms + 60_000,
+    }
+}
+
+/// Ejection is this router's guess: it follows neither from a backoff nor outlasts one.
+#[test]
+fn a_server_that_turns_ten_requests_away_with_a_backoff_is_not_ejected() {
+    let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let now_ms = world.now_ms;
+    let wanted: Vec<node::Wanted> = (0..10).map(|number| small(&world, number)).collect();
+    let node = &mut world.routers[0].node;
+    let vm = node.servers().iter().next().unwrap().1.vm.clone();
     let slots: Vec<ids::RequestSlot> =
-        (0..10).map(|number| node.admit(wanted(number), now_ms)).collect();
+        wanted.into_iter().map(|wanted| node.admit(wanted, now_ms)).collect();
     let said = servers::Said { backoff_ms: servers::Stated::Value(1_000), ..Default::default() };
     for slot in slots {
         let age = servers::AnswerAge::default();
@@ -371,3 +376,33 @@
     };
     assert_eq!(actions.iter().filter(refused).count(), 10);
 }
+
+/// When the only server takes requests again, one is sent, two may wait for its answer, and the others hear it at once.
+#[test]
+fn requests_that_a_returning_server_does_not_take_soon_are_refused_at_once() {
+    let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let wanted: Vec<node::Wanted> = (0..10).map(|number| small(&world, number)).collect();
+    let now_ms = world.now_ms;
+    let node = &mut world.routers[0].node;
+    let vm = node.servers().iter().next().unwrap().1.vm.clone();
+    let said = servers::Said { backoff_ms: servers::Stated::Value(100), ..Default::default() };
+    node.report_said(&vm.vm, vm.life, &said, servers::AnswerAge::default(), now_ms);
+    node.take_actions();
+    for wanted in wanted {
+        node.admit(wanted, now_ms + 200);
+    }
+    let actions = node.take_actions();
+    let count = |wanted: fn(&node::Answer) -> bool| {
+        let answers = actions.iter().filter_map(|action| match action {
+            node::Action::Answer { answer, .. } => Some(answer),
+            _ => None,
+        });
+        answers.filter(|answer| wanted(answer)).count()
+    };
+    assert_eq!(count(|answer| matches!(answer, node::Answer::Dispatch { .. })), 1);
+    let refused = |answer: &node::Answer| {
+        matches!(answer, node::Answer::Refuse { reason: node::Reason::Backoff, .. })
+    };
+    assert_eq!(count(refused), 7);
+}
