Test: failures in a backoff count as none also where the answer does not say that nothing ran; findings and proofs

With the exemption taken out the test passed, as requests that are turned away together count once anyway. Half of them end as failed runs now, and it fails without the exemption.

--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -342,21 +342,28 @@
 
 /// Ejection is this router's guess: it follows neither from a backoff nor outlasts one.
 #[test]
-fn a_server_that_turns_ten_requests_away_with_a_backoff_is_not_ejected() {
+fn a_server_that_turns_requests_away_with_a_backoff_is_not_ejected() {
     let mut world = World::new(Shape { servers: 1, ..Shape::default() }, 1);
     world.run_ms(2_000);
     let now_ms = world.now_ms;
-    let wanted: Vec<node::Wanted> = (0..10).map(|number| small(&world, number)).collect();
+    let wanted: Vec<node::Wanted> = (0..8).map(|number| small(&world, number)).collect();
     let node = &mut world.routers[0].node;
     let vm = node.servers().iter().next().unwrap().1.vm.clone();
     let slots: Vec<ids::RequestSlot> =
         wanted.into_iter().map(|wanted| node.admit(wanted, now_ms)).collect();
     let said = servers::Said { backoff_ms: servers::Stated::Value(1_000), ..Default::default() };
-    for slot in slots {
+    for (number, slot) in slots.into_iter().enumerate() {
         let age = servers::AnswerAge::default();
         node.report_said(&vm.vm, vm.life, &said, age, now_ms + 50);
-        node.retry(slot, node::Tried::TurnedAway, now_ms + 50);
-        node.finish(slot, node::Ending::NotRun, now_ms + 50);
+        // Some answers don't say that the request did not run.
+        let ending = match number % 2 {
+            0 => {
+                node.retry(slot, node::Tried::TurnedAway, now_ms + 50);
+                node::Ending::NotRun
+            }
+            _ => node::Ending::Ran { consumed_tokens: 0, outcome: None, healthy: false },
+        };
+        node.finish(slot, ending, now_ms + 50);
     }
     let actions = node.take_actions();
     let told = |wanted: fn(&node::Notice) -> bool| {
@@ -374,7 +381,7 @@
         } => *reason == node::Reason::Backoff && (950..2_000).contains(retry_after_ms),
         _ => false,
     };
-    assert_eq!(actions.iter().filter(refused).count(), 10);
+    assert_eq!(actions.iter().filter(refused).count(), 4);
 }
 
 /// When the only server takes requests again, one is sent, two may wait for its answer, and the others hear it at once.
