Tests of leaving servers wait for the router's own word, not for answers by another server

Its router's log: eight requests in 4 ms all went to the other server, which was the faster one for that moment, and the store was put out before the leaving was heard; the request that the test counts is rightly sent. The same in unanswered_calls_do_not_hide_a_leaving_server. Both wait for event=server_leaving now; bounds and the requests after it as they were, eight more in the first.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -166,7 +166,9 @@
         number += 1;
         world.ask(0, &request("/read/x", &format!("id-{number}"))).text()
     };
-    eventually("the leaving is heard", || (0..8).all(|_| ask() == "one"));
+    let told = || world.log(0).contains("event=server_leaving vm=i-0 ");
+    eventually("the leaving is heard", told);
+    assert!((0..8).all(|_| ask() == "one"), "once it is heard");
     world.store.set_mode(store::Mode::Down);
     world.store.put("servers/other", b"{}");
     let missed = || world.log(0).contains("event=watch_failed prefix=servers/");
--- a/tests/unanswered_calls.rs
+++ b/tests/unanswered_calls.rs
@@ -48,7 +48,8 @@
     world.record_server(leaving.parse().unwrap(), "draining");
     let said = Instant::now();
     let asked = || world.ask(0, &request("/read/x", "id")).text();
-    fleet::eventually("the leaving is heard", || asked() != leaving);
+    let told = format!("event=server_leaving vm=i-{leaving} ");
+    fleet::eventually("the leaving is heard", || world.log(0).contains(&told));
     let heard = said.elapsed();
     assert!(heard < HEARD, "heard after {heard:?}: {}", world.log(0));
     assert!((0..20).all(|_| asked() != leaving));
