Log the store's era and ignored stale answers

An era that is not a number is treated as absent and logged as event=store_era_unreadable at most once a minute. No decision changes.

--- a/core/src/node/notices.rs
+++ b/core/src/node/notices.rs
@@ -184,6 +184,15 @@
         /// The call.
         call: watch::GivenUp,
     },
+    /// An answer of the store was ignored because its revision is lower than that of this router's copy.
+    StaleAnswerIgnored {
+        /// The topic of the call.
+        topic: watch::Topic,
+        /// The revision of the answer.
+        revision: u64,
+        /// The revision of this router's copy.
+        known_revision: u64,
+    },
     /// This router's part in following the store changed.
     WatchDuty {
         /// What it is now.
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -143,7 +143,11 @@
                 }
                 self.apply_changes(revision.max(known), changes, was_refused, now_ms);
             }
-            watch::News::AllServers(_) if revision < self.vms_index => {}
+            watch::News::AllServers(_) if revision < self.vms_index => {
+                let (topic, known_revision) = (watch::Topic::Servers, self.vms_index);
+                let notice = Notice::StaleAnswerIgnored { topic, revision, known_revision };
+                self.actions.push(Action::Notice(notice));
+            }
             watch::News::AllServers(all) => {
                 if was_refused {
                     self.keep_missing(&all, now_ms);
--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,8 @@
 const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// After a failed watch the next one waits about this long.
 const WATCH_AGAIN: Duration = Duration::from_millis(500);
+/// The minimum time between two log lines for unreadable eras, in milliseconds.
+const ERA_UNREADABLE_LOG_INTERVAL_MS: u64 = 60_000;
 /// The answers to requests in the order asked; the sender side lives in the actor.
 pub type Reply = oneshot::Receiver<node::Answer>;
 
@@ -60,6 +62,10 @@
     telemetry: telemetry::Reporter,
     /// The revision of the suspected requests that traffic threads know.
     suspected_revision: u64,
+    /// The store's era that was last logged.
+    logged_era: Option<u64>,
+    /// When an unreadable era was last logged.
+    era_unreadable_logged_ms: Option<u64>,
 }
 
 impl Control {
@@ -86,6 +92,8 @@
             watches: Default::default(),
             telemetry: telemetry::Reporter::default(),
             suspected_revision: 0,
+            logged_era: None,
+            era_unreadable_logged_ms: None,
             settings,
         }
     }
@@ -140,6 +148,25 @@
         }
     }
 
+    /// Logs changes of the store's era, and unreadable eras at a limited rate.
+    fn log_store_era(&mut self) {
+        let Some(store) = self.platform.revisions().cloned() else { return };
+        let era = store.era();
+        if era != self.logged_era {
+            let previous = self.logged_era.map_or_else(|| "none".to_owned(), |era| era.to_string());
+            log::info!("event=store_era era={} previous={previous}", era.unwrap_or(0));
+            self.logged_era = era;
+        }
+        let now_ms = self.now_ms();
+        let due = self
+            .era_unreadable_logged_ms
+            .is_none_or(|at_ms| now_ms >= at_ms + ERA_UNREADABLE_LOG_INTERVAL_MS);
+        if due && store.take_era_unreadable() {
+            self.era_unreadable_logged_ms = Some(now_ms);
+            log::warn!("event=store_era_unreadable");
+        }
+    }
+
     fn publish_suspected(&mut self) {
         let revision = self.node.suspected_revision();
         if revision != self.suspected_revision {
@@ -157,6 +184,7 @@
         let platform = self.platform.clone();
         let reply = async move { platform.call(request).await };
         let done = reply.into_actor(self).map(move |reply, control, context| {
+            control.log_store_era();
             let now_ms = control.now_ms();
             control.node.store_reply(call, reply, now_ms);
             control.carry_out(context);
@@ -258,6 +286,7 @@
         let Some(feed) = self.feed.clone() else { return };
         let done = feed.ask(call).into_actor(self).map(move |outcome, control, context| {
             control.watches.remove(&(call.topic, call.number));
+            control.log_store_era();
             let now_ms = control.now_ms();
             control.node.watched(call, outcome, now_ms);
             control.carry_out(context);
--- a/src/telemetry/notices.rs
+++ b/src/telemetry/notices.rs
@@ -68,6 +68,9 @@
             call.evidence,
             call.waited_ms,
         ),
+        node::Notice::StaleAnswerIgnored { topic, revision, known_revision } => log::info!(
+            "event=stale_answer_ignored topic={topic:?} revision={revision} known_revision={known_revision}"
+        ),
         node::Notice::WatchDuty { duty } => log::info!("event=watch_duty duty={duty:?}"),
         node::Notice::Ejected { vm, ejected_ms } => {
             log::info!("event=server_ejected vm={vm} ejected_ms={ejected_ms}");
