--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,7 +1,8 @@
 //! The users' platform's store: keys with revisions, conditional transactions, ranges and watches.
 
 use crate::{server, wire};
-use actix_web::{HttpResponse, web};
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, HttpResponseBuilder, web};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,36 @@
     Silent,
 }
 
+/// What the store's answers say of its era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EraHeader {
+    /// The era.
+    #[default]
+    Named,
+    /// Nothing.
+    Absent,
+    /// This text.
+    Text(&'static str),
+}
+
+/// What becomes of the watches that wait when the store is restored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenWatches {
+    /// They are answered with 503.
+    Ended,
+    /// They go on from their revisions, whatever these stand for now.
+    Kept,
+}
+
+/// What the store held at one time, to be restored later.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    changes: Vec<Item>,
+    forgotten: u64,
+}
+
 /// The running store.
 #[derive(Debug)]
 pub struct Store {
@@ -55,6 +86,11 @@
     unanswered: u64,
     /// Watches hear of no change after this revision.
     deaf_after: Option<u64>,
+    /// How often the store was restored.
+    era: u64,
+    era_header: EraHeader,
+    /// Watches up to this call ended with a restore.
+    ended: u64,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -110,6 +146,17 @@
 }
 
 impl State {
+    /// Starts an answer, with the header that names the era.
+    fn answer(&self, status: StatusCode) -> HttpResponseBuilder {
+        let mut response = HttpResponse::build(status);
+        match self.era_header {
+            EraHeader::Named => response.insert_header(("Store-Era", self.era.to_string())),
+            EraHeader::Absent => &mut response,
+            EraHeader::Text(text) => response.insert_header(("Store-Era", text)),
+        };
+        response
+    }
+
     fn write(&mut self, key: &str, value: Option<String>) {
         self.revision += 1;
         let gone = value.is_none();
@@ -207,6 +254,36 @@
         state.deaf_after = None;
     }
 
+    /// Takes a backup of what the store holds.
+    pub fn back_up(&self) -> Backup {
+        let state = self.shared.lock();
+        Backup {
+            revision: state.revision,
+            items: state.items.clone(),
+            changes: state.changes.clone(),
+            forgotten: state.forgotten,
+        }
+    }
+
+    /// Goes back to a backup, in the next era: what was written since is gone, and revisions are given out again.
+    pub fn restore(&self, backup: &Backup, open_watches: OpenWatches) {
+        let mut state = self.shared.lock();
+        state.revision = backup.revision;
+        state.items = backup.items.clone();
+        state.changes = backup.changes.clone();
+        state.forgotten = backup.forgotten;
+        state.deaf_after = None;
+        state.era += 1;
+        if open_watches == OpenWatches::Ended {
+            state.ended = state.calls;
+        }
+    }
+
+    /// Changes what answers say of the era.
+    pub fn set_era_header(&self, header: EraHeader) {
+        self.shared.lock().era_header = header;
+    }
+
     /// Watches hear of no change from now on, until the store forgets its history.
     pub fn go_deaf(&self) {
         let mut state = self.shared.lock();
@@ -238,14 +315,14 @@
 
 /// Counts a call; an answer means that the store is not well.
 async fn admit(shared: &Shared) -> Option<HttpResponse> {
-    let mode = {
+    let (mode, mut refusal) = {
         let mut state = shared.lock();
         state.calls += 1;
-        state.mode
+        (state.mode, state.answer(StatusCode::SERVICE_UNAVAILABLE))
     };
     match mode {
         Mode::Well | Mode::LoseAnswers => None,
-        Mode::Down => Some(HttpResponse::ServiceUnavailable().finish()),
+        Mode::Down => Some(refusal.finish()),
         Mode::Silent => std::future::pending().await,
     }
 }
@@ -254,9 +331,10 @@
     if let Some(refused) = admit(&shared).await {
         return refused;
     }
-    match shared.lock().items.get(&query.private_key) {
-        Some(item) => HttpResponse::Ok().json(item),
-        None => HttpResponse::NotFound().finish(),
+    let state = shared.lock();
+    match state.items.get(&query.private_key) {
+        Some(item) => state.answer(StatusCode::OK).json(item),
+        None => state.answer(StatusCode::NOT_FOUND).finish(),
     }
 }
 
@@ -266,7 +344,8 @@
     }
     let state = shared.lock();
     let items = state.under(&query.path_prefix);
-    HttpResponse::Ok().json(json!({ "items": items, "more": false, "at": state.revision }))
+    let body = json!({ "items": items, "more": false, "at": state.revision });
+    state.answer(StatusCode::OK).json(body)
 }
 
 /// A watch that waits.
@@ -296,14 +375,20 @@
     let after = query.after_revision.as_deref().and_then(|text| text.parse().ok()).unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
     let waiting = Waiting::start(&shared);
+    if after > shared.lock().revision {
+        return shared.lock().answer(StatusCode::GONE).finish();
+    }
     loop {
         if shared.lock().unanswered >= waiting.call {
             std::future::pending::<()>().await;
         }
         {
             let state = shared.lock();
+            if state.ended >= waiting.call {
+                return state.answer(StatusCode::SERVICE_UNAVAILABLE).finish();
+            }
             if after < state.forgotten {
-                return HttpResponse::Gone().finish();
+                return state.answer(StatusCode::GONE).finish();
             }
             let heard = state.deaf_after.unwrap_or(state.revision);
             let new = |item: &&Item| {
@@ -313,7 +398,7 @@
             let events: Vec<&Item> = state.changes.iter().filter(new).collect();
             if !events.is_empty() || Instant::now() >= until {
                 let at = heard.max(after);
-                return HttpResponse::Ok().json(json!({ "events": events, "at": at }));
+                return state.answer(StatusCode::OK).json(json!({ "events": events, "at": at }));
             }
         }
         actix_rt::time::sleep(LOOK_EVERY).await;
@@ -324,7 +409,7 @@
     if let Some(refused) = admit(&shared).await {
         return refused;
     }
-    let (revision, lost) = {
+    let (answer, lost) = {
         let mut state = shared.lock();
         let holds = |expected: &Expected| {
             let item = state.items.get(&expected.private_key);
@@ -333,7 +418,7 @@
         if !body.expected_rev.iter().all(holds) {
             let keys = body.expected_rev.iter().map(|expected| &expected.private_key);
             let items: Vec<&Item> = keys.filter_map(|key| state.items.get(key)).collect();
-            return HttpResponse::PreconditionFailed().json(json!({ "items": items }));
+            return state.answer(StatusCode::PRECONDITION_FAILED).json(json!({ "items": items }));
         }
         for put in &body.put {
             state.write(&put.private_key, Some(put.value.clone()));
@@ -341,10 +426,11 @@
         for key in &body.remove {
             state.write(key, None);
         }
-        (state.revision, state.mode == Mode::LoseAnswers)
+        let answer = state.answer(StatusCode::OK).json(json!({ "revision": state.revision }));
+        (answer, state.mode == Mode::LoseAnswers)
     };
     if lost {
         std::future::pending::<()>().await;
     }
-    HttpResponse::Ok().json(json!({ "revision": revision }))
+    answer
 }
