Recover the ledger after a restore of the store

Symptom: after restores, a tenant that had paid for 200 requests was refused with 503 instead of 402.

Cause: the ledger writer waited for the revision that it knew, and would then have accepted the older state of the backup as current.

Fix: each value contains the era in which it was written. After a restore, every router that saw a later state of a shard writes it back. The latest state wins, and a router that joins later merges what the others lack.

a_restore_does_not_let_prepaid_tokens_be_spent_twice failed before and passes now.

--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -5,6 +5,8 @@
 //! "Received" and the matching part of "spent" are transfers between holders, which pass the store
 //! by; a transfer that was lost counts as spent and is never received.
 
+mod recovery;
+
 use crate::{ids, store};
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ensure};
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -319,8 +319,9 @@
             }
         };
         let definite = self.unsettled_index.is_none_or(|base| is_settled(base, index, &shard));
+        let recovered = shard.recover(index, self.last_seen.as_ref(), context.recovery_window_over);
         let is_of_current_era = shard.era.is_none_or(|era| era == index.era);
-        let mut events = self.follow(&shard, definite, is_of_current_era, table, context);
+        let mut events = self.follow(&recovered, definite, is_of_current_era, table, context);
         if events.contains(&Event::WrittenOff) {
             return (None, events);
         }
@@ -329,7 +330,10 @@
         }
         self.stale = false;
         self.backoff.reset();
-        let draft = self.draft(&shard, index.era, table, context);
+        let draft = match recovered.is_restored(index) {
+            true => recovered,
+            false => self.draft(&recovered, index.era, table, context),
+        };
         if draft == shard && self.unsettled_index.is_none() {
             self.remember(index, shard);
             self.succeed(context.now_ms);
@@ -377,11 +381,12 @@
         let index = store::Position { era, revision: 0 };
         let first_era = self.last_seen.as_ref().map_or(era, |(position, _)| position.era);
         let empty = ledger::Shard { era: Some(first_era), ..ledger::Shard::default() };
-        let mut events = self.follow(&empty, true, true, table, context);
+        let recovered = empty.recover(index, self.last_seen.as_ref(), context.recovery_window_over);
+        let mut events = self.follow(&recovered, true, recovered == empty, table, context);
         if events.contains(&Event::WrittenOff) {
             return (None, events);
         }
-        let draft = self.draft(&empty, era, table, context);
+        let draft = self.draft(&recovered, era, table, context);
         if draft == empty {
             events.push(Event::Followed);
             return (None, events);
--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -127,6 +127,9 @@
             self.actions.push(Action::Notice(Notice::StoreRestored { era, previous }));
             self.counters.store_restores += 1;
             self.restart_watches(now_ms);
+            self.eras.restored_ms = Some(now_ms);
+            self.ledgers.iter_mut().for_each(|ledger| ledger.restored(era));
+            self.grants.await_recovery();
             self.relay.push_due = true;
         }
     }
