Rewrite records that a restore of the store may have lost

Routers' addresses and the record of quarantined requests were written only once, so a restore could lose them. Both are now written again after a restore; one router writes the quarantine record for all. No test of its own yet.

--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -127,6 +127,7 @@
             self.actions.push(Action::Notice(Notice::StoreRestored { era, previous }));
             self.counters.store_restores += 1;
             self.restart_watches(now_ms);
+            self.quarantine.store_restored(now_ms, &mut self.rng);
             self.eras.restored_ms = Some(now_ms);
             self.ledgers.iter_mut().for_each(|ledger| ledger.restored(era));
             self.grants.await_recovery();
@@ -159,6 +160,7 @@
     /// Cancels the watches of the previous era, so that everything is read again.
     fn restart_watches(&mut self, now_ms: u64) {
         let Some(watching) = &mut self.watching else { return };
+        watching.announce_again();
         for topic in watch::Topic::ALL {
             for number in watching.topic(topic).restart(now_ms) {
                 self.actions.push(Action::CancelWatch { topic, number });
--- a/core/src/node/quarantine.rs
+++ b/core/src/node/quarantine.rs
@@ -2,6 +2,7 @@
 
 use super::{Action, Node, Notice, QuarantineSource, Reason, platform};
 use crate::{ids, quarantine, servers, store};
+use rand::rngs;
 use std::collections;
 
 /// What is not urgent is told this often while there is any: after one crash under 64 requests all is told in 0.6 s.
@@ -34,6 +35,14 @@
     expired_ms: u64,
 }
 
+impl Quarantine {
+    /// Schedules a read of the record after a restore of the store, and a write if it lacks a quarantined request.
+    pub(super) fn store_restored(&mut self, now_ms: u64, rng: &mut rngs::StdRng) {
+        let quarantines_any = !self.table.reports_of_quarantined(now_ms).is_empty();
+        self.keeper.store_restored(quarantines_any, now_ms, rng);
+    }
+}
+
 impl Node {
     /// Requests that crash servers, as this router knows them.
     pub fn quarantine(&self) -> &quarantine::Table {
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -66,6 +66,11 @@
         let start = store::Position::START;
         self.configuration.position() > start && self.servers.position() > start
     }
+
+    /// Schedules another write of this router's address, which a restore of the store may have lost.
+    pub(super) fn announce_again(&mut self) {
+        self.announced = false;
+    }
 }
 
 impl Node {
