--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -10,6 +10,8 @@
 /// Time for writers to repeat writes that a restore lost, and for the records of dead writers to expire: a record
 /// expires after three heartbeats of 1.2 s without a write.
 const REWRITE_WINDOW_MS: u64 = 5_000;
+/// How long evacuations of the lost history stay in effect, so that the operator can write them again.
+const EVACUATIONS_TTL_MS: u64 = 2_000;
 /// Retention period for removed records; it must exceed the age of a backup, which is a few seconds.
 const REMOVED_TTL_MS: u64 = 60_000;
 /// The maximum number of removed records that are retained.
@@ -48,6 +50,8 @@
     current_since_ms: u64,
     /// When this router last detected a restore of the store.
     restored_ms: Option<u64>,
+    /// The earliest possible time of that restore.
+    restored_after_ms: u64,
     unconfirmed: Option<UnconfirmedEra>,
     /// An era that the store did not confirm, and until when peers' reports of it or an earlier one are ignored.
     rejected: Option<(u64, u64)>,
@@ -126,6 +130,9 @@
             let previous = previous.unwrap_or(copies.era);
             self.actions.push(Action::Notice(Notice::StoreRestored { era, previous }));
             self.counters.store_restores += 1;
+            let before_ms =
+                self.watching.as_ref().and_then(|it| it.servers.last_current_or_failed_ms());
+            self.eras.restored_after_ms = before_ms.unwrap_or(now_ms);
             self.restart_watches(now_ms);
             self.quarantine.store_restored(now_ms, &mut self.rng);
             self.eras.restored_ms = Some(now_ms);
@@ -222,7 +229,8 @@
     /// Prepares for replacing the copy by a list of a later era: servers removed in the lost history stay unused until
     /// their writers had time to write again, and records missing from the list are kept for a while.
     pub(super) fn prepare_era_change(&mut self, all: &watch::AllServers, now_ms: u64) {
-        self.keep_missing(all, now_ms);
+        // The restore may have happened long before this router detected it.
+        self.keep_missing(all, self.eras.restored_after_ms, now_ms);
         let until_ms = now_ms + REWRITE_WINDOW_MS;
         let eras = &mut self.eras;
         eras.removed.retain(|_, removed| now_ms < removed.at_ms + REMOVED_TTL_MS);
@@ -265,8 +273,19 @@
         let known = &self.evacuations;
         let restored =
             known.position != store::Position::START && position.era > known.position.era;
-        if restored && matches!(news, evacuation::News::All(_)) && !known.domains.is_empty() {
-            self.eras.evacuated = Some((known.domains.clone(), now_ms + REWRITE_WINDOW_MS));
+        match news {
+            evacuation::News::All(_) if restored => {
+                let mut domains = known.domains.clone();
+                domains.extend(self.eras.evacuated.take().into_iter().flat_map(|(it, _)| it));
+                self.eras.evacuated = Some((domains, now_ms + EVACUATIONS_TTL_MS));
+            }
+            evacuation::News::All(_) => {}
+            // The operator wrote these domains after the restore.
+            evacuation::News::Changes(changes) => {
+                if let Some((domains, _)) = &mut self.eras.evacuated {
+                    changes.iter().for_each(|change| _ = domains.remove(&change.domain));
+                }
+            }
         }
     }
 
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -177,7 +177,7 @@
                 if self.vms_index != store::Position::START && position.era > self.vms_index.era {
                     self.prepare_era_change(&all, now_ms);
                 } else if was_refused {
-                    self.keep_missing(&all, now_ms);
+                    self.keep_missing(&all, now_ms, now_ms);
                 }
                 self.relay.restart_changes(position);
                 for (vm, revision) in &all.revisions {
@@ -216,7 +216,7 @@
                 }
                 watch::ServerRecord::Lapsed => {
                     if let Some(vm) = removed.filter(|_| keeps_lapsed) {
-                        self.keep_lapsed(vm, now_ms);
+                        self.keep_lapsed(vm, LAPSED_KEPT_MS, now_ms);
                     }
                 }
             }
@@ -239,21 +239,27 @@
         self.follow_vms(self.vms_index, vms, now_ms);
     }
 
-    pub(super) fn keep_missing(&mut self, all: &watch::AllServers, now_ms: u64) {
+    /// Keeps records that are missing from a list for [`LAPSED_KEPT_MS`] after the store became available again, which
+    /// was at `available_ms` at the earliest.
+    pub(super) fn keep_missing(&mut self, all: &watch::AllServers, available_ms: u64, now_ms: u64) {
+        let kept_ms = (available_ms + LAPSED_KEPT_MS).saturating_sub(now_ms);
+        if kept_ms == 0 {
+            return;
+        }
         let listed = all.listed.iter().map(|vm| &vm.vm);
         let present: collections::HashSet<&String> = listed.chain(&all.unreadable).collect();
         let missing = self.vms.values().filter(|vm| !present.contains(&vm.vm));
         let missing: Vec<servers::Vm> = missing.cloned().collect();
         for vm in missing {
-            self.keep_lapsed(vm, now_ms);
+            self.keep_lapsed(vm, kept_ms, now_ms);
         }
     }
 
-    fn keep_lapsed(&mut self, vm: servers::Vm, now_ms: u64) {
+    fn keep_lapsed(&mut self, vm: servers::Vm, kept_ms: u64, now_ms: u64) {
         let Some(watching) = &mut self.watching else { return };
-        let notice = Notice::ItemLapsed { vm: vm.vm.clone(), kept_ms: LAPSED_KEPT_MS };
+        let notice = Notice::ItemLapsed { vm: vm.vm.clone(), kept_ms };
         self.actions.push(Action::Notice(notice));
-        watching.lapsed_until_ms.insert(vm.vm.clone(), now_ms + LAPSED_KEPT_MS);
+        watching.lapsed_until_ms.insert(vm.vm.clone(), now_ms + kept_ms);
         self.lapsed.push(vm);
     }
 
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -126,6 +126,8 @@
     pause: backoff::Backoff,
     /// When the store said last that it does not serve, unless its state was known after that.
     refused_ms: Option<u64>,
+    /// When a call last failed.
+    failed_ms: Option<u64>,
     /// When this router asks because its knowledge is overdue.
     overdue_call_ms: Option<u64>,
 }
@@ -147,6 +149,7 @@
             not_before_ms: 0,
             pause: backoff::Backoff::new(PAUSE_FIRST_MS, PAUSE_LONGEST_MS),
             refused_ms: None,
+            failed_ms: None,
             overdue_call_ms: None,
         }
     }
@@ -166,6 +169,12 @@
         self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
+    /// When the copy was last known to be current or a call last failed, whichever is later; `None` if neither happened.
+    /// A restore that is detected later is assumed to be later than that.
+    pub fn last_current_or_failed_ms(&self) -> Option<u64> {
+        self.confirmed_ms.max(self.failed_ms)
+    }
+
     /// Knowledge that is older than this is overdue, in milliseconds.
     pub fn overdue_ms(&self) -> u64 {
         self.bound_ms * OVERDUE_PERCENT / 100
@@ -393,6 +402,7 @@
         rng: &mut rngs::StdRng,
     ) {
         self.unanswered = true;
+        self.failed_ms = Some(now_ms);
         if refused {
             self.refused_ms = Some(now_ms);
         }
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -4,12 +4,16 @@
 
 #![allow(dead_code, missing_docs, clippy::unwrap_used)]
 
+mod backup;
 mod checks;
 #[path = "store.rs"]
 mod fake_store;
 pub mod traffic;
 
-use doorswitch_core::{config, evacuation, ids, message, node, servers, store, watch};
+#[allow(unused_imports)]
+pub use backup::Backup;
+
+use doorswitch_core::{config, evacuation, ids, members, message, node, servers, store, watch};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,6 +46,15 @@
     unanswered: bool,
 }
 
+/// The outcome of a call that the router has not received yet.
+struct PendingOutcome {
+    arrives_ms: u64,
+    /// The store's era when it answered; `None` if it did not.
+    era: Option<u64>,
+    call: watch::Call,
+    outcome: watch::Outcome,
+}
+
 pub struct Router {
     pub node: node::Node,
     pub life: u64,
@@ -57,8 +70,8 @@
     /// Since when nothing has troubled it.
     calm_since_ms: u64,
     waiting: Vec<Waiting>,
-    /// Answers of the store that are on their way, with the time when they arrive.
-    answers: Vec<(u64, watch::Call, watch::Outcome)>,
+    /// Outcomes of calls that have not arrived yet.
+    answers: Vec<PendingOutcome>,
     seen: (u64, store::Position),
     held: Vec<Event>,
 }
@@ -242,6 +255,34 @@
         self.routers[place].turned_away = turned_away;
     }
 
+    /// Delivers gossip from an unknown peer that reports an era of the store.
+    pub fn gossip_era(&mut self, place: usize, era: u64) {
+        let from = members::Record {
+            id: ids::Incarnation(77),
+            address: "10.9.9.9:1".to_owned(),
+            vm: "stranger".to_owned(),
+            failure_domain: "nowhere".to_owned(),
+            beat: 0,
+            health: members::Health::Alive,
+        };
+        let position = store::Position::new(era, 1);
+        let seen = message::Seen { position, age_ms: Some(0) };
+        let digest =
+            message::Digest { era, configuration: seen, servers: seen, ..Default::default() };
+        let gossip = message::Gossip {
+            from,
+            kind: message::GossipKind::Push,
+            digest,
+            news: Vec::new(),
+            leaving: Vec::new(),
+            quarantine: Default::default(),
+            limits: Vec::new(),
+        };
+        let now_ms = self.now_ms;
+        self.routers[place].node.gossip(&gossip, now_ms);
+        self.carry_out(place);
+    }
+
     pub fn watchers(&self) -> Vec<usize> {
         let watches = |router: &Router| {
             router.alive && router.node.watch_duty() == Some(watch::Duty::Watcher)
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -1,6 +1,6 @@
 //! How the fake store answers the routers' calls for news.
 
-use super::{CALL_TIMEOUT_MS, Fleet, Store, Waiting};
+use super::{CALL_TIMEOUT_MS, Fleet, PendingOutcome, Store, Waiting};
 use doorswitch_core::{evacuation, ids, servers, store, watch};
 use rand::RngExt;
 
@@ -94,18 +94,30 @@
     pub(super) fn answer_calls(&mut self, place: usize) {
         for waiting in std::mem::take(&mut self.routers[place].waiting) {
             let answer = self.answer(place, &waiting);
+            let router = &self.routers[place];
+            let answered = !waiting.unanswered && !router.cut && self.store != Store::Silent;
+            let era = self.era;
             let arrives_ms = self.now_ms + self.rng.random_range(0..=self.answer_ms);
             let router = &mut self.routers[place];
             match answer {
-                Some(outcome) => router.answers.push((arrives_ms, waiting.call, outcome)),
+                Some(outcome) => router.answers.push(PendingOutcome {
+                    arrives_ms,
+                    era: answered.then_some(era),
+                    call: waiting.call,
+                    outcome,
+                }),
                 None => router.waiting.push(waiting),
             }
         }
         let now_ms = self.now_ms;
         let arrived: Vec<_> =
-            self.routers[place].answers.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
-        for (_, call, outcome) in arrived {
-            self.routers[place].node.watched(call, outcome, now_ms);
+            self.routers[place].answers.extract_if(.., |it| it.arrives_ms <= now_ms).collect();
+        for PendingOutcome { era, call, outcome, .. } in arrived {
+            let node = &mut self.routers[place].node;
+            if let Some(era) = era {
+                node.hear_store_era(era, now_ms);
+            }
+            node.watched(call, outcome, now_ms);
             self.carry_out(place);
         }
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -33,6 +33,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Add what other writers and servers do"),
         )
+        .arg(
+            Arg::new("restores")
+                .long("restores")
+                .action(ArgAction::SetTrue)
+                .help("Add restores of the store from backups"),
+        )
         .arg(Arg::new("named").long("named").help("Play a schedule that is written down"))
         .arg(
             Arg::new("only")
@@ -96,6 +102,9 @@
     if matches.get_flag("writers") {
         schedule = schedule.with_writers(seed, number(matches, "for") * 1_000);
     }
+    if matches.get_flag("restores") {
+        schedule = schedule.with_restores(seed, number(matches, "for") * 1_000);
+    }
     if let Some(only) = matches.get_many::<usize>("only") {
         schedule = schedule.only(&only.copied().collect::<Vec<_>>());
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -47,6 +48,10 @@
 
 /// A moment of a run.
 enum Moment {
+    /// Takes the backup that this step restores.
+    BacksUp(usize),
+    /// Restores the backup of this step.
+    Restores(usize, schedule::Action),
     Begins(schedule::Action),
     Ends(schedule::Action),
 }
@@ -56,6 +61,10 @@
     /// The present life of the second server.
     second: usize,
     shared: Arc<prober::Shared>,
+    /// Backups by the numbers of the steps that restore them.
+    backups: HashMap<usize, store::Backup>,
+    /// The store's state before and after the latest restore, until the lost writes are repeated.
+    pending_rewrite: Option<(store::Backup, store::Backup)>,
     rng: StdRng,
 }
 
@@ -67,7 +76,9 @@
     let version = fleet.publish();
     shared.record().acknowledge(version);
     // The servers' first lives have the numbers 0 and 1.
-    let mut run = Run { fleet, second: 1, shared, rng: StdRng::seed_from_u64(*seed) };
+    let rng = StdRng::seed_from_u64(*seed);
+    let backups = HashMap::new();
+    let mut run = Run { fleet, second: 1, shared, backups, pending_rewrite: None, rng };
     run.start_all()?;
     let probers: Vec<thread::JoinHandle<()>> = (0..*routers)
         .map(|place| prober::start(place, run.fleet.clients_address(place), run.shared.clone()))
@@ -110,6 +121,12 @@
         let mut moments: Vec<(u64, Moment)> = Vec::new();
         for step in &schedule.steps {
             let lasts_ms = step.action.lasts_ms();
+            if let schedule::Action::StoreRestored { backup_age_ms, outage_ms, .. } = &step.action {
+                let backed_up_ms = step.at_ms.saturating_sub(*backup_age_ms);
+                moments.push((backed_up_ms, Moment::BacksUp(step.number)));
+                let action = step.action.clone();
+                moments.push((step.at_ms + outage_ms, Moment::Restores(step.number, action)));
+            }
             moments.push((step.at_ms, Moment::Begins(step.action.clone())));
             moments.push((step.at_ms + lasts_ms, Moment::Ends(step.action.clone())));
         }
@@ -118,6 +135,10 @@
         for (at_ms, moment) in moments {
             wait_until(began + Duration::from_millis(at_ms));
             match moment {
+                Moment::BacksUp(number) => {
+                    self.backups.insert(number, self.fleet.store().back_up());
+                }
+                Moment::Restores(number, action) => self.restore(number, &action),
                 Moment::Begins(action) => self.begin(&action)?,
                 Moment::Ends(action) => self.end(&action)?,
             }
@@ -153,7 +174,7 @@
         use schedule::Action;
         match action {
             Action::Publish => self.publish(),
-            Action::StoreRefuses { .. } => {
+            Action::StoreRefuses { .. } | Action::StoreRestored { .. } => {
                 self.harm(&self.all());
                 self.fleet.store().set_mode(store::Mode::Down);
             }
@@ -236,6 +257,38 @@
         Ok(())
     }
 
+    /// Restores the store from the backup of a step.
+    fn restore(&mut self, number: usize, action: &schedule::Action) {
+        let schedule::Action::StoreRestored { rewrite_delay_ms, keeps_watches, .. } = action else {
+            return;
+        };
+        let Some(backup) = self.backups.remove(&number) else { return };
+        let watches = match keeps_watches {
+            true => store::OpenWatches::Kept,
+            false => store::OpenWatches::Ended,
+        };
+        let store = self.fleet.store();
+        let before = store.back_up();
+        store.restore(&backup, watches);
+        // Lost writes of an earlier restore that were not repeated yet are repeated with those of this one.
+        let before = self
+            .pending_rewrite
+            .take()
+            .map_or(before.clone(), |(lost, after)| before.with_lost_writes(&lost, &after));
+        self.pending_rewrite = Some((before, backup));
+        if *rewrite_delay_ms == 0 {
+            self.repeat_lost_writes();
+        }
+        self.fleet.store().set_mode(store::Mode::Well);
+    }
+
+    /// Repeats the writes of the operator and the servers that restores lost.
+    fn repeat_lost_writes(&mut self) {
+        if let Some((before, after)) = self.pending_rewrite.take() {
+            self.fleet.store().repeat_lost_writes(&before, &after);
+        }
+    }
+
     /// Kills every router just after a configuration was acknowledged.
     fn lose_all(&mut self, silent: bool) -> Result<(), fleet::Error> {
         self.harm(&self.all());
@@ -268,6 +321,10 @@
                 self.fleet.store().set_mode(store::Mode::Well);
                 self.heal(&self.all());
             }
+            Action::StoreRestored { .. } => {
+                self.repeat_lost_writes();
+                self.heal(&self.all());
+            }
             Action::StoreLeavesWatchesUnanswered => self.heal(&self.all()),
             Action::StoreLinksDie { routers, .. } | Action::PeerLinksDie { routers, .. } => {
                 self.heal(routers);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -48,6 +48,17 @@
         /// For how long.
         for_ms: u64,
     },
+    /// The store becomes unavailable and is restored from a backup; the operator and the servers repeat lost writes.
+    StoreRestored {
+        /// The age of the backup when the outage begins.
+        backup_age_ms: u64,
+        /// How long the store is unavailable.
+        outage_ms: u64,
+        /// The time from the restore until lost writes are repeated; 0 if they are repeated before the first call.
+        rewrite_delay_ms: u64,
+        /// Whether open watches continue after the restore.
+        keeps_watches: bool,
+    },
     /// Another writer puts entries that cannot be read beside those that routers follow.
     BadEntries,
     /// The second server starts again under its name, at another address.
@@ -145,6 +156,7 @@
             | Self::PeersCut { for_ms, .. }
             | Self::DatagramsLost { for_ms, .. }
             | Self::Freeze { for_ms, .. } => *for_ms,
+            Self::StoreRestored { outage_ms, rewrite_delay_ms, .. } => outage_ms + rewrite_delay_ms,
             Self::Kill { down_ms, .. } | Self::LoseAll { down_ms, .. } => *down_ms,
             Self::Publish
             | Self::StoreLeavesWatchesUnanswered
@@ -235,6 +247,39 @@
         Self::of(actions)
     }
 
+    /// Adds restores of the store over `for_ms`, drawn from a separate generator. They may overlap.
+    pub fn with_restores(self, seed: u64, for_ms: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0xe7a);
+        let mut actions: Vec<(u64, Action)> =
+            self.steps.into_iter().map(|step| (step.at_ms, step.action)).collect();
+        for _ in 0..rng.random_range(1..=4) {
+            let at_ms = rng.random_range(SETTLED_MS..SETTLED_MS + for_ms);
+            let action = Action::StoreRestored {
+                backup_age_ms: rng.random_range(100..4_000),
+                outage_ms: rng.random_range(100..2_500),
+                rewrite_delay_ms: if rng.random_bool(0.5) {
+                    0
+                } else {
+                    rng.random_range(50..1_500)
+                },
+                keeps_watches: rng.random_bool(0.5),
+            };
+            let end_ms = at_ms + action.lasts_ms();
+            actions.push((at_ms, action));
+            for _ in 0..rng.random_range(1..=3) {
+                let published_ms = at_ms.saturating_sub(rng.random_range(0..2_000));
+                actions.push((published_ms, Action::Publish));
+                actions.push((end_ms + rng.random_range(0..3_000), Action::Publish));
+            }
+            if rng.random_bool(0.7) {
+                let leaves_ms = end_ms + rng.random_range(0..2_000);
+                actions.push((leaves_ms, Action::ServerLeaves));
+                actions.push((leaves_ms + 3_500, Action::ServerRestarts));
+            }
+        }
+        Self::of(actions)
+    }
+
     /// A schedule that is written down; `None` if none has this name.
     pub fn named(name: &str, routers: usize) -> Option<Self> {
         let all: Routers = (0..routers).collect();
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,5 +1,7 @@
 //! The users' platform's store: keys with revisions, conditional transactions, ranges and watches.
 
+mod rewrite;
+
 use crate::{server, wire};
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, HttpResponseBuilder, web};
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -286,6 +286,22 @@
     a_store_with_an_empty_era_header_is_followed: EraHeader::Text("");
 }
 
+#[test]
+fn routers_record_their_addresses_again_after_a_restore() {
+    let replying = start("restore-addresses", 2);
+    let keys = ["doorswitch/routers/entry-0", "doorswitch/routers/entry-1"];
+    let store = &replying.world.store;
+    fleet::eventually("the addresses are recorded", || {
+        keys.iter().all(|key| store.get(key).is_some())
+    });
+    keys.iter().for_each(|key| store.remove(key));
+    let backup = store.back_up();
+    restore(&replying, &backup, OpenWatches::Ended, || {});
+    fleet::eventually("the addresses are recorded again", || {
+        keys.iter().all(|key| store.get(key).is_some())
+    });
+}
+
 /// The prepaid tokens of the tenant.
 const PAID: u64 = 20_000;
 /// Tokens of each request: input, and maximum output.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -24,6 +24,14 @@
     )* };
 }
 
+/// Adds restores of the store from backups to the other faults.
+#[test]
+fn soak_with_restores_of_seed_5002() {
+    let drawn = schedule::Schedule::drawn(5002, ROUTERS, SEED_MS);
+    let schedule = drawn.with_writers(5002, SEED_MS).with_restores(5002, SEED_MS);
+    nothing_is_broken("soak_with_restores_of_seed_5002", 5002, &schedule);
+}
+
 seeds! {
     soak_of_seed_3002: 3002;
     soak_of_seed_3003: 3003;
