Order ledger values by version vectors, and copy them to other routers

The order of two values was derived from eras and revisions, which failed in three ways: - With a second restore, a value of the intermediate era hid lost writes that it did not include. - A write in flight was applied in the next era, at a revision that had identified a different value in the previous era. - Tokens returned by a write without a reply were spent and also drawn by another router.

Each value now has a version vector that counts the writes of each router. A value that includes all writes of another one is the later one; concurrent values are merged. Returns of tokens that a restore interrupted are repeated.

When a holder died or was cut off during a restore, the only record of its latest draws was lost.

--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -21,6 +21,9 @@
 /// How many operation ids of payments a budget remembers.
 pub const REMEMBERED_PAYMENTS: usize = 256;
 
+/// The writer under which [`Shard::writes`] counts payments; no router has this id.
+const PAYMENTS_WRITER: ids::Incarnation = ids::Incarnation(0);
+
 /// Why a ledger could not be read or changed. Nothing was changed where an error is returned.
 #[derive(Debug, snafu::Snafu)]
 #[allow(missing_docs)]
@@ -45,9 +48,10 @@
     /// The store's era in which this value was written; `None` if an earlier release wrote it.
     #[serde(default)]
     pub era: Option<u64>,
-    /// The position of the latest state from before a restore that is merged into this value.
+    /// A version vector: the number of the latest write by each router that this value includes. Orders values across
+    /// restores of the store, which positions do not.
     #[serde(default)]
-    pub recovered_from: store::Position,
+    pub writes: collections::BTreeMap<ids::Incarnation, u64>,
     /// The live holders of any grant in this shard.
     pub holders: collections::BTreeMap<ids::Incarnation, Holder>,
     /// The budgets by name (`workspace/budget`).
@@ -97,7 +101,7 @@
     /// What holders that died may not have spent, but is counted as spent.
     pub written_off_tokens: u64,
     /// The totals of closed holders at the start of the store's era.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "ClosedTotals::is_zero")]
     pub closed_before: ClosedTotals,
 }
 
@@ -177,7 +181,7 @@
         Self {
             format: FORMAT,
             era: None,
-            recovered_from: store::Position::START,
+            writes: Default::default(),
             holders: Default::default(),
             budgets: Default::default(),
         }
@@ -216,6 +220,8 @@
         budget.payments.push(Payment { operation: operation.to_owned(), tokens });
         let excess = budget.payments.len().saturating_sub(REMEMBERED_PAYMENTS);
         budget.payments.drain(..excess);
+        let payments = self.writes.get(&PAYMENTS_WRITER).map_or(0, |count| *count);
+        self.note_write(PAYMENTS_WRITER, payments + 1);
         Ok(true)
     }
 
--- a/core/src/ledger/recovery.rs
+++ b/core/src/ledger/recovery.rs
@@ -1,11 +1,13 @@
 //! Recovers a shard after the store was restored from a backup.
 //!
-//! The states that routers saw before the restore belong to one history, in which each state includes the earlier ones.
-//! The latest state seen by any router therefore replaces the restored value. If the shard has been written in the new
-//! era already, a router with a later state merges what the shard lacks.
+//! Version vectors order the states that routers saw and the restored value. A state that includes all writes of the
+//! restored value replaces it; concurrent states are merged.
 
 use super::{Budget, ClosedTotals, Grant, Shard};
-use crate::store;
+use crate::{ids, store};
+
+/// The number of version vector entries above which those of writers without grants are removed.
+const WRITERS_MAX: usize = 32;
 
 impl Shard {
     /// Whether the value read at `found` was written before the store was restored.
@@ -13,8 +15,9 @@
         self.era.is_some_and(|era| era < found.era)
     }
 
-    /// Returns the recovered value, given the value read at `found` and the latest state that this router saw. If this
-    /// router has no later state, a value of an earlier era is accepted as the latest once the recovery window is over.
+    /// Returns the recovered value, given the value read at `found` and the latest state that this router saw. If the
+    /// value is of an earlier era and strictly later than that state, or this router saw none, it starts the current era
+    /// only once the recovery window is over.
     pub fn recover(
         &self,
         found: store::Position,
@@ -22,38 +25,55 @@
         recovery_window_over: bool,
     ) -> Self {
         let latest = last_seen.filter(|(position, _)| position.era < found.era);
-        let era = match self.era {
-            Some(era) => era,
-            None if latest.is_some() => 0,
-            None => return self.clone(),
-        };
+        let era = self.era.or(latest.map(|(position, _)| position.era)).unwrap_or(found.era);
         let restored = era < found.era;
-        let written = store::Position { era, revision: found.revision };
-        match latest {
-            Some((position, shard)) if restored && era <= position.era && *position > written => {
-                shard.clone().begin_era(found.era, *position)
-            }
-            Some((position, _)) if restored && *position == written => {
-                self.clone().begin_era(found.era, written)
-            }
-            Some((position, shard)) if *position > self.recovered_from && (era > position.era) => {
-                let mut merged = self.merge(shard);
-                merged.recovered_from = *position;
-                if restored { merged.begin_era(found.era, written) } else { merged }
-            }
-            _ if restored && recovery_window_over => self.clone().begin_era(found.era, written),
-            _ => self.clone(),
+        let mut recovered = self.clone();
+        let mut may_begin_era = recovery_window_over;
+        if let Some((_, shard)) = latest {
+            let (includes, is_included) = (self.includes(shard), shard.includes(self));
+            recovered = match (includes, is_included) {
+                (true, _) => recovered,
+                (false, true) if restored => shard.clone(),
+                (false, _) => self.merge(shard),
+            };
+            may_begin_era |= is_included || !includes;
+        }
+        if restored && may_begin_era {
+            recovered.begin_era(found.era);
+        }
+        recovered
+    }
+
+    /// Returns the later of two states, or their merge if they are concurrent.
+    pub fn combine(self, other: Self) -> Self {
+        match (self.includes(&other), other.includes(&self)) {
+            (true, _) => self,
+            (false, true) => other,
+            (false, false) => self.merge(&other),
         }
     }
 
-    /// Returns this state as the initial one of an era.
-    fn begin_era(mut self, era: u64, recovered_from: store::Position) -> Self {
+    /// Whether this state includes every write that the other one includes.
+    pub fn includes(&self, other: &Self) -> bool {
+        other.writes.iter().all(|(writer, count)| self.writes.get(writer) >= Some(count))
+    }
+
+    /// Sets the version vector entry of a writer, which numbers its own writes.
+    pub fn note_write(&mut self, writer: ids::Incarnation, count: u64) {
+        self.writes.insert(writer, count);
+        if self.writes.len() > WRITERS_MAX {
+            let holders = &self.holders;
+            let kept = [writer, super::PAYMENTS_WRITER];
+            self.writes.retain(|id, _| kept.contains(id) || holders.contains_key(id));
+        }
+    }
+
+    /// Makes this state the initial one of an era.
+    fn begin_era(&mut self, era: u64) {
         self.era = Some(era);
-        self.recovered_from = self.recovered_from.max(recovered_from);
         for budget in self.budgets.values_mut() {
             budget.closed_before = budget.closed_totals();
         }
-        self
     }
 
     /// Merges what a later state of the lost history adds to the state with which this era started.
@@ -65,6 +85,10 @@
         for (name, lost) in &lost.budgets {
             merged.budgets.entry(name.clone()).or_default().merge(lost);
         }
+        for (writer, count) in &lost.writes {
+            let merged = merged.writes.entry(*writer).or_default();
+            *merged = *count.max(merged);
+        }
         merged
     }
 }
@@ -106,6 +130,10 @@
 }
 
 impl ClosedTotals {
+    pub(super) fn is_zero(&self) -> bool {
+        *self == Self::default()
+    }
+
     fn max(self, other: Self) -> Self {
         Self {
             spent_tokens: self.spent_tokens.max(other.spent_tokens),
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -67,6 +67,8 @@
 pub enum Event {
     /// The accounts follow a newer state of the store.
     Followed,
+    /// A write drew tokens or closed grants, so other routers should get a copy of the value.
+    GrantsChanged,
     /// Another router counted this live one as gone: it may draw no more.
     WrittenOff,
     /// A dead holder's grants were closed.
@@ -112,6 +114,13 @@
     last_seen: Option<(store::Position, ledger::Shard)>,
     /// The last reply showed that the store holds this state, so the next write needs no read.
     last_seen_is_current: bool,
+    /// The latest state received from other routers.
+    peer_copy: Option<(store::Position, ledger::Shard)>,
+    /// Own accounts with tokens that were being returned when the store was restored: the account, its granted tokens
+    /// and the returned ones. Whether that write was applied is unknown, so the return is repeated.
+    interrupted_returns: Vec<(ids::BudgetSlot, u64, u64)>,
+    /// The number of drafts so far; identifies this router's writes in [`ledger::Shard::writes`].
+    draft_count: u64,
     /// Writes in a row that another router's write came before.
     overtaken: u32,
     /// The unusable value that was reported.
@@ -136,6 +145,9 @@
             stale: true,
             last_seen: None,
             last_seen_is_current: false,
+            peer_copy: None,
+            interrupted_returns: Vec::new(),
+            draft_count: 0,
             overtaken: 0,
             unusable_index: None,
         }
@@ -148,7 +160,7 @@
 
     /// Resets the writer after a restore of the store: abandons the call in flight and schedules the recovery of the
     /// last seen state.
-    pub fn restored(&mut self, era: u64) {
+    pub fn restored(&mut self, era: u64, table: &grants::Table) {
         if let State::Writing { base_index, .. } = std::mem::replace(&mut self.state, State::Idle) {
             self.unsettled_index = self.unsettled_index.or(Some(base_index));
         }
@@ -157,7 +169,47 @@
         self.overtaken = 0;
         self.backoff.reset();
         self.not_before_ms = 0;
-        self.urgent |= self.last_seen.as_ref().is_some_and(|(position, _)| position.era < era);
+        let known = self.last_seen.iter().chain(&self.peer_copy);
+        self.urgent |= known.into_iter().any(|(position, _)| position.era < era);
+        if self.unsettled_index.is_some() && self.interrupted_returns.is_empty() {
+            let accounts =
+                table.in_shard(self.shard).iter().map(|slot| (*slot, table.account(*slot)));
+            let returning = accounts.filter(|(_, account)| account.returning_tokens > 0);
+            let row = |(slot, account): (ids::BudgetSlot, &grants::Account)| {
+                (slot, account.granted_tokens, account.returning_tokens)
+            };
+            self.interrupted_returns = returning.map(row).collect();
+        }
+    }
+
+    /// Stores a state of the shard that another router wrote. If it is of an earlier era than `era`, the store may have
+    /// lost it, so a read is scheduled.
+    pub fn take_peer_copy(&mut self, position: store::Position, shard: ledger::Shard, era: u64) {
+        let copy = match self.peer_copy.take() {
+            Some((_, copy)) if shard.includes(&copy) => (position, shard),
+            Some((known, copy)) => (known.min(position), shard.combine(copy)),
+            None => (position, shard),
+        };
+        self.urgent |= position.era < era;
+        self.peer_copy = Some(copy);
+    }
+
+    /// The latest state of the shard that this router read or wrote.
+    pub fn last_seen(&self) -> Option<&(store::Position, ledger::Shard)> {
+        self.last_seen.as_ref()
+    }
+
+    /// The latest state of an earlier era than `era` that this router saw or received.
+    fn latest_before(&self, era: u64) -> Option<(store::Position, ledger::Shard)> {
+        let is_before = |known: &&(store::Position, ledger::Shard)| known.0.era < era;
+        let seen = self.last_seen.as_ref().filter(is_before);
+        let copy = self.peer_copy.as_ref().filter(is_before);
+        match (seen, copy) {
+            (Some((seen, shard)), Some((copied, copy))) => {
+                Some(((*seen).max(*copied), shard.clone().combine(copy.clone())))
+            }
+            (known, None) | (None, known) => known.cloned(),
+        }
     }
 
     /// Whether a call is in flight or has no known end.
@@ -319,7 +371,13 @@
             }
         };
         let definite = self.unsettled_index.is_none_or(|base| is_settled(base, index, &shard));
-        let recovered = shard.recover(index, self.last_seen.as_ref(), context.recovery_window_over);
+        let known = self.latest_before(index.era);
+        let mut recovered = shard.recover(index, known.as_ref(), context.recovery_window_over);
+        self.repeat_returns(&mut recovered, table, context);
+        if recovered != shard {
+            self.draft_count += 1;
+            recovered.note_write(context.holder, self.draft_count);
+        }
         let is_of_current_era = shard.era.is_none_or(|era| era == index.era);
         let mut events = self.follow(&recovered, definite, is_of_current_era, table, context);
         if events.contains(&Event::WrittenOff) {
@@ -348,6 +406,22 @@
         (Some(self.write(index, draft, sets_era_marker)), events)
     }
 
+    /// Repeats the returns that a restore interrupted, where the value does not include them.
+    fn repeat_returns(
+        &self,
+        shard: &mut ledger::Shard,
+        table: &grants::Table,
+        context: &Context<'_>,
+    ) {
+        for (slot, granted_tokens, tokens) in &self.interrupted_returns {
+            let name = &table.account(*slot).name;
+            let row = shard.budgets.get(name).and_then(|it| it.grants.get(&context.holder));
+            if row.is_some_and(|row| row.granted_tokens == *granted_tokens) {
+                shard.give_back(name, context.holder, *tokens);
+            }
+        }
+    }
+
     /// Enters the writing state and returns the write to send.
     fn write(
         &mut self,
@@ -379,9 +453,15 @@
         self.succeed(context.now_ms);
         self.stale = false;
         let index = store::Position { era, revision: 0 };
-        let first_era = self.last_seen.as_ref().map_or(era, |(position, _)| position.era);
+        let first_era = self.latest_before(era).map_or(era, |(position, _)| position.era);
         let empty = ledger::Shard { era: Some(first_era), ..ledger::Shard::default() };
-        let recovered = empty.recover(index, self.last_seen.as_ref(), context.recovery_window_over);
+        let known = self.latest_before(era);
+        let mut recovered = empty.recover(index, known.as_ref(), context.recovery_window_over);
+        self.repeat_returns(&mut recovered, table, context);
+        if recovered != empty {
+            self.draft_count += 1;
+            recovered.note_write(context.holder, self.draft_count);
+        }
         let mut events = self.follow(&recovered, true, recovered == empty, table, context);
         if events.contains(&Event::WrittenOff) {
             return (None, events);
@@ -416,9 +496,14 @@
                 }
                 self.overtaken = 0;
                 self.unsettled_index = None;
+                if is_of_current_era {
+                    self.interrupted_returns.clear();
+                }
                 self.reported_ms = context.now_ms;
                 self.succeed(context.now_ms);
+                let changed = self.grants_changed(&draft, table, context);
                 let mut events = self.follow(&draft, true, is_of_current_era, table, context);
+                events.extend(changed.then_some(Event::GrantsChanged));
                 events.append(&mut self.dead_in_draft);
                 events.push(Event::Followed);
                 events
@@ -442,6 +527,25 @@
         }
     }
 
+    /// Whether a written state raises or closes grants of this router, or closes those of dead holders.
+    fn grants_changed(
+        &self,
+        shard: &ledger::Shard,
+        table: &grants::Table,
+        context: &Context<'_>,
+    ) -> bool {
+        let mut accounts = table.in_shard(self.shard).iter().map(|slot| table.account(*slot));
+        let changed = accounts.any(|account| {
+            let budget = shard.budgets.get(&account.name);
+            let row = budget.and_then(|budget| budget.grants.get(&context.holder));
+            match row {
+                Some(row) => row.granted_tokens > account.granted_tokens,
+                None => account.has_row,
+            }
+        });
+        changed || !self.dead_in_draft.is_empty()
+    }
+
     fn succeed(&mut self, now_ms: u64) {
         self.backoff.reset();
         self.not_before_ms = now_ms;
--- a/core/src/ledger_writer/draft.rs
+++ b/core/src/ledger_writer/draft.rs
@@ -41,6 +41,8 @@
         draft.forget_empty_holders();
         if draft != *shard {
             draft.era = Some(era);
+            self.draft_count += 1;
+            draft.note_write(context.holder, self.draft_count);
         }
         draft
     }
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of how they travel. It changes with every change of either.
-pub const PROTOCOL: u16 = 10;
+pub const PROTOCOL: u16 = 11;
 
 /// A message with its sender and the life that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -136,6 +136,15 @@
         /// The permits, or when to ask again.
         granted: servers::PermitsGranted,
     },
+    /// A copy of a ledger shard that the sender wrote, to be recovered if a restore of the store loses it.
+    LedgerCopy {
+        /// The shard.
+        shard: u32,
+        /// The position of the value, or of the one that it replaced.
+        position: store::Position,
+        /// The [`crate::ledger::Shard`], encoded as in the store.
+        value: Vec<u8>,
+    },
     /// The sender read a shard of the ledger in which an earlier life at the receiver's address still holds
     /// grants. Only the present life there can tell for sure that the earlier one is over.
     LeftBehind {
--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -136,7 +136,8 @@
             self.restart_watches(now_ms);
             self.quarantine.store_restored(now_ms, &mut self.rng);
             self.eras.restored_ms = Some(now_ms);
-            self.ledgers.iter_mut().for_each(|ledger| ledger.restored(era));
+            let grants = &self.grants;
+            self.ledgers.iter_mut().for_each(|ledger| ledger.restored(era, grants));
             self.grants.await_recovery();
             self.relay.push_due = true;
         }
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -56,6 +56,9 @@
             message::Message::Permits { number, vm, life, trial, granted } => {
                 self.take_permits(number, &vm, life, trial, granted, now_ms);
             }
+            message::Message::LedgerCopy { shard, position, value } => {
+                self.take_ledger_copy(shard, position, &value);
+            }
             message::Message::LeftBehind { shard } => {
                 if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
                     ledger.poke();
--- a/core/tests/world/faults.rs
+++ b/core/tests/world/faults.rs
@@ -139,6 +139,18 @@
 
     /// Delivers to whatever life has the address when the message arrives, as a network does.
     pub(super) fn send(&mut self, at: usize, address: &str, envelope: message::Envelope) {
+        // Ledger copies use a separate generator, so that they do not change the schedules of existing seeds.
+        let is_copy = matches!(envelope.message, message::Message::LedgerCopy { .. });
+        if is_copy {
+            std::mem::swap(&mut self.rng, &mut self.ledger_copy_rng);
+        }
+        self.send_message(at, address, envelope);
+        if is_copy {
+            std::mem::swap(&mut self.rng, &mut self.ledger_copy_rng);
+        }
+    }
+
+    fn send_message(&mut self, at: usize, address: &str, envelope: message::Envelope) {
         let Some(to) = self.routers.iter().position(|router| router.address == address) else {
             return;
         };
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -183,6 +183,7 @@
     document: config::Document,
     operations: u64,
     rng: StdRng,
+    ledger_copy_rng: StdRng,
 }
 
 impl World {
@@ -218,6 +219,7 @@
             document,
             operations: 0,
             rng: StdRng::seed_from_u64(seed),
+            ledger_copy_rng: StdRng::seed_from_u64(!seed),
             shape,
         };
         for budget in 0..world.truth.len() {
@@ -263,6 +265,12 @@
                 if (self.now_ms / TICK_MS + place as u64).is_multiple_of(50) {
                     self.tell_platform_news(place);
                 }
+                // Watches end when the store becomes unavailable; the next answer contains its era.
+                if (self.now_ms / TICK_MS + place as u64).is_multiple_of(5)
+                    && self.reaches_store(place)
+                {
+                    self.routers[place].node.hear_store_era(self.era, self.now_ms);
+                }
                 self.routers[place].node.tick(self.now_ms);
                 self.carry_out(place);
             }
