Probe free test ports by connecting instead of listening

The harness probed a port with a listening socket that it closed immediately. A process that another test starts at that moment inherits a copy of the socket and keeps the port in use until it calls exec. Ruled out: the kernel's ephemeral ports (32768 to 60999).

The probe is now a connection that must be refused. It does not bind the probed port, so there is no socket on that port to inherit. It does not detect a socket that is bound and does not listen, which nothing here leaves behind. The soak had a copy of the same function; both now call doorswitch_standins::ports::free_address.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,13 +1,12 @@
 //! Real routers before stand-ins: how they start, and what can be done to them from outside.
 
-use doorswitch_standins::{backend, network, store, wire};
+use doorswitch_standins::{backend, network, ports, store, wire};
 use snafu::ResultExt;
 use std::fs::{self, File, OpenOptions};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use std::{io, thread};
 
@@ -41,8 +40,6 @@
 const FIRST_START_MS: u64 = 1_796_000_000_000;
 /// What another writer puts.
 const BAD_VALUES: &[&[u8]] = &[b"", b"\xff\xfe", b"{", b"[]", b"null", b"{\"service\":7}"];
-/// Listening addresses are taken from this port on.
-const FIRST_PORT: u16 = 12_000;
 /// Processes start within this time of each other.
 const START_APART: Duration = Duration::from_millis(40);
 
@@ -146,12 +143,12 @@
         let [high, low] = net;
         let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, 10 + place as u8));
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        let peers = free_address(ip)?;
+        let peers = ports::free_address(ip)?;
         Ok(Router {
             child: None,
             ip,
-            clients: free_address(ip)?,
-            operators: free_address(ip)?,
+            clients: ports::free_address(ip)?,
+            operators: ports::free_address(ip)?,
             peers,
             peer_network: network::Proxy::start(ip, Some(peers))?,
             store_network: network::Proxy::start(local, Some(self.store.address()))?,
@@ -305,15 +302,3 @@
 pub fn added_path(version: u64) -> String {
     format!("/added-{version}/")
 }
-
-/// A free port below those that the kernel gives to outgoing connections: a router that starts again must find it free.
-fn free_address(ip: IpAddr) -> io::Result<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
-    loop {
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        match TcpListener::bind((ip, port)).and_then(|listener| listener.local_addr()) {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
-            bound => return bound,
-        }
-    }
-}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod network;
 pub mod platform;
+pub mod ports;
 pub mod replies;
 pub mod server;
 pub mod service;
--- a/tests/fleet/start.rs
+++ b/tests/fleet/start.rs
@@ -2,7 +2,7 @@
 
 use super::{Fleet, OPERATOR_KEY, Options, Router, eventually};
 use doorswitch_core::config;
-use doorswitch_standins::{backend, engine, network, platform, service};
+use doorswitch_standins::{backend, engine, network, platform, ports, service};
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -18,14 +18,7 @@
 
 /// A port that is free and that the kernel gives to nobody by itself.
 pub fn free_port(ip: IpAddr) -> SocketAddr {
-    use std::sync::atomic::{AtomicU16, Ordering};
-    static NEXT: AtomicU16 = AtomicU16::new(12_000);
-    loop {
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        if let Ok(listener) = std::net::TcpListener::bind((ip, port)) {
-            return listener.local_addr().unwrap();
-        }
-    }
+    ports::free_address(ip).unwrap()
 }
 
 fn any_port() -> SocketAddr {
