Age messages queued during a process pause

Ages in datagrams are relative to the send time, so the old limit in it (27 per second, heard at 39.4 s) was recorded as heard at 46.4 s, replaced the later limit (0, heard at 40.8 s) and was gossiped to all other routers.

A message read during a process pause, or within 200 ms after it, is now aged by the time since the pause started. This applies to news of limits, to news of requests that crash servers, and to the age of a copy of the store's state.

Pauses are detected with the monotonic clock. A message sent within the 200 ms after a pause is aged as well, by at most the pause.

--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -1,5 +1,7 @@
 //! What routers say to each other. Every frame carries [`PROTOCOL`]; another one is not decoded.
 
+mod ages;
+
 use crate::{evacuation, ids, leavings, log_index, members, quarantine, servers, store, watch};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/core/src/message/ages.rs
@@ -0,0 +1,36 @@
+//! Adjusts the ages in a message, which are relative to its send time, for the time it was queued before being read.
+
+use super::{Digest, Gossip, Message, Seen};
+
+impl Gossip {
+    /// Increases all ages in the datagram by the time it was queued, in milliseconds.
+    pub fn add_age_ms(&mut self, queued_ms: u64) {
+        self.digest.add_age_ms(queued_ms);
+        self.limits.iter_mut().for_each(|news| news.add_age_ms(queued_ms));
+        self.quarantine.add_age_ms(queued_ms);
+    }
+}
+
+impl Message {
+    /// Increases all ages in the message by the time it was queued, in milliseconds.
+    pub fn add_age_ms(&mut self, queued_ms: u64) {
+        match self {
+            Self::Config { seen, .. } | Self::Vms { seen, .. } => seen.add_age_ms(queued_ms),
+            Self::PermitAsk { known, .. } => known.add_age_ms(queued_ms),
+            _ => {}
+        }
+    }
+}
+
+impl Digest {
+    fn add_age_ms(&mut self, queued_ms: u64) {
+        self.configuration.add_age_ms(queued_ms);
+        self.servers.add_age_ms(queued_ms);
+    }
+}
+
+impl Seen {
+    fn add_age_ms(&mut self, queued_ms: u64) {
+        self.age_ms = self.age_ms.map(|age_ms| age_ms.saturating_add(queued_ms));
+    }
+}
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod notices;
 mod outage;
+mod pauses;
 mod peers;
 mod platform;
 mod quarantine;
@@ -139,6 +140,7 @@
     lapsed: Vec<servers::Vm>,
     evacuations: evacuation::Evacuations,
     eras: eras::Eras,
+    pauses: pauses::Pauses,
     quarantine: quarantine::Quarantine,
     limits: limits::Sharing,
     /// How the store's news are followed; `None` where the shell follows them.
@@ -200,6 +202,7 @@
             lapsed: Vec::new(),
             evacuations: Default::default(),
             eras: Default::default(),
+            pauses: pauses::Pauses::new(now_ms),
             quarantine: Default::default(),
             limits: Default::default(),
             watching,
@@ -277,6 +280,7 @@
 
     /// Runs every system once.
     pub fn tick(&mut self, now_ms: u64) {
+        self.tick_pauses(now_ms);
         self.tick_members(now_ms);
         self.tick_eras(now_ms);
         self.tick_watching(now_ms);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -9,11 +9,14 @@
 impl Node {
     /// Takes a message from a peer.
     pub fn message(&mut self, envelope: message::Envelope, now_ms: u64) {
-        let message::Envelope { from, to, message } = envelope;
+        let message::Envelope { from, to, mut message } = envelope;
         if to != self.settings.incarnation {
             // Meant for an earlier life at this address: what that one did with it is not known.
             return;
         }
+        if let Some(queued_ms) = self.max_queued_ms(now_ms) {
+            message.add_age_ms(queued_ms);
+        }
         match message {
             message::Message::Claim(claim) => {
                 let entry = log_index::Entry::Claim(claim);
@@ -69,6 +72,17 @@
 
     /// Takes a datagram from a peer.
     pub fn gossip(&mut self, gossip: &message::Gossip, now_ms: u64) {
+        match self.max_queued_ms(now_ms) {
+            None => self.take_gossip(gossip, now_ms),
+            Some(queued_ms) => {
+                let mut gossip = gossip.clone();
+                gossip.add_age_ms(queued_ms);
+                self.take_gossip(&gossip, now_ms);
+            }
+        }
+    }
+
+    fn take_gossip(&mut self, gossip: &message::Gossip, now_ms: u64) {
         self.members.heard(gossip, now_ms);
         let differs = self.hear_quarantine(&gossip.quarantine, now_ms);
         self.hear_limits(&gossip.limits, now_ms);
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -97,6 +97,19 @@
     pub reports: Vec<Report>,
 }
 
+impl News {
+    /// Increases all ages by the time the datagram was queued, in milliseconds.
+    pub fn add_age_ms(&mut self, queued_ms: u64) {
+        for report in &mut self.reports {
+            for crash in &mut report.crashes {
+                crash.age_ms = crash.age_ms.saturating_add(queued_ms);
+            }
+            let cleared_age_ms = report.cleared_age_ms;
+            report.cleared_age_ms = cleared_age_ms.map(|age_ms| age_ms.saturating_add(queued_ms));
+        }
+    }
+}
+
 /// How what is known of a request has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/core/src/servers/limits.rs
+++ b/core/src/servers/limits.rs
@@ -70,6 +70,12 @@
 }
 
 impl LimitNews {
+    /// Increases both ages by the time the message was queued, in milliseconds.
+    pub fn add_age_ms(&mut self, queued_ms: u64) {
+        self.sent_age_ms = self.sent_age_ms.saturating_add(queued_ms);
+        self.heard_age_ms = self.heard_age_ms.saturating_add(queued_ms);
+    }
+
     /// What a peer's news mean here; `None` for what is too old to say anything.
     pub fn report(&self, now_ms: u64) -> Option<LimitReport> {
         (self.heard_age_ms < NEWS_OLDEST_MS).then(|| LimitReport {
--- a/core/tests/limit_schedules.rs
+++ b/core/tests/limit_schedules.rs
@@ -668,3 +668,36 @@
     let backs_off = |vm: &String| (0..10).any(|place| *vm == format!("vm-{place}"));
     assert!(!all.iter().any(backs_off), "{all:?}");
 }
+
+/// Guards against a resumed router gossiping a limit that was queued while it was frozen as newer than the current one.
+#[test]
+fn a_frozen_router_does_not_restore_an_earlier_limit() {
+    let mut fleet = watch_fleet::settled(3, BOUNDS, 15);
+    let report_limit = |fleet: &mut Fleet, limit_milli_per_s| {
+        let (node, now_ms) = (&mut fleet.routers[1].node, fleet.now_ms);
+        let stated = servers::Stated::Value(limit_milli_per_s);
+        node.report_limit("server-0", ids::ServerLife(1), stated, 0, now_ms);
+    };
+    let known_limit = |fleet: &Fleet, place: usize| {
+        let servers = fleet.routers[place].node.servers();
+        let slot = servers.find_life("server-0", ids::ServerLife(1)).unwrap();
+        servers.limits().limited(slot).and_then(|known| known.report.limit_milli_per_s)
+    };
+    fleet.set_frozen(0, true);
+    report_limit(&mut fleet, 27_000);
+    fleet.run_until("the first limit is heard", 2_000, |fleet| {
+        known_limit(fleet, 2) == Some(27_000)
+    });
+    fleet.run_ms(100);
+    // The partition keeps the second limit from the frozen router.
+    fleet.routers[0].group = 1;
+    report_limit(&mut fleet, 0);
+    fleet.run_until("the second limit is heard", 2_000, |fleet| known_limit(fleet, 2) == Some(0));
+    fleet.run_ms(2_000);
+    fleet.routers[0].group = 0;
+    fleet.set_frozen(0, false);
+    for _ in 0..100 {
+        fleet.run_ms(TICK_MS);
+        assert_eq!([1, 2].map(|place| known_limit(&fleet, place)), [Some(0), Some(0)]);
+    }
+}
