Recover ledger values without cloning them on each read

Recovery cloned the shard on each ledger read and compared the clone with the value read, although almost no read finds anything to recover. `Shard::recover` now returns `None` when the value needs no change. The writer duplicated the recovery steps for a value that was read and for a missing value; both paths now call `Writer::recover`.

`check_reply_era` checked that the era of a reply is accepted and that it is the current one. The second condition implies the first, so the first is removed. Two test files duplicated the fixture that delivers gossip from an unknown peer; both now use `Fleet::gossip_from_unknown_peer`.

Behaviour is unchanged.

--- a/core/src/ledger/recovery.rs
+++ b/core/src/ledger/recovery.rs
@@ -15,31 +15,31 @@
         self.era.is_some_and(|era| era < found.era)
     }
 
-    /// Returns the recovered value, given the value read at `found` and the latest state that this router saw. If the
-    /// value is of an earlier era and strictly later than that state, or this router saw none, it starts the current era
-    /// only once the recovery window is over.
+    /// Returns the recovered value, or `None` if the value needs no change, given the value read at `found` and the
+    /// latest state that this router saw. If the value is of an earlier era and strictly later than that state, or this
+    /// router saw none, it starts the current era only once the recovery window is over.
     pub fn recover(
         &self,
         found: store::Position,
         last_seen: Option<&(store::Position, Shard)>,
         recovery_window_over: bool,
-    ) -> Self {
+    ) -> Option<Self> {
         let latest = last_seen.filter(|(position, _)| position.era < found.era);
         let era = self.era.or(latest.map(|(position, _)| position.era)).unwrap_or(found.era);
         let restored = era < found.era;
-        let mut recovered = self.clone();
+        let mut recovered = None;
         let mut may_begin_era = recovery_window_over;
         if let Some((_, shard)) = latest {
             let (includes, is_included) = (self.includes(shard), shard.includes(self));
             recovered = match (includes, is_included) {
-                (true, _) => recovered,
-                (false, true) if restored => shard.clone(),
-                (false, _) => self.merge(shard),
+                (true, _) => None,
+                (false, true) if restored => Some(shard.clone()),
+                (false, _) => Some(self.merge(shard)),
             };
             may_begin_era |= is_included || !includes;
         }
         if restored && may_begin_era {
-            recovered.begin_era(found.era);
+            recovered.get_or_insert_with(|| self.clone()).begin_era(found.era);
         }
         recovered
     }
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -371,15 +371,10 @@
             }
         };
         let definite = self.unsettled_index.is_none_or(|base| is_settled(base, index, &shard));
-        let known = self.latest_before(index.era);
-        let mut recovered = shard.recover(index, known.as_ref(), context.recovery_window_over);
-        self.repeat_returns(&mut recovered, table, context);
-        if recovered != shard {
-            self.draft_count += 1;
-            recovered.note_write(context.holder, self.draft_count);
-        }
+        let changed_shard = self.recover(&shard, index, table, context);
+        let recovered = changed_shard.as_ref().unwrap_or(&shard);
         let is_of_current_era = shard.era.is_none_or(|era| era == index.era);
-        let mut events = self.follow(&recovered, definite, is_of_current_era, table, context);
+        let mut events = self.follow(recovered, definite, is_of_current_era, table, context);
         if events.contains(&Event::WrittenOff) {
             return (None, events);
         }
@@ -389,8 +384,8 @@
         self.stale = false;
         self.backoff.reset();
         let draft = match recovered.is_restored(index) {
-            true => recovered,
-            false => self.draft(&recovered, index.era, table, context),
+            true => recovered.clone(),
+            false => self.draft(recovered, index.era, table, context),
         };
         if draft == shard && self.unsettled_index.is_none() {
             self.remember(index, shard);
@@ -406,6 +401,27 @@
         (Some(self.write(index, draft, sets_era_marker)), events)
     }
 
+    /// Returns the recovered value with a new version vector entry of this router, or `None` if the value at `index`
+    /// needs no change.
+    fn recover(
+        &mut self,
+        shard: &ledger::Shard,
+        index: store::Position,
+        table: &grants::Table,
+        context: &Context<'_>,
+    ) -> Option<ledger::Shard> {
+        let known = self.latest_before(index.era);
+        let mut recovered = shard.recover(index, known.as_ref(), context.recovery_window_over);
+        if !self.interrupted_returns.is_empty() {
+            let recovered = recovered.get_or_insert_with(|| shard.clone());
+            self.repeat_returns(recovered, table, context);
+        }
+        let mut recovered = recovered.filter(|recovered| recovered != shard)?;
+        self.draft_count += 1;
+        recovered.note_write(context.holder, self.draft_count);
+        Some(recovered)
+    }
+
     /// Repeats the returns that a restore interrupted, where the value does not include them.
     fn repeat_returns(
         &self,
@@ -455,18 +471,13 @@
         let index = store::Position { era, revision: 0 };
         let first_era = self.latest_before(era).map_or(era, |(position, _)| position.era);
         let empty = ledger::Shard { era: Some(first_era), ..ledger::Shard::default() };
-        let known = self.latest_before(era);
-        let mut recovered = empty.recover(index, known.as_ref(), context.recovery_window_over);
-        self.repeat_returns(&mut recovered, table, context);
-        if recovered != empty {
-            self.draft_count += 1;
-            recovered.note_write(context.holder, self.draft_count);
-        }
-        let mut events = self.follow(&recovered, true, recovered == empty, table, context);
+        let changed_shard = self.recover(&empty, index, table, context);
+        let recovered = changed_shard.as_ref().unwrap_or(&empty);
+        let mut events = self.follow(recovered, true, changed_shard.is_none(), table, context);
         if events.contains(&Event::WrittenOff) {
             return (None, events);
         }
-        let draft = self.draft(&recovered, era, table, context);
+        let draft = self.draft(recovered, era, table, context);
         if draft == empty {
             events.push(Event::Followed);
             return (None, events);
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -65,7 +65,7 @@
     fn check_reply_era(&mut self, reply: store::Reply, now_ms: u64) -> store::Reply {
         let Some(era) = reply.era() else { return reply };
         self.hear_store_era(era, now_ms);
-        match self.accepts_era(era) && era == self.store_era() {
+        match era == self.store_era() {
             true => reply,
             false => store::Reply::Unknown,
         }
--- a/core/tests/digests.rs
+++ b/core/tests/digests.rs
@@ -4,7 +4,7 @@
 
 mod watch_fleet;
 
-use doorswitch_core::{ids, members, message, node, store, watch};
+use doorswitch_core::{ids, message, node, store, watch};
 use watch_fleet::{BOUNDS, Fleet, settled};
 
 /// A digest that a peer, or somebody who says so, might send.
@@ -18,28 +18,8 @@
 }
 
 fn hear(fleet: &mut Fleet, digest: message::Digest) -> Vec<node::Action> {
-    let from = members::Record {
-        id: ids::Incarnation(77),
-        address: "10.9.9.9:1".to_owned(),
-        vm: "stranger".to_owned(),
-        failure_domain: "nowhere".to_owned(),
-        beat: 0,
-        health: members::Health::Alive,
-    };
-    let kind = message::GossipKind::Push;
-    let gossip = message::Gossip {
-        from,
-        kind,
-        digest,
-        news: Vec::new(),
-        leaving: Vec::new(),
-        quarantine: Default::default(),
-        limits: Vec::new(),
-    };
-    let now_ms = fleet.now_ms;
-    let node = &mut fleet.routers[0].node;
-    node.gossip(&gossip, now_ms);
-    node.take_actions()
+    fleet.gossip_from_unknown_peer(0, digest);
+    fleet.routers[0].node.take_actions()
 }
 
 #[test]
--- a/core/tests/restores.rs
+++ b/core/tests/restores.rs
@@ -4,7 +4,7 @@
 
 mod watch_fleet;
 
-use doorswitch_core::{servers, watch};
+use doorswitch_core::{message, servers, store, watch};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use watch_fleet::{BOUNDS, Fleet, Store, settled};
@@ -172,7 +172,13 @@
     let mut fleet = settled(7, BOUNDS, 3);
     let known: Vec<_> = fleet.routers.iter().map(|router| router.node.vms_index()).collect();
     for _ in 0..20 {
-        fleet.gossip_era(0, 1 << 40);
+        let era = 1 << 40;
+        let position = store::Position::new(era, 1);
+        let seen = message::Seen { position, age_ms: Some(0) };
+        let digest =
+            message::Digest { era, configuration: seen, servers: seen, ..Default::default() };
+        fleet.gossip_from_unknown_peer(0, digest);
+        fleet.carry_out(0);
         fleet.run_ms(100);
     }
     let after: Vec<_> = fleet.routers.iter().map(|router| router.node.vms_index()).collect();
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -255,8 +255,8 @@
         self.routers[place].turned_away = turned_away;
     }
 
-    /// Delivers gossip from an unknown peer that reports an era of the store.
-    pub fn gossip_era(&mut self, place: usize, era: u64) {
+    /// Delivers gossip with `digest` from a peer outside the fleet; the caller handles the node's resulting actions.
+    pub fn gossip_from_unknown_peer(&mut self, place: usize, digest: message::Digest) {
         let from = members::Record {
             id: ids::Incarnation(77),
             address: "10.9.9.9:1".to_owned(),
@@ -265,10 +265,6 @@
             beat: 0,
             health: members::Health::Alive,
         };
-        let position = store::Position::new(era, 1);
-        let seen = message::Seen { position, age_ms: Some(0) };
-        let digest =
-            message::Digest { era, configuration: seen, servers: seen, ..Default::default() };
         let gossip = message::Gossip {
             from,
             kind: message::GossipKind::Push,
@@ -280,7 +276,6 @@
         };
         let now_ms = self.now_ms;
         self.routers[place].node.gossip(&gossip, now_ms);
-        self.carry_out(place);
     }
 
     pub fn watchers(&self) -> Vec<usize> {
