Bound what losses of routers take of a budget in all

What callers saw: after several losses of all routers, or of the only holder of several budgets, budgets ended early and every later request was refused (402).

Cause: the limit on what holders have in hand knew what is unspent, not what crashes had already taken.

Now what was written off and what is in hand are together at most a third of what was paid; once that much is gone, an eighth of the share stays, so that not every request costs a call to the store. It rests on the ledger's own written_off_tokens, so routers that have just started know it.

--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -19,6 +19,11 @@
 /// Holders keep a smaller share of a budget that lasts for less than this at the present rate: what is left of it would
 /// not cover an outage of the length that holders are to bridge. See docs/POLICY.md.
 const NEARLY_EXHAUSTED_MS: u64 = 10_000;
+/// What crashes have taken from a budget with `held_percent`, and what they would take now, is together at most one part
+/// in this many of what was paid.
+const AT_RISK_DIVISOR: u64 = 3;
+/// Once crashes have taken that much, the holders keep one part in this many of their share.
+const LOSSES_DIVISOR: u64 = 8;
 /// The time constant of the peak rate: it decays to about a third in this time.
 const PEAK_DECAY_MS: u64 = 600_000;
 /// A holder is low on tokens if its free tokens last for less than this at its present rate.
@@ -266,6 +271,8 @@
     fn combined_limit_tokens(&self, all_rates_tokens_per_s: u64) -> u64 {
         let unspent = self.unspent_tokens();
         let share = unspent / 100 * self.settings.held_percent;
+        let at_risk = (self.paid_tokens / AT_RISK_DIVISOR).saturating_sub(self.written_off_tokens);
+        let share = share.min(at_risk.max(share / LOSSES_DIVISOR));
         let lasts_ms = u128::from(unspent) * 1_000 / u128::from(all_rates_tokens_per_s);
         let part_ms = lasts_ms.min(u128::from(NEARLY_EXHAUSTED_MS));
         (u128::from(share) * part_ms / u128::from(NEARLY_EXHAUSTED_MS)) as u64
--- a/core/tests/crash_cost.rs
+++ b/core/tests/crash_cost.rs
@@ -217,3 +217,26 @@
         assert!(refused == 0, "seed {seed}: {refused} requests were refused in the outage");
     }
 }
+
+/// Guards against crashes that each take a share of what is left as if none had taken one before: losses of all
+/// routers at seconds 2, 18 and 34 took 41 in 100 of the paid tokens.
+#[test]
+fn repeated_losses_of_all_routers_take_a_third_of_a_budget_and_little_more() {
+    const TOKENS_PER_S: u64 = 25_000;
+    for seed in 1..6 {
+        let mut world = fleet_with_held_percent(50, seed);
+        for spent_ms in [2_000, 6_000, 6_000] {
+            spend(&mut world, TOKENS_PER_S, spent_ms);
+            (0..ROUTERS).for_each(|router| world.kill(router));
+            world.run_ms(600);
+            (0..ROUTERS).for_each(|router| world.restart(router, true));
+            world.run_ms(1_000);
+        }
+        spend(&mut world, 1_000, 3_000);
+        let lost_tokens = world.ledger(0).written_off_tokens;
+        assert!(
+            lost_tokens <= PAID_TOKENS * 2 / 5,
+            "seed {seed}: {lost_tokens} of {PAID_TOKENS} tokens were written off"
+        );
+    }
+}
