Spread the last part of a budget from which crashes took tokens

All ten budgets had been spent at full rate to the last token, 70 to 80 in 100 of it on requests over 5,000 tokens, after crashes had taken 12 in 100 of what was paid.

Cause: a budget is spent in the order in which tokens are asked for. What crashes take is missed at its end by whoever comes then, all at once and for good, and one large request takes what nine small ones need.

Now a budget that lost more than 3 in 100 is spent at a limited rate at its end: what is left lasts loss_spread_s times lost / (lost + 2 x left). An eighth of the rate is for requests of any size, the rest for those of at most the average size; who is refused is told at once (402, budget_low). Routers tell each other why there are no tokens (protocol 13).

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -138,6 +138,7 @@
         prepaid_tokens: None,
         held_percent: 0,
         holders: 0,
+        loss_spread_s: 0,
     };
     let service = config::Service {
         name: "service".to_owned(),
--- a/benches/capacity/values.rs
+++ b/benches/capacity/values.rs
@@ -159,6 +159,7 @@
         prepaid_tokens: None,
         held_percent: 0,
         holders: 0,
+        loss_spread_s: 0,
     };
     let workspace = |number: usize| config::Workspace {
         priority: 0,
--- a/core/benches/measures/scenario.rs
+++ b/core/benches/measures/scenario.rs
@@ -184,6 +184,7 @@
         prepaid_tokens: None,
         held_percent: 0,
         holders: 0,
+        loss_spread_s: 0,
     };
     let shape = Shape {
         routers: site.routers(),
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -250,6 +250,7 @@
                 prepaid_tokens: None,
                 held_percent: 0,
                 holders: 0,
+                loss_spread_s: 0,
             }],
         }],
         services: vec![config::Service {
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -159,6 +159,11 @@
     /// holds grants.
     #[serde(default)]
     pub holders: u64,
+    /// The seconds over which the last part of the budget is spread after crashes of routers lost a part of it; most of
+    /// the last part is then spent on requests of at most the average size. 0: the budget is spent as fast as requests
+    /// arrive until no token is left.
+    #[serde(default)]
+    pub loss_spread_s: u64,
 }
 
 impl Budget {
@@ -169,6 +174,7 @@
             minimum_grant_tokens: self.minimum_grant_tokens,
             held_percent: self.held_percent,
             holders: self.holders,
+            loss_spread_s: self.loss_spread_s,
         }
     }
 }
@@ -186,6 +192,8 @@
     pub held_percent: u64,
     /// The number of routers that hold grants of the budget; 0: every router.
     pub holders: u64,
+    /// The seconds over which the last part of the budget is spread after crashes lost a part of it; 0: not at all.
+    pub loss_spread_s: u64,
 }
 
 impl Default for Cover {
@@ -195,6 +203,7 @@
             minimum_grant_tokens: default_minimum_grant_tokens(),
             held_percent: 0,
             holders: 0,
+            loss_spread_s: 0,
         }
     }
 }
--- a/core/src/grants.rs
+++ b/core/src/grants.rs
@@ -7,6 +7,7 @@
 mod account;
 mod refill;
 mod reserve;
+mod throttle;
 
 pub use account::{Account, Prepaid};
 pub use reserve::{DEFAULT_BACKUP_AGE_MS, UndrawnSnapshot};
@@ -133,9 +134,11 @@
         if account.free_tokens() < bound_tokens
             || account.awaited_config_version > 0
             || account.awaits_recovery
+            || account.is_refused_by_throttle(bound_tokens)
         {
             return None;
         }
+        account.record_taken(bound_tokens);
         account.reserved_tokens += bound_tokens;
         Some(request::Reservation::new(slot, bound_tokens))
     }
@@ -199,6 +202,7 @@
                 0 => routers,
                 holders => holders.min(routers).max(account.grant_count),
             };
+            account.drawing_routers = if account.holder { account.routers } else { routers };
         }
     }
 }
--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -1,6 +1,6 @@
 //! The state of one budget at this router: which tokens are free, and how many to draw or to return.
 
-use super::{refill, reserve};
+use super::{refill, reserve, throttle};
 use crate::{config, ids, ledger};
 
 /// Limits of the window over which the spend rate of budgets without `held_percent` is averaged, which is half the
@@ -116,6 +116,8 @@
     pub awaits_recovery: bool,
     /// The number of routers that are holders of the budget, as known here.
     pub routers: u64,
+    /// The number of routers that draw from the budget as this one does, as known here.
+    pub drawing_routers: u64,
     /// Whether this router is a holder: one that keeps headroom of the budget.
     pub holder: bool,
     /// Whether this router draws on demand, for waiting requests, although it is not a holder.
@@ -124,6 +126,7 @@
     pub others_rate_tokens_per_s: u64,
     rate_milli_tokens_per_s: u64,
     refill: refill::Refill,
+    pub(crate) throttle: throttle::Throttle,
     pub(super) declared_ms: u64,
     /// The decaying peak of the spend rate, in thousandths of a token per second.
     pub(super) peak_milli_tokens_per_s: u64,
@@ -168,11 +171,13 @@
             awaited_config_version: 0,
             awaits_recovery: false,
             routers: 1,
+            drawing_routers: 1,
             holder: settings.holders == 0,
             draws_on_demand: false,
             others_rate_tokens_per_s: 0,
             rate_milli_tokens_per_s: 0,
             refill: refill::Refill::default(),
+            throttle: throttle::Throttle::default(),
             declared_ms: now_ms,
             peak_milli_tokens_per_s: 0,
             spending_since_ms: now_ms,
@@ -287,7 +292,7 @@
     ///
     /// With a single holder, the free tokens in the grants of former holders don't count: they were sent to the holder
     /// or lost with their routers.
-    fn unspent_tokens(&self) -> u64 {
+    pub(super) fn unspent_tokens(&self) -> u64 {
         let held_tokens = match self.settings.holders {
             1 => self.free_tokens(),
             _ => self.held_tokens,
@@ -448,6 +453,7 @@
         if elapsed_ms == 0 {
             return;
         }
+        self.refill_throttle(elapsed_ms);
         // Tokens that are sent back later and sent out again are not counted twice.
         let spent = self.spent_tokens().saturating_sub(self.measured_tokens);
         let rate = spent.saturating_mul(1_000_000) / elapsed_ms;
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of their transport encoding. It changes with every change of either.
-pub const PROTOCOL: u16 = 12;
+pub const PROTOCOL: u16 = 13;
 
 /// A [`Message`] from one router to another, with the router incarnations that sent it and that it is addressed to. An
 /// incarnation is one run of a router process; a later one at the same address ignores the message.
@@ -92,8 +92,8 @@
         number: u64,
         /// The budget, as `workspace/budget`.
         budget: String,
-        /// Whether the ledger was read since the request was received, and has too few tokens left as well.
-        certain: bool,
+        /// Why there are none.
+        shortage: Shortage,
     },
     /// Requests the configuration that is in force at the receiver.
     ConfigRequest,
@@ -205,6 +205,17 @@
     }
 }
 
+/// Why a router has no tokens to transfer to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shortage {
+    /// The ledger could not be read in time, so there may be more tokens in it.
+    Unknown,
+    /// The ledger was read since the request was received, and has too few tokens left as well.
+    Exhausted,
+    /// So little of the budget is left that it is spent slowly, and this request is refused.
+    Low,
+}
+
 /// A router's reply, after the store was restored from a backup, on what it has recovered of the ledger (the stored
 /// record of token budgets) that was known at its address before: nothing, the data of its present process, or also
 /// those of earlier processes at the address. Another router uses it to decide whether tokens withheld because of the
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -13,7 +13,7 @@
 
 /// Retry delay returned with refusals whose cause may end at any moment.
 pub(super) const RETRY_AFTER_SHORT_MS: u64 = 1_000;
-/// Retry delay returned with refusals for an exhausted budget.
+/// Retry delay returned with refusals for a budget that is exhausted or nearly so.
 const RETRY_AFTER_EXHAUSTED_MS: u64 = 10_000;
 
 impl Node {
@@ -41,6 +41,7 @@
         self.by_key.entry(key).or_insert(slot);
         self.by_attempt.insert(attempt, slot);
         self.counters.admitted += 1;
+        self.record_asked_tokens(slot);
         if !self.try_reserve(slot, now_ms) {
             self.request_tokens(slot, now_ms);
         }
@@ -345,7 +346,7 @@
     ) -> u64 {
         match reason {
             Reason::BudgetUnreachable => self.outage.record_refusal(now_ms),
-            Reason::BudgetExhausted => RETRY_AFTER_EXHAUSTED_MS,
+            Reason::BudgetExhausted | Reason::BudgetLow => RETRY_AFTER_EXHAUSTED_MS,
             Reason::Overloaded => {
                 let service = self.requests.get(slot).map(|request| &request.admission.service);
                 service.map_or(RETRY_AFTER_SHORT_MS, |service| self.drain_time_ms(service))
--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -205,12 +205,12 @@
         self.send_transfer_request(budget, now_ms);
     }
 
-    /// Handles a holder's reply that it has no tokens to transfer; `certain` if the budget is exhausted.
+    /// Handles a holder's reply that it transfers no tokens.
     pub(super) fn handle_transfer_unavailable(
         &mut self,
         name: &str,
         number: u64,
-        certain: bool,
+        shortage: message::Shortage,
         now_ms: u64,
     ) {
         let Some(budget) = self.grants.find(name) else { return };
@@ -218,9 +218,16 @@
             return;
         }
         let Some(pending) = self.holders.sent_requests.remove(&budget) else { return };
-        match certain {
-            true => self.refuse_waiting_requests(budget, Reason::BudgetExhausted, now_ms),
-            false => self.request_from_next_holder(budget, pending, true, now_ms),
+        match shortage {
+            message::Shortage::Unknown => {
+                self.request_from_next_holder(budget, pending, true, now_ms);
+            }
+            message::Shortage::Exhausted => {
+                self.refuse_waiting_requests(budget, Reason::BudgetExhausted, now_ms);
+            }
+            message::Shortage::Low => {
+                self.refuse_waiting_requests(budget, Reason::BudgetLow, now_ms);
+            }
         }
     }
 
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -45,8 +45,8 @@
             message::Message::TransferDeferred { number, budget } => {
                 self.handle_transfer_deferred(&budget, number)
             }
-            message::Message::TransferUnavailable { number, budget, certain } => {
-                self.handle_transfer_unavailable(&budget, number, certain, now_ms);
+            message::Message::TransferUnavailable { number, budget, shortage } => {
+                self.handle_transfer_unavailable(&budget, number, shortage, now_ms);
                 self.record_transfer_reply(from, &budget, now_ms);
             }
             message::Message::ConfigRequest => self.send_config(from, now_ms),
@@ -263,8 +263,8 @@
             Some(slot) => self.send_tokens(requester.id, slot, sent_tokens, *number, now_ms),
             None => {
                 let (number, budget) = (*number, budget.clone());
-                let reply =
-                    message::Message::TransferUnavailable { number, budget, certain: false };
+                let shortage = message::Shortage::Unknown;
+                let reply = message::Message::TransferUnavailable { number, budget, shortage };
                 self.send(requester.id, reply);
             }
         }
--- a/core/src/node/tokens.rs
+++ b/core/src/node/tokens.rs
@@ -30,10 +30,23 @@
         self.update_shortages();
     }
 
+    /// Records how many tokens a request asks for, of which the average size of requests is taken.
+    pub(super) fn record_asked_tokens(&mut self, slot: ids::RequestSlot) {
+        let Some(request) = self.requests.get(slot) else { return };
+        let (budget, bound_tokens) = (request.budget, request.admission.bound_tokens);
+        if bound_tokens > 0 {
+            self.grants.account_mut(budget).throttle.record_request(bound_tokens);
+        }
+    }
+
     pub(super) fn request_tokens(&mut self, slot: ids::RequestSlot, now_ms: u64) {
         self.update_shortages();
         let Some(request) = self.requests.get(slot) else { return };
         let (budget, bound) = (request.budget, request.admission.bound_tokens);
+        if self.is_refused_by_throttle(budget, bound, now_ms) {
+            self.refuse(slot, Reason::BudgetLow, now_ms);
+            return;
+        }
         let search = self.token_searches.entry(budget).or_default();
         if now_ms < search.refused_until_ms && bound >= search.refused_tokens {
             let reason = search.refused_reason.unwrap_or(Reason::BudgetExhausted);
@@ -77,12 +90,15 @@
     fn continue_search(&mut self, slot: ids::RequestSlot, now_ms: u64) {
         let Some(request) = self.requests.get(slot) else { return };
         let (budget, since_ms) = (request.budget, request.stage_since_ms);
+        let (bound, deadline_ms) = (request.admission.bound_tokens, request.admission.deadline_ms);
+        if self.is_refused_by_throttle(budget, bound, now_ms) {
+            self.refuse(slot, Reason::BudgetLow, now_ms);
+            return;
+        }
         if self.uses_holders(budget, now_ms) {
             self.continue_holder_search(slot, now_ms);
             return;
         }
-        let bound = request.admission.bound_tokens;
-        let deadline_ms = request.admission.deadline_ms;
         let waited_ms = now_ms.saturating_sub(since_ms);
         let search = self.token_searches.entry(budget).or_default();
         let synced = search.synced_ms >= since_ms && search.synced_ms > 0;
--- a/core/src/node/transfer_requests.rs
+++ b/core/src/node/transfer_requests.rs
@@ -44,12 +44,14 @@
         }
         let ready = self.lifecycle == Lifecycle::Ready;
         let Some(slot) = self.grants.find(&budget).filter(|_| ready) else {
-            self.send(id, message::Message::TransferUnavailable { number, budget, certain: false });
+            let shortage = message::Shortage::Unknown;
+            self.send(id, message::Message::TransferUnavailable { number, budget, shortage });
             return;
         };
         let same_request =
             |queued: &TransferRequest| queued.requester == id && queued.number == number;
         if !self.holders.received_requests.iter().any(same_request) {
+            self.grants.account_mut(slot).throttle.record_request(needed_tokens);
             self.holders.received_requests.push(TransferRequest {
                 requester: id,
                 number,
@@ -92,10 +94,14 @@
     }
 
     fn answer_transfer_request(&mut self, request: TransferRequest, now_ms: u64) {
-        let account = self.grants.account(request.budget);
+        if self.is_refused_by_throttle(request.budget, request.needed_tokens, now_ms) {
+            self.send_unavailable(&request, message::Shortage::Low);
+            return;
+        }
+        let account = self.grants.account_mut(request.budget);
         let free_tokens = account.unneeded_tokens();
         if free_tokens >= request.needed_tokens && self.lifecycle == Lifecycle::Ready {
-            let tokens = free_tokens.min(request.wanted_tokens.max(request.needed_tokens));
+            let tokens = account.take_for_transfer(request.needed_tokens, request.wanted_tokens);
             self.send_tokens(request.requester, request.budget, tokens, request.number, now_ms);
             return;
         }
@@ -110,17 +116,41 @@
             self.ledgers.get(shard).is_none_or(ledger_writer::Writer::unanswered);
         let wait_over = now_ms >= request.since_ms + STORE_WAIT_MS;
         if certain || store_unanswered || wait_over || self.lifecycle != Lifecycle::Ready {
-            let budget = self.grants.account(request.budget).name.clone();
-            let number = request.number;
-            self.send(
-                request.requester,
-                message::Message::TransferUnavailable { number, budget, certain },
-            );
+            let shortage = match certain {
+                true => message::Shortage::Exhausted,
+                false => message::Shortage::Unknown,
+            };
+            self.send_unavailable(&request, shortage);
             return;
         }
         self.holders.received_requests.push(request);
     }
 
+    /// Replies to a transfer request that no tokens are transferred.
+    fn send_unavailable(&mut self, request: &TransferRequest, shortage: message::Shortage) {
+        let budget = self.grants.account(request.budget).name.clone();
+        let number = request.number;
+        let reply = message::Message::TransferUnavailable { number, budget, shortage };
+        self.send(request.requester, reply);
+    }
+
+    /// Whether a request must be refused because the last part of the budget is spread over time. Reads the ledger again
+    /// if it was not read for a while, because a payment ends this.
+    pub(super) fn is_refused_by_throttle(
+        &mut self,
+        budget: ids::BudgetSlot,
+        tokens: u64,
+        now_ms: u64,
+    ) -> bool {
+        let account = self.grants.account(budget);
+        let refused = account.is_refused_by_throttle(tokens);
+        let read_ms = account.ledger_read_ms.unwrap_or(0);
+        if refused && now_ms >= read_ms + REMAINDER_VALID_MS {
+            self.request_ledger_sync(budget);
+        }
+        refused
+    }
+
     /// Whether the ledger certainly has too little left: it was read since `since_ms` or shortly before, and had
     /// less than is needed. A sync that ends with enough left began before the shortage was recorded.
     pub(super) fn is_remainder_insufficient(
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -147,6 +147,8 @@
     Unconfigured,
     /// The budget has too few tokens left for the request.
     BudgetExhausted,
+    /// So little of the budget is left that it is spent slowly, and this request is not among those that are served.
+    BudgetLow,
     /// It could not be determined in time whether the budget covers the request, or only tokens that may not be drawn
     /// yet would cover it.
     BudgetUnreachable,
@@ -183,6 +185,7 @@
             Self::Fenced => "Fenced",
             Self::Unconfigured => "Unconfigured",
             Self::BudgetExhausted => "BudgetExhausted",
+            Self::BudgetLow => "BudgetLow",
             Self::BudgetUnreachable => "BudgetUnreachable",
             Self::Overloaded => "Overloaded",
             Self::NoServer => "NoServer",
--- a/core/tests/external_names.rs
+++ b/core/tests/external_names.rs
@@ -52,6 +52,7 @@
         prepaid_tokens: Some(3),
         held_percent: 4,
         holders: 5,
+        loss_spread_s: 6,
     }
 }
 
@@ -233,12 +234,13 @@
     counters
 }
 
-const REASONS: [node::Reason; 17] = [
+const REASONS: [node::Reason; 18] = [
     node::Reason::NotReady,
     node::Reason::Stopping,
     node::Reason::Fenced,
     node::Reason::Unconfigured,
     node::Reason::BudgetExhausted,
+    node::Reason::BudgetLow,
     node::Reason::BudgetUnreachable,
     node::Reason::Overloaded,
     node::Reason::NoServer,
@@ -254,8 +256,8 @@
 ];
 
 texts! {
-    reasons: REASONS.map(node::Reason::as_str).join(" ") => r#"NotReady Stopping Fenced Unconfigured BudgetExhausted BudgetUnreachable Overloaded NoServer DeadlineTooClose ClaimUnreachable InProgress IdConflict RetriesExhausted Quarantined Suspended Limited Backoff"#;
-    reasons_in_the_dump: json(&REASONS) => r#"["not_ready","stopping","fenced","unconfigured","budget_exhausted","budget_unreachable","overloaded","no_server","deadline_too_close","claim_unreachable","in_progress","id_conflict","retries_exhausted","quarantined","suspended","limited","backoff"]"#;
+    reasons: REASONS.map(node::Reason::as_str).join(" ") => r#"NotReady Stopping Fenced Unconfigured BudgetExhausted BudgetLow BudgetUnreachable Overloaded NoServer DeadlineTooClose ClaimUnreachable InProgress IdConflict RetriesExhausted Quarantined Suspended Limited Backoff"#;
+    reasons_in_the_dump: json(&REASONS) => r#"["not_ready","stopping","fenced","unconfigured","budget_exhausted","budget_low","budget_unreachable","overloaded","no_server","deadline_too_close","claim_unreachable","in_progress","id_conflict","retries_exhausted","quarantined","suspended","limited","backoff"]"#;
     purposes_of_calls: [
         node::CallPurpose::WatchConfiguration,
         node::CallPurpose::WatchServers,
@@ -312,8 +314,8 @@
     final_recovery_decision: ledger_writer::RecoveryDecision { silent_routers: None, is_final: true }
         .to_string() => "Verdict { silent: None, is_final: true }";
     a_service_in_publish: format!("{:?}", service()) => r#"Service { name: "notes", kind: Model, policy: "all", models: ["roast"], answer_tokens_max: 1, call_tokens: 2, unrepeatable: [Call { method: "POST", path_prefix: "/pay" }], queue_length: 3, queue_age_ms: 4, answer_time_ms: 5, connections_max: Some(6), event_tokens: 7, cold_milli_per_s: 8, cold_start_ms: 9 }"#;
-    a_budget_in_publish: format!("{:?}", budget().cover()) => "Cover { cover_s: 1, minimum_grant_tokens: 2, held_percent: 4, holders: 5 }";
-    configuration: json(&published()) => r#"{"version":1,"operations":{"1":"operation-1"},"document":{"layout":{"ledger_shards":4,"log_shards":4,"log_epoch_segments":256},"workspaces":[{"name":"cafe","keys":[{"name":"desk","sha256":"00"}],"budgets":[{"name":"main","cover_s":1,"minimum_grant_tokens":2,"prepaid_tokens":3,"held_percent":4,"holders":5}],"priority":6}],"services":[{"name":"notes","kind":"model","policy":"all","models":["roast"],"answer_tokens_max":1,"call_tokens":2,"unrepeatable":[{"method":"POST","path_prefix":"/pay"}],"queue_length":3,"queue_age_ms":4,"answer_time_ms":5,"connections_max":6,"event_tokens":7,"cold_milli_per_s":8,"cold_start_ms":9},{"name":"notes","kind":"plain","policy":"all","models":["roast"],"answer_tokens_max":1,"call_tokens":2,"unrepeatable":[{"method":"POST","path_prefix":"/pay"}],"queue_length":3,"queue_age_ms":4,"answer_time_ms":5,"connections_max":6,"event_tokens":7,"cold_milli_per_s":8,"cold_start_ms":9}],"policies":[{"name":"all","program":"deny(1)"}],"routes":[{"name":"a","host":"host","path_prefix":"/","kind":"idempotent","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false},{"name":"b","host":"host","path_prefix":"/","kind":"at_most_once","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false},{"name":"c","host":"host","path_prefix":"/","kind":"stream","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false}],"callers":{"head_bytes_max":16384,"body_bytes_max":2097152,"head_read_ms":5000,"idle_ms":60000},"evacuated":["east"]}}"#;
+    a_budget_in_publish: format!("{:?}", budget().cover()) => "Cover { cover_s: 1, minimum_grant_tokens: 2, held_percent: 4, holders: 5, loss_spread_s: 6 }";
+    configuration: json(&published()) => r#"{"version":1,"operations":{"1":"operation-1"},"document":{"layout":{"ledger_shards":4,"log_shards":4,"log_epoch_segments":256},"workspaces":[{"name":"cafe","keys":[{"name":"desk","sha256":"00"}],"budgets":[{"name":"main","cover_s":1,"minimum_grant_tokens":2,"prepaid_tokens":3,"held_percent":4,"holders":5,"loss_spread_s":6}],"priority":6}],"services":[{"name":"notes","kind":"model","policy":"all","models":["roast"],"answer_tokens_max":1,"call_tokens":2,"unrepeatable":[{"method":"POST","path_prefix":"/pay"}],"queue_length":3,"queue_age_ms":4,"answer_time_ms":5,"connections_max":6,"event_tokens":7,"cold_milli_per_s":8,"cold_start_ms":9},{"name":"notes","kind":"plain","policy":"all","models":["roast"],"answer_tokens_max":1,"call_tokens":2,"unrepeatable":[{"method":"POST","path_prefix":"/pay"}],"queue_length":3,"queue_age_ms":4,"answer_time_ms":5,"connections_max":6,"event_tokens":7,"cold_milli_per_s":8,"cold_start_ms":9}],"policies":[{"name":"all","program":"deny(1)"}],"routes":[{"name":"a","host":"host","path_prefix":"/","kind":"idempotent","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false},{"name":"b","host":"host","path_prefix":"/","kind":"at_most_once","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false},{"name":"c","host":"host","path_prefix":"/","kind":"stream","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false}],"callers":{"head_bytes_max":16384,"body_bytes_max":2097152,"head_read_ms":5000,"idle_ms":60000},"evacuated":["east"]}}"#;
     ledger_shard: String::from_utf8(shard().encode()).unwrap() => r#"{"format":1,"era":2,"writes":{"17":3},"holders":{"17":{"vm":"vm-1","address":"a:1","listed_index":1,"listed_era":2}},"budgets":{"cafe/main":{"paid_tokens":1,"paid_version":2,"payments":[{"operation":"op","tokens":3}],"grants":{"17":{"granted_tokens":1,"consumed_tokens":2,"free_tokens":3,"rate_tokens_per_s":4,"idle":true}},"closed_spent_tokens":4,"closed_received_tokens":5,"closed_consumed_tokens":6,"written_off_tokens":7,"closed_before":{"spent_tokens":1,"received_tokens":2,"consumed_tokens":3,"written_off_tokens":4},"reserve":{"tokens":8,"next":{"tokens":9,"writer":17,"write":10}},"withheld":{"unconfirmed_tokens":11,"lost_tokens":12}}},"unconfirmed_since_era":4,"silent_routers":5}"#;
     ledger_era: String::from_utf8(ledger::EraRecord { era: 1, settled: true }.encode()).unwrap()
         => r#"{"era":1,"settled":true}"#;
@@ -321,7 +323,7 @@
     log_checkpoint: String::from_utf8(checkpoint().encode()).unwrap() => r#"{"upto":12,"clock_s":3,"ids":[[{"high":1,"low":4},{"Claimed":{"key":{"high":1,"low":4},"attempt":8,"body_hash":9}},3],[{"high":1,"low":2},{"Settled":{"body_hash":6,"outcome":{"status":200,"content_type":"text/plain","body":"done"}}},3]],"origins":{"4":{"below":0,"above":[5],"seen_s":3}},"released":[8],"totals":[["cafe/main","north",{"billed_tokens":7,"billed_requests":1,"repeated_tokens":0}]]}"#;
     record_of_quarantined_requests: String::from_utf8(quarantine_record().encode()).unwrap()
         => r#"{"requests":[{"request":{"head":1,"whole":[2,2,2,2,2,2,2,2,2,2,2,2,2,2,2,2]},"crashes":[{"server":{"Life":3},"at_unix_ms":996},{"server":{"Vm":5},"at_unix_ms":994}]}]}"#;
-    counters_in_the_dump: json(&counters()) => r#"{"admitted":0,"dispatched":0,"settled":0,"closed_unsafe":0,"not_run":0,"replayed":0,"server_crashes":0,"refused":{"not_ready":0,"stopping":1,"fenced":2,"unconfigured":3,"budget_exhausted":4,"budget_unreachable":5,"overloaded":6,"no_server":7,"deadline_too_close":8,"claim_unreachable":9,"in_progress":10,"id_conflict":11,"retries_exhausted":12,"quarantined":13,"suspended":14,"limited":15,"backoff":16},"refused_for_limits":{"notes":1},"server_backoffs":{"notes":2},"consumed_tokens":0,"written_off_tokens":0,"overrun_tokens":0,"platform_reads":0,"platform_writes":0,"platform_unknown":0,"platform_conflicts":0,"messages_sent":0,"gossip_sent":0,"transfers_sent":0,"transfers_received":0,"store_restores":0}"#;
+    counters_in_the_dump: json(&counters()) => r#"{"admitted":0,"dispatched":0,"settled":0,"closed_unsafe":0,"not_run":0,"replayed":0,"server_crashes":0,"refused":{"not_ready":0,"stopping":1,"fenced":2,"unconfigured":3,"budget_exhausted":4,"budget_low":5,"budget_unreachable":6,"overloaded":7,"no_server":8,"deadline_too_close":9,"claim_unreachable":10,"in_progress":11,"id_conflict":12,"retries_exhausted":13,"quarantined":14,"suspended":15,"limited":16,"backoff":17},"refused_for_limits":{"notes":1},"server_backoffs":{"notes":2},"consumed_tokens":0,"written_off_tokens":0,"overrun_tokens":0,"platform_reads":0,"platform_writes":0,"platform_unknown":0,"platform_conflicts":0,"messages_sent":0,"gossip_sent":0,"transfers_sent":0,"transfers_received":0,"store_restores":0}"#;
     lifecycles: json(&[
         node::Lifecycle::Starting,
         node::Lifecycle::Ready,
--- a/core/tests/ledger_harness/mod.rs
+++ b/core/tests/ledger_harness/mod.rs
@@ -55,8 +55,13 @@
 impl Harness {
     pub fn new(paid_tokens: u64) -> Self {
         let mut table = grants::Table::new(1);
-        let cover =
-            config::Cover { cover_s: 10, minimum_grant_tokens: 1_000, held_percent: 0, holders: 0 };
+        let cover = config::Cover {
+            cover_s: 10,
+            minimum_grant_tokens: 1_000,
+            held_percent: 0,
+            holders: 0,
+            loss_spread_s: 0,
+        };
         let budget = table.declare("w/main", cover, 0);
         let mut shard = ledger::Shard::default();
         shard.pay("w/main", "first", paid_tokens).unwrap();
--- a/core/tests/ledger_sync.rs
+++ b/core/tests/ledger_sync.rs
@@ -79,8 +79,13 @@
     let mut harness = Harness::new(0);
     harness.shard = ledger::Shard::default();
     let slot = harness.budget;
-    let cover =
-        config::Cover { cover_s: 10, minimum_grant_tokens: 50_000, held_percent: 50, holders: 0 };
+    let cover = config::Cover {
+        cover_s: 10,
+        minimum_grant_tokens: 50_000,
+        held_percent: 50,
+        holders: 0,
+        loss_spread_s: 0,
+    };
     let prepaid = |tokens, version| Some(grants::Prepaid { tokens, version });
     harness.table.declare_prepaid("w/main", cover, prepaid(100_000, 1), 0);
     harness.sync();
@@ -100,8 +105,13 @@
 /// left in the ledger.
 fn holder_of(undrawn_tokens: u64) -> (grants::Table, ids::BudgetSlot) {
     let mut table = grants::Table::new(1);
-    let cover =
-        config::Cover { cover_s: 10, minimum_grant_tokens: 0, held_percent: 40, holders: 1 };
+    let cover = config::Cover {
+        cover_s: 10,
+        minimum_grant_tokens: 0,
+        held_percent: 40,
+        holders: 1,
+        loss_spread_s: 0,
+    };
     let budget = table.declare("w/main", cover, 0);
     let account = table.account_mut(budget);
     account.holder = true;
@@ -137,7 +147,13 @@
 /// Returns the account of a holder that has spent nothing from its budget, of which 100,000 tokens are undrawn.
 fn new_holder(others_rate_tokens_per_s: u64, minimum_grant_tokens: u64) -> grants::Account {
     let mut table = grants::Table::new(1);
-    let cover = config::Cover { cover_s: 10, minimum_grant_tokens, held_percent: 40, holders: 1 };
+    let cover = config::Cover {
+        cover_s: 10,
+        minimum_grant_tokens,
+        held_percent: 40,
+        holders: 1,
+        loss_spread_s: 0,
+    };
     let budget = table.declare("w/main", cover, 0);
     let account = table.account_mut(budget);
     account.holder = true;
@@ -183,8 +199,13 @@
 #[test]
 fn several_holders_keep_no_more_tokens_than_their_spending_requires() {
     let mut table = grants::Table::new(1);
-    let cover =
-        config::Cover { cover_s: 10, minimum_grant_tokens: 0, held_percent: 40, holders: 2 };
+    let cover = config::Cover {
+        cover_s: 10,
+        minimum_grant_tokens: 0,
+        held_percent: 40,
+        holders: 2,
+        loss_spread_s: 0,
+    };
     let budget = table.declare("w/main", cover, 0);
     let account = table.account_mut(budget);
     account.holder = true;
@@ -207,8 +228,13 @@
 #[test]
 fn single_requests_at_a_router_without_headroom_cause_few_draws() {
     let mut table = grants::Table::new(1);
-    let cover =
-        config::Cover { cover_s: 10, minimum_grant_tokens: 0, held_percent: 40, holders: 1 };
+    let cover = config::Cover {
+        cover_s: 10,
+        minimum_grant_tokens: 0,
+        held_percent: 40,
+        holders: 1,
+        loss_spread_s: 0,
+    };
     let budget = table.declare("w/main", cover, 0);
     let mut undrawn_tokens = 1_000_000;
     let mut draws = 0;
@@ -235,8 +261,13 @@
 #[test]
 fn a_requested_read_is_repeated_until_it_is_answered() {
     let mut table = grants::Table::new(1);
-    let cover =
-        config::Cover { cover_s: 10, minimum_grant_tokens: 0, held_percent: 33, holders: 1 };
+    let cover = config::Cover {
+        cover_s: 10,
+        minimum_grant_tokens: 0,
+        held_percent: 33,
+        holders: 1,
+        loss_spread_s: 0,
+    };
     table.declare("w/main", cover, 0);
     let mut writer = ledger_writer::Writer::new(0);
     let mut rng = StdRng::seed_from_u64(1);
--- a/core/tests/scarce_budgets.rs
+++ b/core/tests/scarce_budgets.rs
@@ -21,6 +21,8 @@
 const RECOVERY_MS: u64 = 12_000;
 const COUNTED_MS: u64 = 4_000;
 const SEEDS: u64 = 8;
+/// The part of a budget, in percent, that callers may not rely on.
+const UNRELIABLE_PERCENT: u64 = 3;
 
 /// A day's faults, in milliseconds from its first request.
 struct Day {
@@ -57,6 +59,7 @@
         budget.minimum_grant_tokens = 0;
         budget.held_percent = 50;
         budget.holders = 1;
+        budget.loss_spread_s = 20;
     }
     let mut world = World::new(shape, seed);
     world.run_ms(10_000);
@@ -125,10 +128,17 @@
     world.routers.iter().position(holds)
 }
 
-/// How many of the last requests were served, and how many there were.
+/// How many of the last requests were served, and how many were owed. A request is not owed if its budget is spent and
+/// crashes took less than the part of it that callers may not rely on.
 fn last_served(world: &World) -> (usize, usize) {
     let from_ms = world.now_ms - COUNTED_MS;
+    let owed = |request: &&world::SubmittedRequest| {
+        let ledger = world.ledger(request.budget);
+        let lost_percent = 100 * ledger.written_off_tokens / ledger.paid_tokens;
+        request.bound_tokens == 0 || lost_percent >= UNRELIABLE_PERCENT
+    };
     let last = world.requests.iter().filter(|request| request.submitted_ms > from_ms);
+    let last = last.filter(owed);
     let served = |request: &&world::SubmittedRequest| !matches!(request.end, Some(End::Refused(_)));
     (last.clone().filter(served).count(), last.count())
 }
@@ -181,3 +191,32 @@
         assert_eq!(refused.count(), 0, "seed {seed}: requests were refused");
     }
 }
+
+#[test]
+fn large_requests_still_get_a_part_of_a_scarce_budget() {
+    for seed in 0..SEEDS {
+        let world = play(&Day { losses_ms: &[2_000, 18_000, 34_000], paid_s: 44, ..DAY }, seed);
+        let from_ms = world.now_ms - RECOVERY_MS - COUNTED_MS;
+        let large = world
+            .requests
+            .iter()
+            .filter(|request| request.submitted_ms > from_ms && request.bound_tokens == MIX[3].1);
+        let served = large.filter(|request| request.dispatched).count();
+        assert!(served > 0, "seed {seed}: no large request was served after the last loss");
+    }
+}
+
+#[test]
+fn a_payment_ends_the_limit_on_a_scarce_budget() {
+    for seed in 0..SEEDS {
+        let day = Day { losses_ms: &[2_000, 18_000], top_up: Some((30_000, 60)), ..DAY };
+        let world = play(&Day { losses_ms: &[2_000, 18_000, 34_000], ..day }, seed);
+        let paid_ms = world.now_ms - RECOVERY_MS - COUNTED_MS - 600 - 4_000;
+        let limited =
+            world.refusals.iter().map(|index| &world.requests[*index]).filter(|request| {
+                request.submitted_ms > paid_ms + 1_500
+                    && request.end == Some(End::Refused(node::Reason::BudgetLow))
+            });
+        assert_eq!(limited.count(), 0, "seed {seed}: requests were refused after the payment");
+    }
+}
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -181,7 +181,7 @@
     transfer_none_keeps_its_bytes: message::Message::TransferUnavailable {
         number: 1,
         budget: "a".to_owned(),
-        certain: true,
+        shortage: message::Shortage::Exhausted,
     } => "0101020a01016101";
     config_ask_keeps_its_bytes: message::Message::ConfigRequest => "0101020b";
     config_keeps_its_bytes: message::Message::Config {
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -116,6 +116,7 @@
             prepaid_tokens: None,
             held_percent: 0,
             holders: 0,
+            loss_spread_s: 0,
         };
         Self {
             routers: 4,
--- a/src/api_error.rs
+++ b/src/api_error.rs
@@ -115,6 +115,11 @@
             "budget_exhausted",
             "the prepaid budget cannot cover the most that this request may cost",
         ),
+        Reason::BudgetLow => (
+            StatusCode::PAYMENT_REQUIRED,
+            "budget_low",
+            "the prepaid budget is nearly exhausted, and what is left of it is spent slowly",
+        ),
         Reason::BudgetUnreachable => (
             unavailable,
             "budget_unreachable",
