Don't bound what holders keep while the paid amount is not known

ledger_sync's a_holder_keeps_no_more_tokens_than_its_spending_requires failed (5,000 kept of 40,000) since the bound on losses: with a paid amount of 0, as before a read, a third of it is 0 and only an eighth of the share stayed. The test is unchanged and passes again.

--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -276,8 +276,15 @@
     fn combined_limit_tokens(&self, all_rates_tokens_per_s: u64) -> u64 {
         let unspent = self.unspent_tokens();
         let share = unspent / 100 * self.settings.held_percent;
-        let at_risk = (self.paid_tokens / AT_RISK_DIVISOR).saturating_sub(self.written_off_tokens);
-        let share = share.min(at_risk.max(share / LOSSES_DIVISOR));
+        let share = match self.paid_tokens {
+            // Not known yet.
+            0 => share,
+            paid_tokens => {
+                let at_risk =
+                    (paid_tokens / AT_RISK_DIVISOR).saturating_sub(self.written_off_tokens);
+                share.min(at_risk.max(share / LOSSES_DIVISOR))
+            }
+        };
         let lasts_ms = u128::from(unspent) * 1_000 / u128::from(all_rates_tokens_per_s);
         let part_ms = lasts_ms.min(u128::from(NEARLY_EXHAUSTED_MS));
         (u128::from(share) * part_ms / u128::from(NEARLY_EXHAUSTED_MS)) as u64
