Decide whether prepaid tokens may be drawn when the ledger is written

What callers saw: a store that named a later era and had lost the whole ledger let paid tokens be spent again: 398 of 200 requests by real processes.

Cause: the ledger's writers kept PrepaidState, with Drawable as default and until the next tick after the era was named. A read of a shard that was answered before that tick, often together with the first answer that names the era, was handled as if nothing could have been lost: the first write paid the configuration's tokens in and drew of them.

Now the state is part of the context of each call of the ledger, derived from what is known then: undecided until an answer has named the era, as long as the era's record was not read, so nothing is paid in. There is no default and no copy that could be older.

Test: core withheld, a_ledger_that_a_restore_lost_whole_is_not_paid_in_again_*, answers a starting router's reads before its next tick, with and without an era named by a poll. Not run: the play by real processes.

--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -40,6 +40,8 @@
     /// Nothing is drawn before this time, so that after a restore of the store other routers can first write their
     /// copies of the ledger back.
     pub draw_not_before_ms: u64,
+    /// Whether tokens that the configuration pays in may be drawn.
+    pub prepaid_state: PrepaidState,
 }
 
 impl Context<'_> {
@@ -112,7 +114,7 @@
 /// Whether tokens that the operator's configuration pays into a budget may be drawn, that is, moved into a router's
 /// grant. The cases depend on whether the store was restored recently, since the tokens may have been paid in and drawn
 /// before the restore.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PrepaidState {
     /// It is not known yet whether the store was restored recently, so nothing is paid in.
     Undecided,
@@ -121,7 +123,6 @@
     Withheld,
     /// The tokens may be drawn: the store was never restored, or the budgets that the last restore lost are in the
     /// ledger again.
-    #[default]
     Drawable,
 }
 
@@ -168,8 +169,6 @@
     overtaken_writes: u32,
     /// The index of the last unusable value that was reported, so that it is reported once.
     unusable_index: Option<store::Position>,
-    /// Whether tokens that the configuration pays in may be drawn.
-    prepaid_state: PrepaidState,
     /// Lower reserves that are not in effect yet, by budget, and when each was first read from the store.
     next_reserves: collections::BTreeMap<String, (ledger::NextReserve, u64)>,
     /// Budgets whose withheld tokens an operator has released.
@@ -209,7 +208,6 @@
             draft_count: 0,
             overtaken_writes: 0,
             unusable_index: None,
-            prepaid_state: PrepaidState::default(),
             next_reserves: Default::default(),
             released: Default::default(),
             unreplicated: Vec::new(),
--- a/core/src/ledger_writer/draft.rs
+++ b/core/src/ledger_writer/draft.rs
@@ -15,7 +15,11 @@
         let mut draft = shard.clone();
         self.terminated_in_draft.clear();
         let slots = table.in_shard(self.shard).iter();
-        self.draft_prepaid(&mut draft, slots.map(|slot| table.account(*slot)));
+        self.draft_prepaid(
+            &mut draft,
+            context.prepaid_state,
+            slots.map(|slot| table.account(*slot)),
+        );
         if let Some(decision) = self.recovery_decision(era).filter(|_| shard.era == Some(era)) {
             draft.apply_recovery_decision(decision.silent_routers, decision.is_final);
         }
@@ -57,11 +61,12 @@
     fn draft_prepaid<'a>(
         &self,
         draft: &mut ledger::Shard,
+        prepaid_state: PrepaidState,
         accounts: impl Iterator<Item = &'a grants::Account>,
     ) {
         for account in accounts {
             let Some(prepaid) = account.prepaid else { continue };
-            match self.prepaid_state {
+            match prepaid_state {
                 PrepaidState::Undecided => continue,
                 PrepaidState::Drawable => {
                     draft.set_prepaid(&account.name, prepaid.tokens, prepaid.version);
--- a/core/src/ledger_writer/replies.rs
+++ b/core/src/ledger_writer/replies.rs
@@ -163,7 +163,7 @@
         rng: &mut rngs::StdRng,
     ) -> (Option<Write>, Vec<Event>) {
         self.record_read(era);
-        if self.prepaid_state == PrepaidState::Undecided {
+        if context.prepaid_state == PrepaidState::Undecided {
             self.record_failure(context, rng);
             return (None, Vec::new());
         }
--- a/core/src/ledger_writer/restores.rs
+++ b/core/src/ledger_writer/restores.rs
@@ -1,6 +1,6 @@
 //! Recovers the shard after a restore of the store, from the latest state that this router read, wrote or received.
 
-use super::{Context, PrepaidState, RecoveryDecision, State, Writer};
+use super::{Context, RecoveryDecision, State, Writer};
 use crate::{grants, ids, ledger, store};
 
 /// The number of eras for which the time of the last read is kept.
@@ -44,11 +44,6 @@
         self.peer_copy = Some(copy);
     }
 
-    /// Sets whether tokens that the configuration pays in may be drawn.
-    pub fn set_prepaid_state(&mut self, prepaid_state: PrepaidState) {
-        self.prepaid_state = prepaid_state;
-    }
-
     /// Releases the withheld tokens of a budget, as an operator requested, and requests a sync.
     pub fn release(&mut self, budget: &str) {
         self.released.insert(budget.to_owned());
--- a/core/src/node/era_record.rs
+++ b/core/src/node/era_record.rs
@@ -24,8 +24,11 @@
 
 impl Node {
     /// How the ledger treats prepaid tokens of the configuration that it does not contain yet.
-    fn prepaid_state(&self) -> ledger_writer::PrepaidState {
-        let era = self.store_era();
+    pub(super) fn prepaid_state(&self) -> ledger_writer::PrepaidState {
+        // Until the store has named its era, it may have been restored.
+        let Some(era) = self.known_store_era() else {
+            return ledger_writer::PrepaidState::Undecided;
+        };
         match self.era_record.record.filter(|record| record.era == era) {
             _ if era == 0 => ledger_writer::PrepaidState::Drawable,
             Some(record) if record.settled => ledger_writer::PrepaidState::Drawable,
@@ -40,8 +43,6 @@
         if self.store_era() == 0 {
             return;
         }
-        let prepaid_state = self.prepaid_state();
-        self.ledgers.iter_mut().for_each(|ledger| ledger.set_prepaid_state(prepaid_state));
         let state = self.era_record;
         let ready = self.era_age_ms(now_ms).is_some() && self.lifecycle == Lifecycle::Ready;
         if !ready || state.in_flight || now_ms < state.not_before_ms {
--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -119,6 +119,11 @@
         self.eras.current.unwrap_or(self.vms_index.era)
     }
 
+    /// The era that an answer of the store named; `None` before any answer.
+    pub(super) fn known_store_era(&self) -> Option<u64> {
+        self.eras.current
+    }
+
     /// Processes the era of an answer of the store. A lower era than the current one belongs to a late answer and is
     /// ignored.
     pub fn handle_store_era(&mut self, era: u64, now_ms: u64) {
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -171,6 +171,7 @@
             is_terminated,
             recovery_window_over: self.recovery_window_over(now_ms),
             draw_not_before_ms: self.draw_not_before_ms(),
+            prepaid_state: self.prepaid_state(),
         }
     }
 
--- a/core/tests/ledger_harness/mod.rs
+++ b/core/tests/ledger_harness/mod.rs
@@ -49,6 +49,7 @@
         is_terminated: &|_, _| false,
         recovery_window_over: true,
         draw_not_before_ms: 0,
+        prepaid_state: ledger_writer::PrepaidState::Drawable,
     }
 }
 
--- a/core/tests/withheld.rs
+++ b/core/tests/withheld.rs
@@ -6,7 +6,7 @@
 
 mod world;
 
-use doorswitch_core::{ledger, node, store};
+use doorswitch_core::{config, ids, ledger, node, servers, store};
 use world::{End, Shape, World};
 
 const ROUTERS: usize = 4;
@@ -223,3 +223,91 @@
     // The simulation asserts in every step that no more tokens are served than were paid.
     spend(&mut world, 100);
 }
+
+/// Starts a router on a store of a later era that has none of the ledger, and answers each read of the ledger before the
+/// router's next tick. Returns the shards of the ledger that the router then writes.
+fn first_writes_after_a_restore(polls_name_era: bool) -> Vec<ledger::Shard> {
+    const ERA: u64 = 3;
+    let mut world = fleet(1);
+    let budget_name = world.budget_name(0);
+    world.kill(0);
+    world.restart(0, true);
+    let (_, value) = &world.store[config::KEY];
+    let (now_ms, published) = (world.now_ms, serde_json::from_slice(value).unwrap());
+    let vms = vec![router_vm(&world.routers[0])];
+    let node = &mut world.routers[0].node;
+    if polls_name_era {
+        node.handle_store_era(ERA, now_ms);
+    }
+    node.offer_config(published, now_ms);
+    node.offer_vms(store::Position::new(ERA, 1), vms, now_ms);
+    node.admit(admission(budget_name), now_ms);
+    let mut writes = Vec::new();
+    let mut actions = node.take_actions();
+    while !actions.is_empty() {
+        for action in std::mem::take(&mut actions) {
+            match action {
+                node::Action::Store { call, request: store::Request::Read { .. } } => {
+                    node.handle_store_reply(call, store::Reply::Missing { era: ERA }, now_ms);
+                }
+                node::Action::Store {
+                    request: store::Request::Write { key, value, .. }, ..
+                } if key != ledger::era_record_key() => {
+                    writes.push(ledger::Shard::decode(&value).unwrap());
+                }
+                _ => {}
+            }
+        }
+        actions = node.take_actions();
+    }
+    writes
+}
+
+fn router_vm(router: &world::Router) -> servers::Vm {
+    servers::Vm {
+        vm: router.vm.clone(),
+        service: node::ROUTER_SERVICE.to_owned(),
+        address: router.address.clone(),
+        class: "entry".to_owned(),
+        failure_domain: "a".to_owned(),
+        state: servers::VmState::Live,
+        slots: 0,
+        incarnation: Default::default(),
+        cold_ms: 0,
+    }
+}
+
+fn admission(budget: String) -> node::AdmissionRequest {
+    node::AdmissionRequest {
+        attempts_max: u32::MAX,
+        fingerprint: None,
+        key: ids::RequestKey { high: 1, low: 1 },
+        keyed: true,
+        body_hash: 1,
+        budget,
+        service: "service".to_owned(),
+        classes: Vec::new(),
+        priority: 5,
+        bound_tokens: BOUND_TOKENS,
+        unrepeatable: false,
+        prefix_hash: None,
+        parts: Vec::new(),
+        deadline_ms: u64::MAX,
+    }
+}
+
+/// Guards against tokens that are drawn again after a restore lost the whole ledger: 398 of 200 paid requests were
+/// served, when the first read of a shard was answered before the router's next tick.
+#[test]
+fn a_ledger_that_a_restore_lost_whole_is_not_paid_in_again_before_the_era_is_known_to_be_settled() {
+    for polls_name_era in [false, true] {
+        for shard in first_writes_after_a_restore(polls_name_era) {
+            let drawable: u64 = shard.budgets.values().map(ledger::Budget::drawable_tokens).sum();
+            let granted = shard.budgets.values().any(|budget| !budget.grants.is_empty());
+            assert!(
+                drawable == 0 && !granted,
+                "polls name the era: {polls_name_era}; the first write makes tokens drawable: {shard:?}"
+            );
+        }
+    }
+}
