--- a/tests/restored_budgets.rs
+++ b/tests/restored_budgets.rs
@@ -36,8 +36,12 @@
     fn new(name: &str, routers: usize) -> Self {
         let mut scripted = ScriptedWorld::start(name, routers, SERVERS, Duration::from_millis(20));
         scripted.world.publish(&[KEY], PAID);
-        // Routers apply a new configuration within half a second.
-        thread::sleep(Duration::from_millis(700));
+        let version_metric = format!("doorswitch_config_version {}\n", scripted.world.version);
+        for router in 0..routers {
+            fleet::eventually("the router applies the lowered amount", || {
+                scripted.world.metrics(router).contains(&version_metric)
+            });
+        }
         Self { scripted, routers, sent: 0, served: 0, last_status: 0 }
     }
 
