--- a/standins/src/network.rs
+++ b/standins/src/network.rs
@@ -3,8 +3,9 @@
 //! A source is identified by its loopback address, so that one proxy in front of each process is enough to cut the
 //! network between any two of them.
 
-use std::collections::HashSet;
-use std::net::{IpAddr, SocketAddr};
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::time::Duration;
@@ -19,6 +20,8 @@
     pub cut: HashSet<IpAddr>,
     /// Whether the traffic of all sources is blocked.
     pub cut_all: bool,
+    /// Sources whose segments are dropped: new connections hang, and open ones go silent or are reset.
+    pub dropped: HashMap<IpAddr, OpenConnections>,
     /// Whether data on connections is held until this is reset; meanwhile the kernel acknowledges it.
     pub stalled: bool,
     /// Added to the time that data on connections takes in each direction, in milliseconds.
@@ -29,6 +32,17 @@
     pub lose_datagrams_percent: u64,
 }
 
+/// What happens to the open connections of a source whose segments are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenConnections {
+    /// Nothing passes while the segments are dropped.
+    Silent,
+    /// They are reset.
+    Reset,
+    /// They are unaffected.
+    Unaffected,
+}
+
 impl Faults {
     fn blocks(&self, source: IpAddr) -> bool {
         self.cut_all || self.cut.contains(&source)
@@ -48,6 +62,14 @@
 const DROP_ALL: socket2::SockFilter = socket2::SockFilter::new(BPF_RETURN, 0, 0, 0);
 /// The return instruction of a classic socket filter; its operand is the number of bytes to accept.
 const BPF_RETURN: u16 = 0x06;
+/// Loads a word at an absolute offset.
+const BPF_LOAD_WORD: u16 = 0x20;
+/// Jumps if the loaded word equals the operand.
+const BPF_JUMP_EQUAL: u16 = 0x15;
+/// The offset of the IPv4 source address, counted from the network header.
+const IPV4_SOURCE_OFFSET: u32 = 0xfff0_0000 + 12;
+/// How often the faults of a listening socket and of an open connection are applied.
+const FILTER_INTERVAL: Duration = Duration::from_millis(2);
 
 #[derive(Debug)]
 struct Shared {
@@ -159,9 +181,50 @@
     Err(last)
 }
 
+/// A socket filter that drops the segments of these sources.
+fn drop_segments_of(sources: &[Ipv4Addr]) -> Vec<socket2::SockFilter> {
+    let load = socket2::SockFilter::new(BPF_LOAD_WORD, 0, 0, IPV4_SOURCE_OFFSET);
+    let accept_all = socket2::SockFilter::new(BPF_RETURN, 0, 0, u32::MAX);
+    let mut filter = vec![load];
+    for source in sources {
+        filter.push(socket2::SockFilter::new(BPF_JUMP_EQUAL, 0, 1, u32::from(*source)));
+        filter.push(DROP_ALL);
+    }
+    filter.push(accept_all);
+    filter
+}
+
+/// Keeps a socket's filter equal to the faults.
+async fn keep_filter(socket: &impl AsFd, shared: &Shared, only_silent: bool) {
+    let mut current = None;
+    loop {
+        let dropped = shared.faults().dropped.clone();
+        let applies = |open: &OpenConnections| !only_silent || *open == OpenConnections::Silent;
+        let mut sources: Vec<Ipv4Addr> = dropped
+            .iter()
+            .filter(|(_, open)| applies(open))
+            .filter_map(|(source, _)| match source {
+                IpAddr::V4(source) => Some(*source),
+                IpAddr::V6(_) => None,
+            })
+            .collect();
+        sources.sort_unstable();
+        if current.as_ref() != Some(&sources) {
+            let descriptor = socket.as_fd();
+            let _ = socket2::SockRef::from(&descriptor).attach_filter(&drop_segments_of(&sources));
+            current = Some(sources);
+        }
+        time::sleep(FILTER_INTERVAL).await;
+    }
+}
+
 async fn accept(listener: net::TcpListener, shared: Arc<Shared>) {
     loop {
-        let Ok((inbound, source)) = listener.accept().await else { continue };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = keep_filter(&listener, &shared, false) => continue,
+        };
+        let Ok((inbound, source)) = accepted else { continue };
         let shared = shared.clone();
         actix_web::rt::spawn(async move {
             let Some(target) = shared.target() else { return };
@@ -171,7 +234,15 @@
             wait_while_stalled(&shared).await;
             // Connects from the source's own address, so that the target can identify the source.
             let Ok(outbound) = connect_from(source.ip(), target).await else { return };
-            relay(inbound, outbound, source.ip(), &shared).await;
+            let descriptor = inbound.as_fd().try_clone_to_owned();
+            let Ok(descriptor) = descriptor else { return };
+            tokio::select! {
+                () = relay(inbound, outbound, source.ip(), &shared) => {}
+                () = keep_filter(&descriptor, &shared, true) => {}
+                () = wait_until_reset(source.ip(), &shared) => {
+                    let _ = socket2::SockRef::from(&descriptor).set_linger(Some(Duration::ZERO));
+                }
+            }
         });
     }
 }
@@ -257,6 +328,7 @@
             time::sleep(Duration::from_secs_f64(length as f64 / faults.bytes_per_s as f64)).await;
         }
         wait_while_stalled(shared).await;
+        wait_while_silent(source, shared).await;
         if length == 0 || shared.faults().blocks(source) {
             return;
         }
@@ -266,6 +338,18 @@
     }
 }
 
+async fn wait_until_reset(source: IpAddr, shared: &Shared) {
+    while shared.faults().dropped.get(&source) != Some(&OpenConnections::Reset) {
+        time::sleep(FILTER_INTERVAL).await;
+    }
+}
+
+async fn wait_while_silent(source: IpAddr, shared: &Shared) {
+    while shared.faults().dropped.get(&source) == Some(&OpenConnections::Silent) {
+        time::sleep(FILTER_INTERVAL).await;
+    }
+}
+
 async fn wait_while_stalled(shared: &Shared) {
     while shared.faults().stalled {
         time::sleep(Duration::from_millis(5)).await;
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -137,20 +137,23 @@
     /// Starts the same as [`World::start`], with proxies in front of the store and the servers.
     pub fn start_behind_proxies(name: &str, scripts: Vec<backend::Script>) -> Self {
         let mut world = Self::unready(name, scripts);
-        let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        let proxy = |target| network::Proxy::start(local, Some(target)).unwrap();
-        world.store_proxy = Some(proxy(world.store.address()));
-        world.server_proxies =
-            world.backends.iter().map(|backend| proxy(backend.address())).collect();
-        for index in 0..world.backends.len() {
-            world.record_server(index, "ready");
-        }
+        world.store_proxy = Some(start_proxy(world.store.address()));
+        world.put_proxies_before_servers();
         world.publish(&[KEY], PREPAID);
         world.add_router();
         world.wait_ready(0);
         world
     }
 
+    /// Starts a proxy in front of each server, and writes the servers' records with the proxies' addresses.
+    pub fn put_proxies_before_servers(&mut self) {
+        self.server_proxies =
+            self.backends.iter().map(|backend| start_proxy(backend.address())).collect();
+        for index in 0..self.backends.len() {
+            self.record_server(index, "ready");
+        }
+    }
+
     fn store_address(&self) -> SocketAddr {
         self.store_proxy.as_ref().map_or_else(|| self.store.address(), |proxy| proxy.address)
     }
@@ -200,7 +203,11 @@
     }
 
     pub fn add_router(&mut self) {
-        let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        self.add_router_at(IpAddr::V4(Ipv4Addr::LOCALHOST));
+    }
+
+    /// Starts a router that listens and connects at an address of loopback, by which proxies identify it.
+    pub fn add_router_at(&mut self, ip: IpAddr) {
         let [clients, operators, peers] = [(); 3].map(|()| fleet::free_port(ip));
         self.routers.push(Router { child: None, clients, operators, peers });
         self.spawn(self.routers.len() - 1);
@@ -243,6 +250,21 @@
         fleet::eventually("the router is ready", || self.ready(index) == Some(200));
     }
 
+    /// Waits until a router lists this many peers as alive.
+    pub fn wait_for_peers(&self, index: usize, count: usize) {
+        fleet::eventually("the router lists its peers as alive", || {
+            let dump = self.dump(index);
+            let members = dump["members"].as_array().cloned().unwrap_or_default();
+            members.iter().filter(|member| member["health"] == "Alive").count() == count
+        });
+    }
+
+    pub fn dump(&self, index: usize) -> serde_json::Value {
+        let operators = self.routers[index].operators;
+        let answer = fleet::call(operators, "GET", "/dump", fleet::OPERATOR_KEY, &[], "");
+        answer.map_or(serde_json::Value::Null, |answer| answer.json())
+    }
+
     pub fn ready(&self, index: usize) -> Option<u16> {
         let answer = fleet::call(self.routers[index].operators, "GET", "/readyz", "", &[], "");
         answer.map(|answer| answer.status)
@@ -291,6 +313,10 @@
     }
 }
 
+fn start_proxy(target: SocketAddr) -> network::Proxy {
+    network::Proxy::start(IpAddr::V4(Ipv4Addr::LOCALHOST), Some(target)).unwrap()
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         for index in 0..self.routers.len() {
