--- a/benches/capacity/messages.rs
+++ b/benches/capacity/messages.rs
@@ -31,7 +31,8 @@
     };
     let message_bytes = |message| {
         let id = ids::Incarnation(u64::MAX);
-        peers::encode(&message::Envelope { from: id, to: id, message }).len()
+        let envelope = message::Envelope { from: id, to: id, message };
+        peers::encode(&message::Frame::Message(envelope)).len()
     };
     let with_updates = |items: usize| {
         let mut gossip = control::gossip(0);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod ledger_writer;
 pub mod limiter;
+pub mod links;
 pub mod log_index;
 pub mod log_writer;
 pub mod members;
--- /dev/null
+++ b/core/src/links.rs
@@ -0,0 +1,270 @@
+//! The links of one router to the backend servers, and the choice between its own link and one through another router.
+//!
+//! A connection that cannot be established shows either that the server does not respond or that this router's link to
+//! it has failed. Another router that reaches the server tells the two apart, and forwards the connection meanwhile.
+//! The router's own link is used again as soon as a check, which no request waits for, succeeds on it.
+
+use crate::ids;
+use rand::rngs;
+use rand::seq::{IndexedRandom, SliceRandom};
+use std::{cmp, collections};
+
+/// The minimum time for which a connection over the router's own link is awaited before other routers are asked.
+const HEAD_START_MIN_MS: u64 = 30;
+/// The time to wait for a connection, as a multiple of the time that earlier ones to the same server took.
+const PATIENCE_FACTOR: u64 = 4;
+/// The interval between two checks of a lost link.
+const CHECK_INTERVAL_MS: u64 = 500;
+/// The minimum interval between two comparisons of all links.
+const COMPARISON_INTERVAL_MS: u64 = 500;
+/// The number of links that are compared, and of lost links that are checked at once.
+const CHECKED_MAX: usize = 4;
+/// The number of routers that are asked for one connection.
+const PEERS_ASKED_MAX: usize = 4;
+/// The number of routers that are asked before a server counts as refusing connections. Each of them may have lost its
+/// link to this server too.
+const PEERS_ASKED_IN_DOUBT: usize = 8;
+/// How long a router is asked last after it could not forward a connection.
+const PEER_AVOIDED_MS: u64 = 1_000;
+/// A link that was not used for this long is forgotten.
+const UNUSED_TTL_MS: u64 = 60_000;
+
+/// Another router that may forward connections to servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// The router incarnation, to which the request for a connection is addressed.
+    pub id: ids::Incarnation,
+    /// The address at which it accepts connections of other routers.
+    pub address: String,
+    /// The VM that it runs on.
+    pub vm: String,
+    /// The failure domain of that VM.
+    pub failure_domain: String,
+}
+
+/// In which order the ways to a server are tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// The router's own link, and from this many milliseconds later other routers too.
+    OwnFirst {
+        /// How long the own link is tried alone.
+        head_start_ms: u64,
+    },
+    /// Only other routers: the own link is lost.
+    PeersOnly,
+}
+
+/// A change of the links, for the log and for the failures that were counted against servers because of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The link to the server at this address is lost: another router reaches it.
+    Lost(String),
+    /// The link to the server at this address works again.
+    Restored(String),
+    /// No server is reached over an own link.
+    AllLost,
+    /// A server is reached again after all links were lost for this time.
+    AllRestored {
+        /// The time without any own link, in milliseconds.
+        lost_ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Link {
+    /// The longest time that a recent connection took.
+    connect_ms: u64,
+    /// Since when the link is lost.
+    lost_since_ms: Option<u64>,
+    checked_ms: u64,
+    used_ms: u64,
+    /// When a connection over the own link was last established.
+    reached_ms: Option<u64>,
+    /// When one last failed.
+    failed_ms: Option<u64>,
+}
+
+/// The state of all links of one router, by server address.
+#[derive(Debug, Default)]
+pub struct Table {
+    links: collections::BTreeMap<String, Link>,
+    all_lost_since_ms: Option<u64>,
+    compared_ms: Option<u64>,
+    /// Until when routers that could not forward a connection are asked last: to any server, or to one address.
+    avoided_until_ms: collections::BTreeMap<(ids::Incarnation, Option<String>), u64>,
+}
+
+impl Table {
+    /// The order of ways to the server at an address.
+    pub fn order(&mut self, address: &str, now_ms: u64) -> Order {
+        let all_lost = self.all_lost();
+        let link = self.link(address, now_ms);
+        match all_lost || link.lost_since_ms.is_some() {
+            true => Order::PeersOnly,
+            false => Order::OwnFirst { head_start_ms: self.patience_ms(address) },
+        }
+    }
+
+    /// How long to wait for a connection to the server before it counts as slow, in milliseconds.
+    pub fn patience_ms(&self, address: &str) -> u64 {
+        let known = self.links.get(address).map(|link| link.connect_ms).filter(|ms| *ms > 0);
+        let longest = || self.links.values().map(|link| link.connect_ms).max();
+        let expected_ms = known.or_else(longest).unwrap_or(0);
+        HEAD_START_MIN_MS.max(expected_ms * PATIENCE_FACTOR)
+    }
+
+    /// Whether the router's own link to the server at an address is lost.
+    pub fn is_lost(&self, address: &str) -> bool {
+        self.all_lost() || self.links.get(address).is_some_and(|link| link.lost_since_ms.is_some())
+    }
+
+    /// Whether no server is reached over an own link.
+    pub fn all_lost(&self) -> bool {
+        self.all_lost_since_ms.is_some()
+    }
+
+    /// The addresses whose links are lost, with the time since then in milliseconds.
+    pub fn lost(&self, now_ms: u64) -> impl Iterator<Item = (&str, u64)> {
+        self.links.iter().filter_map(move |(address, link)| {
+            Some((address.as_str(), now_ms.saturating_sub(link.lost_since_ms?)))
+        })
+    }
+
+    /// For how many milliseconds no server was reached over an own link; `None` if one is.
+    pub fn all_lost_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.all_lost_since_ms?))
+    }
+
+    /// Records a connection over the own link that was established after `took_ms`.
+    pub fn record_reached(&mut self, address: &str, took_ms: u64, now_ms: u64) -> Option<Change> {
+        let link = self.link(address, now_ms);
+        link.connect_ms = took_ms.max((link.connect_ms + took_ms) / 2);
+        link.reached_ms = Some(now_ms);
+        let lost_since_ms = link.lost_since_ms.take();
+        if let Some(since_ms) = self.all_lost_since_ms.take() {
+            self.links.values_mut().for_each(|link| link.lost_since_ms = None);
+            return Some(Change::AllRestored { lost_ms: now_ms.saturating_sub(since_ms) });
+        }
+        lost_since_ms.map(|_| Change::Restored(address.to_owned()))
+    }
+
+    /// Records that a connection over the own link failed.
+    pub fn record_not_reached(&mut self, address: &str, now_ms: u64) {
+        self.link(address, now_ms).failed_ms = Some(now_ms);
+    }
+
+    /// Records that another router reached a server that was not reached over the own link.
+    pub fn record_lost(&mut self, address: &str, now_ms: u64) -> Option<Change> {
+        let link = self.link(address, now_ms);
+        if link.lost_since_ms.is_some() {
+            return None;
+        }
+        link.lost_since_ms = Some(now_ms);
+        link.checked_ms = now_ms;
+        Some(Change::Lost(address.to_owned()))
+    }
+
+    /// Starts a comparison after a connection to the server at `address` failed for a reason that may be the own link:
+    /// returns the addresses to connect to over the own link; `None` if none is due.
+    pub fn start_comparison(
+        &mut self,
+        address: &str,
+        now_ms: u64,
+        rng: &mut rngs::StdRng,
+    ) -> Option<Vec<String>> {
+        let due = self.compared_ms.is_none_or(|at_ms| now_ms >= at_ms + COMPARISON_INTERVAL_MS);
+        if !due || self.all_lost() {
+            return None;
+        }
+        self.compared_ms = Some(now_ms);
+        Some(self.others(address, CHECKED_MAX, rng))
+    }
+
+    /// Addresses of at most `count` other servers that were used and whose links are not known to be lost. Those that
+    /// were reached last come first, and those that failed since then last.
+    pub fn others(&self, address: &str, count: usize, rng: &mut rngs::StdRng) -> Vec<String> {
+        let mut others: Vec<(&String, &Link)> = self
+            .links
+            .iter()
+            .filter(|(other, link)| *other != address && link.lost_since_ms.is_none())
+            .collect();
+        others.shuffle(rng);
+        others.sort_by_key(|(_, link)| {
+            (link.failed_ms > link.reached_ms, cmp::Reverse(link.reached_ms))
+        });
+        others.into_iter().take(count).map(|(other, _)| other.clone()).collect()
+    }
+
+    /// Records that a comparison reached no server over an own link.
+    pub fn record_none_reached(&mut self, now_ms: u64) -> Option<Change> {
+        if self.all_lost() {
+            return None;
+        }
+        self.all_lost_since_ms = Some(now_ms);
+        Some(Change::AllLost)
+    }
+
+    /// Lost links that are due for a check, and the removal of those that are no longer used.
+    pub fn checks_due(&mut self, now_ms: u64, rng: &mut rngs::StdRng) -> Vec<String> {
+        self.links.retain(|_, link| now_ms < link.used_ms + UNUSED_TTL_MS);
+        self.avoided_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        let all_lost = self.all_lost();
+        let due: Vec<String> = self
+            .links
+            .iter()
+            .filter(|(_, link)| all_lost || link.lost_since_ms.is_some())
+            .filter(|(_, link)| now_ms >= link.checked_ms + CHECK_INTERVAL_MS)
+            .map(|(address, _)| address.clone())
+            .collect();
+        if all_lost && self.links.is_empty() {
+            self.all_lost_since_ms = None;
+        }
+        let due: Vec<String> = due.sample(rng, CHECKED_MAX).cloned().collect();
+        for address in &due {
+            if let Some(link) = self.links.get_mut(address) {
+                link.checked_ms = now_ms;
+            }
+        }
+        due
+    }
+
+    /// Whether any link is lost, so that checks may become due.
+    pub fn any_lost(&self) -> bool {
+        self.all_lost() || self.links.values().any(|link| link.lost_since_ms.is_some())
+    }
+
+    /// The routers to ask for a connection to the server at an address, the first one first: those that could not
+    /// forward one lately last, and otherwise those of the own failure domain first. The second list is asked too if
+    /// one of the first finds that the server refuses connections, or if none of them can tell.
+    pub fn peers_to_ask(
+        &self,
+        peers: &[Peer],
+        own_domain: &str,
+        address: &str,
+        now_ms: u64,
+        rng: &mut rngs::StdRng,
+    ) -> (Vec<Peer>, Vec<Peer>) {
+        let avoided = |peer: &Peer| {
+            let until_ms = |key| self.avoided_until_ms.get(&key).copied().unwrap_or(0);
+            now_ms < until_ms((peer.id, None))
+                || now_ms < until_ms((peer.id, Some(address.to_owned())))
+        };
+        let mut ranked: Vec<&Peer> = peers.iter().collect();
+        ranked.shuffle(rng);
+        ranked.sort_by_key(|peer| (avoided(peer), peer.failure_domain != own_domain));
+        let mut asked = ranked.into_iter().take(PEERS_ASKED_IN_DOUBT).cloned();
+        (asked.by_ref().take(PEERS_ASKED_MAX).collect(), asked.collect())
+    }
+
+    /// Records that a router could not forward a connection, to any server or to the one at an address.
+    pub fn record_peer_failed(&mut self, id: ids::Incarnation, address: Option<&str>, now_ms: u64) {
+        let key = (id, address.map(str::to_owned));
+        self.avoided_until_ms.insert(key, now_ms + PEER_AVOIDED_MS);
+    }
+
+    fn link(&mut self, address: &str, now_ms: u64) -> &mut Link {
+        let link = self.links.entry(address.to_owned()).or_default();
+        link.used_ms = now_ms;
+        link
+    }
+}
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of their transport encoding. It changes with every change of either.
-pub const PROTOCOL: u16 = 13;
+pub const PROTOCOL: u16 = 14;
 
 /// A [`Message`] from one router to another, with the router incarnations that sent it and that it is addressed to. An
 /// incarnation is one run of a router process; a later one at the same address ignores the message.
@@ -22,6 +22,42 @@
     pub message: Message,
 }
 
+/// The first frame on a connection between routers, and each further one unless it is a [`Frame::Connect`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// A message, which the receiver acknowledges with an empty frame.
+    Message(Envelope),
+    /// Requests a connection to a server. The receiver answers with a [`ConnectReply`]; after
+    /// [`ConnectReply::Connected`] it forwards the bytes between the two connections without frames.
+    Connect(Connect),
+}
+
+/// A request of one router to another to connect it to a backend server that the sender does not reach itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Connect {
+    /// The router incarnation that sent the request.
+    pub from: ids::Incarnation,
+    /// The receiver's incarnation. Another incarnation at the same address must refuse the request.
+    pub to: ids::Incarnation,
+    /// The address of the server, which must be in the receiver's list.
+    pub address: String,
+}
+
+/// The answer to a [`Connect`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConnectReply {
+    /// The receiver is connected to the server.
+    Connected,
+    /// The server's address refuses connections, and the receiver reaches other servers.
+    Refused,
+    /// The server does not respond, and the receiver reaches other servers.
+    Unresponsive,
+    /// The receiver reaches no server itself, is stopping, or forwards too many connections already.
+    Unavailable,
+    /// The sender is not a live router of the receiver's fleet, or no server with this address is in its list.
+    NotAllowed,
+}
+
 /// What one router sends to another apart from [`Gossip`]: for example a [`log_index::Claim`] (of the sole right to run
 /// a request), a [`log_index::Settlement`] (what a request cost), a transfer of budget tokens, a copy of the
 /// configuration, or permits to send requests to a backend server that limits its request rate. A message may be lost,
--- a/core/src/node/retries.rs
+++ b/core/src/node/retries.rs
@@ -32,8 +32,10 @@
         match failure {
             AttemptFailure::Rejected => self.record_rejection(server, sent_ms, now_ms),
             AttemptFailure::NotSent | AttemptFailure::MayHaveRun => {
-                self.record_server_failure(server, now_ms)
+                self.record_server_failure(server, sent_ms, now_ms)
             }
+            // The server did not fail.
+            AttemptFailure::NoRoute => {}
         }
         let exhausted = attempts >= attempts_max
             || sends > attempts_max.saturating_add(REJECTIONS_MAX) as usize;
@@ -44,7 +46,7 @@
 
         // A request that was not sent is not counted as a retry, so that a crashed server does not use up its service's
         // retries.
-        let was_sent = failure != AttemptFailure::NotSent;
+        let was_sent = !matches!(failure, AttemptFailure::NotSent | AttemptFailure::NoRoute);
         let routers = self.max_live_routers;
         if was_sent && !self.retries.entry(service).or_default().try_spend(routers) {
             self.end_retries(slot, Reason::RetriesExhausted, now_ms);
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -1,7 +1,7 @@
 //! Ends of requests: charges their cost and makes their settlements durable.
 
 use super::{Answer, Node, Notice, RequestOutcome, Stage};
-use crate::{ids, log_index, log_writer, message, outbox, rendezvous, servers};
+use crate::{ids, links, log_index, log_writer, message, outbox, rendezvous, servers};
 
 /// Number of attempts to hand a settlement over to a peer after which this router also appends it itself.
 const HANDOVERS_BEFORE_OWN_APPEND: usize = 1;
@@ -51,7 +51,7 @@
         } else if not_run {
             self.record_rejection(server, sent_ms, now_ms);
         } else if !cancelled {
-            self.record_server_failure(server, now_ms);
+            self.record_server_failure(server, sent_ms, now_ms);
         }
         if not_run {
             self.end_not_run(slot, now_ms);
@@ -141,11 +141,16 @@
         self.retries.entry(service.to_owned()).or_default().earn(routers);
     }
 
-    /// Records that a server failed, and reports its ejection if this causes one. Not a failure while it leaves or
-    /// backs off.
-    pub(super) fn record_server_failure(&mut self, slot: ids::ServerSlot, now_ms: u64) {
+    /// Records that a server failed a request that was sent at `sent_ms`, and reports its ejection if this causes one.
+    /// Not a failure while it leaves or backs off.
+    pub(super) fn record_server_failure(
+        &mut self,
+        slot: ids::ServerSlot,
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
         if !self.leaves_or_backs_off(slot, now_ms) {
-            let ejected_ms = self.servers.record_failure(slot, now_ms);
+            let ejected_ms = self.servers.record_failure(slot, sent_ms, now_ms);
             self.report_ejection(slot, ejected_ms);
         }
     }
@@ -159,6 +164,18 @@
         }
     }
 
+    /// Applies a change of this router's links to servers: failures that a lost link caused are not counted against the
+    /// servers.
+    pub fn handle_links_changed(&mut self, change: &links::Change, now_ms: u64) {
+        let address = match change {
+            links::Change::Lost(address) | links::Change::Restored(address) => {
+                Some(address.as_str())
+            }
+            links::Change::AllLost | links::Change::AllRestored { .. } => None,
+        };
+        self.servers.forgive_failures(address, now_ms);
+    }
+
     /// Whether a server leaves or backs off, so that a failed request does not count as a failure of the server.
     fn leaves_or_backs_off(&self, slot: ids::ServerSlot, now_ms: u64) -> bool {
         let leaves = self.servers.get(slot).is_some_and(servers::Server::is_leaving);
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -126,6 +126,8 @@
 pub enum AttemptFailure {
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, because neither this router nor another one that it asked reaches the server.
+    NoRoute,
     /// The server reported that it did not run the request.
     Rejected,
     /// The server may have run the request.
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -71,6 +71,8 @@
     unread_tokens: u64,
     name_hash: u64,
     failures: u32,
+    /// Failures of requests that were sent before are not counted: the link to the server was lost then.
+    failures_count_from_ms: u64,
     ejected_until_ms: u64,
     probing: bool,
     /// Backoff that the server requested, kept until its normal share of requests is restored.
@@ -97,6 +99,7 @@
             own_load_milli: 0,
             answer_time: answer_time::AnswerTime::default(),
             failures: 0,
+            failures_count_from_ms: 0,
             ejected_until_ms: 0,
             probing: false,
             backoff: None,
--- a/core/src/servers/health.rs
+++ b/core/src/servers/health.rs
@@ -50,12 +50,21 @@
             return None;
         }
         server.rejected_ms = Some(now_ms);
-        self.record_failure(slot, now_ms)
+        self.record_failure(slot, sent_ms, now_ms)
     }
 
-    /// Records a failure of a server; returns how long the server is ejected, if it is.
-    pub fn record_failure(&mut self, slot: ids::ServerSlot, now_ms: u64) -> Option<u64> {
+    /// Records that a request that was sent to a server at `sent_ms` failed; returns how long the server is ejected, if
+    /// it is.
+    pub fn record_failure(
+        &mut self,
+        slot: ids::ServerSlot,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Option<u64> {
         let server = self.servers.get_mut(slot)?;
+        if sent_ms < server.failures_count_from_ms {
+            return None;
+        }
         server.failures = server.failures.saturating_add(1);
         server.probing = false;
         let doublings = server.failures.checked_sub(FAILURES_TO_EJECT)?;
@@ -64,6 +73,20 @@
         Some(ejected_ms)
     }
 
+    /// Forgets the failures and the ejections of servers whose link was lost or restored, and of requests that were sent
+    /// to them before; `address` is that of one server, or `None` for all.
+    pub fn forgive_failures(&mut self, address: Option<&str>, now_ms: u64) {
+        let servers = self.servers.values_mut();
+        for server in
+            servers.filter(|server| address.is_none_or(|address| server.vm.address == address))
+        {
+            server.failures = 0;
+            server.probing = false;
+            server.ejected_until_ms = 0;
+            server.failures_count_from_ms = now_ms;
+        }
+    }
+
     /// Records that a server's address refuses connections. The server is ejected at once instead of after
     /// `FAILURES_TO_EJECT` failures, because every request to it would fail, and its next failure ejects it
     /// again. An ejection that already lasts longer stays as it is.
--- a/core/tests/server_incarnations.rs
+++ b/core/tests/server_incarnations.rs
@@ -92,12 +92,12 @@
 fn an_ejection_does_not_outlast_a_restart() {
     let mut fixture = Fixture::new();
     let slot = fixture.table.find("one").unwrap();
-    let ejected = (0..5).filter_map(|_| fixture.table.record_failure(slot, NOW_MS)).count();
+    let ejected = (0..5).filter_map(|_| fixture.table.record_failure(slot, NOW_MS, NOW_MS)).count();
     assert!(ejected > 0);
     fixture.restart();
     let slot = fixture.table.find("one").unwrap();
     assert_eq!(
-        fixture.table.record_failure(slot, NOW_MS),
+        fixture.table.record_failure(slot, NOW_MS, NOW_MS),
         None,
         "failures of the earlier incarnation are counted"
     );
@@ -149,7 +149,7 @@
     );
     let later = fixture.choose(&[]).unwrap().slot;
     fixture.table.record_load(earlier, servers::Load { running: 9, queued: 9, slots: 1 });
-    fixture.table.record_failure(earlier, NOW_MS);
+    fixture.table.record_failure(earlier, NOW_MS, NOW_MS);
     fixture.table.record_end(earlier);
     assert_eq!((fixture.present().in_flight, fixture.present().load), (1, None));
     fixture.table.apply_list(&[live(6)], NOW_MS);
--- a/core/tests/server_shares.rs
+++ b/core/tests/server_shares.rs
@@ -148,7 +148,7 @@
             let table = &mut self.tables[run.router];
             table.record_end(run.slot);
             if run.fails || self.servers[run.server].incarnation != run.incarnation {
-                table.record_failure(run.slot, self.now_ms);
+                table.record_failure(run.slot, self.now_ms, self.now_ms);
                 continue;
             }
             let took_ms = self.now_ms - run.sent_ms;
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -99,7 +99,7 @@
     let mut fixture = Fixture::two();
     let failing = fixture.choose().unwrap();
     for _ in 0..3 {
-        fixture.table.record_failure(failing, fixture.now_ms);
+        fixture.table.record_failure(failing, fixture.now_ms, fixture.now_ms);
     }
     for _ in 0..5 {
         assert_ne!(fixture.choose().unwrap(), failing);
@@ -240,7 +240,7 @@
         }
         let slots: Vec<ids::ServerSlot> = fixture.table.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
-            fixture.table.record_failure(slot, fixture.now_ms);
+            fixture.table.record_failure(slot, fixture.now_ms, fixture.now_ms);
         }
     }
     assert!(fixture.choose().is_ok(), "no server is chosen although all have failed");
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -124,14 +124,39 @@
 }
 
 fn hex(datagram: message::Datagram) -> String {
-    let bytes = postcard::to_stdvec(&datagram).unwrap();
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex_of(&datagram)
 }
 
 fn envelope(message: message::Message) -> message::Datagram {
     message::Datagram::Message(message::Envelope { from: router(1), to: router(2), message })
 }
 
+fn hex_of(value: &impl serde::Serialize) -> String {
+    let bytes = postcard::to_stdvec(value).unwrap();
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+#[test]
+fn frames_keep_their_bytes() {
+    let message = message::Message::ConfigRequest;
+    let envelope = message::Envelope { from: router(1), to: router(2), message };
+    assert_eq!(hex_of(&message::Frame::Message(envelope)), "0001020b");
+    let connect = message::Connect { from: router(1), to: router(2), address: "a".to_owned() };
+    assert_eq!(hex_of(&message::Frame::Connect(connect)), "0101020161");
+}
+
+#[test]
+fn replies_to_requests_for_connections_keep_their_bytes() {
+    let replies = [
+        message::ConnectReply::Connected,
+        message::ConnectReply::Refused,
+        message::ConnectReply::Unresponsive,
+        message::ConnectReply::Unavailable,
+        message::ConnectReply::NotAllowed,
+    ];
+    assert_eq!(replies.map(|reply| hex_of(&reply)), ["00", "01", "02", "03", "04"]);
+}
+
 macro_rules! bytes {
     ($($name:ident: $message:expr => $expected:expr;)*) => { $(
         #[test]
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,10 +7,11 @@
 pub use messages::*;
 
 use crate::{
-    clock, feed, http_client, keep_alive, logging, peers, platform, settings, snapshot, telemetry,
+    clock, feed, http_client, keep_alive, links, logging, peers, platform, settings, snapshot,
+    telemetry,
 };
 use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
-use doorswitch_core::{config, ids, node, servers, store, watch};
+use doorswitch_core::{config, ids, links as core_links, members, node, servers, store, watch};
 use futures_util::future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,6 +39,8 @@
     pub sockets: (net::TcpListener, net::UdpSocket),
     /// The incarnation of this router process.
     pub incarnation: ids::Incarnation,
+    /// The links of this router to servers.
+    pub links: Arc<links::Links>,
 }
 
 /// The control actor, which owns the core.
@@ -46,6 +49,7 @@
     published: Arc<snapshot::Published>,
     sockets: Option<(net::TcpListener, net::UdpSocket)>,
     incarnation: ids::Incarnation,
+    links: Arc<links::Links>,
     node: node::Node,
     platform: stores::Store,
     /// Polls the store for the core; `None` with the Consul protocol, whose watches this actor makes itself.
@@ -81,6 +85,7 @@
             published: parts.published,
             sockets: Some(parts.sockets),
             incarnation: parts.incarnation,
+            links: parts.links,
             feed: platform.revisions().cloned().map(feed::Feed::new),
             platform,
             http: local_client(local),
@@ -106,6 +111,10 @@
 
     fn tick(&mut self, context: &mut Context<Self>) {
         let now_ms = self.now_ms();
+        for change in self.links.take_changes() {
+            self.node.handle_links_changed(&change, now_ms);
+        }
+        self.links.set_peers(self.peers_for_connections());
         self.node.tick(now_ms);
         self.perform_actions(context);
         let age_ms = self.node.age_ms(watch::Topic::Configuration, now_ms);
@@ -150,6 +159,19 @@
         }
     }
 
+    /// The live routers that may be asked for connections to servers.
+    fn peers_for_connections(&self) -> Vec<core_links::Peer> {
+        let live = self.node.members().live();
+        live.filter(|record| record.health == members::Health::Alive)
+            .map(|record| core_links::Peer {
+                id: record.id,
+                address: record.address.clone(),
+                vm: record.vm.clone(),
+                failure_domain: record.failure_domain.clone(),
+            })
+            .collect()
+    }
+
     /// Passes the store's era to the core, including that of answers without other content.
     fn handle_store_era(&mut self) {
         let Some(store) = self.platform.revisions().cloned() else { return };
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -1,9 +1,11 @@
 //! The message handlers of the control actor.
 
 use super::{Control, messages};
+use crate::links::relay;
 use crate::peers;
-use actix::prelude::Handler;
-use doorswitch_core::servers;
+use actix::prelude::{Handler, ResponseFuture};
+use doorswitch_core::{members, message, servers};
+use std::net;
 
 impl peers::Receiver for Control {}
 
@@ -27,6 +29,48 @@
     }
 }
 
+impl Handler<relay::Open> for Control {
+    type Result = ResponseFuture<Result<relay::Opened, message::ConnectReply>>;
+
+    fn handle(&mut self, open: relay::Open, _: &mut Self::Context) -> Self::Result {
+        let allowed = self.allows_connection(&open);
+        let (links, draining) = (self.links.clone(), !self.published.ready());
+        Box::pin(async move {
+            if !allowed {
+                log::warn!(
+                    "event=relay_refused from={} source={} server={}",
+                    open.request.from,
+                    open.source,
+                    open.request.address
+                );
+                return Err(message::ConnectReply::NotAllowed);
+            }
+            if draining {
+                return Err(message::ConnectReply::Unavailable);
+            }
+            links.open_for_peer(&open.request.address).await
+        })
+    }
+}
+
+impl Control {
+    /// Whether a request for a connection comes from a live router of this fleet, is addressed to this one, and names a
+    /// server in the list that does not leave.
+    fn allows_connection(&self, open: &relay::Open) -> bool {
+        let request = &open.request;
+        let is_member = self.node.members().find(request.from).is_some_and(|record| {
+            let address = record.address.parse::<net::SocketAddr>();
+            record.health <= members::Health::Suspect
+                && address.is_ok_and(|address| address.ip() == open.source)
+        });
+        let is_server = || {
+            let mut servers = self.node.servers().iter();
+            servers.any(|(_, server)| server.is_live() && server.vm.address == request.address)
+        };
+        request.to == self.incarnation && is_member && is_server()
+    }
+}
+
 impl Handler<messages::Admit> for Control {
     type Result = actix::MessageResult<messages::Admit>;
 
@@ -184,6 +228,7 @@
     fn handle(&mut self, _: messages::Dump, _: &mut Self::Context) -> Self::Result {
         let mut dump = self.node.dump(self.now_ms());
         dump["open_answers"] = self.published.open_answers().into();
+        dump["links"] = self.links.dump();
         actix::MessageResult(dump)
     }
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,8 +1,8 @@
 //! The HTTP interface for callers: checks each request, has it admitted by the control thread, and runs it.
 
 use crate::{
-    answers, api_error, auth, clock, completion, control, fingerprint, model, plain, policy, reply,
-    settings, snapshot, telemetry, upstream,
+    answers, api_error, auth, clock, completion, control, fingerprint, links, model, plain, policy,
+    reply, settings, snapshot, telemetry, upstream,
 };
 use actix::prelude::Addr;
 use actix_web::http::{Method, StatusCode, header};
@@ -31,6 +31,8 @@
     pub published: Arc<snapshot::Published>,
     /// The settings of this process.
     pub settings: Arc<settings::Settings>,
+    /// The links of this router to servers.
+    pub links: Arc<links::Links>,
     /// Running and recently completed model requests.
     pub answers: answers::Table,
 }
@@ -324,7 +326,7 @@
         upstream::RunReports {
             control: self.shared.control.clone(),
             published: self.shared.published.clone(),
-            local: self.shared.settings.peers.listen.ip(),
+            links: self.shared.links.clone(),
             head: head.digest(),
             body: body.clone(),
         }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,8 +12,9 @@
 mod exchange;
 mod listener;
 mod refusal;
+mod silence;
 pub(crate) mod socket;
 mod streaming;
 mod ticket;
 
-pub use listener::{Gateway, Phase, serve};
+pub use listener::{Gateway, Phase, serve, watch_silence};
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -74,6 +74,8 @@
     },
     /// No connection was established, or not a byte of the request was sent.
     NotSent,
+    /// Nothing was sent: neither this router nor another one that it asked reaches the server.
+    NoRoute,
     /// The server stated that it did not run the request.
     Rejected,
     /// The request was sent, and the connection ended before the head of an answer.
@@ -109,9 +111,16 @@
                 if error.refused() {
                     context.control.do_send(control::ServerRefused(placement.server()));
                 }
-                return Outcome::NotSent;
+                return if error.no_route() { Outcome::NoRoute } else { Outcome::NotSent };
             }
         };
+        if let Some(via) = &connection.via {
+            log::info!(
+                "event=attempt_relayed id={} vm={} via={via}",
+                call.parameters.id,
+                placement.vm
+            );
+        }
         let request = request(call, placement, last_event_id);
         let sent = Instant::now();
         let error = match connection.sender.try_send_request(request).await {
@@ -139,6 +148,7 @@
     answer: backends::Answer,
     mut connection: backends::Connection,
 ) -> Outcome {
+    context.backends.record_head(&placement.address, sent.elapsed());
     let head =
         answers::decode_head(answer.status().as_u16(), answer.headers(), &call.parameters.id);
     if let Some((running, queued, slots)) = head.load {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -2,7 +2,7 @@
 //! whose exchange did not end cleanly is closed.
 
 use super::{body, socket};
-use crate::{control, probe, snapshot, upstream};
+use crate::{control, links, probe, snapshot, upstream};
 use actix::prelude::Addr;
 use bytes::Bytes;
 use doorswitch_core::ids;
@@ -12,13 +12,11 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use std::{io, net};
 use tokio::sync::OnceCell;
 use tokio::task;
 
-/// The time within which a connection must be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long to wait until an idle connection is ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// An idle connection is discarded this long before the server would close it.
@@ -28,6 +26,10 @@
 /// The number of idle connections that are kept for one server.
 const IDLE_MAX: usize = 32;
 
+/// A connection through another router is not reused when it is older than this, so that it does not keep a router that
+/// stops waiting and ends soon after the router's own link is restored.
+const RELAYED_AGE_MAX: Duration = Duration::from_secs(2);
+
 /// How often a connection that a probe established is checked for its end.
 const PROBE_CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -42,12 +44,8 @@
 #[derive(Debug, snafu::Snafu)]
 #[allow(missing_docs)]
 pub enum Error {
-    #[snafu(display("the address {address:?} is not an IP address with a port"))]
-    Address { address: String },
     #[snafu(display("cannot connect: {source}"), context(false))]
-    Connect { source: io::Error },
-    #[snafu(display("the connection was not established in time"))]
-    Timeout,
+    Connect { source: links::Error },
     #[snafu(display("the connection failed: {source}"), context(false))]
     Handshake { source: hyper::Error },
 }
@@ -55,7 +53,12 @@
 impl Error {
     /// Whether the connection was refused: nothing listens at the address, so the server process has ended.
     pub fn refused(&self) -> bool {
-        matches!(self, Self::Connect { source } if probe::is_refusal(source))
+        matches!(self, Self::Connect { source: links::Error::Refused })
+    }
+
+    /// Whether there is no way to the server, which says nothing about the server itself.
+    pub fn no_route(&self) -> bool {
+        matches!(self, Self::Connect { source: links::Error::NoRoute })
     }
 }
 
@@ -67,6 +70,10 @@
     /// The task that reads from and writes to the socket; aborted when the connection is dropped.
     driver: task::JoinHandle<()>,
     upstream: Upstream,
+    /// The router through which the connection leads; `None` if it is direct.
+    pub via: Option<Rc<str>>,
+    established: Instant,
+    abort_handle: Rc<socket::AbortHandle>,
     /// Whether an earlier exchange used this connection.
     pub used: bool,
     /// How long it may be idle after the exchange; `None` closes it.
@@ -115,10 +122,30 @@
 /// A connection that may be in use, with the means to abort it.
 #[derive(Debug)]
 struct Open {
-    vm: String,
-    incarnation: ids::ServerIncarnation,
+    placement: Rc<upstream::Placement>,
+    /// The router through which the connection leads; `None` if it is direct.
+    via: Option<Rc<str>>,
     established: Instant,
-    abort_handle: socket::AbortHandle,
+    abort_handle: Rc<socket::AbortHandle>,
+}
+
+/// A connection on which an exchange waits for data from the server.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The server, and one of the requests that were sent to it.
+    pub placement: Rc<upstream::Placement>,
+    /// The router through which the connection leads; `None` if it is direct.
+    pub via: Option<Rc<str>>,
+    /// The exchange.
+    pub exchange: socket::Exchange,
+    abort_handle: Rc<socket::AbortHandle>,
+}
+
+impl Waiting {
+    /// Aborts the connection; its exchange ends as if the server had closed it.
+    pub fn abort(&self) {
+        self.abort_handle.abort();
+    }
 }
 
 #[derive(Debug)]
@@ -130,10 +157,12 @@
 /// The connections of one router to backend servers.
 #[derive(Debug)]
 pub struct Backends {
-    local: net::IpAddr,
+    links: Arc<links::Links>,
     idle: RefCell<HashMap<Upstream, Vec<Idle>>>,
     /// All connections, idle ones included, so that those to earlier server incarnations can be aborted.
     open: RefCell<Vec<Open>>,
+    /// How long each server takes until the head of an answer, in milliseconds, by its address.
+    head_ms: RefCell<HashMap<String, u64>>,
     /// Running probes, whose result concurrent callers share.
     probes: RefCell<HashMap<Upstream, Rc<OnceCell<probe::ProbeResult>>>>,
     /// Tasks that check for a while whether connections that probes established stay open.
@@ -141,12 +170,13 @@
 }
 
 impl Backends {
-    /// Starts without connections; new ones are made from the address `local`.
-    pub fn new(local: net::IpAddr) -> Self {
+    /// Starts without connections; new ones are made over `links`.
+    pub fn new(links: Arc<links::Links>) -> Self {
         Self {
-            local,
+            links,
             idle: Default::default(),
             open: Default::default(),
+            head_ms: Default::default(),
             probes: Default::default(),
             probe_watches: Default::default(),
         }
@@ -163,36 +193,48 @@
         while let Some(mut connection) = (!new_only).then(|| self.take_idle(&upstream)).flatten() {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
+                connection.abort_handle.set_busy(true);
                 return Ok(connection);
             }
         }
-        let target = address.parse().map_err(|_| Error::Address { address: address.clone() })?;
-        let connecting = socket::Socket::connect(target, self.local);
-        let socket = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(|_| Error::Timeout)??;
-        self.start_http(socket, placement).await
+        let established = self.links.connect(address).await?;
+        let connection = self.start_http(established, placement).await?;
+        connection.abort_handle.set_busy(true);
+        Ok(connection)
     }
 
     /// Starts an HTTP client on an established connection.
     async fn start_http(
         &self,
-        socket: socket::Socket,
+        connected: links::Established,
         placement: &upstream::Placement,
     ) -> Result<Connection, Error> {
         let upstream =
             Upstream { address: placement.address.clone(), incarnation: placement.incarnation };
+        let socket = socket::Socket::new(connected.stream);
+        let abort_handle = Rc::new(socket.abort_handle());
+        let via = connected.via.map(|peer| Rc::from(peer.vm));
+        let established = Instant::now();
         self.open.borrow_mut().push(Open {
-            vm: placement.vm.clone(),
-            incarnation: placement.incarnation,
-            established: Instant::now(),
-            abort_handle: socket.abort_handle(),
+            placement: Rc::new(placement.clone()),
+            via: via.clone(),
+            established,
+            abort_handle: abort_handle.clone(),
         });
         let (sender, driver) = http1::handshake::<_, RequestBody>(socket).await?;
         let driver = task::spawn_local(async move {
             let _ = driver.await;
         });
-        Ok(Connection { sender, driver, upstream, used: false, idle_max: None })
+        Ok(Connection {
+            sender,
+            driver,
+            upstream,
+            via,
+            established,
+            abort_handle,
+            used: false,
+            idle_max: None,
+        })
     }
 
     /// Probes whether a server still accepts connections. Concurrent callers share one probe and its result. The
@@ -220,21 +262,20 @@
     ) -> probe::ProbeResult {
         let lost = Instant::now();
         let others_open = || self.has_connection_before(placement, lost);
-        let (result, socket) = probe::probe(&placement.address, self.local, others_open).await;
-        let Some(socket) = socket else { return result };
-        let abort_handle = socket.abort_handle();
-        if let Ok(mut connection) = self.start_http(socket, placement).await {
-            connection.idle_max = Some(IDLE_DEFAULT);
-            self.keep_idle(connection);
-        }
+        let (result, established) =
+            probe::probe(&placement.address, &self.links, others_open).await;
+        let Some(established) = established else { return result };
+        let Ok(connection) = self.start_http(established, placement).await else { return result };
+        let abort_handle = connection.abort_handle.clone();
+        self.keep_new_idle(connection);
         let ended = async move {
             while abort_handle.in_use() {
                 tokio::time::sleep(PROBE_CONNECTION_CHECK_INTERVAL).await;
             }
         };
         let (control, address) = (control.clone(), placement.address.clone());
-        let watch =
-            probe::watch_connection(control, placement.server(), address, self.local, ended);
+        let links = self.links.clone();
+        let watch = probe::watch_connection(control, placement.server(), address, links, ended);
         let mut probe_watches = self.probe_watches.borrow_mut();
         while probe_watches.try_join_next().is_some() {}
         probe_watches.spawn_local(watch);
@@ -244,14 +285,22 @@
     /// Whether a connection to the server that was established before `moment` is still in use.
     fn has_connection_before(&self, placement: &upstream::Placement, moment: Instant) -> bool {
         self.open.borrow().iter().any(|open| {
-            let same = open.vm == placement.vm && open.incarnation == placement.incarnation;
+            let same = open.placement.vm == placement.vm
+                && open.placement.incarnation == placement.incarnation;
             same && open.established < moment && open.abort_handle.in_use()
         })
     }
 
+    /// Keeps a connection that was not used for an exchange yet.
+    fn keep_new_idle(&self, mut connection: Connection) {
+        connection.idle_max = Some(IDLE_DEFAULT);
+        self.keep_idle(connection);
+    }
+
     /// Keeps a connection for reuse after its exchange ended cleanly, or closes it if it may not be idle or there are
     /// `IDLE_MAX` idle ones already.
     pub fn keep_idle(&self, mut connection: Connection) {
+        connection.abort_handle.set_busy(false);
         let Some(idle_max) = connection.idle_max else { return };
         connection.used = true;
         let mut idle = self.idle.borrow_mut();
@@ -261,6 +310,59 @@
         }
     }
 
+    /// The connections on which exchanges wait for servers.
+    pub fn waiting(&self) -> Vec<Waiting> {
+        let open = self.open.borrow();
+        let waiting = open.iter().filter_map(|open| {
+            Some(Waiting {
+                exchange: open.abort_handle.exchange()?,
+                placement: open.placement.clone(),
+                via: open.via.clone(),
+                abort_handle: open.abort_handle.clone(),
+            })
+        });
+        waiting.collect()
+    }
+
+    /// Records that the head of an answer arrived `took` after its request was sent.
+    pub fn record_head(&self, address: &str, took: Duration) {
+        let took_ms = took.as_millis() as u64;
+        let mut head_ms = self.head_ms.borrow_mut();
+        let longest_ms = head_ms.entry(address.to_owned()).or_default();
+        *longest_ms = took_ms.max((*longest_ms * 7 + took_ms) / 8);
+    }
+
+    /// How long the server at an address lately took until the head of an answer; `None` if it is not known.
+    pub fn head_time(&self, address: &str) -> Option<Duration> {
+        self.head_ms.borrow().get(address).map(|ms| Duration::from_millis(*ms))
+    }
+
+    /// The links over which new connections are made.
+    pub fn links(&self) -> &links::Links {
+        &self.links
+    }
+
+    /// Connects to a server to find out whether the way `via` works, and keeps the connection for the next request.
+    /// Returns whether the connection was established.
+    pub async fn check_way(&self, placement: &upstream::Placement, via: Option<&str>) -> bool {
+        let connected = match via {
+            None => self.links.connect(&placement.address).await,
+            Some(via) => self.links.connect_via(via, &placement.address).await,
+        };
+        let Ok(established) = connected else { return false };
+        if let Ok(connection) = self.start_http(established, placement).await {
+            self.keep_new_idle(connection);
+        }
+        true
+    }
+
+    /// Closes the idle connections that lead through a router.
+    pub fn close_idle_via(&self, via: &str) {
+        for idle_connections in self.idle.borrow_mut().values_mut() {
+            idle_connections.retain(|idle| idle.connection.via.as_deref() != Some(via));
+        }
+    }
+
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, placement: &upstream::Placement) {
         let upstream =
@@ -273,8 +375,10 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         for idle_connections in idle.values_mut() {
-            idle_connections
-                .retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
+            idle_connections.retain(|idle| {
+                let open = now < idle.expires && !idle.connection.sender.is_closed();
+                open && self.may_reuse(&idle.connection)
+            });
         }
         idle.retain(|_, idle_connections| !idle_connections.is_empty());
         self.open.borrow_mut().retain(|open| open.abort_handle.in_use());
@@ -285,8 +389,8 @@
     pub fn abort_earlier_incarnations(&self, current: &snapshot::ServerIncarnations) {
         for open in self.open.borrow().iter() {
             let earlier = current
-                .get(&open.vm)
-                .is_some_and(|current_incarnation| *current_incarnation > open.incarnation);
+                .get(&open.placement.vm)
+                .is_some_and(|current| *current > open.placement.incarnation);
             if earlier && open.established.elapsed() >= NEW_INCARNATION_MARGIN {
                 open.abort_handle.abort();
             }
@@ -299,12 +403,20 @@
         let now = Instant::now();
         // The server is the least likely to have closed the connection that was used last.
         while let Some(Idle { connection, expires }) = idle_connections.pop() {
-            if now < expires && !connection.sender.is_closed() {
+            if now < expires && !connection.sender.is_closed() && self.may_reuse(&connection) {
                 return Some(connection);
             }
         }
         None
     }
+
+    /// Whether the way of an idle connection is still the one to use.
+    fn may_reuse(&self, connection: &Connection) -> bool {
+        match connection.via {
+            None => !self.links.is_lost(&connection.upstream.address),
+            Some(_) => connection.established.elapsed() < RELAYED_AGE_MAX,
+        }
+    }
 }
 
 /// A server's answer, with its body still to be read.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -308,6 +308,7 @@
                 Ok(attempt::Outcome::Unknown) => node::AttemptFailure::MayHaveRun,
                 Ok(attempt::Outcome::Rejected) => node::AttemptFailure::Rejected,
                 Ok(attempt::Outcome::NotSent) => node::AttemptFailure::NotSent,
+                Ok(attempt::Outcome::NoRoute) => node::AttemptFailure::NoRoute,
             };
             may_have_run |= failure == node::AttemptFailure::MayHaveRun;
             if may_have_run && !repeatable {
@@ -434,6 +435,7 @@
         Ok(attempt::Outcome::Answered { answer, .. }) if answer.status().is_success() => return,
         Ok(attempt::Outcome::Answered { .. }) => "failed",
         Ok(attempt::Outcome::NotSent) => "not_sent",
+        Ok(attempt::Outcome::NoRoute) => "no_route",
         Ok(attempt::Outcome::Rejected) => "not_run",
         Ok(attempt::Outcome::ConnectionLost) => "broken_off",
         Ok(attempt::Outcome::Unknown) => "unknown",
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts client connections and serves HTTP on them.
 
-use super::{attempt, backends, exchange, socket};
-use crate::{control, logging, snapshot};
+use super::{attempt, backends, exchange, silence, socket};
+use crate::{control, links, logging, snapshot};
 use actix::prelude::Addr;
 use doorswitch_core::config;
 use hyper::server::conn::http1;
@@ -53,13 +53,13 @@
         attempt::Context { backends, control, published }
     }
 
-    /// Creates a gateway that connects to backend servers from the address `local`.
+    /// Creates a gateway that connects to backend servers over `links`.
     pub fn new(
         control: Addr<control::Control>,
         published: Arc<snapshot::Published>,
-        local: net::IpAddr,
+        links: Arc<links::Links>,
     ) -> Self {
-        let backends = Rc::new(backends::Backends::new(local));
+        let backends = Rc::new(backends::Backends::new(links));
         Self { control, published, backends, phase: watch::Sender::new(Phase::Serving) }
     }
 
@@ -106,6 +106,11 @@
     Ok(())
 }
 
+/// Detects connections to servers that went silent, until it is dropped.
+pub async fn watch_silence(gateway: Rc<Gateway>) {
+    silence::watch(gateway.backends.clone()).await;
+}
+
 async fn serve_connection(client: socket::Socket, gateway: Rc<Gateway>) {
     let limits = limits(&gateway);
     let idle_timeout = Duration::from_millis(limits.idle_ms.max(limits.head_read_ms)) + IDLE_MARGIN;
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -1,15 +1,14 @@
 //! A TCP connection whose end can be detected, and which can be aborted, while another task reads from it.
 
-use crate::keep_alive;
 use hyper::rt;
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{io, net};
 use tokio::io::Interest;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 
 /// How often a client connection is checked for its end while its request is being handled.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -22,6 +21,25 @@
 struct Inner {
     stream: TcpStream,
     aborted: Cell<bool>,
+    /// Since when an exchange uses the connection.
+    busy_since: Cell<Option<Instant>>,
+    received_at: Cell<Instant>,
+}
+
+/// What is known of an exchange on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange {
+    /// When the exchange began.
+    pub began: Instant,
+    /// When data was last received on the connection, during this exchange or before.
+    pub received_at: Instant,
+}
+
+impl Exchange {
+    /// Since when nothing was received that the exchange waits for.
+    pub fn quiet_since(&self) -> Instant {
+        self.began.max(self.received_at)
+    }
 }
 
 /// Aborts a connection that other tasks use.
@@ -34,6 +52,20 @@
         self.0.strong_count() > 0
     }
 
+    /// The exchange that uses the connection, if there is one.
+    pub fn exchange(&self) -> Option<Exchange> {
+        let inner = self.0.upgrade()?;
+        let began = inner.busy_since.get()?;
+        Some(Exchange { began, received_at: inner.received_at.get() })
+    }
+
+    /// Marks the connection as used by an exchange, or as idle.
+    pub fn set_busy(&self, busy: bool) {
+        if let Some(inner) = self.0.upgrade() {
+            inner.busy_since.set(busy.then(Instant::now));
+        }
+    }
+
     /// Aborts the connection. Its readers get an error instead of an end of file, because the data is incomplete.
     pub fn abort(&self) {
         let Some(inner) = self.0.upgrade() else { return };
@@ -48,7 +80,12 @@
     pub fn new(stream: TcpStream) -> Self {
         // Without Nagle's algorithm small events are sent without delay.
         let _ = stream.set_nodelay(true);
-        Self(Rc::new(Inner { stream, aborted: Cell::new(false) }))
+        Self(Rc::new(Inner {
+            stream,
+            aborted: Cell::new(false),
+            busy_since: Cell::new(None),
+            received_at: Cell::new(Instant::now()),
+        }))
     }
 
     /// A handle that can abort the connection and does not keep it open.
@@ -56,30 +93,6 @@
         AbortHandle(Rc::downgrade(&self.0))
     }
 
-    /// Connects to `target`, from the address `local` unless that is unspecified.
-    pub async fn connect(target: net::SocketAddr, local: net::IpAddr) -> io::Result<Self> {
-        let socket = match target {
-            net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        if !local.is_unspecified() {
-            socket.bind(net::SocketAddr::new(local, 0))?;
-        }
-        let stream = socket.connect(target).await?;
-        keep_alive::TRAFFIC.apply_to(&stream);
-        Ok(Self::new(stream))
-    }
-
-    /// Whether the connection ends within `time`. No other task may read from it meanwhile.
-    pub async fn ends_within(&self, time: Duration) -> bool {
-        let readable = self.0.stream.ready(Interest::READABLE);
-        match tokio::time::timeout(time, readable).await {
-            Ok(Ok(ready)) => ready.is_read_closed() || ready.is_error(),
-            Ok(Err(_)) => true,
-            Err(_) => false,
-        }
-    }
-
     /// Returns once the peer has closed the connection, even if data from it is still unread.
     pub async fn closed_by_peer(&self) {
         loop {
@@ -111,6 +124,7 @@
             }
             match self.0.stream.try_read(&mut chunk[..length_max]) {
                 Ok(length) => {
+                    self.0.received_at.set(Instant::now());
                     buffer.put_slice(&chunk[..length]);
                     return Poll::Ready(Ok(()));
                 }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -149,6 +149,7 @@
                     return Some(answer.into_body());
                 }
                 Ok(attempt::Outcome::NotSent) => failure = node::AttemptFailure::NotSent,
+                Ok(attempt::Outcome::NoRoute) => failure = node::AttemptFailure::NoRoute,
                 Ok(attempt::Outcome::Rejected) => failure = node::AttemptFailure::Rejected,
                 Ok(attempt::Outcome::ConnectionLost) => {
                     failure = node::AttemptFailure::MayHaveRun;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod gateway;
 pub mod http_client;
 pub mod keep_alive;
+pub mod links;
 pub mod logging;
 pub mod model;
 pub mod operator;
--- /dev/null
+++ b/src/links.rs
@@ -0,0 +1,455 @@
+//! Connections to backend servers: over this router's own link or, where that fails, through another router.
+//!
+//! The ways are raced as RFC 8305 describes it for addresses: the other router is asked if the own link has not
+//! connected after a short time, and the first connection that is established is used. Nothing of a request is sent
+//! before, so a request is never sent twice.
+
+mod client;
+pub mod relay;
+
+use crate::{keep_alive, settings};
+use doorswitch_core::{ids, links};
+use futures_util::future;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use rand::SeedableRng;
+use rand::rngs;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use std::{io, net};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::time;
+
+/// The time within which a connection must be established.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often lost links are looked at for a check that is due.
+const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of servers that are connected to in order to find out whether this router reaches any.
+const REACHED_OTHERS_MAX: usize = 4;
+
+/// Why there is no connection to a server.
+#[derive(Debug, snafu::Snafu)]
+#[allow(missing_docs)]
+pub enum Error {
+    #[snafu(display("the address {address:?} is not an IP address with a port"))]
+    Address { address: String },
+    #[snafu(display("the server refuses connections"))]
+    Refused,
+    #[snafu(display("cannot connect: {source}"))]
+    Failed { source: io::Error },
+    #[snafu(display("the connection was not established in time"))]
+    Timeout,
+    #[snafu(display("no way to the server: its link is lost, and no other router connects to it"))]
+    NoRoute,
+}
+
+impl From<Error> for io::Error {
+    fn from(error: Error) -> Self {
+        let kind = match &error {
+            Error::Address { .. } => io::ErrorKind::InvalidInput,
+            Error::Refused => io::ErrorKind::ConnectionRefused,
+            Error::Failed { source } => source.kind(),
+            Error::Timeout => io::ErrorKind::TimedOut,
+            Error::NoRoute => io::ErrorKind::NetworkUnreachable,
+        };
+        Self::new(kind, error)
+    }
+}
+
+/// A connection to a server.
+#[derive(Debug)]
+pub struct Established {
+    /// The connection.
+    pub stream: TcpStream,
+    /// The router through which it leads; `None` if it is direct.
+    pub via: Option<links::Peer>,
+}
+
+/// What the routers that were asked found out about a server.
+enum PeersReply {
+    /// One of them is connected to it.
+    Connected(Established),
+    /// The server refuses connections.
+    Refused,
+    /// The server does not respond to them.
+    Unresponsive,
+    /// None of them could tell.
+    Unknown,
+}
+
+/// The links of this router to servers, shared by all threads.
+#[derive(Debug)]
+pub struct Links {
+    incarnation: ids::Incarnation,
+    failure_domain: String,
+    local: net::IpAddr,
+    started: Instant,
+    table: Mutex<links::Table>,
+    rng: Mutex<rngs::StdRng>,
+    peers: arc_swap::ArcSwap<Vec<links::Peer>>,
+    /// Changes that the control thread has not applied yet.
+    changes: Mutex<Vec<links::Change>>,
+    all_lost: watch::Sender<bool>,
+    /// Addresses of servers that another router reaches, or may reach, and this one does not.
+    comparisons: Mutex<Vec<String>>,
+    comparison_due: Notify,
+    relayed: Arc<AtomicU64>,
+    /// When a server's data was last received over an own link, in milliseconds since the start.
+    received_ms: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Links {
+    /// The links of a router without connections.
+    pub fn new(settings: &settings::Settings, incarnation: ids::Incarnation) -> Self {
+        Self {
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            local: settings.peers.listen.ip(),
+            started: Instant::now(),
+            table: Mutex::default(),
+            rng: Mutex::new(rngs::StdRng::seed_from_u64(rand::random())),
+            peers: arc_swap::ArcSwap::default(),
+            changes: Mutex::default(),
+            all_lost: watch::Sender::new(false),
+            comparisons: Mutex::default(),
+            comparison_due: Notify::new(),
+            relayed: Arc::default(),
+            received_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Connects to the server at an address.
+    pub async fn connect(&self, address: &str) -> Result<Established, Error> {
+        let target: net::SocketAddr =
+            address.parse().map_err(|_| Error::Address { address: address.to_owned() })?;
+        if self.peers.load().is_empty() {
+            let stream = self.connect_directly(address, target, CONNECT_TIMEOUT).await?;
+            return Ok(Established { stream, via: None });
+        }
+        let order = lock(&self.table).order(address, self.now_ms());
+        match order {
+            links::Order::OwnFirst { head_start_ms } => {
+                self.race(address, target, Duration::from_millis(head_start_ms)).await
+            }
+            links::Order::PeersOnly => match self.ask_peers(address).await {
+                PeersReply::Connected(established) => Ok(established),
+                PeersReply::Refused => Err(Error::Refused),
+                PeersReply::Unresponsive => Err(Error::Timeout),
+                PeersReply::Unknown => Err(Error::NoRoute),
+            },
+        }
+    }
+
+    /// Connects to the server at an address through the router on the VM `via`, unless that router is not live.
+    pub async fn connect_via(&self, via: &str, address: &str) -> Result<Established, Error> {
+        let peers = self.peers.load_full();
+        let Some(peer) = peers.iter().find(|peer| peer.vm == via) else {
+            return Err(Error::NoRoute);
+        };
+        match client::ask(self.incarnation, self.local, peer.clone(), address).await {
+            (peer, Ok(stream)) => Ok(Established { stream, via: Some(peer) }),
+            (peer, Err(_)) => {
+                lock(&self.table).record_peer_failed(peer.id, None, self.now_ms());
+                Err(Error::NoRoute)
+            }
+        }
+    }
+
+    /// Whether this router's own link to the server at an address is lost.
+    pub fn is_lost(&self, address: &str) -> bool {
+        lock(&self.table).is_lost(address)
+    }
+
+    /// Records when a server's data was last received over an own link.
+    pub fn record_received(&self, at: Instant) {
+        let at_ms = at.saturating_duration_since(self.started).as_millis() as u64;
+        self.received_ms.fetch_max(at_ms, Ordering::Relaxed);
+    }
+
+    /// Sets the live routers that may be asked for connections.
+    pub fn set_peers(&self, peers: Vec<links::Peer>) {
+        if **self.peers.load() != peers {
+            self.peers.store(Arc::new(peers));
+        }
+    }
+
+    /// Removes and returns the changes since the last call.
+    pub fn take_changes(&self) -> Vec<links::Change> {
+        std::mem::take(&mut lock(&self.changes))
+    }
+
+    /// The number of connections that this router forwards for others.
+    pub fn relayed(&self) -> u64 {
+        self.relayed.load(Ordering::Relaxed)
+    }
+
+    /// The state for operators, as JSON.
+    pub fn dump(&self) -> serde_json::Value {
+        let now_ms = self.now_ms();
+        let table = lock(&self.table);
+        let lost: serde_json::Map<String, serde_json::Value> =
+            table.lost(now_ms).map(|(address, ms)| (address.to_owned(), ms.into())).collect();
+        serde_json::json!({
+            "all_lost_ms": table.all_lost_ms(now_ms),
+            "lost_ms": lost,
+            "relayed_connections": self.relayed(),
+        })
+    }
+
+    /// Checks lost links, and compares all links when a connection shows that one may be lost. Runs until it is
+    /// dropped.
+    pub async fn watch(&self) {
+        loop {
+            if lock(&self.table).any_lost() {
+                let _ = time::timeout(CHECK_POLL_INTERVAL, self.comparison_due.notified()).await;
+            } else {
+                self.comparison_due.notified().await;
+            }
+            let suspects = std::mem::take(&mut *lock(&self.comparisons));
+            for suspect in suspects {
+                self.compare(&suspect).await;
+            }
+            let due = lock(&self.table).checks_due(self.now_ms(), &mut lock(&self.rng));
+            self.reach(&due).await;
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn record(&self, change: Option<links::Change>) {
+        let Some(change) = change else { return };
+        match &change {
+            links::Change::Lost(address) => log::warn!("event=link_lost server={address}"),
+            links::Change::Restored(address) => log::info!("event=link_restored server={address}"),
+            links::Change::AllLost => log::warn!("event=all_links_lost"),
+            links::Change::AllRestored { lost_ms } => {
+                log::warn!("event=links_restored lost_ms={lost_ms}");
+            }
+        }
+        let all_lost = lock(&self.table).all_lost();
+        self.all_lost.send_if_modified(|current| std::mem::replace(current, all_lost) != all_lost);
+        lock(&self.changes).push(change);
+    }
+
+    /// Connects over the own link, and records if that succeeds.
+    async fn connect_directly(
+        &self,
+        address: &str,
+        target: net::SocketAddr,
+        timeout: Duration,
+    ) -> Result<TcpStream, Error> {
+        let began = Instant::now();
+        let connected = match time::timeout(timeout, connect(target, self.local)).await {
+            Err(_) => Err(Error::Timeout),
+            Ok(Err(source)) if source.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(Error::Refused)
+            }
+            Ok(Err(source)) => Err(Error::Failed { source }),
+            Ok(Ok(stream)) => Ok(stream),
+        };
+        let stream = connected.inspect_err(|_| {
+            lock(&self.table).record_not_reached(address, self.now_ms());
+        })?;
+        let took_ms = began.elapsed().as_millis() as u64;
+        let change = lock(&self.table).record_reached(address, took_ms, self.now_ms());
+        self.record(change);
+        Ok(stream)
+    }
+
+    async fn race(
+        &self,
+        address: &str,
+        target: net::SocketAddr,
+        head_start: Duration,
+    ) -> Result<Established, Error> {
+        let own = self.connect_directly(address, target, CONNECT_TIMEOUT);
+        tokio::pin!(own);
+        let direct = |stream| Established { stream, via: None };
+        let failed = match time::timeout(head_start, &mut own).await {
+            Ok(Ok(stream)) => return Ok(direct(stream)),
+            Ok(Err(error)) => Some(error),
+            Err(_) => None,
+        };
+        let Some(error) = failed else {
+            return tokio::select! {
+                result = &mut own => result.map(direct),
+                reply = self.ask_peers(address) => match reply {
+                    PeersReply::Connected(established) => {
+                        self.record_lost(address);
+                        Ok(established)
+                    }
+                    PeersReply::Refused | PeersReply::Unresponsive => own.await.map(direct),
+                    PeersReply::Unknown => {
+                        self.request_comparison(address);
+                        tokio::select! {
+                            result = &mut own => result.map(direct),
+                            () = self.all_lost() => Err(Error::NoRoute),
+                        }
+                    }
+                },
+            };
+        };
+        match self.ask_peers(address).await {
+            PeersReply::Connected(established) => {
+                self.record_lost(address);
+                Ok(established)
+            }
+            PeersReply::Refused | PeersReply::Unresponsive => Err(error),
+            PeersReply::Unknown => match self.reaches_others(address, self.now_ms()).await {
+                Some(false) => {
+                    self.request_comparison(address);
+                    Err(Error::NoRoute)
+                }
+                // Without another router's word, only the own link to this server may have failed.
+                Some(true) | None => match error {
+                    Error::Refused => {
+                        Err(Error::Failed { source: io::ErrorKind::ConnectionRefused.into() })
+                    }
+                    error => Err(error),
+                },
+            },
+        }
+    }
+
+    /// Returns once all links are lost.
+    async fn all_lost(&self) {
+        let mut all_lost = self.all_lost.subscribe();
+        // The sender lives as long as `self`.
+        let _ = all_lost.wait_for(|all_lost| *all_lost).await;
+    }
+
+    fn record_lost(&self, address: &str) {
+        let change = lock(&self.table).record_lost(address, self.now_ms());
+        let lost = change.is_some();
+        self.record(change);
+        if lost {
+            self.request_comparison(address);
+        }
+    }
+
+    fn request_comparison(&self, address: &str) {
+        lock(&self.comparisons).push(address.to_owned());
+        self.comparison_due.notify_one();
+    }
+
+    /// Finds out whether all links are lost, after the one to the server at `address` failed.
+    async fn compare(&self, address: &str) {
+        let others =
+            lock(&self.table).start_comparison(address, self.now_ms(), &mut lock(&self.rng));
+        let Some(mut addresses) = others else { return };
+        addresses.push(address.to_owned());
+        let reached = self.reach(&addresses).await;
+        if !reached.contains(&true) {
+            let change = lock(&self.table).record_none_reached(self.now_ms());
+            self.record(change);
+            return;
+        }
+        // Several links may be lost, such as those to all servers of a service.
+        let unreached = addresses.iter().zip(reached).filter(|(_, reached)| !reached);
+        let races = unreached.filter(|(other, _)| *other != address);
+        future::join_all(races.map(|(other, _)| self.connect(other))).await;
+    }
+
+    /// Whether this router reached other servers over its own links after `since_ms`; `None` if it knows no other.
+    async fn reaches_others(&self, address: &str, since_ms: u64) -> Option<bool> {
+        let others = lock(&self.table).others(address, REACHED_OTHERS_MAX, &mut lock(&self.rng));
+        if others.is_empty() {
+            return None;
+        }
+        if self.received_ms.load(Ordering::Relaxed) > since_ms {
+            return Some(true);
+        }
+        Some(self.reach(&others).await.contains(&true))
+    }
+
+    /// Connects to these servers over the own links; returns which of them were reached.
+    async fn reach(&self, addresses: &[String]) -> Vec<bool> {
+        let attempts = addresses.iter().map(|address| async move {
+            let Ok(target) = address.parse() else { return false };
+            let patience = Duration::from_millis(lock(&self.table).patience_ms(address));
+            self.connect_directly(address, target, 2 * patience).await.is_ok()
+        });
+        future::join_all(attempts).await
+    }
+
+    /// Asks other routers for a connection, the next one when one does not have it or is slow.
+    async fn ask_peers(&self, address: &str) -> PeersReply {
+        let peers = self.peers.load_full();
+        let (candidates, further, patience_ms) = {
+            let table = lock(&self.table);
+            let now_ms = self.now_ms();
+            let mut rng = lock(&self.rng);
+            let (candidates, further) =
+                table.peers_to_ask(&peers, &self.failure_domain, address, now_ms, &mut rng);
+            (candidates, further, table.patience_ms(address))
+        };
+        let mut candidates = candidates.into_iter();
+        let mut further = further.into_iter();
+        let ask = |peer| client::ask(self.incarnation, self.local, peer, address);
+        let mut pending = FuturesUnordered::new();
+        let mut reply = PeersReply::Unknown;
+        loop {
+            if let Some(peer) = candidates.next() {
+                pending.push(ask(peer));
+            }
+            let answered = tokio::select! {
+                answered = pending.next() => answered,
+                () = time::sleep(Duration::from_millis(patience_ms)), if candidates.len() > 0 => continue,
+            };
+            let Some((peer, answer)) = answered else {
+                if further.len() == 0 {
+                    return reply;
+                }
+                pending.extend(further.by_ref().map(ask));
+                continue;
+            };
+            let failed_for = match answer {
+                Ok(stream) => {
+                    return PeersReply::Connected(Established { stream, via: Some(peer) });
+                }
+                Err(client::Error::Refused) => {
+                    reply = PeersReply::Refused;
+                    pending.extend(candidates.by_ref().chain(further.by_ref()).map(ask));
+                    Some(address)
+                }
+                Err(client::Error::Unresponsive) => {
+                    if matches!(reply, PeersReply::Unknown) {
+                        reply = PeersReply::Unresponsive;
+                    }
+                    Some(address)
+                }
+                Err(error) => {
+                    log::debug!(
+                        "event=peer_not_connected peer={} server={address} fault={}",
+                        peer.vm,
+                        crate::logging::quoted(error)
+                    );
+                    None
+                }
+            };
+            lock(&self.table).record_peer_failed(peer.id, failed_for, self.now_ms());
+        }
+    }
+}
+
+/// Connects to `target` from the address `local`, unless that is unspecified.
+async fn connect(target: net::SocketAddr, local: net::IpAddr) -> io::Result<TcpStream> {
+    let socket = match target {
+        net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if !local.is_unspecified() {
+        socket.bind(net::SocketAddr::new(local, 0))?;
+    }
+    let stream = socket.connect(target).await?;
+    stream.set_nodelay(true)?;
+    keep_alive::TRAFFIC.apply_to(&stream);
+    Ok(stream)
+}
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -5,6 +5,7 @@
 
 mod link;
 
+use crate::links::relay;
 use crate::{keep_alive, logging};
 use actix::prelude::{Addr, Message};
 use bytes::{Buf, BufMut};
@@ -23,6 +24,8 @@
 /// The delay before the next accept after one that failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+type Framed = codec::Framed<tokio::net::TcpStream, codec::LengthDelimitedCodec>;
+
 /// Why a frame could not be decoded.
 #[derive(Debug, snafu::Snafu)]
 #[allow(missing_docs)]
@@ -61,11 +64,12 @@
     postcard::from_bytes(frame).map_err(|source| Error::Decode { source })
 }
 
-/// An actor that handles the messages and the gossip of peers.
+/// An actor that handles the messages, the gossip and the requests for connections of peers.
 pub trait Receiver:
     actix::Actor<Context = actix::Context<Self>>
     + actix::Handler<MessageReceived>
     + actix::Handler<GossipReceived>
+    + actix::Handler<relay::Open>
 {
 }
 
@@ -105,7 +109,7 @@
         let link = links
             .entry(address.to_owned())
             .or_insert_with(|| link::start(address.to_owned(), self.local.ip()));
-        if link.try_send(encode(&envelope)).is_err() {
+        if link.try_send(encode(&message::Frame::Message(envelope))).is_err() {
             log::debug!("event=message_dropped to={address}");
         }
     }
@@ -132,8 +136,8 @@
 async fn accept<R: Receiver>(listener: tokio::net::TcpListener, receiver: Addr<R>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                actix::spawn(receive(stream, receiver.clone()));
+            Ok((stream, source)) => {
+                actix::spawn(receive(stream, source.ip(), receiver.clone()));
             }
             Err(error) => {
                 log::warn!("event=accept_failed fault={}", logging::quoted(error));
@@ -143,12 +147,20 @@
     }
 }
 
-async fn receive<R: Receiver>(stream: tokio::net::TcpStream, receiver: Addr<R>) {
+async fn receive<R: Receiver>(
+    stream: tokio::net::TcpStream,
+    source: net::IpAddr,
+    receiver: Addr<R>,
+) {
     keep_alive::TRAFFIC.apply_to(&stream);
     let mut framed = codec::Framed::new(stream, frame_codec());
     while let Some(Ok(frame)) = framed.next().await {
-        match decode::<message::Envelope>(&frame) {
-            Ok(envelope) => receiver.do_send(MessageReceived(envelope)),
+        match decode::<message::Frame>(&frame) {
+            Ok(message::Frame::Message(envelope)) => receiver.do_send(MessageReceived(envelope)),
+            Ok(message::Frame::Connect(request)) => {
+                relay_connection(framed, relay::Open { request, source }, &receiver).await;
+                return;
+            }
             Err(error) => {
                 log::warn!("event=frame_refused fault={}", logging::quoted(error));
                 return;
@@ -161,6 +173,32 @@
     }
 }
 
+/// Answers a peer's request for a connection to a server, and forwards the connection until it ends.
+async fn relay_connection<R: Receiver>(mut framed: Framed, open: relay::Open, receiver: &Addr<R>) {
+    let (from, address) = (open.request.from, open.request.address.clone());
+    let opened = match receiver.send(open).await {
+        Ok(opened) => opened,
+        Err(_) => Err(message::ConnectReply::Unavailable),
+    };
+    let reply = opened.as_ref().err().copied().unwrap_or(message::ConnectReply::Connected);
+    if let Err(error) = framed.send(bytes::Bytes::from(encode(&reply))).await {
+        log::debug!("event=relay_not_answered from={from} fault={}", logging::quoted(error));
+        return;
+    }
+    let Ok(opened) = opened else { return };
+    let parts = framed.into_parts();
+    if !parts.read_buf.is_empty() {
+        log::warn!("event=relay_refused from={from} server={address} fault=early_bytes");
+        return;
+    }
+    if let Err(error) = relay::forward(parts.io, opened).await {
+        log::debug!(
+            "event=relay_broken from={from} server={address} fault={}",
+            logging::quoted(error)
+        );
+    }
+}
+
 async fn receive_datagrams<R: Receiver>(socket: rc::Rc<tokio::net::UdpSocket>, receiver: Addr<R>) {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
@@ -175,6 +213,7 @@
     }
 }
 
-fn frame_codec() -> codec::LengthDelimitedCodec {
+/// The codec for frames on connections between routers.
+pub fn frame_codec() -> codec::LengthDelimitedCodec {
     codec::LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
 }
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -1,6 +1,6 @@
 //! A connection to one peer, which acknowledges each frame that it receives with an empty one.
 
-use super::frame_codec;
+use super::{Framed, frame_codec};
 use crate::keep_alive;
 use futures_util::{SinkExt, StreamExt};
 use std::time::Duration;
@@ -22,8 +22,6 @@
 /// bytes. Longer than a large configuration takes on a small VM's link, and well below [`IDLE_TIMEOUT`].
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 
-type Framed = codec::Framed<tokio::net::TcpStream, codec::LengthDelimitedCodec>;
-
 /// Starts the task that sends frames to a peer from a local address. It ends when the sender is dropped.
 pub fn start(address: String, local: net::IpAddr) -> mpsc::Sender<Vec<u8>> {
     let (sender, queue) = mpsc::channel(QUEUE_LENGTH);
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -1,11 +1,12 @@
 //! Probes whether a server has crashed whose connection ended while it ran a request.
 
-use crate::gateway::socket;
-use crate::{control, upstream};
+use crate::{control, links, upstream};
 use actix::prelude::Addr;
 use doorswitch_core::{ids, node, quarantine};
+use std::sync::Arc;
 use std::time::Duration;
-use std::{io, net};
+use tokio::io::Interest;
+use tokio::net::TcpStream;
 
 /// How long a probe waits for a connection, while the answer to the client is delayed: several round trips within a
 /// region.
@@ -52,49 +53,53 @@
 /// lost and still open.
 pub async fn probe(
     address: &str,
-    local: net::IpAddr,
+    links: &links::Links,
     others_open: impl Fn() -> bool,
-) -> (ProbeResult, Option<socket::Socket>) {
-    let Ok(target) = address.parse() else { return (ProbeResult::Silent, None) };
+) -> (ProbeResult, Option<links::Established>) {
     for _ in 0..CONNECTIONS_MAX {
-        let connecting = socket::Socket::connect(target, local);
-        let socket = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-            Ok(Ok(socket)) => socket,
-            Ok(Err(error)) if is_refusal(&error) => return (ProbeResult::Refuses, None),
+        let connecting = links.connect(address);
+        let established = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+            Ok(Ok(established)) => established,
+            Ok(Err(links::Error::Refused)) => return (ProbeResult::Refuses, None),
             Ok(Err(_)) | Err(_) => return (ProbeResult::Silent, None),
         };
-        let ended = socket.ends_within(OPEN_TIME_MIN).await
-            || (!others_open() && socket.ends_within(OPEN_TIME_MIN_ALONE - OPEN_TIME_MIN).await);
+        let stream = &established.stream;
+        let ended = ends_within(stream, OPEN_TIME_MIN).await
+            || (!others_open() && ends_within(stream, OPEN_TIME_MIN_ALONE - OPEN_TIME_MIN).await);
         if !ended {
-            return (ProbeResult::Accepts, Some(socket));
+            return (ProbeResult::Accepts, Some(established));
         }
     }
     (ProbeResult::Accepts, None)
 }
 
+/// Whether a connection that no other task reads from ends within `time`.
+pub async fn ends_within(stream: &TcpStream, time: Duration) -> bool {
+    match tokio::time::timeout(time, stream.ready(Interest::READABLE)).await {
+        Ok(Ok(ready)) => ready.is_read_closed() || ready.is_error(),
+        Ok(Err(_)) => true,
+        Err(_) => false,
+    }
+}
+
 /// Watches the connection that a probe established, and probes again if it ends within `WATCH_TIME`: the server process
 /// may have been ending during the first probe. Reports a server that refuses connections then.
 pub async fn watch_connection(
     control: Addr<control::Control>,
     server: quarantine::ServerInstance,
     address: String,
-    local: net::IpAddr,
+    links: Arc<links::Links>,
     ended: impl Future<Output = ()>,
 ) {
     if tokio::time::timeout(WATCH_TIME, ended).await.is_err() {
         return;
     }
-    if let (ProbeResult::Refuses, _) = probe(&address, local, || true).await {
+    if let (ProbeResult::Refuses, _) = probe(&address, &links, || true).await {
         log::info!("event=server_refuses vm={} after=accepted", server.vm);
         control.do_send(control::ServerRefused(server));
     }
 }
 
-/// Whether connecting failed because nothing listens at the address.
-pub fn is_refusal(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::ConnectionRefused
-}
-
 /// Reports to the control thread that the connection to a server ended while the server ran a request, and then the
 /// result of the probe. Returns once an answer to the client may be sent.
 pub async fn report_connection_lost(
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,7 +1,8 @@
 //! Runs one router: binds its addresses, starts its threads, and joins them at a planned stop.
 
 use crate::{
-    answers, control, front, gateway, logging, operator, reload, settings, snapshot, telemetry,
+    answers, control, front, gateway, links, logging, operator, reload, settings, snapshot,
+    telemetry,
 };
 use actix::prelude::{Actor, Addr, Arbiter};
 use actix_web::{App, HttpServer, dev};
@@ -70,12 +71,14 @@
     let published = Arc::new(snapshot::Published::default());
     let incarnation = ids::Incarnation(rand::random());
     log_start(&settings, incarnation);
+    let links = Arc::new(links::Links::new(&settings, incarnation));
     let system = actix::System::new();
     let parts = control::Parts {
         settings: settings.clone(),
         published: published.clone(),
         sockets,
         incarnation,
+        links: links.clone(),
     };
     system.block_on(async move {
         // The callers' API is served on threads of its own; the control actor then has one too.
@@ -84,8 +87,13 @@
             Some(arbiter) => start_control(arbiter, parts)?,
             None => control::Control::new(parts).start(),
         };
+        let watching_links = actix::spawn({
+            let links = links.clone();
+            async move { links.watch().await }
+        });
         let shared = front::Shared {
             control: control.clone(),
+            links,
             published,
             settings: settings.clone(),
             answers: answers::Table::default(),
@@ -100,6 +108,9 @@
             actix::spawn(reload::follow(file, control.clone()));
         }
         let gateway = clients.map(|listener| start_gateway(listener, &shared));
+        let watching_silence = gateway
+            .as_ref()
+            .map(|(gateway, _)| tokio::task::spawn_local(gateway::watch_silence(gateway.clone())));
         wait_for_stop(&stop).await;
         let stop_started = Instant::now();
         shared.published.set_draining();
@@ -107,6 +118,11 @@
             drain_gateway(&gateway, &shared, stop_started).await;
             let _ = serving.await;
         }
+        drain_relayed(&shared, stop_started).await;
+        watching_links.abort();
+        if let Some(watching) = watching_silence {
+            watching.abort();
+        }
         control.do_send(control::Stop);
         let result = wait_until_stopped(&shared, stop_started).await;
         for handle in handles {
@@ -161,9 +177,11 @@
     listener: net::TcpListener,
     shared: &front::Shared,
 ) -> (Rc<gateway::Gateway>, GatewayTask) {
-    let local = shared.settings.peers.listen.ip();
-    let gateway =
-        Rc::new(gateway::Gateway::new(shared.control.clone(), shared.published.clone(), local));
+    let gateway = Rc::new(gateway::Gateway::new(
+        shared.control.clone(),
+        shared.published.clone(),
+        shared.links.clone(),
+    ));
     let serving = tokio::task::spawn_local(gateway::serve(listener, gateway.clone()));
     (gateway, serving)
 }
@@ -182,6 +200,15 @@
     }
 }
 
+/// Waits until no connection is forwarded for another router.
+async fn drain_relayed(shared: &front::Shared, stop_started: Instant) {
+    let grace = Duration::from_secs(shared.settings.limits.stop_grace_s);
+    let wait_max = grace.saturating_sub(STOP_RESERVE);
+    while shared.links.relayed() > 0 && stop_started.elapsed() < wait_max {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
+}
+
 fn serve_operators(listener: net::TcpListener, shared: front::Shared) -> io::Result<dev::Server> {
     let server = HttpServer::new(move || {
         let shared = shared.clone();
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,12 +1,11 @@
 //! Functions shared by all calls to backend servers: admission, retries, and reports to the control thread.
 
-use crate::{api_error, control, fingerprint, probe, snapshot};
+use crate::{api_error, control, fingerprint, links, probe, snapshot};
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderValue};
 use doorswitch_core::{ids, node, quarantine, servers};
 use doorswitch_platform::answers;
-use std::net;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -16,8 +15,8 @@
     pub control: Addr<control::Control>,
     /// The state that the control thread publishes.
     pub published: Arc<snapshot::Published>,
-    /// The router's own IP address, from which it connects to servers.
-    pub local: net::IpAddr,
+    /// The router's links to servers.
+    pub links: Arc<links::Links>,
     /// A digest of everything in the request but its body.
     pub head: fingerprint::HeadDigest,
     /// The body of the request.
@@ -54,15 +53,16 @@
     /// has crashed.
     pub async fn report_connection_lost(&self, placement: &Placement, id: &str) {
         let request = self.head.with_body(&self.body);
-        let (control, local, address) =
-            (self.control.clone(), self.local, placement.address.clone());
+        let (control, links, address) =
+            (self.control.clone(), self.links.clone(), placement.address.clone());
         let server = placement.server();
         let probing = async {
-            let (result, socket) = probe::probe(&placement.address, local, || false).await;
-            if let Some(socket) = socket {
-                let ended = async move { while !socket.ends_within(probe::WATCH_TIME).await {} };
+            let (result, established) = probe::probe(&placement.address, &links, || false).await;
+            if let Some(links::Established { stream, .. }) = established {
+                let ended =
+                    async move { while !probe::ends_within(&stream, probe::WATCH_TIME).await {} };
                 actix_web::rt::spawn(probe::watch_connection(
-                    control, server, address, local, ended,
+                    control, server, address, links, ended,
                 ));
             }
             result
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use actix::Actor;
+use doorswitch::links::relay;
 use doorswitch::peers;
 use doorswitch_core::{ids, message};
 use doorswitch_standins::network;
@@ -38,6 +39,14 @@
     fn handle(&mut self, _: peers::GossipReceived, _: &mut Self::Context) {}
 }
 
+impl actix::Handler<relay::Open> for MessageCounter {
+    type Result = Result<relay::Opened, message::ConnectReply>;
+
+    fn handle(&mut self, _: relay::Open, _: &mut Self::Context) -> Self::Result {
+        Err(message::ConnectReply::Unavailable)
+    }
+}
+
 impl peers::Receiver for MessageCounter {}
 
 /// Starts the peer sockets of a router; returns them, their address and the number of received messages.
