Use the links of a router for all calls to servers; keep streams that a short loss only delays

Cause: (1) awc made its own connections, so the table of links knew only servers that had been probed, that is the crashed ones, and none answered as evidence that the router's links work. (2) Giving up was meant for requests that can go elsewhere, and did not ask whether they can.

Change: (1) awc's connector is the router's links; connections through other routers are kept for 2 s at most; some servers of the list count as evidence too, the ones that were reached last first; a poll of a server's load that fails checks its link; what other routers found of a failed server is not asked again for 0.5 s. (2) Only exchanges that may be repeated are given up.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -26,6 +26,10 @@
 const PEERS_ASKED_IN_DOUBT: usize = 8;
 /// How long a router is asked last after it could not forward a connection.
 const PEER_AVOIDED_MS: u64 = 1_000;
+/// How long other routers' word that a server fails is not asked for again.
+const SERVER_FAULT_TTL_MS: u64 = 500;
+/// The minimum interval between two checks of a link because a server did not answer a poll of its load.
+const POLL_CHECK_INTERVAL_MS: u64 = 2_000;
 /// A link that was not used for this long is forgotten.
 const UNUSED_TTL_MS: u64 = 60_000;
 
@@ -54,6 +58,15 @@
     PeersOnly,
 }
 
+/// How a server fails according to other routers, which reach other servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerFault {
+    /// Its address refuses connections.
+    Refused,
+    /// It does not respond.
+    Unresponsive,
+}
+
 /// A change of the links, for the log and for the failures that were counted against servers because of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -82,12 +95,18 @@
     reached_ms: Option<u64>,
     /// When one last failed.
     failed_ms: Option<u64>,
+    /// The last word of other routers that the server fails, and when it was received.
+    server_fault: Option<(ServerFault, u64)>,
+    /// When the link was last checked because of a poll.
+    poll_checked_ms: Option<u64>,
 }
 
 /// The state of all links of one router, by server address.
 #[derive(Debug, Default)]
 pub struct Table {
     links: collections::BTreeMap<String, Link>,
+    /// Some servers of the list, which may not have been used yet.
+    listed: Vec<String>,
     all_lost_since_ms: Option<u64>,
     compared_ms: Option<u64>,
     /// Until when routers that could not forward a connection are asked last: to any server, or to one address.
@@ -140,6 +159,7 @@
         let link = self.link(address, now_ms);
         link.connect_ms = took_ms.max((link.connect_ms + took_ms) / 2);
         link.reached_ms = Some(now_ms);
+        link.server_fault = None;
         let lost_since_ms = link.lost_since_ms.take();
         if let Some(since_ms) = self.all_lost_since_ms.take() {
             self.links.values_mut().for_each(|link| link.lost_since_ms = None);
@@ -153,6 +173,27 @@
         self.link(address, now_ms).failed_ms = Some(now_ms);
     }
 
+    /// Records the word of other routers that a server fails.
+    pub fn record_server_fault(&mut self, address: &str, fault: ServerFault, now_ms: u64) {
+        self.link(address, now_ms).server_fault = Some((fault, now_ms));
+    }
+
+    /// The word of other routers that a server fails, if it is recent.
+    pub fn server_fault(&self, address: &str, now_ms: u64) -> Option<ServerFault> {
+        let (fault, at_ms) = self.links.get(address)?.server_fault?;
+        (now_ms < at_ms + SERVER_FAULT_TTL_MS).then_some(fault)
+    }
+
+    /// Whether a link is to be checked because the server did not answer a poll; if so, the next check is due later.
+    pub fn take_poll_check(&mut self, address: &str, now_ms: u64) -> bool {
+        let link = self.link(address, now_ms);
+        let due = link.poll_checked_ms.is_none_or(|at_ms| now_ms >= at_ms + POLL_CHECK_INTERVAL_MS);
+        if due {
+            link.poll_checked_ms = Some(now_ms);
+        }
+        due
+    }
+
     /// Records that another router reached a server that was not reached over the own link.
     pub fn record_lost(&mut self, address: &str, now_ms: u64) -> Option<Change> {
         let link = self.link(address, now_ms);
@@ -180,12 +221,19 @@
         Some(self.others(address, CHECKED_MAX, rng))
     }
 
-    /// Addresses of at most `count` other servers that were used and whose links are not known to be lost. Those that
-    /// were reached last come first, and those that failed since then last.
+    /// Sets the addresses of some servers in the list, which show whether any link works.
+    pub fn set_listed(&mut self, addresses: Vec<String>) {
+        self.listed = addresses;
+    }
+
+    /// Addresses of at most `count` other servers whose links are not known to be lost. Those that were reached last
+    /// come first, and those that failed since then last.
     pub fn others(&self, address: &str, count: usize, rng: &mut rngs::StdRng) -> Vec<String> {
-        let mut others: Vec<(&String, &Link)> = self
-            .links
-            .iter()
+        let unused = self.listed.iter().filter(|other| !self.links.contains_key(*other));
+        let unused = unused.map(|other| (other, Link::default()));
+        let used = self.links.iter().map(|(other, link)| (other, *link));
+        let others = used.chain(unused);
+        let mut others: Vec<(&String, Link)> = others
             .filter(|(other, link)| *other != address && link.lost_since_ms.is_none())
             .collect();
         others.shuffle(rng);
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,12 +7,12 @@
 pub use messages::*;
 
 use crate::{
-    clock, feed, http_client, keep_alive, links, logging, peers, platform, settings, snapshot,
-    telemetry,
+    clock, feed, http_client, links, logging, peers, platform, settings, snapshot, telemetry,
 };
 use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
 use doorswitch_core::{config, ids, links as core_links, members, node, servers, store, watch};
 use futures_util::future;
+use rand::seq::IteratorRandom;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use std::{collections, net};
@@ -20,8 +20,9 @@
 
 /// The time between two calls of the core's periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// The connect timeout from the callers' API to a backend server; the default of the client library.
-const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time between two samples of the listed servers, by which lost links are recognized, and their size.
+const LISTED_INTERVAL: Duration = Duration::from_secs(1);
+const LISTED_SAMPLE: usize = 16;
 /// The mean delay before a watch that failed is repeated; jitter is added.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The minimum time between two log lines for unreadable eras, in milliseconds.
@@ -54,7 +55,7 @@
     platform: stores::Store,
     /// Polls the store for the core; `None` with the Consul protocol, whose watches this actor makes itself.
     feed: Option<feed::Feed>,
-    http: awc::Client,
+    http: http_client::ServerClients,
     peers: Option<peers::Peers>,
     waiters: collections::HashMap<ids::RequestSlot, oneshot::Sender<node::Answer>>,
     started: Instant,
@@ -78,17 +79,16 @@
     /// Creates an actor without starting it.
     pub fn new(parts: Parts) -> Self {
         let settings = parts.settings;
-        let local = settings.peers.listen.ip();
         let platform = stores::Store::new(&settings);
         Self {
             node: new_node(&settings, parts.incarnation),
             published: parts.published,
             sockets: Some(parts.sockets),
             incarnation: parts.incarnation,
-            links: parts.links,
+            links: parts.links.clone(),
             feed: platform.revisions().cloned().map(feed::Feed::new),
             platform,
-            http: local_client(local),
+            http: http_client::ServerClients::new(parts.links),
             peers: None,
             waiters: Default::default(),
             started: Instant::now(),
@@ -159,6 +159,14 @@
         }
     }
 
+    fn offer_listed_servers(&mut self, _: &mut Context<Self>) {
+        let servers = self.node.servers().iter();
+        let live = servers.filter(|(_, server)| server.is_live());
+        let sample =
+            live.map(|(_, server)| &server.vm.address).sample(&mut rand::rng(), LISTED_SAMPLE);
+        self.links.set_listed(sample.into_iter().cloned().collect());
+    }
+
     /// The live routers that may be asked for connections to servers.
     fn peers_for_connections(&self) -> Vec<core_links::Peer> {
         let live = self.node.members().live();
@@ -377,6 +385,7 @@
             }
         }
         context.run_interval(TICK_INTERVAL, Control::tick);
+        context.run_interval(LISTED_INTERVAL, Control::offer_listed_servers);
         match self.platform.clone() {
             stores::Store::Consul(client) => {
                 self.watch_config(client.clone(), context);
@@ -398,14 +407,13 @@
     }
 }
 
-/// An HTTP client that binds its connections to the router's own address.
-pub fn local_client(local: net::IpAddr) -> awc::Client {
-    http_client::build(keep_alive::TRAFFIC, SERVER_CONNECT_TIMEOUT, Some(local))
-}
-
-async fn fetch_load(http: &awc::Client, address: &str) -> Option<servers::Load> {
-    let request = http.get(format!("http://{address}/load")).timeout(Duration::from_secs(1));
-    let mut response = request.send().await.ok()?;
+async fn fetch_load(http: &http_client::ServerClients, address: &str) -> Option<servers::Load> {
+    let client = http.client(address);
+    let request = client.get(format!("http://{address}/load")).timeout(Duration::from_secs(1));
+    let Ok(mut response) = request.send().await else {
+        http.links().check_after_poll(address).await;
+        return None;
+    };
     if !response.status().is_success() {
         return None;
     }
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -2,7 +2,7 @@
 
 use super::{Control, messages};
 use crate::links::relay;
-use crate::peers;
+use crate::{logging, peers};
 use actix::prelude::{Handler, ResponseFuture};
 use doorswitch_core::{members, message, servers};
 use std::net;
@@ -41,7 +41,7 @@
                     "event=relay_refused from={} source={} server={}",
                     open.request.from,
                     open.source,
-                    open.request.address
+                    logging::quoted(&open.request.address)
                 );
                 return Err(message::ConnectReply::NotAllowed);
             }
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,8 +1,8 @@
 //! The HTTP interface for callers: checks each request, has it admitted by the control thread, and runs it.
 
 use crate::{
-    answers, api_error, auth, clock, completion, control, fingerprint, links, model, plain, policy,
-    reply, settings, snapshot, telemetry, upstream,
+    answers, api_error, auth, clock, completion, control, fingerprint, http_client, links, model,
+    plain, policy, reply, settings, snapshot, telemetry, upstream,
 };
 use actix::prelude::Addr;
 use actix_web::http::{Method, StatusCode, header};
@@ -40,7 +40,7 @@
 /// The state of the handlers on one worker thread.
 pub struct HandlerState {
     shared: Shared,
-    http: awc::Client,
+    http: http_client::ServerClients,
 }
 
 /// A caller whose key belongs to a workspace.
@@ -51,8 +51,8 @@
 
 /// Registers the routes of the interface.
 pub fn routes(config: &mut web::ServiceConfig, shared: Shared) {
-    let local = shared.settings.peers.listen.ip();
-    let state = HandlerState { shared, http: control::local_client(local) };
+    let http = http_client::ServerClients::new(shared.links.clone());
+    let state = HandlerState { shared, http };
     config
         .app_data(web::Data::new(state))
         .route("/healthz", web::get().to(healthz))
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -104,8 +104,9 @@
     last_event_id: Option<&str>,
 ) -> Outcome {
     let mut new_only = false;
+    let repeatable = call.route.repeatable();
     loop {
-        let mut connection = match context.backends.connect(placement, new_only).await {
+        let mut connection = match context.backends.connect(placement, new_only, repeatable).await {
             Ok(connection) => connection,
             Err(error) => {
                 if error.refused() {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -182,24 +182,26 @@
         }
     }
 
-    /// Returns a connection to a server: an idle one if there is one and `new_only` is not set, otherwise a new one.
+    /// Returns a connection to a server for one exchange: an idle one if there is one and `new_only` is not set,
+    /// otherwise a new one. `repeatable` is whether the request may be repeated at another server.
     pub async fn connect(
         &self,
         placement: &upstream::Placement,
         new_only: bool,
+        repeatable: bool,
     ) -> Result<Connection, Error> {
         let address = &placement.address;
         let upstream = Upstream { address: address.clone(), incarnation: placement.incarnation };
         while let Some(mut connection) = (!new_only).then(|| self.take_idle(&upstream)).flatten() {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                connection.abort_handle.set_busy(true);
+                connection.abort_handle.begin_exchange(repeatable);
                 return Ok(connection);
             }
         }
         let established = self.links.connect(address).await?;
         let connection = self.start_http(established, placement).await?;
-        connection.abort_handle.set_busy(true);
+        connection.abort_handle.begin_exchange(repeatable);
         Ok(connection)
     }
 
@@ -300,7 +302,7 @@
     /// Keeps a connection for reuse after its exchange ended cleanly, or closes it if it may not be idle or there are
     /// `IDLE_MAX` idle ones already.
     pub fn keep_idle(&self, mut connection: Connection) {
-        connection.abort_handle.set_busy(false);
+        connection.abort_handle.end_exchange();
         let Some(idle_max) = connection.idle_max else { return };
         connection.used = true;
         let mut idle = self.idle.borrow_mut();
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -19,7 +19,8 @@
 const SERVER_SILENCE_MAX: Duration = Duration::from_millis(500);
 /// The minimum time between two checks of the same way to the same server.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// An exchange on a lost way is given up after this silence. A shorter loss of the link delays it only.
+/// An exchange on a lost way is given up after this silence if its request may be repeated. A shorter loss of the link
+/// delays it only.
 const GIVE_UP_SILENCE: Duration = Duration::from_millis(500);
 /// How long a router that did not answer a check counts as lost.
 const RELAY_LOST_TIME: Duration = Duration::from_secs(2);
@@ -69,7 +70,9 @@
         for one in &waiting {
             ways.entry(one.via.clone()).or_default().push(one);
             let quiet = now.saturating_duration_since(one.exchange.quiet_since());
-            if quiet >= GIVE_UP_SILENCE && self.is_lost(one) && !delivers(one, &waiting, now) {
+            let hopeless =
+                || quiet >= GIVE_UP_SILENCE && self.is_lost(one) && !delivers(one, &waiting, now);
+            if one.exchange.repeatable && hopeless() {
                 log::info!(
                     "event=exchange_given_up vm={} via={} quiet_ms={}",
                     one.placement.vm,
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -21,8 +21,8 @@
 struct Inner {
     stream: TcpStream,
     aborted: Cell<bool>,
-    /// Since when an exchange uses the connection.
-    busy_since: Cell<Option<Instant>>,
+    /// The start of the exchange that uses the connection, and whether its request may be repeated.
+    exchange: Cell<Option<(Instant, bool)>>,
     received_at: Cell<Instant>,
 }
 
@@ -31,6 +31,8 @@
 pub struct Exchange {
     /// When the exchange began.
     pub began: Instant,
+    /// Whether its request may be repeated at another server.
+    pub repeatable: bool,
     /// When data was last received on the connection, during this exchange or before.
     pub received_at: Instant,
 }
@@ -55,14 +57,21 @@
     /// The exchange that uses the connection, if there is one.
     pub fn exchange(&self) -> Option<Exchange> {
         let inner = self.0.upgrade()?;
-        let began = inner.busy_since.get()?;
-        Some(Exchange { began, received_at: inner.received_at.get() })
+        let (began, repeatable) = inner.exchange.get()?;
+        Some(Exchange { began, repeatable, received_at: inner.received_at.get() })
     }
 
-    /// Marks the connection as used by an exchange, or as idle.
-    pub fn set_busy(&self, busy: bool) {
+    /// Marks the connection as used by an exchange.
+    pub fn begin_exchange(&self, repeatable: bool) {
         if let Some(inner) = self.0.upgrade() {
-            inner.busy_since.set(busy.then(Instant::now));
+            inner.exchange.set(Some((Instant::now(), repeatable)));
+        }
+    }
+
+    /// Marks the connection as idle.
+    pub fn end_exchange(&self) {
+        if let Some(inner) = self.0.upgrade() {
+            inner.exchange.set(None);
         }
     }
 
@@ -83,7 +92,7 @@
         Self(Rc::new(Inner {
             stream,
             aborted: Cell::new(false),
-            busy_since: Cell::new(None),
+            exchange: Cell::new(None),
             received_at: Cell::new(Instant::now()),
         }))
     }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,11 +1,68 @@
 //! HTTP clients that detect half-open connections.
 
-use crate::keep_alive;
+use crate::{keep_alive, links};
 use actix_service::ServiceExt;
 use actix_tls::connect;
 use std::net;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// A connection through another router is not reused when it is older than this, so that it does not keep a router that
+/// stops waiting.
+const RELAYED_AGE_MAX: Duration = Duration::from_secs(2);
+
+/// Clients for backend servers, whose connections are made over the router's links.
+#[derive(Clone)]
+pub struct ServerClients {
+    links: Arc<links::Links>,
+    direct: awc::Client,
+    /// For servers whose links are lost: it keeps no connections that were made before.
+    relayed: awc::Client,
+}
+
+impl ServerClients {
+    /// The links over which the connections are made.
+    pub fn links(&self) -> &links::Links {
+        &self.links
+    }
+
+    /// Clients without connections.
+    pub fn new(links: Arc<links::Links>) -> Self {
+        let connector = || {
+            let links = links.clone();
+            let connect = move |request: connect::ConnectInfo<awc::http::Uri>| {
+                let links = links.clone();
+                async move {
+                    let address = format!("{}:{}", request.hostname(), request.port());
+                    let connected = links.connect(&address).await;
+                    let established =
+                        connected.map_err(|error| connect::ConnectError::Io(error.into()))?;
+                    Ok(connect::Connection::new(request.request().clone(), established.stream))
+                }
+            };
+            awc::Connector::new().connector(actix_service::fn_service(connect))
+        };
+        let build = |connector| {
+            awc::Client::builder()
+                .connector(connector)
+                .disable_redirects()
+                .disable_timeout()
+                .finish()
+        };
+        let direct = build(connector());
+        let relayed = build(connector().conn_lifetime(RELAYED_AGE_MAX));
+        Self { links, direct, relayed }
+    }
+
+    /// The client for the server at an address.
+    pub fn client(&self, address: &str) -> &awc::Client {
+        match self.links.is_lost(address) {
+            true => &self.relayed,
+            false => &self.direct,
+        }
+    }
+}
+
 /// Builds a client that connects from the address `local`, unless that is unspecified, within `connect_timeout`. The
 /// client has no timeout for calls; each call sets its own.
 pub fn build(
--- a/src/links.rs
+++ b/src/links.rs
@@ -160,6 +160,19 @@
         }
     }
 
+    /// Finds out whether the link to the server at an address is lost, after a poll of its load was not answered.
+    pub async fn check_after_poll(&self, address: &str) {
+        if !lock(&self.table).take_poll_check(address, self.now_ms()) {
+            return;
+        }
+        if let Err(error) = self.connect(address).await {
+            log::debug!(
+                "event=link_check_failed server={address} fault={}",
+                crate::logging::quoted(error)
+            );
+        }
+    }
+
     /// Whether this router's own link to the server at an address is lost.
     pub fn is_lost(&self, address: &str) -> bool {
         lock(&self.table).is_lost(address)
@@ -178,6 +191,11 @@
         }
     }
 
+    /// Sets the addresses of some servers in the list, which show whether any link works.
+    pub fn set_listed(&self, addresses: Vec<String>) {
+        lock(&self.table).set_listed(addresses);
+    }
+
     /// Removes and returns the changes since the last call.
     pub fn take_changes(&self) -> Vec<links::Change> {
         std::mem::take(&mut lock(&self.changes))
@@ -366,7 +384,9 @@
         if self.received_ms.load(Ordering::Relaxed) > since_ms {
             return Some(true);
         }
-        Some(self.reach(&others).await.contains(&true))
+        // The first one is the most likely to be reached.
+        let (first, others) = others.split_at(1);
+        Some(self.reach(first).await == [true] || self.reach(others).await.contains(&true))
     }
 
     /// Connects to these servers over the own links; returns which of them were reached.
@@ -379,8 +399,25 @@
         future::join_all(attempts).await
     }
 
-    /// Asks other routers for a connection, the next one when one does not have it or is slow.
+    /// Asks other routers for a connection, unless they have just found that the server fails.
     async fn ask_peers(&self, address: &str) -> PeersReply {
+        match lock(&self.table).server_fault(address, self.now_ms()) {
+            Some(links::ServerFault::Refused) => return PeersReply::Refused,
+            Some(links::ServerFault::Unresponsive) => return PeersReply::Unresponsive,
+            None => {}
+        }
+        let reply = self.ask_peers_anew(address).await;
+        let fault = match &reply {
+            PeersReply::Refused => links::ServerFault::Refused,
+            PeersReply::Unresponsive => links::ServerFault::Unresponsive,
+            PeersReply::Connected(_) | PeersReply::Unknown => return reply,
+        };
+        lock(&self.table).record_server_fault(address, fault, self.now_ms());
+        reply
+    }
+
+    /// Asks other routers for a connection, the next one when one does not have it or is slow.
+    async fn ask_peers_anew(&self, address: &str) -> PeersReply {
         let peers = self.peers.load_full();
         let (candidates, further, patience_ms) = {
             let table = lock(&self.table);
--- a/src/model.rs
+++ b/src/model.rs
@@ -4,7 +4,7 @@
 //! Requests to engines are always for a stream, so that the router can count the tokens that the caller has received and
 //! resume after them. The caller gets one complete answer without repeated tokens.
 
-use crate::{answers, api_error, completion, control, upstream};
+use crate::{answers, api_error, completion, control, http_client, upstream};
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
 use doorswitch_core::node;
@@ -37,7 +37,7 @@
     /// The address of the control thread.
     pub control: Addr<control::Control>,
     /// The HTTP client for engines.
-    pub http: awc::Client,
+    pub http: http_client::ServerClients,
     /// The request as the caller sent it.
     pub request: completion::Request,
     /// The largest number of tokens in the answer.
@@ -66,6 +66,8 @@
     DeadlineExceeded,
     /// Nothing was sent to the engine.
     NotSent,
+    /// Nothing was sent: neither this router nor another one that it asked reaches the engine.
+    NoRoute,
     /// The engine stated that it did not run the request.
     NotRun,
     /// The engine answered with an error or an unreadable event.
@@ -145,6 +147,7 @@
                 }
                 AttemptEnd::NotRun => node::AttemptFailure::Rejected,
                 AttemptEnd::NotSent => node::AttemptFailure::NotSent,
+                AttemptEnd::NoRoute => node::AttemptFailure::NoRoute,
             };
             progress.may_have_run |= failure == node::AttemptFailure::MayHaveRun;
             log::info!(
@@ -191,10 +194,15 @@
         let resume_from = progress.delivered_tokens;
         let body = self.request.upstream_body(self.answer_tokens, self.priority, resume_from);
         let url = format!("http://{}{}", placement.address, self.request.endpoint.path());
-        let request = self.http.post(url).insert_header(("x-attempt-id", placement.attempt.0));
+        let request = self
+            .http
+            .client(&placement.address)
+            .post(url)
+            .insert_header(("x-attempt-id", placement.attempt.0));
         let sent = Instant::now();
         let mut response = match request.send_json(&body).await {
             Ok(response) => response,
+            Err(error) if upstream::is_no_route(&error) => return AttemptEnd::NoRoute,
             Err(error) if upstream::is_not_sent(&error) => return AttemptEnd::NotSent,
             Err(error) if upstream::is_connection_lost(&error) => {
                 return AttemptEnd::ConnectionLost;
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -4,7 +4,7 @@
 //! was sent and no answer is received, the caller gets the error that the outcome is unknown, never that the call did
 //! not run.
 
-use crate::{api_error, control, upstream};
+use crate::{api_error, control, http_client, upstream};
 use actix::prelude::Addr;
 use actix_web::error::PayloadError;
 use actix_web::http::{Method, StatusCode, header};
@@ -22,7 +22,7 @@
     /// The address of the control thread.
     pub control: Addr<control::Control>,
     /// The HTTP client for services.
-    pub http: awc::Client,
+    pub http: http_client::ServerClients,
     /// The HTTP method.
     pub method: Method,
     /// The path and query string within the service.
@@ -49,6 +49,8 @@
     Answered { status: StatusCode, content_type: String, body: bytes::Bytes },
     /// Nothing was sent to the server.
     NotSent,
+    /// Nothing was sent: neither this router nor another one that it asked reaches the server.
+    NoRoute,
     /// The server stated that it did not run the call.
     Rejected,
     /// The connection ended before the answer was complete.
@@ -84,6 +86,7 @@
                     return response.insert_header(("Content-Type", content_type)).body(body);
                 }
                 AttemptEnd::NotSent => node::AttemptFailure::NotSent,
+                AttemptEnd::NoRoute => node::AttemptFailure::NoRoute,
                 AttemptEnd::Rejected => node::AttemptFailure::Rejected,
                 AttemptEnd::Unknown | AttemptEnd::ConnectionLost if self.unrepeatable => {
                     upstream::finish(&self.control, slot, node::RequestOutcome::Unknown).await;
@@ -119,7 +122,7 @@
     async fn attempt_server(&self, placement: &upstream::Placement) -> AttemptEnd {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let url = format!("http://{}{}", placement.address, self.path);
-        let mut request = self.http.request(self.method.clone(), url);
+        let mut request = self.http.client(&placement.address).request(self.method.clone(), url);
         request = request
             .insert_header(("Idempotency-Key", self.id.as_str()))
             .insert_header(("x-attempt-id", placement.attempt.0))
@@ -135,6 +138,7 @@
         let sent = Instant::now();
         let mut response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
+            Err(error) if upstream::is_no_route(&error) => return AttemptEnd::NoRoute,
             Err(error) if upstream::is_not_sent(&error) => return AttemptEnd::NotSent,
             Err(error) if upstream::is_connection_lost(&error) => {
                 return AttemptEnd::ConnectionLost;
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -173,6 +173,13 @@
         && matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_))
 }
 
+/// Whether a call failed because there is no way to the server, which says nothing about the server itself.
+pub fn is_no_route(error: &awc::error::SendRequestError) -> bool {
+    use awc::error::{ConnectError, SendRequestError};
+    let SendRequestError::Connect(ConnectError::Io(error)) = error else { return false };
+    error.kind() == std::io::ErrorKind::NetworkUnreachable
+}
+
 /// Whether a server's answer states that it rejected the request without running it.
 pub fn is_rejection(status: StatusCode, body: &[u8]) -> bool {
     let states_not_run = || {
--- a/standins/src/backend.rs
+++ b/standins/src/backend.rs
@@ -1,6 +1,7 @@
 //! A scripted backend server of the users' platform. A test decides for each request which bytes are written and how
 //! the connection ends, so that it can produce any malformed answer.
 
+use crate::network;
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -98,6 +99,8 @@
     down_until: Option<Instant>,
     /// How often the server has started to listen.
     starts: usize,
+    /// Sources that cannot connect, because their segments are dropped.
+    dropped: Vec<net::Ipv4Addr>,
 }
 
 impl Shared {
@@ -122,6 +125,7 @@
             listener_closes: None,
             down_until: None,
             starts: 1,
+            dropped: Vec::new(),
         });
         let shared = Arc::new(Shared { state, stopped: AtomicBool::new(false) });
         let acceptor_shared = shared.clone();
@@ -144,6 +148,11 @@
         self.shared.lock().arrivals.clone()
     }
 
+    /// Drops the segments of these sources that open connections; open connections are unaffected.
+    pub fn drop_connections_of(&self, sources: Vec<net::Ipv4Addr>) {
+        self.shared.lock().dropped = sources;
+    }
+
     /// When each crash of the server began.
     pub fn crashes(&self) -> Vec<Instant> {
         self.shared.lock().crashes.clone()
@@ -172,12 +181,14 @@
 fn accept(listener: net::TcpListener, address: net::SocketAddr, shared: &Arc<Shared>) {
     let mut threads = Vec::new();
     let mut listener = Some(listener);
+    let mut dropped = Vec::new();
     while !shared.stopped.load(Ordering::Relaxed) {
         let Some(down_until) = update_listener_state(shared) else {
             // Only the listening socket of the crashed process is left: no connection is accepted.
             thread::sleep(LISTENER_CLOSE_CHECK_INTERVAL);
             continue;
         };
+        apply_filter(listener.as_ref(), shared, &mut dropped);
         match (down_until, &listener) {
             // Without a listener the kernel refuses connections.
             (Some(_), Some(_)) => listener = None,
@@ -204,6 +215,25 @@
     }
 }
 
+/// Keeps the filter of the listening socket equal to the sources whose connections are dropped.
+fn apply_filter(
+    listener: Option<&net::TcpListener>,
+    shared: &Shared,
+    applied: &mut Vec<net::Ipv4Addr>,
+) {
+    let Some(listener) = listener else {
+        // The next listening socket has no filter.
+        applied.clear();
+        return;
+    };
+    let dropped = shared.lock().dropped.clone();
+    if *applied != dropped {
+        let filter = network::drop_segments_of(&dropped);
+        let _ = socket2::SockRef::from(listener).attach_filter(&filter);
+        *applied = dropped;
+    }
+}
+
 /// Applies a listener close that is due. Returns until when the server refuses connections, if it does; the outer
 /// `None` means that of a crashed process only the listening socket is left.
 fn update_listener_state(shared: &Shared) -> Option<Option<Instant>> {
--- a/standins/src/network.rs
+++ b/standins/src/network.rs
@@ -182,7 +182,7 @@
 }
 
 /// A socket filter that drops the segments of these sources.
-fn drop_segments_of(sources: &[Ipv4Addr]) -> Vec<socket2::SockFilter> {
+pub(crate) fn drop_segments_of(sources: &[Ipv4Addr]) -> Vec<socket2::SockFilter> {
     let load = socket2::SockFilter::new(BPF_LOAD_WORD, 0, 0, IPV4_SOURCE_OFFSET);
     let accept_all = socket2::SockFilter::new(BPF_RETURN, 0, 0, u32::MAX);
     let mut filter = vec![load];
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -250,6 +250,11 @@
         fleet::eventually("the router is ready", || self.ready(index) == Some(200));
     }
 
+    /// The address at which a router receives connections of its peers.
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.routers[index].peers
+    }
+
     /// Waits until a router lists this many peers as alive.
     pub fn wait_for_peers(&self, index: usize, count: usize) {
         fleet::eventually("the router lists its peers as alive", || {
