Keep using open connections over lost links that work; refuse at once where no router reaches a server

Cause: (1) a lost link counted for open connections too. (2) A router that reaches servers of another service confirmed the refusal. (3) Each failed connection asked up to eight routers, each of which tried the server and others again.

Change: (1) idle connections over a lost link are used while data arrives on open ones after the loss. (2) Only other servers of the same service show that a server has failed and not the links to its service. (3) What routers found of a server holds for 0.5 s, also where none could tell; while all own links are lost and no other router reaches a server, nothing is tried. Checks of silent ways start at twice the usual silence of the way, or 0.5 s of a server.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -4,7 +4,7 @@
 //! it has failed. Another router that reaches the server tells the two apart, and forwards the connection meanwhile.
 //! The router's own link is used again as soon as a check, which no request waits for, succeeds on it.
 
-use crate::ids;
+use crate::{ids, message};
 use rand::rngs;
 use rand::seq::{IndexedRandom, SliceRandom};
 use std::{cmp, collections};
@@ -30,6 +30,9 @@
 const SERVER_FAULT_TTL_MS: u64 = 500;
 /// The minimum interval between two checks of a link because a server did not answer a poll of its load.
 const POLL_CHECK_INTERVAL_MS: u64 = 2_000;
+/// Open connections over a lost link work if data arrived on one of them this recently, and this long after the loss.
+const OPEN_WORKS_TTL_MS: u64 = 1_000;
+const OPEN_WORKS_MIN_MS: u64 = 50;
 /// A link that was not used for this long is forgotten.
 const UNUSED_TTL_MS: u64 = 60_000;
 
@@ -56,15 +59,19 @@
     },
     /// Only other routers: the own link is lost.
     PeersOnly,
+    /// None: no server is reached over an own link, and other routers could not connect to one just now either.
+    None,
 }
 
-/// How a server fails according to other routers, which reach other servers.
+/// How a server fails according to other routers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerFault {
     /// Its address refuses connections.
     Refused,
     /// It does not respond.
     Unresponsive,
+    /// None of them could tell: they reach no other server of its service either, or did not answer.
+    Unknown,
 }
 
 /// A change of the links, for the log and for the failures that were counted against servers because of it.
@@ -95,8 +102,12 @@
     reached_ms: Option<u64>,
     /// When one last failed.
     failed_ms: Option<u64>,
+    /// When data last arrived on an open connection.
+    received_ms: Option<u64>,
     /// The last word of other routers that the server fails, and when it was received.
     server_fault: Option<(ServerFault, u64)>,
+    /// The last answer to another router that asked for a connection to this server, if there was none, and its time.
+    refused_peers: Option<(message::ConnectReply, u64)>,
     /// When the link was last checked because of a poll.
     poll_checked_ms: Option<u64>,
 }
@@ -105,9 +116,11 @@
 #[derive(Debug, Default)]
 pub struct Table {
     links: collections::BTreeMap<String, Link>,
-    /// Some servers of the list, which may not have been used yet.
-    listed: Vec<String>,
+    /// The services of the servers in the list, by address.
+    services: collections::BTreeMap<String, String>,
     all_lost_since_ms: Option<u64>,
+    /// When other routers were last asked for a server and none of them could tell.
+    peers_unknown_ms: Option<u64>,
     compared_ms: Option<u64>,
     /// Until when routers that could not forward a connection are asked last: to any server, or to one address.
     avoided_until_ms: collections::BTreeMap<(ids::Incarnation, Option<String>), u64>,
@@ -117,7 +130,11 @@
     /// The order of ways to the server at an address.
     pub fn order(&mut self, address: &str, now_ms: u64) -> Order {
         let all_lost = self.all_lost();
+        let peers_unknown = self.peers_unknown_ms;
         let link = self.link(address, now_ms);
+        if all_lost && peers_unknown.is_some_and(|at_ms| now_ms < at_ms + SERVER_FAULT_TTL_MS) {
+            return Order::None;
+        }
         match all_lost || link.lost_since_ms.is_some() {
             true => Order::PeersOnly,
             false => Order::OwnFirst { head_start_ms: self.patience_ms(address) },
@@ -160,6 +177,7 @@
         link.connect_ms = took_ms.max((link.connect_ms + took_ms) / 2);
         link.reached_ms = Some(now_ms);
         link.server_fault = None;
+        link.refused_peers = None;
         let lost_since_ms = link.lost_since_ms.take();
         if let Some(since_ms) = self.all_lost_since_ms.take() {
             self.links.values_mut().for_each(|link| link.lost_since_ms = None);
@@ -168,6 +186,30 @@
         lost_since_ms.map(|_| Change::Restored(address.to_owned()))
     }
 
+    /// Records when data last arrived on an open connection over the own link.
+    pub fn record_received(&mut self, address: &str, at_ms: u64) {
+        if let Some(link) = self.links.get_mut(address) {
+            link.received_ms = link.received_ms.max(Some(at_ms));
+        }
+    }
+
+    /// Whether connections over the own link that are open work: the link is not lost, or only new connections fail.
+    pub fn open_connections_work(&self, address: &str, now_ms: u64) -> bool {
+        let link = self.links.get(address);
+        let (since_ms, received_ms) = match self.all_lost_since_ms {
+            Some(since_ms) => {
+                (since_ms, self.links.values().filter_map(|link| link.received_ms).max())
+            }
+            None => match link.and_then(|link| link.lost_since_ms) {
+                Some(since_ms) => (since_ms, link.and_then(|link| link.received_ms)),
+                None => return true,
+            },
+        };
+        received_ms.is_some_and(|at_ms| {
+            at_ms >= since_ms + OPEN_WORKS_MIN_MS && now_ms < at_ms + OPEN_WORKS_TTL_MS
+        })
+    }
+
     /// Records that a connection over the own link failed.
     pub fn record_not_reached(&mut self, address: &str, now_ms: u64) {
         self.link(address, now_ms).failed_ms = Some(now_ms);
@@ -176,6 +218,9 @@
     /// Records the word of other routers that a server fails.
     pub fn record_server_fault(&mut self, address: &str, fault: ServerFault, now_ms: u64) {
         self.link(address, now_ms).server_fault = Some((fault, now_ms));
+        if fault == ServerFault::Unknown {
+            self.peers_unknown_ms = Some(now_ms);
+        }
     }
 
     /// The word of other routers that a server fails, if it is recent.
@@ -184,6 +229,22 @@
         (now_ms < at_ms + SERVER_FAULT_TTL_MS).then_some(fault)
     }
 
+    /// Records the answer to another router for which no connection to a server could be opened.
+    pub fn record_refused_peer(
+        &mut self,
+        address: &str,
+        reply: message::ConnectReply,
+        now_ms: u64,
+    ) {
+        self.link(address, now_ms).refused_peers = Some((reply, now_ms));
+    }
+
+    /// The answer that other routers get without another attempt, because one failed lately.
+    pub fn refused_peer(&self, address: &str, now_ms: u64) -> Option<message::ConnectReply> {
+        let (reply, at_ms) = self.links.get(address)?.refused_peers?;
+        (now_ms < at_ms + SERVER_FAULT_TTL_MS).then_some(reply)
+    }
+
     /// Whether a link is to be checked because the server did not answer a poll; if so, the next check is due later.
     pub fn take_poll_check(&mut self, address: &str, now_ms: u64) -> bool {
         let link = self.link(address, now_ms);
@@ -221,20 +282,45 @@
         Some(self.others(address, CHECKED_MAX, rng))
     }
 
-    /// Sets the addresses of some servers in the list, which show whether any link works.
-    pub fn set_listed(&mut self, addresses: Vec<String>) {
-        self.listed = addresses;
+    /// Sets the services of the servers in the list, by address.
+    pub fn set_services(&mut self, services: collections::BTreeMap<String, String>) {
+        self.services = services;
+    }
+
+    /// Addresses of at most `count` other servers of the same service whose links are not known to be lost; `None` if
+    /// the service has no other server. They show whether a server has failed or the links to its service.
+    pub fn others_of_service(
+        &self,
+        address: &str,
+        count: usize,
+        rng: &mut rngs::StdRng,
+    ) -> Option<Vec<String>> {
+        let service = self.services.get(address)?;
+        let of_service = |other: &str| self.services.get(other) == Some(service);
+        let any = self.services.keys().any(|other| other != address && of_service(other));
+        any.then(|| self.select_others(address, of_service, count, rng))
     }
 
-    /// Addresses of at most `count` other servers whose links are not known to be lost. Those that were reached last
-    /// come first, and those that failed since then last.
+    /// Addresses of at most `count` other servers whose links are not known to be lost.
     pub fn others(&self, address: &str, count: usize, rng: &mut rngs::StdRng) -> Vec<String> {
-        let unused = self.listed.iter().filter(|other| !self.links.contains_key(*other));
+        self.select_others(address, |_| true, count, rng)
+    }
+
+    /// Those that were reached last come first, and those that failed since then last.
+    fn select_others(
+        &self,
+        address: &str,
+        allowed: impl Fn(&str) -> bool,
+        count: usize,
+        rng: &mut rngs::StdRng,
+    ) -> Vec<String> {
+        let unused = self.services.keys().filter(|other| !self.links.contains_key(*other));
         let unused = unused.map(|other| (other, Link::default()));
         let used = self.links.iter().map(|(other, link)| (other, *link));
         let others = used.chain(unused);
         let mut others: Vec<(&String, Link)> = others
             .filter(|(other, link)| *other != address && link.lost_since_ms.is_none())
+            .filter(|(other, _)| allowed(other))
             .collect();
         others.shuffle(rng);
         others.sort_by_key(|(_, link)| {
--- a/core/tests/links.rs
+++ b/core/tests/links.rs
@@ -3,8 +3,8 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use doorswitch_core::links::{Change, Order, Peer, Table};
-use doorswitch_core::{ids, servers};
+use doorswitch_core::links::{Change, Order, Peer, ServerFault, Table};
+use doorswitch_core::{ids, message, servers};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -87,6 +87,37 @@
     }
 }
 
+#[test]
+fn no_way_is_tried_while_neither_own_links_nor_other_routers_reach_any_server() {
+    let mut table = reached();
+    table.record_none_reached(2_000);
+    table.record_server_fault(FIRST, ServerFault::Unknown, 2_000);
+    assert_eq!(table.order(SECOND, 2_499), Order::None);
+    assert_eq!(table.order(SECOND, 2_500), Order::PeersOnly);
+    table.record_reached(THIRD, 1, 2_501);
+    table.record_server_fault(FIRST, ServerFault::Unknown, 2_502);
+    assert!(matches!(table.order(SECOND, 2_503), Order::OwnFirst { .. }));
+}
+
+#[test]
+fn open_connections_are_used_while_data_arrives_on_them_after_the_loss() {
+    let mut table = reached();
+    table.record_received(FIRST, 1_990);
+    assert!(table.open_connections_work(FIRST, 2_000));
+    table.record_lost(FIRST, 2_000);
+    assert!(!table.open_connections_work(FIRST, 2_001));
+    assert!(table.open_connections_work(SECOND, 2_001));
+    table.record_received(FIRST, 2_049);
+    assert!(!table.open_connections_work(FIRST, 2_050), "data that was on its way");
+    table.record_received(FIRST, 2_050);
+    assert!(table.open_connections_work(FIRST, 3_049));
+    assert!(!table.open_connections_work(FIRST, 3_050));
+    table.record_none_reached(4_000);
+    assert!(!table.open_connections_work(SECOND, 4_001));
+    table.record_received(THIRD, 4_050);
+    assert!(table.open_connections_work(SECOND, 4_051));
+}
+
 #[test]
 fn comparisons_are_not_repeated_at_once() {
     let mut table = reached();
@@ -130,6 +161,31 @@
     assert_eq!(table.others(FIRST, 1, &mut rng()), [THIRD]);
 }
 
+#[test]
+fn only_servers_of_the_same_service_tell_a_failed_server_from_lost_links_to_its_service() {
+    let mut table = reached();
+    let services =
+        [(FIRST, "model"), (SECOND, "plain"), (THIRD, "model"), ("10.0.0.4:80", "alone")];
+    table.set_services(services.map(|(one, two)| (one.to_owned(), two.to_owned())).into());
+    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [THIRD]);
+    assert_eq!(table.others_of_service("10.0.0.4:80", 4, &mut rng()), None);
+    table.record_lost(THIRD, 2_000);
+    assert!(table.others_of_service(FIRST, 4, &mut rng()).unwrap().is_empty());
+}
+
+#[test]
+fn what_other_routers_found_of_a_failed_server_holds_for_a_moment_and_until_it_is_reached() {
+    let mut table = reached();
+    table.record_server_fault(FIRST, ServerFault::Refused, 2_000);
+    assert_eq!(table.server_fault(FIRST, 2_499), Some(ServerFault::Refused));
+    assert_eq!(table.server_fault(FIRST, 2_500), None);
+    table.record_refused_peer(FIRST, message::ConnectReply::Refused, 3_000);
+    table.record_server_fault(FIRST, ServerFault::Refused, 3_000);
+    table.record_reached(FIRST, 1, 3_001);
+    assert_eq!(table.server_fault(FIRST, 3_002), None);
+    assert_eq!(table.refused_peer(FIRST, 3_002), None);
+}
+
 #[test]
 fn links_that_are_no_longer_used_are_forgotten() {
     let mut table = reached();
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,6 @@
 use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
 use doorswitch_core::{config, ids, links as core_links, members, node, servers, store, watch};
 use futures_util::future;
-use rand::seq::IteratorRandom;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use std::{collections, net};
@@ -20,9 +19,8 @@
 
 /// The time between two calls of the core's periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// The time between two samples of the listed servers, by which lost links are recognized, and their size.
-const LISTED_INTERVAL: Duration = Duration::from_secs(1);
-const LISTED_SAMPLE: usize = 16;
+/// How often the services of the listed servers are passed to the links.
+const SERVICES_INTERVAL: Duration = Duration::from_secs(1);
 /// The mean delay before a watch that failed is repeated; jitter is added.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The minimum time between two log lines for unreadable eras, in milliseconds.
@@ -159,12 +157,12 @@
         }
     }
 
-    fn offer_listed_servers(&mut self, _: &mut Context<Self>) {
-        let servers = self.node.servers().iter();
-        let live = servers.filter(|(_, server)| server.is_live());
-        let sample =
-            live.map(|(_, server)| &server.vm.address).sample(&mut rand::rng(), LISTED_SAMPLE);
-        self.links.set_listed(sample.into_iter().cloned().collect());
+    fn offer_services(&mut self, _: &mut Context<Self>) {
+        let servers = self.node.servers().iter().filter(|(_, server)| server.is_live());
+        let services = servers
+            .map(|(_, server)| (server.vm.address.clone(), server.vm.service.clone()))
+            .collect();
+        self.links.set_services(services);
     }
 
     /// The live routers that may be asked for connections to servers.
@@ -385,7 +383,7 @@
             }
         }
         context.run_interval(TICK_INTERVAL, Control::tick);
-        context.run_interval(LISTED_INTERVAL, Control::offer_listed_servers);
+        context.run_interval(SERVICES_INTERVAL, Control::offer_services);
         match self.platform.clone() {
             stores::Store::Consul(client) => {
                 self.watch_config(client.clone(), context);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -149,7 +149,6 @@
     answer: backends::Answer,
     mut connection: backends::Connection,
 ) -> Outcome {
-    context.backends.record_head(&placement.address, sent.elapsed());
     let head =
         answers::decode_head(answer.status().as_u16(), answer.headers(), &call.parameters.id);
     if let Some((running, queued, slots)) = head.load {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -92,6 +92,11 @@
         self.idle_max = None;
     }
 
+    /// Whether it leads through another router and is too old to be reused.
+    fn is_aged_relay(&self) -> bool {
+        self.via.is_some() && self.established.elapsed() >= RELAYED_AGE_MAX
+    }
+
     /// Reads from the headers of an answer how long the server keeps the connection open.
     pub fn record_keep_alive(&mut self, headers: &HeaderMap) {
         let closes = headers
@@ -129,19 +134,21 @@
     abort_handle: Rc<socket::AbortHandle>,
 }
 
-/// A connection on which an exchange waits for data from the server.
+/// A connection to a server, in an exchange or idle.
 #[derive(Clone, Debug)]
-pub struct Waiting {
+pub struct OpenConnection {
     /// The server, and one of the requests that were sent to it.
     pub placement: Rc<upstream::Placement>,
     /// The router through which the connection leads; `None` if it is direct.
     pub via: Option<Rc<str>>,
-    /// The exchange.
-    pub exchange: socket::Exchange,
+    /// The exchange that uses the connection, if there is one.
+    pub exchange: Option<socket::Exchange>,
+    /// When data was last received on the connection, or else when it was established.
+    pub received_at: Instant,
     abort_handle: Rc<socket::AbortHandle>,
 }
 
-impl Waiting {
+impl OpenConnection {
     /// Aborts the connection; its exchange ends as if the server had closed it.
     pub fn abort(&self) {
         self.abort_handle.abort();
@@ -161,8 +168,6 @@
     idle: RefCell<HashMap<Upstream, Vec<Idle>>>,
     /// All connections, idle ones included, so that those to earlier server incarnations can be aborted.
     open: RefCell<Vec<Open>>,
-    /// How long each server takes until the head of an answer, in milliseconds, by its address.
-    head_ms: RefCell<HashMap<String, u64>>,
     /// Running probes, whose result concurrent callers share.
     probes: RefCell<HashMap<Upstream, Rc<OnceCell<probe::ProbeResult>>>>,
     /// Tasks that check for a while whether connections that probes established stay open.
@@ -176,7 +181,6 @@
             links,
             idle: Default::default(),
             open: Default::default(),
-            head_ms: Default::default(),
             probes: Default::default(),
             probe_watches: Default::default(),
         }
@@ -312,31 +316,22 @@
         }
     }
 
-    /// The connections on which exchanges wait for servers.
-    pub fn waiting(&self) -> Vec<Waiting> {
+    /// All connections, if an exchange waits on any of them; otherwise none.
+    pub fn connections_if_waiting(&self) -> Vec<OpenConnection> {
         let open = self.open.borrow();
-        let waiting = open.iter().filter_map(|open| {
-            Some(Waiting {
-                exchange: open.abort_handle.exchange()?,
+        if open.iter().all(|open| open.abort_handle.exchange().is_none()) {
+            return Vec::new();
+        }
+        let connections = open.iter().filter_map(|open| {
+            Some(OpenConnection {
+                exchange: open.abort_handle.exchange(),
+                received_at: open.abort_handle.received_at()?,
                 placement: open.placement.clone(),
                 via: open.via.clone(),
                 abort_handle: open.abort_handle.clone(),
             })
         });
-        waiting.collect()
-    }
-
-    /// Records that the head of an answer arrived `took` after its request was sent.
-    pub fn record_head(&self, address: &str, took: Duration) {
-        let took_ms = took.as_millis() as u64;
-        let mut head_ms = self.head_ms.borrow_mut();
-        let longest_ms = head_ms.entry(address.to_owned()).or_default();
-        *longest_ms = took_ms.max((*longest_ms * 7 + took_ms) / 8);
-    }
-
-    /// How long the server at an address lately took until the head of an answer; `None` if it is not known.
-    pub fn head_time(&self, address: &str) -> Option<Duration> {
-        self.head_ms.borrow().get(address).map(|ms| Duration::from_millis(*ms))
+        connections.collect()
     }
 
     /// The links over which new connections are made.
@@ -379,7 +374,7 @@
         for idle_connections in idle.values_mut() {
             idle_connections.retain(|idle| {
                 let open = now < idle.expires && !idle.connection.sender.is_closed();
-                open && self.may_reuse(&idle.connection)
+                open && !idle.connection.is_aged_relay()
             });
         }
         idle.retain(|_, idle_connections| !idle_connections.is_empty());
@@ -403,20 +398,17 @@
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.get_mut(upstream)?;
         let now = Instant::now();
+        idle_connections.retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
         // The server is the least likely to have closed the connection that was used last.
-        while let Some(Idle { connection, expires }) = idle_connections.pop() {
-            if now < expires && !connection.sender.is_closed() && self.may_reuse(&connection) {
-                return Some(connection);
-            }
-        }
-        None
+        let last = idle_connections.iter().rposition(|idle| self.may_reuse(&idle.connection))?;
+        Some(idle_connections.remove(last).connection)
     }
 
-    /// Whether the way of an idle connection is still the one to use.
+    /// Whether the way of an idle connection still works.
     fn may_reuse(&self, connection: &Connection) -> bool {
         match connection.via {
-            None => !self.links.is_lost(&connection.upstream.address),
-            Some(_) => connection.established.elapsed() < RELAYED_AGE_MAX,
+            None => self.links.open_connections_work(&connection.upstream.address),
+            Some(_) => !connection.is_aged_relay(),
         }
     }
 }
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -4,6 +4,7 @@
 //! same way tells the two apart. It is made only while requests wait, and kept for the next request.
 
 use super::backends;
+use crate::upstream;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,12 +12,17 @@
 
 /// The time between two looks at the connections.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// A way is checked if nothing arrived on any of its connections for this long.
-const WAY_SILENCE_MAX: Duration = Duration::from_millis(150);
-/// A server is checked if nothing arrived from it for this multiple of the time that it takes for an answer.
-const SERVER_SILENCE_FACTOR: u32 = 4;
-const SERVER_SILENCE_MIN: Duration = Duration::from_millis(100);
+/// A server is checked if nothing arrived from it for this long.
 const SERVER_SILENCE_MAX: Duration = Duration::from_millis(500);
+/// A way is checked if nothing arrived on any of its connections for this multiple of its longest recent silence.
+const WAY_SILENCE_FACTOR: f64 = 2.0;
+/// The bounds of that silence.
+const WAY_SILENCE_MIN: Duration = Duration::from_millis(150);
+const WAY_SILENCE_MAX: Duration = Duration::from_millis(500);
+/// How long the silence of a way that is no longer used is remembered.
+const SILENCE_TTL: Duration = Duration::from_secs(60);
+/// The longest recent silence shrinks by this factor at each look.
+const SILENCE_DECAY: f64 = 0.999;
 /// The minimum time between two checks of the same way to the same server.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// An exchange on a lost way is given up after this silence if its request may be repeated. A shorter loss of the link
@@ -30,7 +36,7 @@
 
 /// Watches the connections until it is dropped.
 pub async fn watch(backends: Rc<backends::Backends>) {
-    let mut watch = Watch { backends, checked: HashMap::new(), lost_relays: HashMap::new() };
+    let mut watch = Watch::new(backends);
     let mut checks = task::JoinSet::new();
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
@@ -55,73 +61,132 @@
     checked: HashMap<(Way, String), Instant>,
     /// Routers that did not connect when they were checked, and when that was.
     lost_relays: HashMap<Rc<str>, Instant>,
+    silences: HashMap<Way, Silence>,
+}
+
+/// How long nothing arrives by one way.
+#[derive(Debug)]
+struct Silence {
+    /// At the last look.
+    last: Duration,
+    /// The longest one that ended lately.
+    longest: Duration,
+    looked_at: Instant,
+}
+
+impl Silence {
+    fn new(now: Instant) -> Self {
+        Self { last: Duration::ZERO, longest: Duration::ZERO, looked_at: now }
+    }
+
+    /// Records the silence at a look; it has ended if it was longer at the last one. Silences that a lost link causes
+    /// are not `usual`.
+    fn record(&mut self, current: Duration, usual: bool, now: Instant) {
+        self.longest = self.longest.mul_f64(SILENCE_DECAY);
+        if usual && current < self.last {
+            self.longest = self.longest.max(self.last);
+        }
+        self.last = current;
+        self.looked_at = now;
+    }
+
+    fn is_unusual(&self) -> bool {
+        let usual = self.longest.mul_f64(WAY_SILENCE_FACTOR);
+        self.last >= usual.clamp(WAY_SILENCE_MIN, WAY_SILENCE_MAX)
+    }
+}
+
+/// What arrives on some connections that have their way in common, and maybe their server.
+struct Group<'a> {
+    /// When data last arrived on any of them.
+    received_at: Instant,
+    /// The one whose exchange has waited for the longest time, with the start of the exchange.
+    longest: Option<(Instant, &'a backends::OpenConnection)>,
+}
+
+impl<'a> Group<'a> {
+    fn add(group: Option<Self>, connection: &'a backends::OpenConnection) -> Self {
+        let began = connection.exchange.map(|exchange| (exchange.began, connection));
+        let Some(group) = group else {
+            return Self { received_at: connection.received_at, longest: began };
+        };
+        let longest = [group.longest, began].into_iter().flatten();
+        Self {
+            received_at: group.received_at.max(connection.received_at),
+            longest: longest.min_by_key(|(began, _)| *began),
+        }
+    }
+
+    /// How long nothing has arrived while an exchange waits.
+    fn silence(&self, now: Instant) -> Duration {
+        let since = self.longest.map(|(began, _)| began.max(self.received_at));
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
 }
 
 impl Watch {
-    /// Gives up exchanges on lost ways, and returns the ways to check, each with the server to connect to.
-    fn look(&mut self, now: Instant) -> Vec<(Rc<crate::upstream::Placement>, Way)> {
-        let waiting = self.backends.waiting();
-        if waiting.is_empty() {
-            return Vec::new();
+    fn new(backends: Rc<backends::Backends>) -> Self {
+        Self {
+            backends,
+            checked: HashMap::new(),
+            lost_relays: HashMap::new(),
+            silences: HashMap::new(),
         }
+    }
+
+    /// Gives up exchanges on lost ways, and returns the ways to check, each with the server to connect to.
+    fn look(&mut self, now: Instant) -> Vec<(Rc<upstream::Placement>, Way)> {
+        let connections = self.backends.connections_if_waiting();
         self.checked.retain(|_, at| now.duration_since(*at) < CHECK_INTERVAL);
         self.lost_relays.retain(|_, at| now.duration_since(*at) < RELAY_LOST_TIME);
-        let mut ways: HashMap<Way, Vec<&backends::Waiting>> = HashMap::new();
-        for one in &waiting {
-            ways.entry(one.via.clone()).or_default().push(one);
-            let quiet = now.saturating_duration_since(one.exchange.quiet_since());
-            let hopeless =
-                || quiet >= GIVE_UP_SILENCE && self.is_lost(one) && !delivers(one, &waiting, now);
-            if one.exchange.repeatable && hopeless() {
-                log::info!(
-                    "event=exchange_given_up vm={} via={} quiet_ms={}",
-                    one.placement.vm,
-                    one.via.as_deref().unwrap_or("own_link"),
-                    quiet.as_millis()
-                );
-                one.abort();
+        self.silences.retain(|_, silence| now.duration_since(silence.looked_at) < SILENCE_TTL);
+        let groups = groups(&connections);
+        for ((way, address), group) in &groups {
+            if let (None, Some(address)) = (way, address) {
+                self.backends.links().record_received(address, group.received_at);
             }
         }
-        if let Some(received) = ways.get(&None).and_then(|direct| last_received(direct)) {
-            self.backends.links().record_received(received);
+        for one in &connections {
+            let server = (one.via.as_deref(), Some(one.placement.address.as_str()));
+            let silence = groups.get(&server).map(|group| group.silence(now));
+            if silence >= Some(GIVE_UP_SILENCE) && self.is_lost(one) {
+                give_up(one, now);
+            }
         }
-        let suspects = ways.values().flat_map(|waiting| self.suspects(waiting, now));
-        let suspects: Vec<backends::Waiting> = suspects.cloned().collect();
+        let usual = !self.backends.links().any_lost();
         let mut due = Vec::new();
-        for suspect in suspects {
-            let key = (suspect.via.clone(), suspect.placement.address.clone());
-            if !self.is_lost(&suspect) && !self.checked.contains_key(&key) {
-                self.checked.insert(key, now);
-                due.push((suspect.placement, suspect.via));
+        for ((way, address), group) in groups {
+            let current = group.silence(now);
+            let unusual = if address.is_some() {
+                current >= SERVER_SILENCE_MAX
+            } else {
+                let silence = self.silences.entry(way.map(Rc::from));
+                let silence = silence.or_insert_with(|| Silence::new(now));
+                silence.record(current, usual, now);
+                silence.is_unusual()
+            };
+            if let Some((_, suspect)) = group.longest.filter(|_| unusual)
+                && self.take_check(suspect, now)
+            {
+                due.push((suspect.placement.clone(), suspect.via.clone()));
             }
         }
         due
     }
 
-    /// The connections of one way whose servers are to be checked.
-    fn suspects<'a>(
-        &self,
-        waiting: &[&'a backends::Waiting],
-        now: Instant,
-    ) -> Vec<&'a backends::Waiting> {
-        let quiet =
-            |one: &backends::Waiting| now.saturating_duration_since(one.exchange.quiet_since());
-        let began = waiting.iter().map(|one| one.exchange.began).min();
-        let way_quiet = last_received(waiting)
-            .max(began)
-            .is_some_and(|since| now.saturating_duration_since(since) >= WAY_SILENCE_MAX);
-        let longest = waiting.iter().copied().max_by_key(|one| quiet(one));
-        let silent = waiting.iter().copied().filter(|one| {
-            let head_time = self.backends.head_time(&one.placement.address);
-            let usual = head_time.unwrap_or(SERVER_SILENCE_MAX) * SERVER_SILENCE_FACTOR;
-            quiet(one) >= usual.clamp(SERVER_SILENCE_MIN, SERVER_SILENCE_MAX)
-        });
-        longest.filter(|_| way_quiet).into_iter().chain(silent).collect()
+    /// Whether the way of a connection is to be checked; if so, the next check is due later.
+    fn take_check(&mut self, suspect: &backends::OpenConnection, now: Instant) -> bool {
+        let key = (suspect.via.clone(), suspect.placement.address.clone());
+        let due = !self.is_lost(suspect) && !self.checked.contains_key(&key);
+        if due {
+            self.checked.insert(key, now);
+        }
+        due
     }
 
-    fn is_lost(&self, waiting: &backends::Waiting) -> bool {
-        match &waiting.via {
-            None => self.backends.links().is_lost(&waiting.placement.address),
+    fn is_lost(&self, connection: &backends::OpenConnection) -> bool {
+        match &connection.via {
+            None => self.backends.links().is_lost(&connection.placement.address),
             Some(relay) => self.lost_relays.contains_key(relay),
         }
     }
@@ -135,17 +200,29 @@
     }
 }
 
-/// Whether data arrived lately on a connection that leads the same way to the same server: connections that were open
-/// before a link was lost may live on.
-fn delivers(one: &backends::Waiting, waiting: &[backends::Waiting], now: Instant) -> bool {
-    waiting.iter().any(|other| {
-        other.via == one.via
-            && other.placement.address == one.placement.address
-            && now.saturating_duration_since(other.exchange.received_at) < GIVE_UP_SILENCE
-    })
+/// The connections by their way, and by their way and server.
+fn groups(
+    connections: &[backends::OpenConnection],
+) -> HashMap<(Option<&str>, Option<&str>), Group<'_>> {
+    let mut groups = HashMap::new();
+    for one in connections {
+        let (way, address) = (one.via.as_deref(), one.placement.address.as_str());
+        for key in [(way, None), (way, Some(address))] {
+            let group = Group::add(groups.remove(&key), one);
+            groups.insert(key, group);
+        }
+    }
+    groups
 }
 
-/// When data last arrived on any of these connections.
-fn last_received(waiting: &[&backends::Waiting]) -> Option<Instant> {
-    waiting.iter().map(|one| one.exchange.received_at).max()
+/// Aborts a connection if the request on it may be repeated.
+fn give_up(connection: &backends::OpenConnection, now: Instant) {
+    let Some(exchange) = connection.exchange.filter(|exchange| exchange.repeatable) else { return };
+    log::info!(
+        "event=exchange_given_up vm={} via={} waited_ms={}",
+        connection.placement.vm,
+        connection.via.as_deref().unwrap_or("own_link"),
+        now.saturating_duration_since(exchange.began).as_millis()
+    );
+    connection.abort();
 }
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -21,8 +21,8 @@
 struct Inner {
     stream: TcpStream,
     aborted: Cell<bool>,
-    /// The start of the exchange that uses the connection, and whether its request may be repeated.
-    exchange: Cell<Option<(Instant, bool)>>,
+    /// The exchange that uses the connection.
+    exchange: Cell<Option<Exchange>>,
     received_at: Cell<Instant>,
 }
 
@@ -33,15 +33,6 @@
     pub began: Instant,
     /// Whether its request may be repeated at another server.
     pub repeatable: bool,
-    /// When data was last received on the connection, during this exchange or before.
-    pub received_at: Instant,
-}
-
-impl Exchange {
-    /// Since when nothing was received that the exchange waits for.
-    pub fn quiet_since(&self) -> Instant {
-        self.began.max(self.received_at)
-    }
 }
 
 /// Aborts a connection that other tasks use.
@@ -56,15 +47,18 @@
 
     /// The exchange that uses the connection, if there is one.
     pub fn exchange(&self) -> Option<Exchange> {
-        let inner = self.0.upgrade()?;
-        let (began, repeatable) = inner.exchange.get()?;
-        Some(Exchange { began, repeatable, received_at: inner.received_at.get() })
+        self.0.upgrade()?.exchange.get()
+    }
+
+    /// When data was last received on the connection, or else established; `None` if it is not in use.
+    pub fn received_at(&self) -> Option<Instant> {
+        Some(self.0.upgrade()?.received_at.get())
     }
 
     /// Marks the connection as used by an exchange.
     pub fn begin_exchange(&self, repeatable: bool) {
         if let Some(inner) = self.0.upgrade() {
-            inner.exchange.set(Some((Instant::now(), repeatable)));
+            inner.exchange.set(Some(Exchange { began: Instant::now(), repeatable }));
         }
     }
 
--- a/src/links.rs
+++ b/src/links.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use std::{io, net};
+use std::{collections, io, net};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::time;
@@ -95,8 +95,6 @@
     comparisons: Mutex<Vec<String>>,
     comparison_due: Notify,
     relayed: Arc<AtomicU64>,
-    /// When a server's data was last received over an own link, in milliseconds since the start.
-    received_ms: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -119,7 +117,6 @@
             comparisons: Mutex::default(),
             comparison_due: Notify::new(),
             relayed: Arc::default(),
-            received_ms: AtomicU64::new(0),
         }
     }
 
@@ -131,11 +128,18 @@
             let stream = self.connect_directly(address, target, CONNECT_TIMEOUT).await?;
             return Ok(Established { stream, via: None });
         }
-        let order = lock(&self.table).order(address, self.now_ms());
+        let (order, fault) = {
+            let mut table = lock(&self.table);
+            let now_ms = self.now_ms();
+            (table.order(address, now_ms), table.server_fault(address, now_ms))
+        };
         match order {
+            _ if fault == Some(links::ServerFault::Unresponsive) => Err(Error::Timeout),
+            _ if fault == Some(links::ServerFault::Unknown) => Err(Error::NoRoute),
             links::Order::OwnFirst { head_start_ms } => {
                 self.race(address, target, Duration::from_millis(head_start_ms)).await
             }
+            links::Order::None => Err(Error::NoRoute),
             links::Order::PeersOnly => match self.ask_peers(address).await {
                 PeersReply::Connected(established) => Ok(established),
                 PeersReply::Refused => Err(Error::Refused),
@@ -178,10 +182,20 @@
         lock(&self.table).is_lost(address)
     }
 
-    /// Records when a server's data was last received over an own link.
-    pub fn record_received(&self, at: Instant) {
+    /// Whether any link to a server is lost.
+    pub fn any_lost(&self) -> bool {
+        lock(&self.table).any_lost()
+    }
+
+    /// Records when data last arrived on an open connection over the own link to a server.
+    pub fn record_received(&self, address: &str, at: Instant) {
         let at_ms = at.saturating_duration_since(self.started).as_millis() as u64;
-        self.received_ms.fetch_max(at_ms, Ordering::Relaxed);
+        lock(&self.table).record_received(address, at_ms);
+    }
+
+    /// Whether open connections over the own link to a server work, also if new ones fail.
+    pub fn open_connections_work(&self, address: &str) -> bool {
+        lock(&self.table).open_connections_work(address, self.now_ms())
     }
 
     /// Sets the live routers that may be asked for connections.
@@ -191,9 +205,9 @@
         }
     }
 
-    /// Sets the addresses of some servers in the list, which show whether any link works.
-    pub fn set_listed(&self, addresses: Vec<String>) {
-        lock(&self.table).set_listed(addresses);
+    /// Sets the services of the servers in the list, by address.
+    pub fn set_services(&self, services: collections::BTreeMap<String, String>) {
+        lock(&self.table).set_services(services);
     }
 
     /// Removes and returns the changes since the last call.
@@ -223,7 +237,7 @@
     /// dropped.
     pub async fn watch(&self) {
         loop {
-            if lock(&self.table).any_lost() {
+            if self.any_lost() {
                 let _ = time::timeout(CHECK_POLL_INTERVAL, self.comparison_due.notified()).await;
             } else {
                 self.comparison_due.notified().await;
@@ -297,7 +311,12 @@
         };
         let Some(error) = failed else {
             return tokio::select! {
-                result = &mut own => result.map(direct),
+                result = &mut own => {
+                    if result.is_err() {
+                        self.request_comparison(address);
+                    }
+                    result.map(direct)
+                }
                 reply = self.ask_peers(address) => match reply {
                     PeersReply::Connected(established) => {
                         self.record_lost(address);
@@ -320,7 +339,7 @@
                 Ok(established)
             }
             PeersReply::Refused | PeersReply::Unresponsive => Err(error),
-            PeersReply::Unknown => match self.reaches_others(address, self.now_ms()).await {
+            PeersReply::Unknown => match self.reaches_others(address).await {
                 Some(false) => {
                     self.request_comparison(address);
                     Err(Error::NoRoute)
@@ -375,26 +394,27 @@
         future::join_all(races.map(|(other, _)| self.connect(other))).await;
     }
 
-    /// Whether this router reached other servers over its own links after `since_ms`; `None` if it knows no other.
-    async fn reaches_others(&self, address: &str, since_ms: u64) -> Option<bool> {
-        let others = lock(&self.table).others(address, REACHED_OTHERS_MAX, &mut lock(&self.rng));
-        if others.is_empty() {
-            return None;
-        }
-        if self.received_ms.load(Ordering::Relaxed) > since_ms {
-            return Some(true);
-        }
+    /// Whether this router reaches other servers of the same service over its own links; `None` if there is no other.
+    async fn reaches_others(&self, address: &str) -> Option<bool> {
+        let others = {
+            let table = lock(&self.table);
+            table.others_of_service(address, REACHED_OTHERS_MAX, &mut lock(&self.rng))?
+        };
         // The first one is the most likely to be reached.
-        let (first, others) = others.split_at(1);
+        let (first, others) = others.split_at(others.len().min(1));
         Some(self.reach(first).await == [true] || self.reach(others).await.contains(&true))
     }
 
+    /// How long a connection over the own link may take that shows whether the link works.
+    fn reach_timeout(&self, address: &str) -> Duration {
+        2 * Duration::from_millis(lock(&self.table).patience_ms(address))
+    }
+
     /// Connects to these servers over the own links; returns which of them were reached.
     async fn reach(&self, addresses: &[String]) -> Vec<bool> {
         let attempts = addresses.iter().map(|address| async move {
             let Ok(target) = address.parse() else { return false };
-            let patience = Duration::from_millis(lock(&self.table).patience_ms(address));
-            self.connect_directly(address, target, 2 * patience).await.is_ok()
+            self.connect_directly(address, target, self.reach_timeout(address)).await.is_ok()
         });
         future::join_all(attempts).await
     }
@@ -404,13 +424,15 @@
         match lock(&self.table).server_fault(address, self.now_ms()) {
             Some(links::ServerFault::Refused) => return PeersReply::Refused,
             Some(links::ServerFault::Unresponsive) => return PeersReply::Unresponsive,
+            Some(links::ServerFault::Unknown) => return PeersReply::Unknown,
             None => {}
         }
         let reply = self.ask_peers_anew(address).await;
         let fault = match &reply {
             PeersReply::Refused => links::ServerFault::Refused,
             PeersReply::Unresponsive => links::ServerFault::Unresponsive,
-            PeersReply::Connected(_) | PeersReply::Unknown => return reply,
+            PeersReply::Unknown => links::ServerFault::Unknown,
+            PeersReply::Connected(_) => return reply,
         };
         lock(&self.table).record_server_fault(address, fault, self.now_ms());
         reply
--- a/src/links/relay.rs
+++ b/src/links/relay.rs
@@ -3,7 +3,7 @@
 //! A connection is opened only for a live router of the own fleet and only to a server in the list. The bytes are not
 //! interpreted: admission, limits and retries stay with the router that has the request.
 
-use super::{Error, Links};
+use super::{Error, Links, lock};
 use doorswitch_core::message;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -18,9 +18,6 @@
 /// How long the connection of the router stays open after the server has closed its own, for the bytes that are still
 /// on their way.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
-/// The time within which a server must accept a connection that is opened for another router.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Requests a connection to a server for the router at the source address. The control actor answers it.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "Result<Opened, message::ConnectReply>")]
@@ -56,17 +53,22 @@
         if self.is_lost(address) {
             return Err(message::ConnectReply::Unavailable);
         }
-        let began_ms = self.now_ms();
-        let failed = match self.connect_directly(address, target, CONNECT_TIMEOUT).await {
+        if let Some(reply) = lock(&self.table).refused_peer(address, self.now_ms()) {
+            return Err(reply);
+        }
+        let failed = match self.connect_directly(address, target, self.reach_timeout(address)).await
+        {
             Ok(stream) => return Ok(Opened { stream, _count: count }),
             Err(Error::Refused) => message::ConnectReply::Refused,
             Err(_) => message::ConnectReply::Unresponsive,
         };
         // The failure says something about the server only if this router's own links work.
-        match self.reaches_others(address, began_ms).await {
-            Some(false) => Err(message::ConnectReply::Unavailable),
-            Some(true) | None => Err(failed),
-        }
+        let reply = match self.reaches_others(address).await {
+            Some(false) => message::ConnectReply::Unavailable,
+            Some(true) | None => failed,
+        };
+        lock(&self.table).record_refused_peer(address, reply, self.now_ms());
+        Err(reply)
     }
 
     fn count_relayed(&self) -> Option<Count> {
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -162,7 +162,7 @@
 
 #[test]
 fn an_answer_is_incomplete_if_the_router_in_between_is_killed() {
-    let mut world = start_cut("unframed-killed", unframed(Step::Pause(Duration::from_secs(30))));
+    let mut world = start_cut("unframed-killed", unframed(Step::AwaitClose));
     let mut client = world.send(0, &long_deadline_request("/long-pay/x", "id"));
     fleet::eventually("the server has the request", || world.backends[0].requests().len() == 1);
     std::thread::sleep(Duration::from_millis(50));
@@ -221,7 +221,11 @@
         let took = began.elapsed();
         let text = answer.text();
         assert_eq!(answer.status, 503, "{text} after {took:?}: {}", world.log(number % 3));
-        assert!(took < REFUSAL_BOUND, "refused after {took:?}: {}", world.log(number % 3));
+        assert!(
+            took < REFUSAL_BOUND,
+            "refused after {took:?} ({number}): {}",
+            world.log(number % 3)
+        );
         assert!(text.contains("not_run"), "{text}");
     }
     cut(&world, &[]);
--- a/tests/routers_cut_off.rs
+++ b/tests/routers_cut_off.rs
@@ -41,10 +41,10 @@
     world
 }
 
-/// Drops the segments of some routers at all servers, or ends that.
-fn cut(world: &World, routers: &[usize], open: Option<OpenConnections>) {
+/// Drops the segments of some routers at the first servers, or ends that.
+fn cut(world: &World, routers: &[usize], servers: usize, open: Option<OpenConnections>) {
     let dropped = open.map(|open| routers.iter().map(|router| (address(*router), open)).collect());
-    for proxy in &world.server_proxies {
+    for proxy in world.server_proxies.iter().take(servers) {
         let dropped = dropped.clone().unwrap_or_default();
         proxy.set_faults(Faults { dropped, ..Faults::default() });
     }
@@ -85,7 +85,7 @@
 }
 
 macro_rules! routers_cut_off {
-    ($($name:ident: $path:expr, $routers:expr, $open:expr;)*) => {$(
+    ($($name:ident: $path:expr, $routers:expr, $servers:expr, $open:expr;)*) => {$(
         #[test]
         fn $name() {
             let world = start(stringify!($name));
@@ -95,7 +95,7 @@
                 let before = send_requests(&world, router, $path, Duration::from_millis(500));
                 assert!(before.iter().all(|(_, status)| *status == 200), "{before:?}");
             }
-            cut(&world, &$routers, Some($open));
+            cut(&world, &$routers, $servers, Some($open));
             std::thread::scope(|scope| {
                 let world = &world;
                 let cuts = $routers.map(|router| {
@@ -106,7 +106,7 @@
                     assert_served(world, router, &answers);
                 }
             });
-            cut(&world, &$routers, None);
+            cut(&world, &$routers, $servers, None);
             for router in 0..ROUTERS {
                 assert!(!world.log(router).contains("event=server_crashed"), "{}", world.log(router));
             }
@@ -116,13 +116,17 @@
 
 routers_cut_off! {
     a_router_whose_links_to_all_servers_go_silent_serves_through_its_peers:
-        "/read/x", [0], OpenConnections::Silent;
+        "/read/x", [0], SERVERS, OpenConnections::Silent;
     a_router_whose_links_to_all_servers_are_reset_serves_through_its_peers:
-        "/read/x", [0], OpenConnections::Reset;
+        "/read/x", [0], SERVERS, OpenConnections::Reset;
     a_router_that_can_open_no_connection_to_servers_serves_through_its_peers:
-        "/read/x", [0], OpenConnections::Unaffected;
+        "/read/x", [0], SERVERS, OpenConnections::Unaffected;
     two_of_three_routers_cut_off_from_all_servers_serve_through_the_third:
-        "/read/x", [0, 1], OpenConnections::Silent;
+        "/read/x", [0, 1], SERVERS, OpenConnections::Silent;
     unrepeatable_requests_of_a_router_cut_off_from_all_servers_are_served_through_its_peers:
-        "/pay/x", [0], OpenConnections::Silent;
+        "/pay/x", [0], SERVERS, OpenConnections::Silent;
+    a_router_whose_links_to_half_of_the_servers_go_silent_serves_all_requests:
+        "/read/x", [0], SERVERS / 2, OpenConnections::Silent;
+    a_router_that_can_open_no_connection_to_all_servers_but_one_serves_unrepeatable_requests:
+        "/pay/x", [0], SERVERS - 1, OpenConnections::Unaffected;
 }
