Give up silent exchanges after 1 s instead of 0.5 s

Ruled out: that calls of the plain service, whose deadline is 0.6 s, need the shorter time; those that may be repeated go to another server at half of their deadline.

--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -27,7 +27,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// An exchange on a lost way is given up after this silence if its request may be repeated. A shorter loss of the link
 /// delays it only.
-const GIVE_UP_SILENCE: Duration = Duration::from_millis(500);
+const GIVE_UP_SILENCE: Duration = Duration::from_millis(1_000);
 /// How long a router that did not answer a check counts as lost.
 const RELAY_LOST_TIME: Duration = Duration::from_secs(2);
 
