Answer that a request did not run if nothing of it was sent before its time was up

Cause: the time-out of an attempt did not ask whether the request had been sent. Change: an attempt reports as soon as a part of the request may be sent; before that a time-out counts as not sent, and at the deadline the answer is 503, not_run. Why it holds: the flag is set before the first byte can be written, so what is called not run never reached a server.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use doorswitch_platform::{answers, headers};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -96,12 +97,14 @@
 }
 
 /// Sends a call to the server at `placement` and returns once the head of its answer has arrived or the attempt has
-/// failed. A reused connection that turns out to be closed before anything was sent is replaced by a new one.
+/// failed. A reused connection that turns out to be closed before anything was sent is replaced by a new one. `sent`
+/// is set as soon as a part of the call may have been sent.
 pub async fn send(
     context: Context<'_>,
     call: &Call,
     placement: &upstream::Placement,
     last_event_id: Option<&str>,
+    sent: &Cell<bool>,
 ) -> Outcome {
     let mut new_only = false;
     let repeatable = call.route.repeatable();
@@ -123,15 +126,17 @@
             );
         }
         let request = request(call, placement, last_event_id);
-        let sent = Instant::now();
+        let sent_at = Instant::now();
+        sent.set(true);
         let error = match connection.sender.try_send_request(request).await {
             Ok(answer) => {
-                return handle_head(context, call, placement, sent, answer, connection).await;
+                return handle_head(context, call, placement, sent_at, answer, connection).await;
             }
             Err(error) => error,
         };
         // The request is returned in the error only if not a byte of it was written.
         let unsent = error.message().is_some();
+        sent.set(!unsent);
         match (unsent, connection.used) {
             (true, true) => new_only = true,
             (true, false) => return Outcome::NotSent,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -253,13 +254,21 @@
         let mut error_answer = None;
         let mut early_retry_at = early_retry_time(&call);
         loop {
-            let sending = attempt::send(self.attempts(), &call, &placement, None);
+            let sent = Cell::new(false);
+            let sending = attempt::send(self.attempts(), &call, &placement, None, &sent);
             let outcome = time::timeout_at(early_retry_at.unwrap_or(deadline), sending).await;
             log_outcome(&call, &placement, &outcome);
             let failure = match outcome {
                 Err(_) if early_retry_at.is_some() => {
                     early_retry_at = None;
-                    node::AttemptFailure::MayHaveRun
+                    match sent.get() {
+                        true => node::AttemptFailure::MayHaveRun,
+                        false => node::AttemptFailure::NotSent,
+                    }
+                }
+                Err(_) if !may_have_run && !sent.get() => {
+                    ticket.finish_not_run();
+                    return Err(refusal::not_sent_in_time());
                 }
                 Err(_) => {
                     ticket.finish_unknown();
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -66,6 +66,12 @@
     error
 }
 
+/// The error if the deadline passes before any of the request was sent to a server.
+pub fn not_sent_in_time() -> api_error::ApiError {
+    let status = actix_web::http::StatusCode::SERVICE_UNAVAILABLE;
+    not_run(status, "not_sent", "no server was reached before the deadline")
+}
+
 fn not_run(
     status: actix_web::http::StatusCode,
     code: &'static str,
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -6,6 +6,7 @@
 use doorswitch_core::node;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 use tokio::time;
@@ -134,7 +135,8 @@
                 return None;
             };
             let gateway = &self.gateway;
-            let sending = attempt::send(gateway.attempts(), &self.call, &placement, last_id);
+            let sent = Cell::new(false);
+            let sending = attempt::send(gateway.attempts(), &self.call, &placement, last_id, &sent);
             match time::timeout_at(deadline, sending).await {
                 Ok(attempt::Outcome::Answered { answer, connection })
                     if answer.status().is_success() =>
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -280,3 +280,14 @@
     fleet::eventually("the crash is known", || world.log(0).contains("event=server_crashed"));
     assert!(world.log(0).contains("event=request_suspected"), "{}", world.log(0));
 }
+
+#[test]
+fn a_request_of_which_nothing_was_sent_before_its_deadline_did_not_run() {
+    let scripts = (0..2).map(|_| routes::answers("served")).collect();
+    let world = start_without_proxies("never-sent", 1, scripts);
+    cut_new_connections(&world, 0);
+    let request = routes::Request { deadline_ms: 400, ..request("/read/x", "id") };
+    let answer = world.call(0, &request);
+    assert_eq!(answer.status, 503, "{}", world.log(0));
+    assert!(answer.text().contains("not_run"), "{}", answer.text());
+}
