Show the state of a router's links in dump, status and metrics

Cause: nothing that a router told its peers or its operators said that it reached no server; readiness, gossip and the store were good throughout the incident. Change: dump has links (all_lost_ms, lost_ms by address, forwarded connections), status a column LINKS, metrics doorswitch_all_links_lost, doorswitch_links_lost and doorswitch_relayed_connections; the services of the listed servers go to the links only when the list has changed.

Evidence: requests_are_refused_at_once_while_no_router_reaches_a_server looks at dump and metrics of each router.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -54,18 +54,28 @@
         "quarantined": dump["quarantine"]["quarantined"].as_array().map_or(0, Vec::len),
         "limited_servers": count(&dump["limited_servers"]),
         "backing_off_servers": count(&dump["backing_off_servers"]),
+        "links": links(&dump["links"]),
         "requests": dump["requests"].as_array().map_or(0, Vec::len),
         "unsettled": dump["unsettled"],
     })
 }
 
+/// The router's own links to servers: `ok`, `none`, or how many of them are lost.
+fn links(links: &Value) -> String {
+    match count(&links["lost_ms"]) {
+        _ if !links["all_lost_ms"].is_null() => "none".to_owned(),
+        0 => "ok".to_owned(),
+        lost => format!("{lost} lost"),
+    }
+}
+
 fn count(servers: &Value) -> usize {
     servers.as_object().map_or(0, serde_json::Map::len)
 }
 
 fn show(rows: &[Value]) {
     println!(
-        "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7}  LEAVING",
+        "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8}  LEAVING",
         "ROUTER",
         "VM",
         "STATE",
@@ -76,7 +86,8 @@
         "UNSETTLED",
         "QUARANTINED",
         "LIMITED",
-        "BACKOFF"
+        "BACKOFF",
+        "LINKS"
     );
     for row in rows {
         let plain = |key: &str| match &row[key] {
@@ -89,7 +100,7 @@
             .map(|vms| vms.iter().filter_map(Value::as_str).collect())
             .unwrap_or_default();
         println!(
-            "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7}  {}",
+            "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8}  {}",
             plain("router"),
             plain("vm"),
             if row["fault"].is_null() { plain("lifecycle") } else { "unreachable".to_owned() },
@@ -101,6 +112,7 @@
             plain("quarantined"),
             plain("limited_servers"),
             plain("backing_off_servers"),
+            plain("links"),
             leaving.join(", ")
         );
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,8 +19,8 @@
 
 /// The time between two calls of the core's periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// How often the services of the listed servers are passed to the links.
-const SERVICES_INTERVAL: Duration = Duration::from_secs(1);
+/// How often the links get the services of the listed servers, if the list has changed, and report their state.
+const LINKS_INTERVAL: Duration = Duration::from_secs(1);
 /// The mean delay before a watch that failed is repeated; jitter is added.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The minimum time between two log lines for unreadable eras, in milliseconds.
@@ -49,6 +49,8 @@
     sockets: Option<(net::TcpListener, net::UdpSocket)>,
     incarnation: ids::Incarnation,
     links: Arc<links::Links>,
+    /// The position of the list of VMs whose services the links have.
+    links_vms_index: store::Position,
     node: node::Node,
     platform: stores::Store,
     /// Polls the store for the core; `None` with the Consul protocol, whose watches this actor makes itself.
@@ -84,6 +86,7 @@
             sockets: Some(parts.sockets),
             incarnation: parts.incarnation,
             links: parts.links.clone(),
+            links_vms_index: store::Position::START,
             feed: platform.revisions().cloned().map(feed::Feed::new),
             platform,
             http: http_client::ServerClients::new(parts.links),
@@ -157,8 +160,13 @@
         }
     }
 
-    fn offer_services(&mut self, _: &mut Context<Self>) {
-        let servers = self.node.servers().iter().filter(|(_, server)| server.is_live());
+    fn exchange_with_links(&mut self, _: &mut Context<Self>) {
+        telemetry::report_links(&self.links.state());
+        if self.node.vms_index() == self.links_vms_index {
+            return;
+        }
+        self.links_vms_index = self.node.vms_index();
+        let servers = self.node.servers().iter().filter(|(_, server)| !server.is_superseded());
         let services = servers
             .map(|(_, server)| (server.vm.address.clone(), server.vm.service.clone()))
             .collect();
@@ -383,7 +391,7 @@
             }
         }
         context.run_interval(TICK_INTERVAL, Control::tick);
-        context.run_interval(SERVICES_INTERVAL, Control::offer_services);
+        context.run_interval(LINKS_INTERVAL, Control::exchange_with_links);
         match self.platform.clone() {
             stores::Store::Consul(client) => {
                 self.watch_config(client.clone(), context);
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -228,7 +228,7 @@
     fn handle(&mut self, _: messages::Dump, _: &mut Self::Context) -> Self::Result {
         let mut dump = self.node.dump(self.now_ms());
         dump["open_answers"] = self.published.open_answers().into();
-        dump["links"] = self.links.dump();
+        dump["links"] = serde_json::json!(self.links.state());
         actix::MessageResult(dump)
     }
 }
--- a/src/links.rs
+++ b/src/links.rs
@@ -66,6 +66,17 @@
     pub via: Option<links::Peer>,
 }
 
+/// The state of a router's links, for operators.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct State {
+    /// For how long no server has been reached over an own link, in milliseconds; `None` if one is.
+    pub all_lost_ms: Option<u64>,
+    /// For how long the links to single servers have been lost, in milliseconds, by address.
+    pub lost_ms: collections::BTreeMap<String, u64>,
+    /// The number of connections that this router forwards for others.
+    pub relayed_connections: u64,
+}
+
 /// What the routers that were asked found out about a server.
 enum PeersReply {
     /// One of them is connected to it.
@@ -220,17 +231,15 @@
         self.relayed.load(Ordering::Relaxed)
     }
 
-    /// The state for operators, as JSON.
-    pub fn dump(&self) -> serde_json::Value {
+    /// The state for operators.
+    pub fn state(&self) -> State {
         let now_ms = self.now_ms();
         let table = lock(&self.table);
-        let lost: serde_json::Map<String, serde_json::Value> =
-            table.lost(now_ms).map(|(address, ms)| (address.to_owned(), ms.into())).collect();
-        serde_json::json!({
-            "all_lost_ms": table.all_lost_ms(now_ms),
-            "lost_ms": lost,
-            "relayed_connections": self.relayed(),
-        })
+        State {
+            all_lost_ms: table.all_lost_ms(now_ms),
+            lost_ms: table.lost(now_ms).map(|(address, ms)| (address.to_owned(), ms)).collect(),
+            relayed_connections: self.relayed(),
+        }
     }
 
     /// Checks lost links, and compares all links when a connection shows that one may be lost. Runs until it is
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -4,7 +4,7 @@
 
 pub use notices::log_notice;
 
-use crate::logging;
+use crate::{links, logging};
 use doorswitch_core::{grants, node, servers, watch};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
@@ -107,6 +107,13 @@
     }
 }
 
+/// Sets the metrics of this router's links to servers.
+pub fn report_links(state: &links::State) {
+    metrics::gauge!("doorswitch_all_links_lost").set(f64::from(state.all_lost_ms.is_some()));
+    metrics::gauge!("doorswitch_links_lost").set(state.lost_ms.len() as f64);
+    metrics::gauge!("doorswitch_relayed_connections").set(state.relayed_connections as f64);
+}
+
 /// Sets the metrics of servers that limit or refuse requests by directives, and of the requests that this affected, by
 /// service.
 fn report_directives(node: &node::Node) {
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -228,6 +228,12 @@
         );
         assert!(text.contains("not_run"), "{text}");
     }
+    for router in 0..3 {
+        assert!(world.dump(router)["links"]["all_lost_ms"].is_u64(), "{}", world.dump(router));
+        fleet::eventually("the metrics show the loss", || {
+            world.metrics(router).contains("doorswitch_all_links_lost 1")
+        });
+    }
     cut(&world, &[]);
     for router in 0..3 {
         fleet::eventually("the router serves again", || {
