--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -75,6 +75,8 @@
     store: Arc<store::Store>,
     /// All server incarnations, by the number that their answers contain. Earlier incarnations still answer.
     server_incarnations: Vec<backend::Backend>,
+    /// Routers that cannot connect to servers, one entry for each fault.
+    cut_from_servers: Vec<usize>,
     routers: Vec<Router>,
     version: u64,
 }
@@ -97,6 +99,7 @@
             folder: folder.to_owned(),
             store: Arc::new(store),
             server_incarnations: Vec::new(),
+            cut_from_servers: Vec::new(),
             routers: Vec::new(),
             version: 0,
         };
@@ -117,10 +120,44 @@
             Box::new(move |_, _| vec![backend::response("200 OK", &format!("{number:04}"))]);
         let started = backend::Backend::start(script);
         self.server_incarnations.push(started.context(IoSnafu { what: "start a backend server" })?);
+        self.apply_server_cuts();
         self.record_server(name, number, "ready");
         Ok(number)
     }
 
+    /// Prevents these routers from opening connections to servers, until [`Self::reconnect_to_servers`] was called as
+    /// often for them.
+    pub fn cut_from_servers(&mut self, routers: &[usize]) {
+        self.cut_from_servers.extend(routers);
+        self.apply_server_cuts();
+    }
+
+    /// Ends one [`Self::cut_from_servers`] of these routers.
+    pub fn reconnect_to_servers(&mut self, routers: &[usize]) {
+        for router in routers {
+            if let Some(index) = self.cut_from_servers.iter().position(|cut| cut == router) {
+                self.cut_from_servers.swap_remove(index);
+            }
+        }
+        self.apply_server_cuts();
+    }
+
+    fn apply_server_cuts(&self) {
+        let mut sources: Vec<Ipv4Addr> = self
+            .cut_from_servers
+            .iter()
+            .filter_map(|router| match self.ip(*router) {
+                IpAddr::V4(ip) => Some(ip),
+                IpAddr::V6(_) => None,
+            })
+            .collect();
+        sources.sort_unstable();
+        sources.dedup();
+        for server in &self.server_incarnations {
+            server.drop_connections_of(sources.clone());
+        }
+    }
+
     /// Stores a server record with the state of this incarnation.
     pub fn record_server(&self, name: &str, number: usize, state: &str) {
         let record = wire::Record {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,6 +39,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Add restores of the store from backups"),
         )
+        .arg(
+            Arg::new("cuts")
+                .long("cuts")
+                .action(ArgAction::SetTrue)
+                .help("Add cuts between routers and servers"),
+        )
         .arg(Arg::new("named").long("named").help("Run a predefined schedule"))
         .arg(
             Arg::new("only")
@@ -105,6 +111,9 @@
     if matches.get_flag("restores") {
         schedule = schedule.with_restores(seed, number(matches, "for") * 1_000);
     }
+    if matches.get_flag("cuts") {
+        schedule = schedule.with_server_cuts(seed, routers, number(matches, "for") * 1_000);
+    }
     if let Some(only) = matches.get_many::<usize>("only") {
         schedule = schedule.only(&only.copied().collect::<Vec<_>>());
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -240,6 +240,10 @@
                 self.begin_fault(routers);
                 self.change_peer_network(routers, |faults| faults.cut_all = true);
             }
+            Action::ServersCut { routers, .. } => {
+                self.begin_fault(routers);
+                self.fleet.cut_from_servers(routers);
+            }
             Action::DatagramsLost { routers, percent, .. } => {
                 self.begin_fault(routers);
                 self.change_peer_network(routers, |faults| {
@@ -352,6 +356,10 @@
                 self.change_peer_network(routers, |faults| faults.cut_all = false);
                 self.end_fault(routers);
             }
+            Action::ServersCut { routers, .. } => {
+                self.fleet.reconnect_to_servers(routers);
+                self.end_fault(routers);
+            }
             Action::DatagramsLost { routers, .. } => {
                 self.change_peer_network(routers, |faults| faults.lose_datagrams_percent = 0);
                 self.end_fault(routers);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -127,6 +127,13 @@
         /// How long the fault lasts, in milliseconds.
         for_ms: u64,
     },
+    /// These routers cannot open connections to servers; open ones are unaffected.
+    ServersCut {
+        /// The routers that the fault affects.
+        routers: Routers,
+        /// How long the fault lasts, in milliseconds.
+        for_ms: u64,
+    },
     /// Some datagrams to these routers are lost.
     DatagramsLost {
         /// The routers that the fault affects.
@@ -170,6 +177,7 @@
             | Self::StoreStalls { for_ms, .. }
             | Self::StoreDelayed { for_ms, .. }
             | Self::PeersCut { for_ms, .. }
+            | Self::ServersCut { for_ms, .. }
             | Self::DatagramsLost { for_ms, .. }
             | Self::Suspend { for_ms, .. } => *for_ms,
             Self::StoreRestored { outage_ms, rewrite_delay_ms, .. } => outage_ms + rewrite_delay_ms,
@@ -238,6 +246,10 @@
                 let mut text = out.debug_struct("PeersCut");
                 text.field("routers", routers).field("for_ms", for_ms).finish()
             }
+            Self::ServersCut { routers, for_ms } => {
+                let mut text = out.debug_struct("ServersCut");
+                text.field("routers", routers).field("for_ms", for_ms).finish()
+            }
             Self::DatagramsLost { routers, percent, for_ms } => {
                 let mut text = out.debug_struct("DatagramsLost");
                 text.field("routers", routers).field("percent", percent);
@@ -337,6 +349,20 @@
         Self::from_actions(actions)
     }
 
+    /// Adds cuts between routers and servers over `for_ms`, drawn from a separate generator. They may overlap.
+    pub fn with_server_cuts(self, seed: u64, routers: usize, for_ms: u64) -> Self {
+        let rng = StdRng::seed_from_u64(seed ^ 0xc07);
+        let mut generator = Generator { rng, routers, actions: Vec::new() };
+        for _ in 0..generator.rng.random_range(2..=6) {
+            let at_ms = generator.rng.random_range(STARTUP_MS..STARTUP_MS + for_ms);
+            let for_ms = generator.rng.random_range(200..=FAULT_DURATION_MAX_MS);
+            let routers = generator.random_routers();
+            generator.push_with_publishes(at_ms, Action::ServersCut { routers, for_ms });
+        }
+        let steps = self.steps.into_iter().map(|step| (step.at_ms, step.action));
+        Self::from_actions(steps.chain(generator.actions).collect())
+    }
+
     /// Adds restores of the store over `for_ms`, drawn from a separate generator. They may overlap.
     pub fn with_restores(self, seed: u64, for_ms: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ 0xe7a);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -36,6 +36,18 @@
     check_no_violations("soak_with_restores_of_seed_5002", 5002, &schedule);
 }
 
+/// Adds cuts between routers and servers to the other faults.
+#[test]
+fn soak_with_server_cuts_of_seed_6001() {
+    let drawn = schedule::Schedule::generate(6001, ROUTERS, FAULTS_BEGIN_WITHIN_MS);
+    let schedule = drawn.with_writers(6001, FAULTS_BEGIN_WITHIN_MS).with_server_cuts(
+        6001,
+        ROUTERS,
+        FAULTS_BEGIN_WITHIN_MS,
+    );
+    check_no_violations("soak_with_server_cuts_of_seed_6001", 6001, &schedule);
+}
+
 seeds! {
     soak_of_seed_3002: 3002;
     soak_of_seed_3003: 3003;
