Pass live routers to the links only when they change; forget links to servers that left the list

Cause: each tick of 20 ms copied the records of all live routers for the links, 760 x 50 a second at the size designed for, and a link of a server that left the list was kept for good in calm. Change: the routers are passed when their number changes and else each 0.5 s, the services when the list has changed, and links to other addresses go then. A trial that passed them each 0.5 s only failed five tests of relayed_connections, as routers that start know no peer for so long. Test: links_to_servers_that_left_the_list_are_ forgotten.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -282,8 +282,9 @@
         Some(self.others(address, CHECKED_MAX, rng))
     }
 
-    /// Sets the services of the servers in the list, by address.
+    /// Sets the services of the servers in the list, by address. Links to other addresses are forgotten.
     pub fn set_services(&mut self, services: collections::BTreeMap<String, String>) {
+        self.links.retain(|address, _| services.contains_key(address));
         self.services = services;
     }
 
--- a/core/tests/links.rs
+++ b/core/tests/links.rs
@@ -186,6 +186,15 @@
     assert_eq!(table.refused_peer(FIRST, 3_002), None);
 }
 
+#[test]
+fn links_to_servers_that_left_the_list_are_forgotten() {
+    let mut table = reached();
+    table.record_lost(FIRST, 2_000);
+    table.set_services([(SECOND.to_owned(), "model".to_owned())].into());
+    assert!(!table.any_lost());
+    assert_eq!(table.others(SECOND, 4, &mut rng()), Vec::<String>::new());
+}
+
 #[test]
 fn links_that_are_no_longer_used_are_forgotten() {
     let mut table = reached();
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,8 +19,9 @@
 
 /// The time between two calls of the core's periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// How often the links get the services of the listed servers, if the list has changed, and report their state.
-const LINKS_INTERVAL: Duration = Duration::from_secs(1);
+/// How often the links get the live routers, also if their number is the same, and, if the list has changed, the
+/// services of the servers in it.
+const LINKS_INTERVAL: Duration = Duration::from_millis(500);
 /// The mean delay before a watch that failed is repeated; jitter is added.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The minimum time between two log lines for unreadable eras, in milliseconds.
@@ -49,6 +50,8 @@
     sockets: Option<(net::TcpListener, net::UdpSocket)>,
     incarnation: ids::Incarnation,
     links: Arc<links::Links>,
+    /// The number of live routers when the links last got them.
+    links_live_routers: u64,
     /// The position of the list of VMs whose services the links have.
     links_vms_index: store::Position,
     node: node::Node,
@@ -86,6 +89,7 @@
             sockets: Some(parts.sockets),
             incarnation: parts.incarnation,
             links: parts.links.clone(),
+            links_live_routers: 1,
             links_vms_index: store::Position::START,
             feed: platform.revisions().cloned().map(feed::Feed::new),
             platform,
@@ -115,8 +119,12 @@
         for change in self.links.take_changes() {
             self.node.handle_links_changed(&change, now_ms);
         }
-        self.links.set_peers(self.peers_for_connections());
         self.node.tick(now_ms);
+        let live_routers = self.node.members().live_count();
+        if live_routers != self.links_live_routers {
+            self.links_live_routers = live_routers;
+            self.links.set_peers(self.peers_for_connections());
+        }
         self.perform_actions(context);
         let age_ms = self.node.age_ms(watch::Topic::Configuration, now_ms);
         self.published.set_config_age_ms(age_ms);
@@ -162,6 +170,7 @@
 
     fn exchange_with_links(&mut self, _: &mut Context<Self>) {
         telemetry::report_links(&self.links.state());
+        self.links.set_peers(self.peers_for_connections());
         if self.node.vms_index() == self.links_vms_index {
             return;
         }
