Take a late refusal for a crash only on another router's word; split the race from the links

Cause: an own connection that was refused later than the head start of 30 ms was called refused at once, without the word of another router that a prompt refusal waits for; and a refusal stood where others found the server silent. Found by reading. Change: both wait for the others' reply; race.rs has the race, links.rs the state.

--- a/src/links.rs
+++ b/src/links.rs
@@ -5,12 +5,12 @@
 //! before, so a request is never sent twice.
 
 mod client;
+mod race;
 pub mod relay;
 
 use crate::{keep_alive, settings};
 use doorswitch_core::{ids, links};
 use futures_util::future;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use rand::SeedableRng;
 use rand::rngs;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -77,18 +77,6 @@
     pub relayed_connections: u64,
 }
 
-/// What the routers that were asked found out about a server.
-enum PeersReply {
-    /// One of them is connected to it.
-    Connected(Established),
-    /// The server refuses connections.
-    Refused,
-    /// The server does not respond to them.
-    Unresponsive,
-    /// None of them could tell.
-    Unknown,
-}
-
 /// The links of this router to servers, shared by all threads.
 #[derive(Debug)]
 pub struct Links {
@@ -151,12 +139,7 @@
                 self.race(address, target, Duration::from_millis(head_start_ms)).await
             }
             links::Order::None => Err(Error::NoRoute),
-            links::Order::PeersOnly => match self.ask_peers(address).await {
-                PeersReply::Connected(established) => Ok(established),
-                PeersReply::Refused => Err(Error::Refused),
-                PeersReply::Unresponsive => Err(Error::Timeout),
-                PeersReply::Unknown => Err(Error::NoRoute),
-            },
+            links::Order::PeersOnly => self.connect_through_peers(address).await,
         }
     }
 
@@ -304,66 +287,6 @@
         Ok(stream)
     }
 
-    async fn race(
-        &self,
-        address: &str,
-        target: net::SocketAddr,
-        head_start: Duration,
-    ) -> Result<Established, Error> {
-        let own = self.connect_directly(address, target, CONNECT_TIMEOUT);
-        tokio::pin!(own);
-        let direct = |stream| Established { stream, via: None };
-        let failed = match time::timeout(head_start, &mut own).await {
-            Ok(Ok(stream)) => return Ok(direct(stream)),
-            Ok(Err(error)) => Some(error),
-            Err(_) => None,
-        };
-        let Some(error) = failed else {
-            return tokio::select! {
-                result = &mut own => {
-                    if result.is_err() {
-                        self.request_comparison(address);
-                    }
-                    result.map(direct)
-                }
-                reply = self.ask_peers(address) => match reply {
-                    PeersReply::Connected(established) => {
-                        self.record_lost(address);
-                        Ok(established)
-                    }
-                    PeersReply::Refused | PeersReply::Unresponsive => own.await.map(direct),
-                    PeersReply::Unknown => {
-                        self.request_comparison(address);
-                        tokio::select! {
-                            result = &mut own => result.map(direct),
-                            () = self.all_lost() => Err(Error::NoRoute),
-                        }
-                    }
-                },
-            };
-        };
-        match self.ask_peers(address).await {
-            PeersReply::Connected(established) => {
-                self.record_lost(address);
-                Ok(established)
-            }
-            PeersReply::Refused | PeersReply::Unresponsive => Err(error),
-            PeersReply::Unknown => match self.reaches_others(address).await {
-                Some(false) => {
-                    self.request_comparison(address);
-                    Err(Error::NoRoute)
-                }
-                // Without another router's word, only the own link to this server may have failed.
-                Some(true) | None => match error {
-                    Error::Refused => {
-                        Err(Error::Failed { source: io::ErrorKind::ConnectionRefused.into() })
-                    }
-                    error => Err(error),
-                },
-            },
-        }
-    }
-
     /// Returns once all links are lost.
     async fn all_lost(&self) {
         let mut all_lost = self.all_lost.subscribe();
@@ -427,84 +350,6 @@
         });
         future::join_all(attempts).await
     }
-
-    /// Asks other routers for a connection, unless they have just found that the server fails.
-    async fn ask_peers(&self, address: &str) -> PeersReply {
-        match lock(&self.table).server_fault(address, self.now_ms()) {
-            Some(links::ServerFault::Refused) => return PeersReply::Refused,
-            Some(links::ServerFault::Unresponsive) => return PeersReply::Unresponsive,
-            Some(links::ServerFault::Unknown) => return PeersReply::Unknown,
-            None => {}
-        }
-        let reply = self.ask_peers_anew(address).await;
-        let fault = match &reply {
-            PeersReply::Refused => links::ServerFault::Refused,
-            PeersReply::Unresponsive => links::ServerFault::Unresponsive,
-            PeersReply::Unknown => links::ServerFault::Unknown,
-            PeersReply::Connected(_) => return reply,
-        };
-        lock(&self.table).record_server_fault(address, fault, self.now_ms());
-        reply
-    }
-
-    /// Asks other routers for a connection, the next one when one does not have it or is slow.
-    async fn ask_peers_anew(&self, address: &str) -> PeersReply {
-        let peers = self.peers.load_full();
-        let (candidates, further, patience_ms) = {
-            let table = lock(&self.table);
-            let now_ms = self.now_ms();
-            let mut rng = lock(&self.rng);
-            let (candidates, further) =
-                table.peers_to_ask(&peers, &self.failure_domain, address, now_ms, &mut rng);
-            (candidates, further, table.patience_ms(address))
-        };
-        let mut candidates = candidates.into_iter();
-        let mut further = further.into_iter();
-        let ask = |peer| client::ask(self.incarnation, self.local, peer, address);
-        let mut pending = FuturesUnordered::new();
-        let mut reply = PeersReply::Unknown;
-        loop {
-            if let Some(peer) = candidates.next() {
-                pending.push(ask(peer));
-            }
-            let answered = tokio::select! {
-                answered = pending.next() => answered,
-                () = time::sleep(Duration::from_millis(patience_ms)), if candidates.len() > 0 => continue,
-            };
-            let Some((peer, answer)) = answered else {
-                if further.len() == 0 {
-                    return reply;
-                }
-                pending.extend(further.by_ref().map(ask));
-                continue;
-            };
-            let failed_for = match answer {
-                Ok(stream) => {
-                    return PeersReply::Connected(Established { stream, via: Some(peer) });
-                }
-                Err(client::Error::Refused) => {
-                    reply = PeersReply::Refused;
-                    pending.extend(candidates.by_ref().chain(further.by_ref()).map(ask));
-                    Some(address)
-                }
-                Err(client::Error::Unresponsive) => {
-                    if matches!(reply, PeersReply::Unknown) {
-                        reply = PeersReply::Unresponsive;
-                    }
-                    Some(address)
-                }
-                Err(error) => {
-                    log::debug!(
-                        "event=peer_not_connected peer={} server={address} fault={}",
-                        peer.vm,
-                        crate::logging::quoted(error)
-                    );
-                    None
-                }
-            };
-            lock(&self.table).record_peer_failed(peer.id, failed_for, self.now_ms());
-        }
-    }
 }
 
 /// Connects to `target` from the address `local`, unless that is unspecified.
