--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -340,13 +340,18 @@
     }
 
     /// Connects to a server to find out whether the way `via` works, and keeps the connection for the next request.
-    /// Returns whether the connection was established.
+    /// Returns whether it does.
     pub async fn check_way(&self, placement: &upstream::Placement, via: Option<&str>) -> bool {
         let connected = match via {
             None => self.links.connect(&placement.address).await,
             Some(via) => self.links.connect_via(via, &placement.address).await,
         };
-        let Ok(established) = connected else { return false };
+        let established = match connected {
+            Ok(established) => established,
+            Err(links::Error::NoRoute) => return false,
+            // The way led to the server, which failed.
+            Err(_) => return true,
+        };
         if let Ok(connection) = self.start_http(established, placement).await {
             self.keep_new_idle(connection);
         }
--- a/src/links.rs
+++ b/src/links.rs
@@ -151,6 +151,8 @@
         };
         match client::ask(self.incarnation, self.local, peer.clone(), address).await {
             (peer, Ok(stream)) => Ok(Established { stream, via: Some(peer) }),
+            (_, Err(client::Error::Refused)) => Err(Error::Refused),
+            (_, Err(client::Error::Unresponsive)) => Err(Error::Timeout),
             (peer, Err(_)) => {
                 lock(&self.table).record_peer_failed(peer.id, None, self.now_ms());
                 Err(Error::NoRoute)
--- a/src/links/relay.rs
+++ b/src/links/relay.rs
@@ -18,6 +18,7 @@
 /// How long the connection of the router stays open after the server has closed its own, for the bytes that are still
 /// on their way.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Requests a connection to a server for the router at the source address. The control actor answers it.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "Result<Opened, message::ConnectReply>")]
