Give probes of crashed servers time for another router's word; back off checks of silent ways

And a request that waits long at a silent server made a new connection each second. Change: 150 ms; checks after 1, 2, 4 and up to 30 s.

--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -23,8 +23,10 @@
 const SILENCE_TTL: Duration = Duration::from_secs(60);
 /// The longest recent silence shrinks by this factor at each look.
 const SILENCE_DECAY: f64 = 0.999;
-/// The minimum time between two checks of the same way to the same server.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The minimum time between two checks of the same way to the same server. It doubles with each check up to the
+/// maximum, while the server stays silent.
+const CHECK_INTERVAL_MIN: Duration = Duration::from_secs(1);
+const CHECK_INTERVAL_MAX: Duration = Duration::from_secs(30);
 /// An exchange on a lost way is given up after this silence if its request may be repeated. A shorter loss of the link
 /// delays it only.
 const GIVE_UP_SILENCE: Duration = Duration::from_millis(1_000);
@@ -57,13 +59,21 @@
 
 struct Watch {
     backends: Rc<backends::Backends>,
-    /// When each way to each server was last checked, by the server's address.
-    checked: HashMap<(Way, String), Instant>,
+    /// The last check of each way to each server, by the server's address.
+    checked: HashMap<(Way, String), Check>,
     /// Routers that did not connect when they were checked, and when that was.
     lost_relays: HashMap<Rc<str>, Instant>,
     silences: HashMap<Way, Silence>,
 }
 
+/// A check of a way to a server.
+#[derive(Clone, Copy, Debug)]
+struct Check {
+    at: Instant,
+    /// The time until the next one.
+    interval: Duration,
+}
+
 /// How long nothing arrives by one way.
 #[derive(Debug)]
 struct Silence {
@@ -137,7 +147,7 @@
     /// Gives up exchanges on lost ways, and returns the ways to check, each with the server to connect to.
     fn look(&mut self, now: Instant) -> Vec<(Rc<upstream::Placement>, Way)> {
         let connections = self.backends.connections_if_waiting();
-        self.checked.retain(|_, at| now.duration_since(*at) < CHECK_INTERVAL);
+        self.checked.retain(|_, check| now.duration_since(check.at) < 2 * check.interval);
         self.lost_relays.retain(|_, at| now.duration_since(*at) < RELAY_LOST_TIME);
         self.silences.retain(|_, silence| now.duration_since(silence.looked_at) < SILENCE_TTL);
         let groups = groups(&connections);
@@ -177,11 +187,15 @@
     /// Whether the way of a connection is to be checked; if so, the next check is due later.
     fn take_check(&mut self, suspect: &backends::OpenConnection, now: Instant) -> bool {
         let key = (suspect.via.clone(), suspect.placement.address.clone());
-        let due = !self.is_lost(suspect) && !self.checked.contains_key(&key);
-        if due {
-            self.checked.insert(key, now);
+        let last = self.checked.get(&key);
+        let due = last.is_none_or(|check| now.duration_since(check.at) >= check.interval);
+        if self.is_lost(suspect) || !due {
+            return false;
         }
-        due
+        let interval =
+            last.map_or(CHECK_INTERVAL_MIN, |check| (2 * check.interval).min(CHECK_INTERVAL_MAX));
+        self.checked.insert(key, Check { at: now, interval });
+        true
     }
 
     fn is_lost(&self, connection: &backends::OpenConnection) -> bool {
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpStream;
 
 /// How long a probe waits for a connection, while the answer to the client is delayed: several round trips within a
-/// region.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// region, and time for another router to try as well.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A connection that is established while a server process ends is reset when its listening socket is closed. A
 /// connection that stays open this long shows that the server runs, if other connections to it have stayed open too.
