--- a/src/keep_alive.rs
+++ b/src/keep_alive.rs
@@ -8,6 +8,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::os::fd::AsFd;
 use std::time::Duration;
+use std::{io, net};
+use tokio::net::{TcpSocket, TcpStream};
 
 /// How soon a connection whose peer does not respond is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +44,25 @@
 };
 
 impl KeepAlive {
+    /// Connects to `target` from the address `local`, unless that is unspecified, and applies the settings.
+    pub async fn connect(
+        self,
+        target: net::SocketAddr,
+        local: net::IpAddr,
+    ) -> io::Result<TcpStream> {
+        let socket = match target {
+            net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        if !local.is_unspecified() {
+            socket.bind(net::SocketAddr::new(local, 0))?;
+        }
+        let stream = socket.connect(target).await?;
+        stream.set_nodelay(true)?;
+        self.apply_to(&stream);
+        Ok(stream)
+    }
+
     /// Applies the settings to a connection. An error is logged and otherwise ignored.
     pub fn apply_to(self, connection: &impl AsFd) {
         let descriptor = connection.as_fd();
--- a/src/links.rs
+++ b/src/links.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use std::{collections, io, net};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
@@ -272,14 +272,15 @@
         timeout: Duration,
     ) -> Result<TcpStream, Error> {
         let began = Instant::now();
-        let connected = match time::timeout(timeout, connect(target, self.local)).await {
-            Err(_) => Err(Error::Timeout),
-            Ok(Err(source)) if source.kind() == io::ErrorKind::ConnectionRefused => {
-                Err(Error::Refused)
-            }
-            Ok(Err(source)) => Err(Error::Failed { source }),
-            Ok(Ok(stream)) => Ok(stream),
-        };
+        let connected =
+            match time::timeout(timeout, keep_alive::TRAFFIC.connect(target, self.local)).await {
+                Err(_) => Err(Error::Timeout),
+                Ok(Err(source)) if source.kind() == io::ErrorKind::ConnectionRefused => {
+                    Err(Error::Refused)
+                }
+                Ok(Err(source)) => Err(Error::Failed { source }),
+                Ok(Ok(stream)) => Ok(stream),
+            };
         let stream = connected.inspect_err(|_| {
             lock(&self.table).record_not_reached(address, self.now_ms());
         })?;
@@ -353,18 +354,3 @@
         future::join_all(attempts).await
     }
 }
-
-/// Connects to `target` from the address `local`, unless that is unspecified.
-async fn connect(target: net::SocketAddr, local: net::IpAddr) -> io::Result<TcpStream> {
-    let socket = match target {
-        net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    if !local.is_unspecified() {
-        socket.bind(net::SocketAddr::new(local, 0))?;
-    }
-    let stream = socket.connect(target).await?;
-    stream.set_nodelay(true)?;
-    keep_alive::TRAFFIC.apply_to(&stream);
-    Ok(stream)
-}
--- a/src/links/client.rs
+++ b/src/links/client.rs
@@ -1,6 +1,6 @@
 //! Requests a connection to a server from another router.
 
-use crate::peers;
+use crate::{keep_alive, peers};
 use bytes::Bytes;
 use doorswitch_core::{ids, links, message};
 use futures_util::{SinkExt, StreamExt};
@@ -54,7 +54,7 @@
     request: message::Connect,
 ) -> Result<TcpStream, Error> {
     let target = peer.address.parse().map_err(io::Error::other)?;
-    let stream = super::connect(target, local).await?;
+    let stream = keep_alive::TRAFFIC.connect(target, local).await?;
     let mut framed = codec::Framed::new(stream, peers::frame_codec());
     framed.send(Bytes::from(peers::encode(&message::Frame::Connect(request)))).await?;
     let answer = framed.next().await.ok_or(Error::Protocol)??;
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -3,8 +3,8 @@
 use super::{Framed, frame_codec};
 use crate::keep_alive;
 use futures_util::{SinkExt, StreamExt};
+use std::net;
 use std::time::Duration;
-use std::{io, net};
 use tokio::sync::mpsc;
 use tokio::{select, time};
 use tokio_util::codec;
@@ -33,7 +33,7 @@
 async fn run(address: String, local: net::IpAddr, mut queue: mpsc::Receiver<Vec<u8>>) {
     let Ok(target) = address.parse::<net::SocketAddr>() else { return };
     while let Some(frame) = queue.recv().await {
-        match time::timeout(CONNECT_TIMEOUT, connect(target, local)).await {
+        match time::timeout(CONNECT_TIMEOUT, keep_alive::TRAFFIC.connect(target, local)).await {
             Ok(Ok(stream)) => send_frames(&address, stream, frame, &mut queue).await,
             _ => time::sleep(RECONNECT_DELAY).await,
         }
@@ -92,19 +92,3 @@
 async fn receive_acknowledgement(framed: &mut Framed) -> bool {
     matches!(framed.next().await, Some(Ok(frame)) if frame.is_empty())
 }
-
-async fn connect(target: net::SocketAddr, local: net::IpAddr) -> io::Result<tokio::net::TcpStream> {
-    let socket = match target {
-        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-    };
-    if !local.is_unspecified() {
-        socket.bind(net::SocketAddr::new(local, 0))?;
-    }
-    let stream = socket.connect(target).await?;
-    stream.set_nodelay(true)?;
-
-    // Frames sent on a connection that lost its peer would be lost for as long as it appears open.
-    keep_alive::TRAFFIC.apply_to(&stream);
-    Ok(stream)
-}
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -30,19 +30,9 @@
 fn start(name: &str, routers: usize, scripts: Vec<backend::Script>) -> World {
     let mut world = World::unready(name, scripts);
     world.put_proxies_before_servers();
-    add_routers(&mut world, routers);
-    world
-}
-
-fn add_routers(world: &mut World, routers: usize) {
     world.publish(&[routes::KEY], routes::PREPAID);
-    for router in 0..routers {
-        world.add_router_at(address(router));
-    }
-    for router in 0..routers {
-        world.wait_ready(router);
-        world.wait_for_peers(router, routers - 1);
-    }
+    world.add_fleet((0..routers).map(address));
+    world
 }
 
 /// Drops the segments of these routers at all servers.
@@ -58,7 +48,8 @@
 /// Starts routers in front of servers without proxies, whose resets and refusals then reach the routers.
 fn start_without_proxies(name: &str, routers: usize, scripts: Vec<backend::Script>) -> World {
     let mut world = World::unready(name, scripts);
-    add_routers(&mut world, routers);
+    world.publish(&[routes::KEY], routes::PREPAID);
+    world.add_fleet((0..routers).map(address));
     world
 }
 
--- a/tests/routers_cut_off.rs
+++ b/tests/routers_cut_off.rs
@@ -31,13 +31,7 @@
     let mut world = World::unready(name, (0..SERVERS).map(|_| answers("served")).collect());
     world.put_proxies_before_servers();
     world.publish(&[routes::KEY], routes::PREPAID);
-    for router in 0..ROUTERS {
-        world.add_router_at(address(router));
-    }
-    for router in 0..ROUTERS {
-        world.wait_ready(router);
-        world.wait_for_peers(router, ROUTERS - 1);
-    }
+    world.add_fleet((0..ROUTERS).map(address));
     world
 }
 
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -206,6 +206,16 @@
         self.add_router_at(IpAddr::V4(Ipv4Addr::LOCALHOST));
     }
 
+    /// Starts a router at each of these addresses, and waits until all are ready and list each other.
+    pub fn add_fleet(&mut self, addresses: impl Iterator<Item = IpAddr>) {
+        addresses.for_each(|ip| self.add_router_at(ip));
+        let count = self.routers.len();
+        for router in 0..count {
+            self.wait_ready(router);
+            self.wait_for_peers(router, count - 1);
+        }
+    }
+
     /// Starts a router that listens and connects at an address of loopback, by which proxies identify it.
     pub fn add_router_at(&mut self, ip: IpAddr) {
         let [clients, operators, peers] = [(); 3].map(|()| fleet::free_port(ip));
