Let probes wait for other routers' word on a refusal however long it takes

Cause: the time of a probe, 150 ms, held for the own connection and the word of other routers together, and a word that none could tell was kept for 0.5 s for the next probe too. A server that does not respond delays the answer by 0.1 s.

--- a/src/links/race.rs
+++ b/src/links/race.rs
@@ -44,6 +44,40 @@
                 reply = &mut asking => (self.await_own(own, &reply, address).await, reply),
             },
         };
+        self.resolve(address, own_result, reply).await
+    }
+
+    /// Finds out whether the server still accepts connections: connects over the own link within `own_timeout` or, if
+    /// that fails, through another router. A refusal of the own link waits for the word of other routers.
+    pub async fn probe(&self, address: &str, own_timeout: Duration) -> Result<Established, Error> {
+        let target: net::SocketAddr =
+            address.parse().map_err(|_| Error::Address { address: address.to_owned() })?;
+        let alone = self.peers.load().is_empty();
+        if self.is_lost(address) && !alone {
+            return self.connect_through_peers(address).await;
+        }
+        let own = self.connect_directly(address, target, own_timeout).await;
+        match own {
+            Ok(stream) => Ok(direct(stream)),
+            Err(error) if alone => Err(error),
+            Err(Error::Timeout) => {
+                let others = time::timeout(own_timeout, self.connect_through_peers(address)).await;
+                others.unwrap_or(Err(Error::Timeout))
+            }
+            Err(error) => {
+                let reply = self.ask_peers_anew(address).await;
+                self.resolve(address, Err(error), reply).await
+            }
+        }
+    }
+
+    /// The result of a race.
+    async fn resolve(
+        &self,
+        address: &str,
+        own_result: Result<TcpStream, Error>,
+        reply: PeersReply,
+    ) -> Result<Established, Error> {
         match (own_result, reply) {
             (_, PeersReply::Connected(established)) => {
                 self.record_lost(address);
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpStream;
 
 /// How long a probe waits for a connection, while the answer to the client is delayed: several round trips within a
-/// region, and time for another router to try as well.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// region. The word of other routers on a refusal may take longer.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A connection that is established while a server process ends is reset when its listening socket is closed. A
 /// connection that stays open this long shows that the server runs, if other connections to it have stayed open too.
@@ -57,11 +57,10 @@
     others_open: impl Fn() -> bool,
 ) -> (ProbeResult, Option<links::Established>) {
     for _ in 0..CONNECTIONS_MAX {
-        let connecting = links.connect(address);
-        let established = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-            Ok(Ok(established)) => established,
-            Ok(Err(links::Error::Refused)) => return (ProbeResult::Refuses, None),
-            Ok(Err(_)) | Err(_) => return (ProbeResult::Silent, None),
+        let established = match links.probe(address, PROBE_TIMEOUT).await {
+            Ok(established) => established,
+            Err(links::Error::Refused) => return (ProbeResult::Refuses, None),
+            Err(_) => return (ProbeResult::Silent, None),
         };
         let stream = &established.stream;
         let ended = ends_within(stream, OPEN_TIME_MIN).await
