--- a/core/tests/world/faults.rs
+++ b/core/tests/world/faults.rs
@@ -24,6 +24,8 @@
     pub repeat_messages_percent: u32,
     /// The maximum one-way delay of a message or a store call, in milliseconds.
     pub delay_max_ms: u64,
+    /// Whether polls of the store are answered, each with the store's era.
+    pub polls_name_era: bool,
 }
 
 impl Default for Faults {
@@ -37,6 +39,7 @@
             lose_messages_percent: 0,
             repeat_messages_percent: 0,
             delay_max_ms: 5,
+            polls_name_era: true,
         }
     }
 }
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -165,8 +165,8 @@
 #[derive(Clone, Debug)]
 pub struct Backup {
     index: u64,
-    values: BTreeMap<String, (u64, Vec<u8>)>,
-    marked_eras: std::collections::BTreeSet<u64>,
+    pub values: BTreeMap<String, (u64, Vec<u8>)>,
+    pub marked_eras: std::collections::BTreeSet<u64>,
 }
 
 /// A simulated fleet with its store and network.
@@ -299,6 +299,7 @@
                 }
                 // Polls end when the store becomes unavailable; the next answer contains its era.
                 if (self.now_ms / TICK_MS + index as u64).is_multiple_of(5)
+                    && self.faults.polls_name_era
                     && self.reaches_store(index)
                 {
                     self.routers[index].node.handle_store_era(self.era, self.now_ms);
--- a/core/tests/world/router_lifecycle.rs
+++ b/core/tests/world/router_lifecycle.rs
@@ -121,7 +121,7 @@
     }
 
     /// Delivers the configuration and the list of VMs to a router, as the platform has them now.
-    pub(super) fn deliver_platform_state(&mut self, index: usize) {
+    pub fn deliver_platform_state(&mut self, index: usize) {
         if self.faults.store_unavailable || self.faults.store_cut.contains(&index) {
             return;
         }
