Let the next request probe a server whose probe was cancelled

What callers saw: nothing named; a server that was ejected once could get next to nothing for good while others were usable.

Cause: an ejected server gets one request as a probe, and only a success, a counted failure or a refused connection ended it. If its client left, no other request was sent to the server as long as another one was usable.

Change: a request that ends without showing whether the server works ends the probe. Core `node`, a_cancelled_request_leaves_the_server_that_it_probed_*, failed before and passes; the other tests of the core as before.

--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -50,7 +50,9 @@
             self.record_server_success(&service, server, now_ms.saturating_sub(sent_ms), now_ms);
         } else if not_run {
             self.record_rejection(server, sent_ms, now_ms);
-        } else if !cancelled {
+        } else if cancelled {
+            self.servers.end_probe(server);
+        } else {
             self.record_server_failure(server, sent_ms, now_ms);
         }
         if not_run {
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -455,6 +455,54 @@
     assert!(ejects_after_pause(0, true), "failures without a pause are not counted");
 }
 
+/// The requests that were placed, each with the VM of its server.
+fn placements(node: &mut node::Node) -> Vec<(ids::RequestSlot, String)> {
+    let actions = node.take_actions().into_iter();
+    let placed = actions.filter_map(|action| match action {
+        node::Action::Answer { slot, answer: node::Answer::Dispatch { vm, .. } } => {
+            Some((slot, vm))
+        }
+        _ => None,
+    });
+    placed.collect()
+}
+
+/// Guards against a server that gets nothing more because the request that probed it was cancelled.
+#[test]
+fn a_cancelled_request_leaves_the_server_that_it_probed_to_the_next_one() {
+    let mut world = World::new(Shape { servers: 2, ..Shape::default() }, 1);
+    world.run_ms(2_000);
+    let mut now_ms = world.now_ms;
+    let requests: Vec<node::AdmissionRequest> =
+        (0..400).map(|number| small_request(&world, number)).collect();
+    let mut requests = requests.into_iter();
+    let node = &mut world.routers[0].node;
+    let failing = node.servers().iter().next().unwrap().1.vm.vm.clone();
+    let mut run = |node: &mut node::Node, now_ms, cancels: bool| {
+        node.admit(requests.next().unwrap(), now_ms);
+        let (slot, server) = placements(node).remove(0);
+        let healthy = server != failing;
+        let outcome = match cancels && !healthy {
+            true => node::RequestOutcome::Cancelled { consumed_tokens: 0 },
+            false => node::RequestOutcome::Ran { consumed_tokens: 0, outcome: None, healthy },
+        };
+        node.finish(slot, outcome, now_ms + 5);
+        node.take_actions();
+        server
+    };
+    for _ in 0..100 {
+        now_ms += 10;
+        run(node, now_ms, false);
+    }
+    // Any ejection has ended.
+    now_ms += 40_000;
+    let reached = (0..200).filter(|_| {
+        now_ms += 10;
+        run(node, now_ms, true) == failing
+    });
+    assert!(reached.count() > 1, "the server is shut out after its probe was cancelled");
+}
+
 /// When the only server accepts requests again after a backoff, one is sent and two may wait for its answer. Guards
 /// against others that wait too instead of being refused without delay.
 #[test]
