Eject a server once for requests that failed together

What callers saw: a server that said nothing for 2 s and went on got no request for up to 30 s; half of the servers at once, and the others had to carry all.

Change: requests that were sent before an ejection began don't prolong it. The third failure ejects as before; a probe that fails prolongs it, twice as long each time, so that a server that stays silent is probed as seldom as before. Not built: to count requests that were in flight together once, as rejections are: a silent server would then get requests for three rounds of time-outs.

Core `servers`: requests_that_fail_together_eject_a_server_once and a_server_whose_probes_fail_is_ejected_for_longer_each_time failed before and pass. All other tests of the core as before.

--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -74,6 +74,8 @@
     /// Failures of requests that were sent before are not counted: the link to the server was lost then.
     failures_count_from_ms: u64,
     ejected_until_ms: u64,
+    /// When the last ejection began. Requests that were sent before don't prolong it.
+    ejected_ms: u64,
     probing: bool,
     /// Backoff that the server requested, kept until its normal share of requests is restored.
     backoff: Option<Backoff>,
@@ -101,6 +103,7 @@
             failures: 0,
             failures_count_from_ms: 0,
             ejected_until_ms: 0,
+            ejected_ms: 0,
             probing: false,
             backoff: None,
             rejected_ms: None,
--- a/core/src/servers/health.rs
+++ b/core/src/servers/health.rs
@@ -54,7 +54,8 @@
     }
 
     /// Records that a request that was sent to a server at `sent_ms` failed; returns how long the server is ejected, if
-    /// it is.
+    /// it is. Requests that were in flight together eject a server once, so that one that was silent for a moment is
+    /// not ejected for longer than it was silent.
     pub fn record_failure(
         &mut self,
         slot: ids::ServerSlot,
@@ -62,13 +63,16 @@
         now_ms: u64,
     ) -> Option<u64> {
         let server = self.servers.get_mut(slot)?;
-        if sent_ms < server.failures_count_from_ms {
+        let in_flight_at_ejection =
+            server.failures >= FAILURES_TO_EJECT && sent_ms < server.ejected_ms;
+        if sent_ms < server.failures_count_from_ms || in_flight_at_ejection {
             return None;
         }
         server.failures = server.failures.saturating_add(1);
         server.probing = false;
         let doublings = server.failures.checked_sub(FAILURES_TO_EJECT)?;
         let ejected_ms = (EJECTION_BASE_MS << doublings.min(10)).min(EJECTION_MAX_MS);
+        server.ejected_ms = now_ms;
         server.ejected_until_ms = now_ms + ejected_ms;
         Some(ejected_ms)
     }
@@ -102,6 +106,7 @@
         if let Some(server) = self.servers.get_mut(slot) {
             server.failures = server.failures.max(FAILURES_TO_EJECT);
             server.probing = false;
+            server.ejected_ms = now_ms;
             server.ejected_until_ms = server.ejected_until_ms.max(now_ms + EJECTION_BASE_MS);
         }
     }
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -338,3 +338,52 @@
     fixture.now_ms += 2_000;
     assert_eq!(polled(&fixture), 2);
 }
+
+/// Sends as many requests to the first of two servers, which fails all of them at once.
+fn fail_together(fixture: &mut Fixture, requests: usize) -> ids::ServerSlot {
+    let slot = fixture.table.iter().next().unwrap().0;
+    let sent_ms = fixture.now_ms;
+    fixture.now_ms += 1_000;
+    for _ in 0..requests {
+        fixture.table.record_failure(slot, sent_ms, fixture.now_ms);
+    }
+    slot
+}
+
+/// Whether the server is chosen within `time_ms`.
+fn chosen_within(fixture: &mut Fixture, slot: ids::ServerSlot, time_ms: u64) -> bool {
+    let end_ms = fixture.now_ms + time_ms;
+    while fixture.now_ms < end_ms {
+        fixture.now_ms += 10;
+        let chosen = fixture.choose().unwrap();
+        if chosen == slot {
+            return true;
+        }
+        fixture.table.record_end(chosen);
+        fixture.table.record_success(chosen, 10, fixture.now_ms);
+    }
+    false
+}
+
+/// Guards against a server that is ejected for 30 s because it was silent for a second.
+#[test]
+fn requests_that_fail_together_eject_a_server_once() {
+    let mut fixture = Fixture::two();
+    let slot = fail_together(&mut fixture, 12);
+    assert!(!chosen_within(&mut fixture, slot, 400), "the server was not ejected");
+    assert!(chosen_within(&mut fixture, slot, 600), "the server is ejected for too long");
+}
+
+/// Guards against a server that stays silent and is probed as often as one that was silent once.
+#[test]
+fn a_server_whose_probes_fail_is_ejected_for_longer_each_time() {
+    let mut fixture = Fixture::two();
+    let slot = fail_together(&mut fixture, 12);
+    for ejected_ms in [500, 1_000, 2_000, 4_000] {
+        assert!(!chosen_within(&mut fixture, slot, ejected_ms - 100), "probed too early");
+        assert!(chosen_within(&mut fixture, slot, 500), "not probed after {ejected_ms} ms");
+        let sent_ms = fixture.now_ms;
+        fixture.table.record_failure(slot, sent_ms, fixture.now_ms);
+        fixture.table.record_end(slot);
+    }
+}
