Complete the comments on links and ports

Cause: read as a newcomer, two fields of core links::Link (`checked_ms`, `used_ms`) don't say what sets them, and a comment of standins/src/ports.rs ran over the line width, which the formatter doesn't check in comments.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -96,7 +96,9 @@
     connect_ms: u64,
     /// Since when the link is lost.
     lost_since_ms: Option<u64>,
+    /// When the lost link was last checked, or else lost.
     checked_ms: u64,
+    /// When a connection over the link was last requested or recorded.
     used_ms: u64,
     /// When a connection over the own link was last established.
     reached_ms: Option<u64>,
--- a/standins/src/ports.rs
+++ b/standins/src/ports.rs
@@ -13,7 +13,8 @@
 const PROCESS_STRIDE: u32 = 6_997;
 
 /// Returns an address with no listener. Each process starts elsewhere in the range, because between this call and the
-/// start of a listener another process could find the same port free. Successive calls return different ports until the range wraps around.
+/// start of a listener another process could find the same port free. Successive calls return different ports until the
+/// range wraps around.
 ///
 /// The probe connects instead of binding: a child process would inherit a bound socket and keep the port in use until
 /// it calls exec, even after the parent has closed the socket.
