Take other routers' word that a server refuses also if the own connection was reset

Cause: a connection that is established as a crashed server closes its listener is reset, which is neither a refusal nor a time-out. The other routers were asked and said that the server refuses, but the race kept the own error, so the probe ended as Silent within 3 ms and the crash was not counted.

Ruled out: routers that don't know one another, lost links, time-outs (nothing of them in the logs of three failed runs; in each, two or more crashes were Silent within 5 ms while other servers were up).

Why it works: the word of a router that reaches other servers of the service decides whose fault a failure is, in the race as where the own link is lost.

--- a/src/links/race.rs
+++ b/src/links/race.rs
@@ -85,8 +85,10 @@
             }
             (Ok(stream), _) => Ok(direct(stream)),
             (Err(error), PeersReply::Unknown) => Err(self.own_error(address, error).await),
+            // A connection to a server that is just closing its listener is reset instead of refused.
+            (Err(_), PeersReply::Refused) => Err(Error::Refused),
             (Err(Error::Refused), PeersReply::Unresponsive) => Err(Error::Timeout),
-            (Err(error), PeersReply::Refused | PeersReply::Unresponsive) => Err(error),
+            (Err(error), PeersReply::Unresponsive) => Err(error),
         }
     }
 
