Keep the age of relayed connections and the listed VM of a test router in one place

Cause: read as a newcomer from on, two things stand twice: the maximum age of a connection through another router (gateway and callers' API, each with its own reason) and a test router's entry in the list of VMs (core `world` and `withheld`). Two constants of grants can't be understood without the formula that uses them.

Change: links::RELAYED_AGE_MAX for both; Router::listed_vm for both; the formula of the spread is stated at lasting_ms. Left: the two schedules of withheld and ledger_sync that begin alike, as each is read alone.

--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -22,7 +22,7 @@
 /// What crashes have taken from a budget with `held_percent`, and what they would take now, is together at most one part
 /// in this many of what was paid.
 const AT_RISK_DIVISOR: u64 = 3;
-/// Once crashes have taken that much, the holders keep one part in this many of their share.
+/// Once crashes have taken that much, the holders still keep one part in this many of their share.
 const LOSSES_DIVISOR: u64 = 8;
 /// The time constant of the peak rate: it decays to about a third in this time.
 const PEAK_DECAY_MS: u64 = 600_000;
--- a/core/src/grants/throttle.rs
+++ b/core/src/grants/throttle.rs
@@ -9,8 +9,7 @@
 
 /// Losses of at most one part in this many of the paid tokens change nothing.
 const TOLERATED_LOSS_DIVISOR: u64 = 33;
-/// How much more the tokens that are left count than the lost ones: spending slows down once less is left than was lost,
-/// divided by this.
+/// The weight of the tokens that are left against the lost ones, see `lasting_ms`.
 const LEFT_WEIGHT: u128 = 2;
 /// One part in this many of the rate is for requests of any size.
 const ANY_SIZE_DIVISOR: u64 = 8;
@@ -136,7 +135,8 @@
         }
     }
 
-    /// The time for which the tokens that are left must last: 0 if none were lost, `loss_spread_s` at the end.
+    /// The time for which the tokens that are left must last: 0 if none were lost, otherwise
+    /// `loss_spread_s * lost / (lost + LEFT_WEIGHT * left)`, which grows to `loss_spread_s` as the budget ends.
     fn lasting_ms(&self) -> u64 {
         if self.written_off_tokens <= self.paid_tokens / TOLERATED_LOSS_DIVISOR {
             return 0;
--- a/core/tests/withheld.rs
+++ b/core/tests/withheld.rs
@@ -6,7 +6,7 @@
 
 mod world;
 
-use doorswitch_core::{config, ids, ledger, node, servers, store};
+use doorswitch_core::{config, ids, ledger, node, store};
 use world::{End, Shape, World};
 
 const ROUTERS: usize = 4;
@@ -234,7 +234,7 @@
     world.restart(0, true);
     let (_, value) = &world.store[config::KEY];
     let (now_ms, published) = (world.now_ms, serde_json::from_slice(value).unwrap());
-    let vms = vec![router_vm(&world.routers[0])];
+    let vms = vec![world.routers[0].listed_vm()];
     let node = &mut world.routers[0].node;
     if polls_name_era {
         node.handle_store_era(ERA, now_ms);
@@ -263,20 +263,6 @@
     writes
 }
 
-fn router_vm(router: &world::Router) -> servers::Vm {
-    servers::Vm {
-        vm: router.vm.clone(),
-        service: node::ROUTER_SERVICE.to_owned(),
-        address: router.address.clone(),
-        class: "entry".to_owned(),
-        failure_domain: "a".to_owned(),
-        state: servers::VmState::Live,
-        slots: 0,
-        incarnation: Default::default(),
-        cold_ms: 0,
-    }
-}
-
 fn admission(budget: String) -> node::AdmissionRequest {
     node::AdmissionRequest {
         attempts_max: u32::MAX,
--- a/core/tests/world/router_lifecycle.rs
+++ b/core/tests/world/router_lifecycle.rs
@@ -5,6 +5,23 @@
 use rand::RngExt;
 use std::collections::BTreeSet;
 
+impl Router {
+    /// The entry of the router in the platform's list of VMs.
+    pub fn listed_vm(&self) -> servers::Vm {
+        servers::Vm {
+            vm: self.vm.clone(),
+            service: node::ROUTER_SERVICE.to_owned(),
+            address: self.address.clone(),
+            class: "entry".to_owned(),
+            failure_domain: "a".to_owned(),
+            state: servers::VmState::Live,
+            slots: 0,
+            incarnation: Default::default(),
+            cold_ms: 0,
+        }
+    }
+}
+
 impl World {
     /// Kills a router. The engines finish its requests, so their tokens count as served at once.
     pub fn kill(&mut self, router: usize) {
@@ -103,17 +120,7 @@
 
     /// Adds routers to the platform's list of VMs.
     pub(super) fn list_routers(&mut self) {
-        let routers = self.routers.iter().map(|router| servers::Vm {
-            vm: router.vm.clone(),
-            service: node::ROUTER_SERVICE.to_owned(),
-            address: router.address.clone(),
-            class: "entry".to_owned(),
-            failure_domain: "a".to_owned(),
-            state: servers::VmState::Live,
-            slots: 0,
-            incarnation: Default::default(),
-            cold_ms: 0,
-        });
+        let routers = self.routers.iter().map(Router::listed_vm);
         let listed: BTreeSet<String> = self.vms.iter().map(|vm| vm.vm.clone()).collect();
         let new: Vec<servers::Vm> = routers.filter(|vm| !listed.contains(&vm.vm)).collect();
         self.vms.extend(new);
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -26,10 +26,6 @@
 /// The number of idle connections that are kept for one server.
 const IDLE_MAX: usize = 32;
 
-/// A connection through another router is not reused when it is older than this, so that it does not keep a router that
-/// stops waiting and ends soon after the router's own link is restored.
-const RELAYED_AGE_MAX: Duration = Duration::from_secs(2);
-
 /// How often a connection that a probe established is checked for its end.
 const PROBE_CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -94,7 +90,7 @@
 
     /// Whether it leads through another router and is too old to be reused.
     fn is_aged_relay(&self) -> bool {
-        self.via.is_some() && self.established.elapsed() >= RELAYED_AGE_MAX
+        self.via.is_some() && self.established.elapsed() >= links::RELAYED_AGE_MAX
     }
 
     /// Reads from the headers of an answer how long the server keeps the connection open.
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,10 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A connection through another router is not reused when it is older than this, so that it does not keep a router that
-/// stops waiting.
-const RELAYED_AGE_MAX: Duration = Duration::from_secs(2);
-
 /// Clients for backend servers, whose connections are made over the router's links.
 #[derive(Clone)]
 pub struct ServerClients {
@@ -50,7 +46,7 @@
                 .finish()
         };
         let direct = build(connector());
-        let relayed = build(connector().conn_lifetime(RELAYED_AGE_MAX));
+        let relayed = build(connector().conn_lifetime(links::RELAYED_AGE_MAX));
         Self { links, direct, relayed }
     }
 
--- a/src/links.rs
+++ b/src/links.rs
@@ -23,6 +23,9 @@
 
 /// The time within which a connection must be established.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// A connection through another router is not reused when it is older than this, so that it does not keep a router that
+/// stops waiting and ends soon after the router's own link is restored.
+pub const RELAYED_AGE_MAX: Duration = Duration::from_secs(2);
 /// How often lost links are looked at for a check that is due.
 const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The number of servers that are connected to in order to find out whether this router reaches any.
