Test two of three routers that are cut from all servers by resets and without new connections

Cause: of the ways to lose the links, tests/routers_cut_off.rs had all but one router cut only by silence.

Two cases more, the same bound: 19 in 20 of the requests that are sent later than a second after the cut are served, and no server is called crashed.

Not covered: a service whose every router is cut (nobody reaches it), failure domains (the routers of the harness are all in one).

--- a/tests/routers_cut_off.rs
+++ b/tests/routers_cut_off.rs
@@ -117,6 +117,10 @@
         "/read/x", [0], SERVERS, OpenConnections::Unaffected;
     two_of_three_routers_cut_off_from_all_servers_serve_through_the_third:
         "/read/x", [0, 1], SERVERS, OpenConnections::Silent;
+    two_of_three_routers_whose_links_to_all_servers_are_reset_serve_through_the_third:
+        "/read/x", [0, 1], SERVERS, OpenConnections::Reset;
+    two_of_three_routers_that_can_open_no_connection_to_servers_serve_through_the_third:
+        "/read/x", [0, 1], SERVERS, OpenConnections::Unaffected;
     unrepeatable_requests_of_a_router_cut_off_from_all_servers_are_served_through_its_peers:
         "/pay/x", [0], SERVERS, OpenConnections::Silent;
     a_router_whose_links_to_half_of_the_servers_go_silent_serves_all_requests:
