--- a/core/tests/links.rs
+++ b/core/tests/links.rs
@@ -173,6 +173,28 @@
     assert!(table.others_of_service(FIRST, 4, &mut rng()).unwrap().is_empty());
 }
 
+// Guards against the crash of a service's last server being taken for lost links, as the others had crashed before.
+#[test]
+fn servers_that_are_known_to_fail_tell_nothing_of_links_until_they_are_reached_again() {
+    let mut table = reached();
+    let services = [(FIRST, "model"), (SECOND, "model"), (THIRD, "model")];
+    table.set_services(services.map(|(one, two)| (one.to_owned(), two.to_owned())).into());
+    table.record_server_fault(SECOND, ServerFault::Refused, 2_000);
+    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [THIRD]);
+    table.record_refused_peer(THIRD, message::ConnectReply::Refused, 2_010);
+    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()), None);
+    table.record_reached(SECOND, 1, 5_000);
+    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [SECOND]);
+    table.record_lost(THIRD, 5_001);
+    table.record_lost(SECOND, 5_001);
+    assert!(table.others_of_service(FIRST, 4, &mut rng()).unwrap().is_empty());
+    // A word that is no verdict on the server.
+    table.record_reached(SECOND, 1, 6_000);
+    table.record_server_fault(SECOND, ServerFault::Unknown, 6_001);
+    table.record_refused_peer(SECOND, message::ConnectReply::Unavailable, 6_001);
+    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [SECOND]);
+}
+
 #[test]
 fn what_other_routers_found_of_a_failed_server_holds_for_a_moment_and_until_it_is_reached() {
     let mut table = reached();
--- a/tests/crashing_calls.rs
+++ b/tests/crashing_calls.rs
@@ -24,6 +24,8 @@
 /// Maximum number of sends to servers in total, if the client repeats its request every 0.1 s.
 const SENDS_MAX: usize = 5;
 const REPEAT_FOR: Duration = Duration::from_secs(10);
+/// The links of each router know this long after a change of the list which servers run the same service.
+const SERVICES_KNOWN: Duration = Duration::from_secs(2);
 
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
     Transfer-Encoding: chunked\r\n\r\n";
@@ -210,6 +212,26 @@
     assert!(crashing.operate(2, &["release", &fingerprint]).contains("nothing to release"));
 }
 
+// Guards against a router that takes the crash of a service's last server for lost links, as it reaches no other one.
+#[test]
+fn crashes_of_all_servers_of_a_service_are_recognized() {
+    let crashing = CrashingFleet::start("crashing-all");
+    std::thread::sleep(SERVICES_KNOWN);
+    let crashes = || crashing.servers.iter().map(|server| server.crashes().len()).sum::<usize>();
+    // Different bodies, so that none of them is quarantined.
+    for number in 0..SERVERS {
+        call_service(&crashing.fleet, number % ROUTERS, &format!("poison {number}"));
+    }
+    assert_eq!(crashes(), SERVERS, "{}", crashing.fleet.failure_report());
+    let logs: String = (0..ROUTERS).map(|router| crashing.fleet.log_text(router)).collect();
+    assert_eq!(
+        logs.matches("event=server_crashed").count(),
+        SERVERS,
+        "{}",
+        crashing.fleet.failure_report()
+    );
+}
+
 #[test]
 fn calls_quarantined_in_one_workspace_are_served_in_another() {
     let crashing = CrashingFleet::start("crashing-workspaces");
--- a/tests/fleet/observe.rs
+++ b/tests/fleet/observe.rs
@@ -5,7 +5,7 @@
 use std::fs;
 
 /// Number of last lines of each router's log in a report.
-const LOG_LINES: usize = 20;
+const LOG_LINES: usize = 80;
 
 impl Fleet {
     pub fn ledger(&self, workspace: &str) -> ledger::Budget {
