Don't take the crash of a service's last server for lost links

Cause: a failure counts against a server only on the word of a router that reaches another server of the same service. Once all others of the service had crashed too, no router could give that word: the probe of the next crash ended as Silent and the crash was not counted, until one of the servers had restarted.

Why it works: a server that was found to fail, on such a word, says nothing of the links until it is reached again, so it is not counted among the others. If none is left, the other routers' own refusals decide, as in a service of one server. A cut of all links gives no such word and so marks no server.

Weighed: to count a refusal that all asked routers get would also count a cut of all routers; to spread the crashes by gossip needs the servers' addresses in it. Not covered: fleets of more than nine routers, where not all are asked about each crash.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -108,6 +108,8 @@
     received_ms: Option<u64>,
     /// The last word of other routers that the server fails, and when it was received.
     server_fault: Option<(ServerFault, u64)>,
+    /// Whether the server itself was found to fail, by this router or with others, and was not reached since.
+    server_failed: bool,
     /// The last answer to another router that asked for a connection to this server, if there was none, and its time.
     refused_peers: Option<(message::ConnectReply, u64)>,
     /// When the link was last checked because of a poll.
@@ -179,6 +181,7 @@
         link.connect_ms = took_ms.max((link.connect_ms + took_ms) / 2);
         link.reached_ms = Some(now_ms);
         link.server_fault = None;
+        link.server_failed = false;
         link.refused_peers = None;
         let lost_since_ms = link.lost_since_ms.take();
         if let Some(since_ms) = self.all_lost_since_ms.take() {
@@ -219,9 +222,11 @@
 
     /// Records the word of other routers that a server fails.
     pub fn record_server_fault(&mut self, address: &str, fault: ServerFault, now_ms: u64) {
-        self.link(address, now_ms).server_fault = Some((fault, now_ms));
-        if fault == ServerFault::Unknown {
-            self.peers_unknown_ms = Some(now_ms);
+        let link = self.link(address, now_ms);
+        link.server_fault = Some((fault, now_ms));
+        match fault {
+            ServerFault::Refused | ServerFault::Unresponsive => link.server_failed = true,
+            ServerFault::Unknown => self.peers_unknown_ms = Some(now_ms),
         }
     }
 
@@ -238,7 +243,10 @@
         reply: message::ConnectReply,
         now_ms: u64,
     ) {
-        self.link(address, now_ms).refused_peers = Some((reply, now_ms));
+        let link = self.link(address, now_ms);
+        link.refused_peers = Some((reply, now_ms));
+        link.server_failed |=
+            matches!(reply, message::ConnectReply::Refused | message::ConnectReply::Unresponsive);
     }
 
     /// The answer that other routers get without another attempt, because one failed lately.
@@ -260,6 +268,7 @@
     /// Records that another router reached a server that was not reached over the own link.
     pub fn record_lost(&mut self, address: &str, now_ms: u64) -> Option<Change> {
         let link = self.link(address, now_ms);
+        link.server_failed = false;
         if link.lost_since_ms.is_some() {
             return None;
         }
@@ -291,7 +300,8 @@
     }
 
     /// Addresses of at most `count` other servers of the same service whose links are not known to be lost; `None` if
-    /// the service has no other server. They show whether a server has failed or the links to its service.
+    /// the service has no other server. They show whether a server has failed or the links to its service. A server
+    /// that is known to fail shows neither, so it counts as no other one.
     pub fn others_of_service(
         &self,
         address: &str,
@@ -299,7 +309,9 @@
         rng: &mut rngs::StdRng,
     ) -> Option<Vec<String>> {
         let service = self.services.get(address)?;
-        let of_service = |other: &str| self.services.get(other) == Some(service);
+        let has_failed = |other: &str| self.links.get(other).is_some_and(|link| link.server_failed);
+        let of_service =
+            |other: &str| self.services.get(other) == Some(service) && !has_failed(other);
         let any = self.services.keys().any(|other| other != address && of_service(other));
         any.then(|| self.select_others(address, of_service, count, rng))
     }
--- a/src/links/race.rs
+++ b/src/links/race.rs
@@ -66,6 +66,7 @@
             }
             Err(error) => {
                 let reply = self.ask_peers_anew(address).await;
+                self.record_reply(address, &reply);
                 self.resolve(address, Err(error), reply).await
             }
         }
@@ -148,14 +149,18 @@
             None => {}
         }
         let reply = self.ask_peers_anew(address).await;
-        let fault = match &reply {
+        self.record_reply(address, &reply);
+        reply
+    }
+
+    fn record_reply(&self, address: &str, reply: &PeersReply) {
+        let fault = match reply {
             PeersReply::Refused => links::ServerFault::Refused,
             PeersReply::Unresponsive => links::ServerFault::Unresponsive,
             PeersReply::Unknown => links::ServerFault::Unknown,
-            PeersReply::Connected(_) => return reply,
+            PeersReply::Connected(_) => return,
         };
         lock(&self.table).record_server_fault(address, fault, self.now_ms());
-        reply
     }
 
     /// Asks other routers for a connection, the next one when one does not have it or is slow.
