--- a/core/tests/withheld.rs
+++ b/core/tests/withheld.rs
@@ -65,6 +65,23 @@
     assert!(served(&world) > PAID_TOKENS * 95 / 100, "only {} tokens were served", served(&world));
 }
 
+/// Guards against a new router that knows no other one yet and counts only itself among those whose draws may be lost.
+#[test]
+fn a_router_that_has_met_no_other_one_after_a_restore_releases_no_withheld_tokens() {
+    let mut world = fleet(1);
+    spend(&mut world, 10);
+    let backup = world.back_up_ledger();
+    spend(&mut world, 60);
+    for first in 0..ROUTERS {
+        world.faults.pairs_cut.extend((first + 1..ROUTERS).map(|second| (first, second)));
+    }
+    restore(&mut world, &backup, 0..ROUTERS);
+    spend(&mut world, 40);
+    world.faults.pairs_cut.clear();
+    world.run_ms(5_000);
+    spend(&mut world, 40);
+}
+
 #[test]
 fn a_budget_that_the_backup_lacks_is_not_spent_twice_if_all_routers_were_killed() {
     let mut world = fleet(2);
