Count only routers that were met among those whose draws may be lost

What callers would see: prepaid tokens are served twice after a restore.

Cause: up to two silent routers cost a quarter of what is undrawn each, because a draw has copies at two others. The limit on silent routers counted the addresses of the settings as others, but the silent ones were counted among the routers that the router had met. A new router that had met none counted one silent router, itself, within a limit of two, and released three quarters of what was withheld.

Why it works: if all routers that were met are new, one more is silent than were met, which exceeds the limit. So a part is released only if a router that lived through the restore vouches, and its reply names the routers that it knows.

Weighed: to count the addresses of the settings as silent too. A settings file that names a router which is gone would then withhold tokens for good.

--- a/core/src/node/confirmations.rs
+++ b/core/src/node/confirmations.rs
@@ -5,7 +5,7 @@
 //! the shard before the restore, or had run for longer than the age of any backup when it last knew the store to be in
 //! an earlier era; or if the requesting router read the shard after it discovered the incarnation that replies.
 
-use super::{Action, Node, Notice};
+use super::{Action, Node, Notice, ledger_copies};
 use crate::{ids, ledger_writer, members, message, rendezvous};
 use std::collections;
 
@@ -98,7 +98,8 @@
             recovered.is_some_and(|recovered| recovered != message::Recovered::Nothing)
         });
         let is_final = replies_final && answered && silent_routers > 0;
-        let silent_routers = Some(silent_routers).filter(|count| *count <= self.unavailable_max());
+        let unavailable_max = ledger_copies::unavailable_max(others.len());
+        let silent_routers = Some(silent_routers).filter(|count| *count <= unavailable_max);
         (is_final || silent_routers.is_some())
             .then_some(ledger_writer::RecoveryDecision { silent_routers, is_final })
     }
--- a/core/src/node/ledger_copies.rs
+++ b/core/src/node/ledger_copies.rs
@@ -8,6 +8,13 @@
 /// cannot be recovered only if its router and this many others are unavailable.
 const LEDGER_COPIES: usize = 2;
 
+/// The number of routers, of one and `others`, that may be unavailable at once while every draw has a copy at another
+/// router, or is small. The others are those that the router has met: of a fleet that it does not know yet, any number
+/// may be unavailable.
+pub(super) fn unavailable_max(others: usize) -> u64 {
+    LEDGER_COPIES.min(others) as u64
+}
+
 impl Node {
     /// Unlocks draws that enough other routers have stored a copy of, and sends copies again that were not
     /// acknowledged.
@@ -27,12 +34,6 @@
         }
     }
 
-    /// The number of routers that may be unavailable at once while every draw has a copy at another router, or is
-    /// small.
-    pub(super) fn unavailable_max(&self) -> u64 {
-        LEDGER_COPIES.min(self.members.other_addresses()) as u64
-    }
-
     /// Sends a shard of the ledger to other routers, preferably in the same failure domain. They recover it if a
     /// restore of the store loses it and this router is unavailable.
     pub(super) fn send_ledger_copies(
