--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -108,7 +108,7 @@
     received_ms: Option<u64>,
     /// The last word of other routers that the server fails, and when it was received.
     server_fault: Option<(ServerFault, u64)>,
-    /// Whether the server itself was found to fail, by this router or with others, and was not reached since.
+    /// Whether the server itself, and not the link, was found to have failed; until it is reached again.
     server_failed: bool,
     /// The last answer to another router that asked for a connection to this server, if there was none, and its time.
     refused_peers: Option<(message::ConnectReply, u64)>,
@@ -300,8 +300,8 @@
     }
 
     /// Addresses of at most `count` other servers of the same service whose links are not known to be lost; `None` if
-    /// the service has no other server. They show whether a server has failed or the links to its service. A server
-    /// that is known to fail shows neither, so it counts as no other one.
+    /// the service has no other server. They show whether a server has failed or the links to its service. Servers
+    /// that were found to have failed are left out, because that they are not reached shows neither.
     pub fn others_of_service(
         &self,
         address: &str,
--- a/core/src/node/ledger_copies.rs
+++ b/core/src/node/ledger_copies.rs
@@ -8,9 +8,8 @@
 /// cannot be recovered only if its router and this many others are unavailable.
 const LEDGER_COPIES: usize = 2;
 
-/// The number of routers, of one and `others`, that may be unavailable at once while every draw has a copy at another
-/// router, or is small. The others are those that the router has met: of a fleet that it does not know yet, any number
-/// may be unavailable.
+/// The number of routers, out of one and the `others` that it has met, that may be unavailable at once while every draw
+/// has a copy at another router, or is small. Of routers that it has not met any number may be unavailable.
 pub(super) fn unavailable_max(others: usize) -> u64 {
     LEDGER_COPIES.min(others) as u64
 }
