--- a/src/links.rs
+++ b/src/links.rs
@@ -332,7 +332,8 @@
         future::join_all(races.map(|(other, _)| self.connect(other))).await;
     }
 
-    /// Whether this router reaches other servers of the same service over its own links; `None` if there is no other.
+    /// Whether this router reaches other servers of the same service over its own links; `None` if there is no other, or
+    /// all others were found to have failed.
     async fn reaches_others(&self, address: &str) -> Option<bool> {
         let others = {
             let table = lock(&self.table);
