Record the software version of servers; name it where streams begin and go on

Cause: no line of the logs named the version of a server, and a request by which a client continues a broken stream looked like any other, so that the first two hypotheses of the incident could not be told apart.

`placed`, `placed_again`, `stream_broken`, `stream_resumed` and `engine_failed` name it; `placed` and `refused` name `resumes` and `last_event_id` of a client that continues a stream. `dump` has the live servers of each version by service, `status` counts the services with several. Protocol 15, as a server's record goes from router to router.

Ruled out: that a decision changes. The platform's policy names no classes; a policy of the Consul protocol selects by the class of its own list as before.

Evidence: wire_format and external_names hold the new bytes and names; nothing else of the core's tests for them changed.

Conclusion: a stream's versions can be read from the logs of its routers.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -179,6 +179,7 @@
         service: "service".to_owned(),
         address: format!("10.2.{}.{}:8000", number / 250, number % 250),
         class: "new".to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 0,
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -222,6 +222,7 @@
         service: "service".to_owned(),
         address: format!("10.2.0.{server}:1"),
         class: "any".to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 0,
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of their transport encoding. It changes with every change of either.
-pub const PROTOCOL: u16 = 14;
+pub const PROTOCOL: u16 = 15;
 
 /// A [`Message`] from one router to another, with the router incarnations that sent it and that it is addressed to. An
 /// incarnation is one run of a router process; a later one at the same address ignores the message.
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -293,8 +293,10 @@
         let Some(request) = self.requests.get(slot) else { return };
         let (attempt, unread_tokens) = (request.attempt, request.unread_tokens);
         let Some(server) = self.servers.get(server) else { return };
-        let servers::Vm { address, vm, incarnation, .. } = server.vm.clone();
-        self.answer(slot, Answer::Dispatch { address, vm, incarnation, attempt, unread_tokens });
+        let servers::Vm { address, vm, incarnation, version, .. } = server.vm.clone();
+        let dispatch =
+            Answer::Dispatch { address, vm, incarnation, version, attempt, unread_tokens };
+        self.answer(slot, dispatch);
     }
 
     /// Ends a request that was not sent to any server, and releases its tokens, its place at a server and its claim.
--- a/core/src/node/dump.rs
+++ b/core/src/node/dump.rs
@@ -24,6 +24,7 @@
             "quarantine": self.dump_quarantine(now_ms),
             "budgets": self.dump_budgets(),
             "servers": self.dump_servers(),
+            "versions": self.servers.live_versions(),
             "limited_servers": self.dump_limited_servers(now_ms),
             "members": self.members.records().collect::<Vec<_>>(),
             "requests": self.dump_requests(now_ms),
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -228,6 +228,8 @@
         vm: String,
         /// Incarnation of the server that the request is meant for.
         incarnation: ids::ServerIncarnation,
+        /// Software version of the server; empty if its record names none.
+        version: String,
         /// Identifies the attempt to the server.
         attempt: ids::AttemptId,
         /// Estimate of the prompt tokens that the server does not have in its cache.
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -251,6 +251,16 @@
         self.servers.iter()
     }
 
+    /// Number of live servers of each software version, by service.
+    pub fn live_versions(&self) -> collections::BTreeMap<&str, collections::BTreeMap<&str, u64>> {
+        let mut versions = collections::BTreeMap::<_, collections::BTreeMap<_, u64>>::new();
+        for server in self.servers.values().filter(|server| server.is_live()) {
+            let of_service = versions.entry(server.vm.service.as_str()).or_default();
+            *of_service.entry(server.vm.version.as_str()).or_default() += 1;
+        }
+        versions
+    }
+
     /// Chooses a server with room and counts the request on it.
     pub fn choose(
         &mut self,
--- a/core/src/servers/vm.rs
+++ b/core/src/servers/vm.rs
@@ -3,8 +3,8 @@
 use crate::ids;
 use serde::{Deserialize, Serialize};
 
-/// The record of one VM in the platform's list: the backend server or router on it, its address, class and failure
-/// domain, and whether it is about to stop. Routers choose servers among these VMs.
+/// The record of one VM in the platform's list: the backend server or router on it, its address, class, software
+/// version and failure domain, and whether it is about to stop. Routers choose servers among these VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
     /// Name of the VM.
@@ -15,6 +15,9 @@
     pub address: String,
     /// Hardware class of the VM.
     pub class: String,
+    /// Software version of the service on it; empty if its record names none.
+    #[serde(default)]
+    pub version: String,
     /// Failure domain of the VM.
     pub failure_domain: String,
     /// Lifecycle state of the VM.
@@ -34,7 +37,14 @@
 impl Vm {
     /// Total length of the strings in the record, in bytes.
     pub fn text_bytes(&self) -> usize {
-        let texts = [&self.vm, &self.service, &self.address, &self.class, &self.failure_domain];
+        let texts = [
+            &self.vm,
+            &self.service,
+            &self.address,
+            &self.class,
+            &self.version,
+            &self.failure_domain,
+        ];
         texts.into_iter().map(String::len).sum()
     }
 
--- a/core/tests/arbitrary_messages.rs
+++ b/core/tests/arbitrary_messages.rs
@@ -116,6 +116,7 @@
         service: "service".to_owned(),
         address: "10.9.0.9:1".to_owned(),
         class: String::new(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: servers::VmState::Leaving,
         slots: 1,
--- a/core/tests/cold_servers.rs
+++ b/core/tests/cold_servers.rs
@@ -21,6 +21,7 @@
         service: SERVICE.to_owned(),
         address: format!("10.0.0.{index}:1"),
         class: String::new(),
+        version: String::new(),
         failure_domain: domain.to_owned(),
         state: servers::VmState::Live,
         slots: 24,
--- a/core/tests/external_names.rs
+++ b/core/tests/external_names.rs
@@ -216,6 +216,7 @@
         service: "notes".to_owned(),
         address: "a:1".to_owned(),
         class: "old".to_owned(),
+        version: String::new(),
         failure_domain: "east".to_owned(),
         state,
         slots: 1,
@@ -338,7 +339,7 @@
         member(members::Health::Left),
     ]) => r#"[{"id":1,"address":"a:1","vm":"vm-1","failure_domain":"east","beat":2,"health":"Alive"},{"id":1,"address":"a:1","vm":"vm-1","failure_domain":"east","beat":2,"health":"Suspect"},{"id":1,"address":"a:1","vm":"vm-1","failure_domain":"east","beat":2,"health":"Dead"},{"id":1,"address":"a:1","vm":"vm-1","failure_domain":"east","beat":2,"health":"Left"}]"#;
     servers_in_the_dump: json(&[vm(servers::VmState::Live), vm(servers::VmState::Leaving)])
-        => r#"[{"vm":"vm-1","service":"notes","address":"a:1","class":"old","failure_domain":"east","state":"live","slots":1,"life":2,"cold_ms":3},{"vm":"vm-1","service":"notes","address":"a:1","class":"old","failure_domain":"east","state":"leaving","slots":1,"life":2,"cold_ms":3}]"#;
+        => r#"[{"vm":"vm-1","service":"notes","address":"a:1","class":"old","version":"","failure_domain":"east","state":"live","slots":1,"life":2,"cold_ms":3},{"vm":"vm-1","service":"notes","address":"a:1","class":"old","version":"","failure_domain":"east","state":"leaving","slots":1,"life":2,"cold_ms":3}]"#;
     load_in_the_dump: json(&servers::Load { running: 1, queued: 2, slots: 3 }) => r#"{"running":1,"queued":2,"slots":3}"#;
     positions: json(&store::Position::new(1, 2)) => r#"{"era":1,"revision":2}"#;
     keys_of_the_store: [
--- a/core/tests/links.rs
+++ b/core/tests/links.rs
@@ -234,6 +234,7 @@
         service: "app".to_owned(),
         address: FIRST.to_owned(),
         class: "small".to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 8,
--- a/core/tests/server_incarnations.rs
+++ b/core/tests/server_incarnations.rs
@@ -15,6 +15,7 @@
         service: "service".to_owned(),
         address: "one:1".to_owned(),
         class: String::new(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state,
         slots: 4,
--- a/core/tests/server_shares.rs
+++ b/core/tests/server_shares.rs
@@ -91,6 +91,7 @@
             service: SERVICE.to_owned(),
             address: server.name.clone(),
             class: "class".to_owned(),
+            version: String::new(),
             failure_domain: "a".to_owned(),
             state: servers::VmState::Live,
             slots: 8,
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -19,6 +19,7 @@
         service: "service".to_owned(),
         address: format!("{name}:1"),
         class: class.to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state,
         slots: 0,
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -63,6 +63,7 @@
         service: "b".to_owned(),
         address: "c".to_owned(),
         class: "d".to_owned(),
+        version: "f".to_owned(),
         failure_domain: "e".to_owned(),
         state: servers::VmState::Leaving,
         slots: 1,
@@ -170,7 +171,7 @@
 fn gossip_keeps_its_bytes() {
     assert_eq!(
         hex(message::Datagram::Gossip(gossip())),
-        r#"000101610162016302010201020102010301020101610102010303040401610102000161016201630164016501010203016101020101610102020161010203050101016101620163020101016101010801010202020202020202020202020202020202000304010506010701016101010203040506"#
+        r#"0001016101620163020102010201020103010201016101020103030404016101020001610162016301640166016501010203016101020101610102020161010203050101016101620163020101016101010801010202020202020202020202020202020202000304010506010701016101010203040506"#
     );
 }
 
@@ -216,7 +217,7 @@
         value: vec![2, 3],
     } => "0101020c01010201030102010161020203";
     vms_ask_keeps_its_bytes: message::Message::VmsRequest => "0101020d";
-    vms_keeps_its_bytes: message::Message::Vms { copy_state: copy_state(), vms: vec![vm()] } => "0101020e01020103010161016201630164016501010203";
+    vms_keeps_its_bytes: message::Message::Vms { copy_state: copy_state(), vms: vec![vm()] } => "0101020e010201030101610162016301640166016501010203";
     members_ask_keeps_its_bytes: message::Message::MembersRequest => "0101020f";
     members_keeps_its_bytes: message::Message::Members(vec![member()]) => "0101021001010161016201630201";
     permit_ask_keeps_its_bytes: message::Message::PermitRequest {
--- a/core/tests/world/router_lifecycle.rs
+++ b/core/tests/world/router_lifecycle.rs
@@ -13,6 +13,7 @@
             service: node::ROUTER_SERVICE.to_owned(),
             address: self.address.clone(),
             class: "entry".to_owned(),
+            version: String::new(),
             failure_domain: "a".to_owned(),
             state: servers::VmState::Live,
             slots: 0,
--- a/core/tests/world/sample.rs
+++ b/core/tests/world/sample.rs
@@ -9,6 +9,7 @@
         service: "service".to_owned(),
         address: format!("10.2.0.{index}:1"),
         class: "new".to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: servers::VmState::Live,
         slots: 0,
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -55,6 +55,7 @@
         "limited_servers": count(&dump["limited_servers"]),
         "backing_off_servers": count(&dump["backing_off_servers"]),
         "links": links(&dump["links"]),
+        "versions": dump["versions"],
         "requests": dump["requests"].as_array().map_or(0, Vec::len),
         "unsettled": dump["unsettled"],
     })
@@ -69,13 +70,19 @@
     }
 }
 
+/// The number of services whose live servers have several software versions.
+fn services_of_several_versions(versions: &Value) -> usize {
+    let services = versions.as_object().into_iter().flat_map(serde_json::Map::values);
+    services.filter(|versions| count(versions) > 1).count()
+}
+
 fn count(servers: &Value) -> usize {
     servers.as_object().map_or(0, serde_json::Map::len)
 }
 
 fn show(rows: &[Value]) {
     println!(
-        "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8}  LEAVING",
+        "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8} {:>7}  LEAVING",
         "ROUTER",
         "VM",
         "STATE",
@@ -87,7 +94,8 @@
         "QUARANTINED",
         "LIMITED",
         "BACKOFF",
-        "LINKS"
+        "LINKS",
+        "MIXED"
     );
     for row in rows {
         let plain = |key: &str| match &row[key] {
@@ -100,7 +108,7 @@
             .map(|vms| vms.iter().filter_map(Value::as_str).collect())
             .unwrap_or_default();
         println!(
-            "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8}  {}",
+            "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8} {:>7}  {}",
             plain("router"),
             plain("vm"),
             if row["fault"].is_null() { plain("lifecycle") } else { "unreachable".to_owned() },
@@ -113,6 +121,7 @@
             plain("limited_servers"),
             plain("backing_off_servers"),
             plain("links"),
+            services_of_several_versions(&row["versions"]),
             leaving.join(", ")
         );
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -100,11 +100,12 @@
         let id = head.parameters.id.clone();
         let config_version = head.snapshot.version;
         let log_fields = format!(
-            "service={} budget={} bound_tokens={} priority={}",
+            "service={} budget={} bound_tokens={} priority={}{}",
             admission_request.service,
             admission_request.budget,
             admission_request.bound_tokens,
-            admission_request.priority
+            admission_request.priority,
+            reconnection_fields(&head.parameters),
         );
         let placement = match upstream::admit(&self.control, admission_request).await {
             upstream::Admission::Placed(placement) => placement,
@@ -120,9 +121,10 @@
         };
         let ticket = ticket::Ticket::new(self.control.clone(), placement.slot, cost, id);
         log::info!(
-            "event=placed id={} {log_fields} vm={} unread_tokens={} config_version={config_version} attempt=1",
+            "event=placed id={} {log_fields} vm={} version={} unread_tokens={} config_version={config_version} attempt=1",
             head.parameters.id,
             placement.vm,
+            logging::quoted(&placement.version),
             placement.unread_tokens,
         );
         let call = attempt::Call {
@@ -327,7 +329,12 @@
             match ticket.retry(failure).await {
                 upstream::Admission::Placed(next) => {
                     let id = &call.parameters.id;
-                    log::info!("event=placed_again id={id} vm={} after={}", next.vm, placement.vm);
+                    log::info!(
+                        "event=placed_again id={id} vm={} version={} after={}",
+                        next.vm,
+                        logging::quoted(&next.version),
+                        placement.vm
+                    );
                     placement = next;
                 }
                 refused => return final_response(ticket, error_answer, may_have_run, refused),
@@ -434,6 +441,13 @@
     headers.get(header::HOST)?.to_str().ok()
 }
 
+/// The fields by which the log lines of a request tell that its client continues a broken stream.
+fn reconnection_fields(parameters: &headers::ClientHeaders) -> String {
+    let Some(last_event_id) = &parameters.last_event_id else { return String::new() };
+    let resumes = parameters.resumes.as_deref().map_or_else(|| "-".to_owned(), logging::quoted);
+    format!(" resumes={resumes} last_event_id={}", logging::quoted(last_event_id))
+}
+
 fn log_outcome(
     call: &attempt::Call,
     placement: &upstream::Placement,
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -2,7 +2,7 @@
 //! resumed at another server if its route is resumable.
 
 use super::{attempt, backends, body, events, exchange, listener, ticket};
-use crate::{snapshot, timer, upstream};
+use crate::{logging, snapshot, timer, upstream};
 use doorswitch_core::node;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -70,7 +70,7 @@
                 }
                 StreamEnd::DeadlineExceeded => log::info!("event=stream_late id={id}"),
                 StreamEnd::ConnectionLost if self.call.route.resumable => {
-                    log::info!("event=stream_broken id={id} resumable=true");
+                    self.log_broken(true);
                     self.gateway.report_connection_lost(&self.call, &self.placement).await;
                     if let Some(next) = self.resume(last_id.as_deref()).await {
                         incoming = next;
@@ -78,7 +78,7 @@
                     }
                 }
                 StreamEnd::ConnectionLost => {
-                    log::info!("event=stream_broken id={id} resumable=false");
+                    self.log_broken(false);
                     self.gateway.report_connection_lost(&self.call, &self.placement).await;
                 }
             }
@@ -125,6 +125,15 @@
         }
     }
 
+    fn log_broken(&self, resumable: bool) {
+        log::info!(
+            "event=stream_broken id={} vm={} version={} resumable={resumable}",
+            self.call.parameters.id,
+            self.placement.vm,
+            logging::quoted(&self.placement.version),
+        );
+    }
+
     /// Resumes the stream at another server after the last event that was forwarded. Returns `None` if no server
     /// resumes it before the deadline.
     async fn resume(&mut self, last_id: Option<&str>) -> Option<Incoming> {
@@ -142,9 +151,10 @@
                     if answer.status().is_success() =>
                 {
                     log::info!(
-                        "event=stream_resumed id={} vm={}",
+                        "event=stream_resumed id={} vm={} version={}",
                         self.call.parameters.id,
-                        placement.vm
+                        placement.vm,
+                        logging::quoted(&placement.version)
                     );
                     self.connection = connection;
                     self.placement = placement;
--- a/src/model.rs
+++ b/src/model.rs
@@ -4,7 +4,7 @@
 //! Requests to engines are always for a stream, so that the router can count the tokens that the caller has received and
 //! resume after them. The caller gets one complete answer without repeated tokens.
 
-use crate::{answers, api_error, completion, control, http_client, upstream};
+use crate::{answers, api_error, completion, control, http_client, logging, upstream};
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
 use doorswitch_core::node;
@@ -151,8 +151,9 @@
             };
             progress.may_have_run |= failure == node::AttemptFailure::MayHaveRun;
             log::info!(
-                "event=engine_failed vm={} attempt={} delivered_tokens={}",
+                "event=engine_failed vm={} version={} attempt={} delivered_tokens={}",
                 placement.vm,
+                logging::quoted(&placement.version),
                 placement.attempt.0,
                 progress.delivered_tokens
             );
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -82,6 +82,8 @@
     pub vm: String,
     /// The server incarnation for which the request is meant.
     pub incarnation: ids::ServerIncarnation,
+    /// The software version of the server; empty if its record names none.
+    pub version: String,
     /// The id of this attempt.
     pub attempt: ids::AttemptId,
     /// The number of prompt tokens that the server is estimated not to have in its cache.
@@ -191,9 +193,22 @@
 
 fn admission(slot: ids::RequestSlot, answer: Option<node::Answer>) -> Admission {
     match answer {
-        Some(node::Answer::Dispatch { address, vm, incarnation, attempt, unread_tokens }) => {
-            Admission::Placed(Placement { slot, address, vm, incarnation, attempt, unread_tokens })
-        }
+        Some(node::Answer::Dispatch {
+            address,
+            vm,
+            incarnation,
+            version,
+            attempt,
+            unread_tokens,
+        }) => Admission::Placed(Placement {
+            slot,
+            address,
+            vm,
+            incarnation,
+            version,
+            attempt,
+            unread_tokens,
+        }),
         Some(node::Answer::Replay(outcome)) => Admission::Replay(outcome),
         Some(node::Answer::Refuse { reason, retry_after_ms }) => {
             Admission::Refused(api_error::refusal(reason, retry_after_ms))
