Failing tests: streams that go on at another software version

What callers see: one stream whose events come from servers of two versions, within one answer or after they continue it with Last-Event-Id and Resumes.

--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -184,22 +184,38 @@
         self.record(index, id, state, "a");
     }
 
+    /// Writes a record with another id and software version for the address of the server at `index`.
+    pub fn record_version(&self, index: usize, id: &str, version: &str, state: &str) {
+        let mut record = self.server_record(index, state, "a");
+        record["version"] = version.into();
+        self.put_record(id, &record);
+    }
+
     fn record(&self, index: usize, id: &str, state: &str, domain: &str) {
-        let record = json!({
+        self.put_record(id, &self.server_record(index, state, domain));
+    }
+
+    fn server_record(&self, index: usize, state: &str, domain: &str) -> serde_json::Value {
+        json!({
             "service": "app", "address": self.server_address(index).to_string(), "zone": domain,
             "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
-        });
+        })
+    }
+
+    fn put_record(&self, id: &str, record: &serde_json::Value) {
         self.store.put(&format!("servers/{id}"), record.to_string().as_bytes());
     }
 
+    /// Removes the record of a server.
+    pub fn remove_record(&self, id: &str) {
+        self.store.remove(&format!("servers/{id}"));
+    }
+
     /// Writes a server's record with the field `born`, the JSON value of the time of its start.
     pub fn record_server_born(&self, index: usize, state: &str, born: &str) {
-        let mut record = json!({
-            "service": "app", "address": self.server_address(index).to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
-        });
+        let mut record = self.server_record(index, state, "a");
         record["born"] = serde_json::from_str(born).unwrap();
-        self.store.put(&format!("servers/i-{index}"), record.to_string().as_bytes());
+        self.put_record(&format!("i-{index}"), &record);
     }
 
     pub fn add_router(&mut self) {
@@ -400,10 +416,15 @@
 
 /// Reads one answer until it is complete or the connection ends or is silent for 20 s.
 pub fn read_answer(stream: &mut TcpStream) -> Answer {
+    read_answer_until(stream, |_| false)
+}
+
+/// The same, but stops as soon as `stop` holds for what has been received.
+pub fn read_answer_until(stream: &mut TcpStream, stop: impl Fn(&Answer) -> bool) -> Answer {
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     let mut received = Vec::new();
     loop {
-        if let Some(answer) = parse(&received).filter(|answer| answer.whole) {
+        if let Some(answer) = parse(&received).filter(|answer| answer.whole || stop(answer)) {
             return answer;
         }
         let mut chunk = [0; 4096];
