Resume an answer only at the version that wrote its first event

Cause: a retry chose a server by service, class of VM and the servers that had failed. Nothing knew who wrote the first event.

Now: the control state notes the version of the server from which the first event came, and that is a criterion of the choice like the class of VM. Before the first event an attempt may go to any version, as only the second server writes events. If no server of the version is left, the answer ends at once, unfinished; the line stream_not_resumed names the reason (new: no_server_of_version).

Why it works: the message on the first event precedes, from the same sender to the same thread, any request for another server after it.

Ruled out: to bind a stream to the version of its first placement. It would lose streams whose server fails before it wrote anything.

--- a/benches/capacity/path.rs
+++ b/benches/capacity/path.rs
@@ -32,6 +32,7 @@
         service: "roast".to_owned(),
         address: engine.address().to_string(),
         class: "new".to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: "live".to_owned(),
     }]);
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -91,6 +91,8 @@
     failed_servers: Vec<ids::ServerSlot>,
     /// The number of servers on which it may have run and failed.
     attempts: u32,
+    /// Software version of the server that wrote the first event of the answer. The answer goes on only at that version.
+    version: Option<String>,
     /// Prompt tokens that its server is estimated to process before the first token of the answer.
     unread_tokens: u64,
 }
@@ -331,11 +333,15 @@
         self.servers.record_load(slot, load);
     }
 
-    /// Handles the start of the answer to a dispatched request: the server has processed the prompt.
+    /// Handles the first event of the answer to a dispatched request: the server has processed the prompt, and the rest
+    /// of the answer must come from the same software version.
     pub fn answer_started(&mut self, slot: ids::RequestSlot) {
         let Some(request) = self.requests.get_mut(slot) else { return };
         let Stage::Running { server, sent_ms, .. } = &request.stage else { return };
         let tokens = std::mem::take(&mut request.unread_tokens);
+        if request.version.is_none() {
+            request.version = self.servers.get(*server).map(|server| server.vm.version.clone());
+        }
         self.servers.record_prompt_processed(*server, tokens);
         self.servers.record_answer(*server, *sent_ms);
     }
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -29,6 +29,7 @@
             stage_since_ms: now_ms,
             failed_servers: Vec::new(),
             attempts: 0,
+            version: None,
             unread_tokens: 0,
             admission,
         };
@@ -249,7 +250,7 @@
             return;
         }
         if let Err(unavailable) = self.confirm_server(slot, now_ms) {
-            self.refuse(slot, unavailable.into(), now_ms);
+            self.refuse(slot, self.unavailability_reason(slot, unavailable), now_ms);
             return;
         }
         let Some(request) = self.requests.get_mut(slot) else { return };
@@ -288,6 +289,20 @@
         Ok(())
     }
 
+    /// Why a request for which no server is available is refused.
+    pub(super) fn unavailability_reason(
+        &self,
+        slot: ids::RequestSlot,
+        unavailable: servers::Unavailable,
+    ) -> Reason {
+        let bound_to_version =
+            self.requests.get(slot).is_some_and(|request| request.version.is_some());
+        match unavailable {
+            servers::Unavailable::None if bound_to_version => Reason::NoServerOfVersion,
+            unavailable => unavailable.into(),
+        }
+    }
+
     /// Answers a request with the server that it is dispatched to.
     pub(super) fn answer_dispatch(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot) {
         let Some(request) = self.requests.get(slot) else { return };
@@ -386,6 +401,7 @@
     servers::Criteria {
         service: &request.admission.service,
         classes: &request.admission.classes,
+        version: request.version.as_deref(),
         prefix_hash: request.admission.prefix_hash,
         parts: &request.admission.parts,
         excluded: &request.failed_servers,
--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -79,7 +79,10 @@
                     self.handle_server_choice(position.slot, choice, now_ms);
                 }
                 Err(unavailable) if may_wait(unavailable) => return,
-                Err(unavailable) => self.refuse(position.slot, unavailable.into(), now_ms),
+                Err(unavailable) => {
+                    let reason = self.unavailability_reason(position.slot, unavailable);
+                    self.refuse(position.slot, reason, now_ms);
+                }
             }
         }
     }
@@ -117,7 +120,7 @@
             slot,
         };
         if !may_wait(unavailable) {
-            self.refuse(slot, unavailable.into(), now_ms);
+            self.refuse(slot, self.unavailability_reason(slot, unavailable), now_ms);
             return;
         }
         self.waiting_servers.insert(position);
--- a/core/src/node/retries.rs
+++ b/core/src/node/retries.rs
@@ -59,7 +59,7 @@
             Err(unavailable) => {
                 let reason = match unavailable {
                     servers::Unavailable::Full => Reason::NoServer,
-                    unavailable => unavailable.into(),
+                    unavailable => self.unavailability_reason(slot, unavailable),
                 };
                 self.end_retries(slot, reason, now_ms);
                 return;
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -176,6 +176,8 @@
     Limited,
     /// All matching servers requested a backoff, in which this router sends them no requests.
     Backoff,
+    /// No matching server has the software version at which the answer began.
+    NoServerOfVersion,
 }
 
 impl Reason {
@@ -191,6 +193,7 @@
             Self::BudgetUnreachable => "BudgetUnreachable",
             Self::Overloaded => "Overloaded",
             Self::NoServer => "NoServer",
+            Self::NoServerOfVersion => "NoServerOfVersion",
             Self::DeadlineTooClose => "DeadlineTooClose",
             Self::ClaimUnreachable => "ClaimUnreachable",
             Self::InProgress => "InProgress",
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -153,10 +153,11 @@
         self.estimated_load() < self.slots() && !held_back
     }
 
-    /// Whether the server is live and its class is allowed.
+    /// Whether the server is live, and its class and version are allowed.
     fn matches(&self, criteria: &Criteria<'_>) -> bool {
         let class = criteria.classes.is_empty() || criteria.classes.contains(&self.vm.class);
-        class && self.is_live()
+        let version = criteria.version.is_none_or(|version| version == self.vm.version);
+        class && version && self.is_live()
     }
 
     /// Estimated time for one more request, in microseconds: the server's answer time scaled by its
@@ -168,13 +169,15 @@
 }
 
 /// The properties of one request by which a backend server is chosen for it: the service, the allowed classes of VM,
-/// the prompt, and the servers on which the request already failed.
+/// the software version, the prompt, and the servers on which the request already failed.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
     /// Name of the service.
     pub service: &'a str,
     /// Allowed classes of VM; empty allows all.
     pub classes: &'a [String],
+    /// Software version that the server must have; `None` allows all.
+    pub version: Option<&'a str>,
     /// Hash of the beginning of the prompt.
     pub prefix_hash: Option<u64>,
     /// Parts of the prompt; empty if they are not known.
--- a/core/tests/cold_servers.rs
+++ b/core/tests/cold_servers.rs
@@ -81,6 +81,7 @@
                 let criteria = servers::Criteria {
                     service: SERVICE,
                     classes: &[],
+                    version: None,
                     prefix_hash: None,
                     parts: &parts,
                     excluded: &[],
--- a/core/tests/server_incarnations.rs
+++ b/core/tests/server_incarnations.rs
@@ -44,6 +44,7 @@
         let criteria = servers::Criteria {
             service: "service",
             classes: &[],
+            version: None,
             prefix_hash: None,
             parts,
             excluded: &[],
--- a/core/tests/server_shares.rs
+++ b/core/tests/server_shares.rs
@@ -121,6 +121,7 @@
         let criteria = servers::Criteria {
             service: SERVICE,
             classes: &[],
+            version: None,
             prefix_hash: None,
             parts: &[],
             excluded: &[],
--- a/core/tests/servers.rs
+++ b/core/tests/servers.rs
@@ -47,8 +47,14 @@
         excluded: &[ids::ServerSlot],
     ) -> Result<ids::ServerSlot, servers::Unavailable> {
         let parts = &[];
-        let criteria =
-            servers::Criteria { service: "service", classes, prefix_hash, parts, excluded };
+        let criteria = servers::Criteria {
+            service: "service",
+            classes,
+            version: None,
+            prefix_hash,
+            parts,
+            excluded,
+        };
         self.table.choose(&criteria, self.now_ms, &mut self.rng).map(|choice| choice.slot)
     }
 
@@ -167,6 +173,7 @@
     let criteria = servers::Criteria {
         service: "service",
         classes: &[],
+        version: None,
         prefix_hash: None,
         parts,
         excluded: &[],
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -86,6 +86,7 @@
         service: service.to_owned(),
         address: address.to_string(),
         class: class.to_owned(),
+        version: String::new(),
         failure_domain: "osmangazi".to_owned(),
         state: "live".to_owned(),
     };
--- a/src/api_error.rs
+++ b/src/api_error.rs
@@ -131,6 +131,11 @@
             "no matching backend server can take the request now, and this router's queue is full or too slow",
         ),
         Reason::NoServer => (unavailable, "no_server", "no matching backend server is live"),
+        Reason::NoServerOfVersion => (
+            unavailable,
+            "no_server_of_version",
+            "no backend server of the software version that began this answer is live",
+        ),
         Reason::DeadlineTooClose => (
             StatusCode::GATEWAY_TIMEOUT,
             "deadline",
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -140,8 +140,14 @@
         let deadline = time::Instant::from_std(self.call.deadline);
         let mut failure = node::AttemptFailure::MayHaveRun;
         loop {
-            let upstream::Admission::Placed(placement) = self.ticket.retry(failure).await else {
-                return None;
+            let placement = match self.ticket.retry(failure).await {
+                upstream::Admission::Placed(placement) => placement,
+                upstream::Admission::Refused(error) => {
+                    let id = &self.call.parameters.id;
+                    log::info!("event=stream_not_resumed id={id} code={}", error.code);
+                    return None;
+                }
+                upstream::Admission::Replay(_) => return None,
             };
             let gateway = &self.gateway;
             let sent = Cell::new(false);
--- a/src/model.rs
+++ b/src/model.rs
@@ -7,7 +7,7 @@
 use crate::{answers, api_error, completion, control, http_client, logging, upstream};
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
-use doorswitch_core::node;
+use doorswitch_core::{ids, node};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use std::time::{Duration, Instant};
@@ -224,7 +224,7 @@
                 return AttemptEnd::Complete;
             }
             let Ok(chunk) = serde_json::from_str(&event.data) else { return AttemptEnd::Failed };
-            match self.deliver(&chunk, progress, pieces).await {
+            match self.deliver(placement.slot, &chunk, progress, pieces).await {
                 None => {}
                 Some(end) => return end,
             }
@@ -235,6 +235,7 @@
     /// Forwards a chunk to the caller; returns how the attempt ended if it ends with this chunk.
     async fn deliver(
         &self,
+        slot: ids::RequestSlot,
         chunk: &completion::Chunk,
         progress: &mut Progress,
         pieces: &mpsc::Sender<Piece>,
@@ -242,6 +243,9 @@
         let text = chunk.text();
         let finish_reason = chunk.finish_reason().map(str::to_owned);
         if !text.is_empty() {
+            if progress.delivered_tokens == 0 {
+                self.control.do_send(control::AnswerStarted(slot));
+            }
             progress.delivered_tokens += 1;
         }
         if let Some(usage) = chunk.usage {
@@ -265,12 +269,7 @@
     }
 
     /// Settles a request that ran, for the tokens that were consumed.
-    async fn settle(
-        &self,
-        slot: doorswitch_core::ids::RequestSlot,
-        progress: &Progress,
-        healthy: bool,
-    ) {
+    async fn settle(&self, slot: ids::RequestSlot, progress: &Progress, healthy: bool) {
         let outcome = node::RequestOutcome::Ran {
             consumed_tokens: progress.consumed_tokens(),
             outcome: None,
@@ -282,7 +281,7 @@
     /// Settles a request without a complete answer and returns the error for its caller.
     async fn fail(
         &self,
-        slot: doorswitch_core::ids::RequestSlot,
+        slot: ids::RequestSlot,
         progress: &Progress,
         mut error: api_error::ApiError,
     ) -> Result<(), Failure> {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -34,6 +34,8 @@
     pub overreport_tokens: u64,
     /// Whether every request is rejected, as by an engine without free slots.
     pub refuse: bool,
+    /// The software version, which is appended to each token in brackets; 0 appends nothing.
+    pub version: u64,
 }
 
 impl Default for Mode {
@@ -47,6 +49,7 @@
             garbage: false,
             overreport_tokens: 0,
             refuse: false,
+            version: 0,
         }
     }
 }
@@ -331,7 +334,10 @@
             }
             Stage::Tokens if self.position < self.end_position => {
                 delay(self.mode.token_ms).await;
-                let text = token(&self.prompt, self.position);
+                let mut text = token(&self.prompt, self.position);
+                if self.mode.version > 0 {
+                    text.push_str(&format!("[{}]", self.mode.version));
+                }
                 self.position += 1;
                 self.slot.shared.lock().counts.made_tokens += 1;
                 let finish = (self.position == self.end_position).then_some("length");
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -59,6 +59,9 @@
     pub address: String,
     /// The hardware class of the VM.
     pub class: String,
+    /// The software version of the service.
+    #[serde(default)]
+    pub version: String,
     /// The failure domain of the VM.
     pub failure_domain: String,
     /// The state: `live` or `leaving`.
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -53,6 +53,36 @@
     eventually("each request is billed once", || fleet.totals("kitchen").billed_requests == 80);
 }
 
+#[test]
+fn answers_that_engines_of_two_versions_break_off_hold_one_version() {
+    let options = Options { engines: 4, ..Options::default() };
+    let fleet = Fleet::start("answers-versions", options);
+    let mut vms = fleet.vms();
+    for (index, engine) in fleet.engines.iter().enumerate() {
+        let version = 1 + index as u64 / 2;
+        let break_after_tokens = if index % 2 == 0 { 4 } else { 0 };
+        engine.set_mode(engine::Mode { version, break_after_tokens, ..engine::Mode::default() });
+        let vm = vms.iter_mut().find(|vm| vm.vm == format!("engine-{index}")).unwrap();
+        vm.version = format!("v{version}");
+    }
+    fleet.platform.set_vms(vms);
+    for router in 0..fleet.routers.len() {
+        eventually("the router lists the versions", || {
+            fleet.dump(router)["versions"]["roast"].as_object().is_some_and(|all| all.len() == 2)
+        });
+    }
+    let mut whole = 0;
+    for number in 0..40 {
+        let prompt = format!("question {number}");
+        let answer = fleet.complete(number % fleet.routers.len(), &prompt, 20, true).unwrap();
+        let text = answer.text();
+        let versions = ["[1]", "[2]"].map(|version| text.matches(version).count());
+        assert!(versions.contains(&0), "two versions wrote the answer to {prompt}: {text}");
+        whole += usize::from(versions.contains(&20) && answer.done());
+    }
+    assert!(whole >= 20, "{whole} of 40 answers were whole");
+}
+
 #[test]
 fn a_request_that_every_engine_refuses_consumes_no_tokens() {
     let fleet = Fleet::start("answers-refuse", Options::default());
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -45,6 +45,7 @@
         service: "payments".to_owned(),
         address: server.address().to_string(),
         class: "new".to_owned(),
+        version: String::new(),
         failure_domain: "a".to_owned(),
         state: "live".to_owned(),
     }));
--- a/tests/fleet/start.rs
+++ b/tests/fleet/start.rs
@@ -153,6 +153,7 @@
                 service: service(index).to_owned(),
                 address: server.address().to_string(),
                 class: "new".to_owned(),
+                version: String::new(),
                 failure_domain: "a".to_owned(),
                 state: "live".to_owned(),
             });
@@ -173,6 +174,7 @@
             service: service.to_owned(),
             address: address.to_string(),
             class: "new".to_owned(),
+            version: String::new(),
             failure_domain: "a".to_owned(),
             state: "live".to_owned(),
         };
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -234,6 +234,18 @@
     )* };
 }
 
+#[test]
+fn streams_that_routers_resume_hold_one_version() {
+    let world = start("resumed", &["v1", "v1", "v2", "v2", "v3", "v3"]);
+    let streams = in_parallel(40, |number| {
+        let mut received = Received::default();
+        read_into(&mut received, &world, number % ROUTERS, &format!("id-{number}"), BREAKS);
+        received
+    });
+    assert!(streams.iter().any(|stream| stream.whole), "no stream was resumed: {streams:?}");
+    assert_unmixed(&streams);
+}
+
 broken_by_their_servers! {
     streams_that_break_at_two_of_three_versions_go_on_at_theirs: ["v1", "v1", "v2", "v2", "v3", "v3"];
     streams_of_a_version_with_one_server_beside_three_go_on_at_theirs: ["v1", "v2", "v2", "v2"];
