--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -227,6 +227,7 @@
         unrepeatable: false,
         prefix_hash: Some(key),
         parts: Vec::new(),
+        stream: None,
         deadline_ms: u64::MAX,
     }
 }
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -289,6 +289,7 @@
         unrepeatable: false,
         prefix_hash: None,
         parts: Vec::new(),
+        stream: None,
         deadline_ms: now_ms + DEADLINE_MS,
     }
 }
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -95,6 +95,20 @@
     }
 }
 
+/// Identifies a stream that its client may continue after its connection broke, in all routers. It is a digest of the
+/// workspace and of the id of the request whose answer brought the first event, so that no workspace can name the
+/// stream of another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamId(pub [u8; 16]);
+
+impl StreamId {
+    /// Returns the part of the digest by which routers are ranked for the stream.
+    pub fn subject(self) -> u64 {
+        (u128::from_be_bytes(self.0) >> 64) as u64
+    }
+}
+
 /// Identifies one attempt to run a request, drawn at random when a router receives it. A repetition by the caller is
 /// another attempt; a retry by the router on another backend server belongs to the same one. The stored records of the
 /// right to run a request, and of its cost, contain the attempt.
@@ -117,4 +131,8 @@
     /// The key of one entry in a router's table of backend servers ([`crate::servers::Table`]). It identifies the
     /// server that a request is sent to, and is valid within one router process only.
     pub struct ServerSlot;
+    /// The key of one origin of streams in a router's [`crate::streams::Table`], valid within one router process only.
+    pub struct OriginSlot;
+    /// The key of one search for the origin of a stream, until the router has found it or given up.
+    pub struct OriginSearchSlot;
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod routes;
 pub mod servers;
 pub mod store;
+pub mod streams;
 pub mod watch;
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -3,12 +3,13 @@
 mod ages;
 
 use crate::{
-    evacuation, ids, leaving_servers, log_index, members, quarantine, servers, store, watch,
+    evacuation, ids, leaving_servers, log_index, members, quarantine, servers, store, streams,
+    watch,
 };
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of their transport encoding. It changes with every change of either.
-pub const PROTOCOL: u16 = 15;
+pub const PROTOCOL: u16 = 16;
 
 /// A [`Message`] from one router to another, with the router incarnations that sent it and that it is addressed to. An
 /// incarnation is one run of a router process; a later one at the same address ignores the message.
@@ -221,6 +222,36 @@
         /// The addresses of the routers known to the sender, if the digests differ.
         addresses: Vec<String>,
     },
+    /// The origins of streams, of which the receiver keeps copies.
+    StreamOrigins {
+        /// The sender's number for the message; a retransmission has the same number.
+        number: u64,
+        /// The distinct origins.
+        origins: Vec<streams::Origin>,
+        /// The streams.
+        streams: Vec<streams::StreamCopy>,
+    },
+    /// The sender has stored a [`Message::StreamOrigins`].
+    StreamOriginsStored {
+        /// The number of the message.
+        number: u64,
+    },
+    /// Asks for the origin of a stream that a client continues.
+    StreamOriginRequest {
+        /// The requester's number for the request; a retransmission has the same number.
+        number: u64,
+        /// The stream.
+        stream: ids::StreamId,
+        /// The services to which the client's request may go.
+        services: Vec<String>,
+    },
+    /// The reply to a [`Message::StreamOriginRequest`].
+    StreamOriginReply {
+        /// The number of the request.
+        number: u64,
+        /// What the sender knows of the stream.
+        reply: streams::Reply,
+    },
 }
 
 impl Message {
@@ -237,6 +268,10 @@
                 | Self::TransferUnavailable { .. }
                 | Self::PermitRequest { .. }
                 | Self::PermitReply { .. }
+                | Self::StreamOrigins { .. }
+                | Self::StreamOriginsStored { .. }
+                | Self::StreamOriginRequest { .. }
+                | Self::StreamOriginReply { .. }
         )
     }
 }
--- a/core/src/message/ages.rs
+++ b/core/src/message/ages.rs
@@ -19,6 +19,11 @@
                 copy_state.add_age_ms(queued_ms)
             }
             Self::PermitRequest { limit_update, .. } => limit_update.add_age_ms(queued_ms),
+            Self::StreamOrigins { streams, .. } => {
+                for copy in streams {
+                    copy.left_ms = copy.left_ms.saturating_sub(queued_ms);
+                }
+            }
             _ => {}
         }
     }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -3,7 +3,7 @@
 //! [`Node`] receives events as method calls and queues the effects as a list of [`Action`]s. Its functions are in the
 //! submodules: `admit` (from a request to its dispatch), `retries`, `tokens` and `queue` (waits for tokens and for
 //! servers), `limits` (rate limits of servers), `directives` (headers of servers' answers that direct routers),
-//! `settle` (ends of requests), `platform` (calls to the store), `peers` (messages).
+//! `stream_origins` (streams that clients continue), `settle` (ends of requests), `platform` (calls to the store), `peers` (messages).
 
 mod admit;
 mod config_and_vms;
@@ -28,6 +28,7 @@
 mod relay;
 mod retries;
 mod settle;
+mod stream_origins;
 mod tokens;
 mod transfer_requests;
 mod types;
@@ -36,6 +37,7 @@
 pub use counters::{CallOutcome, CallPurpose, Counters};
 pub use notices::{ConfigSource, LimitSource, Notice, QuarantineSource};
 pub use quarantine::BrokenRun;
+pub use stream_origins::{OriginFound, OriginSearch, OriginSource};
 pub use types::*;
 
 use crate::{
@@ -166,6 +168,7 @@
     pauses: process_pauses::PauseDetector,
     quarantine: quarantine::Quarantine,
     limits: limits::PermitState,
+    stream_origins: stream_origins::StreamOrigins,
     /// The subscriptions to the store's topics; `None` where the shell follows the store.
     watching: Option<watching::Watching>,
     relay: relay::Relay,
@@ -232,6 +235,7 @@
             pauses: process_pauses::PauseDetector::new(now_ms),
             quarantine: Default::default(),
             limits: Default::default(),
+            stream_origins: Default::default(),
             watching,
             relay: relay::Relay::default(),
             started_ms: now_ms,
@@ -318,6 +322,7 @@
         self.tick_waiting_budget(now_ms);
         self.tick_directives(now_ms);
         self.tick_limits(now_ms);
+        self.tick_stream_origins(now_ms);
         self.tick_waiting_servers(now_ms);
         self.tick_waiting_claims(now_ms);
         self.tick_settlements(now_ms);
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -29,7 +29,7 @@
             stage_since_ms: now_ms,
             failed_servers: Vec::new(),
             attempts: 0,
-            version: None,
+            version: admission.stream.as_ref().and_then(|stream| stream.version.clone()),
             unread_tokens: 0,
             admission,
         };
@@ -263,7 +263,7 @@
         request.stage = Stage::Running { reservation, server, sent_ms: now_ms };
         request.stage_since_ms = now_ms;
         self.counters.dispatched += 1;
-        self.answer_dispatch(slot, server);
+        self.answer_dispatch(slot, server, now_ms);
     }
 
     /// Chooses another server for a request if the chosen one may not receive it any more: while the claim was recorded
@@ -304,7 +304,13 @@
     }
 
     /// Answers a request with the server that it is dispatched to.
-    pub(super) fn answer_dispatch(&mut self, slot: ids::RequestSlot, server: ids::ServerSlot) {
+    pub(super) fn answer_dispatch(
+        &mut self,
+        slot: ids::RequestSlot,
+        server: ids::ServerSlot,
+        now_ms: u64,
+    ) {
+        self.record_stream_origin(slot, server, now_ms);
         let Some(request) = self.requests.get(slot) else { return };
         let (attempt, unread_tokens) = (request.attempt, request.unread_tokens);
         let Some(server) = self.servers.get(server) else { return };
--- a/core/src/node/config_and_vms.rs
+++ b/core/src/node/config_and_vms.rs
@@ -113,6 +113,7 @@
         let routers = vms.iter().filter(|vm| vm.service == ROUTER_SERVICE);
         self.members.add_seeds(routers.map(|vm| vm.address.clone()));
         self.servers.apply_list(&self.backends(&vms), now_ms);
+        self.update_mixed_services(now_ms);
         self.report_restarted();
         let previous_vms = std::mem::take(&mut self.vms);
         self.vms = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
--- a/core/src/node/counters.rs
+++ b/core/src/node/counters.rs
@@ -1,6 +1,6 @@
 //! Event counters of a node.
 
-use super::Reason;
+use super::{OriginSource, Reason};
 use serde::Serialize;
 
 /// What a call of a router to the platform's store is for: following the configuration or the list of servers,
@@ -105,6 +105,8 @@
     pub refused_for_limits: std::collections::BTreeMap<String, u64>,
     /// Backoffs that servers requested, by service.
     pub server_backoffs: std::collections::BTreeMap<String, u64>,
+    /// Streams whose origin was found when their client continued them, by how it was found.
+    pub stream_origins: std::collections::BTreeMap<OriginSource, u64>,
     #[serde(skip)]
     pub store_calls: std::collections::BTreeMap<(CallPurpose, CallOutcome), u64>,
     pub consumed_tokens: u64,
--- a/core/src/node/dump.rs
+++ b/core/src/node/dump.rs
@@ -25,6 +25,7 @@
             "budgets": self.dump_budgets(),
             "servers": self.dump_servers(),
             "versions": self.servers.live_versions(),
+            "stream_origins": self.stream_origins_kept(),
             "limited_servers": self.dump_limited_servers(now_ms),
             "members": self.members.records().collect::<Vec<_>>(),
             "requests": self.dump_requests(now_ms),
--- a/core/src/node/lifecycle.rs
+++ b/core/src/node/lifecycle.rs
@@ -10,6 +10,7 @@
             return;
         }
         self.lifecycle = Lifecycle::Stopping;
+        self.hand_over_stream_origins(now_ms);
         let waiting: Vec<ids::RequestSlot> = self
             .requests
             .iter()
@@ -31,6 +32,7 @@
         let idle = self.requests.is_empty()
             && self.outbox.settlements.is_empty()
             && self.outbox.transfers.is_empty()
+            && self.stream_origins.is_settled()
             && self.logs.iter().all(|log| log.pending() == 0)
             && self.ledgers.iter().all(|ledger| !ledger.busy())
             && self.grants.iter().all(|(_, account)| !account.has_grant);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -80,6 +80,18 @@
             message::Message::RecoveryReply { era, shards, addresses } => {
                 self.handle_recovery_reply(from, era, &shards, addresses);
             }
+            message::Message::StreamOrigins { number, origins, streams } => {
+                self.handle_stream_origins(from, number, &origins, &streams, now_ms);
+            }
+            message::Message::StreamOriginsStored { number } => {
+                self.handle_stream_origins_stored(number);
+            }
+            message::Message::StreamOriginRequest { number, stream, services } => {
+                self.handle_origin_request(from, number, stream, &services, now_ms);
+            }
+            message::Message::StreamOriginReply { number, reply } => {
+                self.handle_origin_reply(from, number, reply, now_ms);
+            }
             message::Message::StaleHolder { shard } => {
                 if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
                     ledger.request_sync();
--- a/core/src/node/retries.rs
+++ b/core/src/node/retries.rs
@@ -73,7 +73,7 @@
                 *sent_ms = now_ms;
             }
         }
-        self.answer_dispatch(slot, next);
+        self.answer_dispatch(slot, next, now_ms);
     }
 
     /// Refuses a request that is not retried any more. If all its servers back off, that is the reason given.
--- /dev/null
+++ b/core/src/node/stream_origins.rs
@@ -0,0 +1,516 @@
+//! Finds the origin of a stream that a client continues, and keeps the origins of streams at other routers.
+//!
+//! While the servers of a service have several software versions, each router sends the origins of the streams that it
+//! places to two other routers, which rendezvous hashing over the stream names. Whichever router a client turns to asks
+//! those that may have been named, so that the origin is found after the router that placed the stream has ended.
+//! Nothing is sent while a service has one version.
+
+use super::{Action, Lifecycle, Node, Reason, admit};
+use crate::{ids, members, message, rendezvous, streams};
+use std::collections;
+
+/// Number of other routers to which the origin of a stream is sent.
+const COPIES: usize = 2;
+/// Number of routers that are asked for an origin. More than [`COPIES`], as views of the membership differ and copies
+/// are kept in different failure domains.
+const ROUTERS_ASKED_MAX: usize = 8;
+/// Time after which a router that has not replied is not waited for.
+const SEARCH_TIMEOUT_MS: u64 = 200;
+/// Time after which an unanswered request for an origin is repeated.
+const REQUEST_REPEAT_MS: u64 = 60;
+/// Time after which an unacknowledged message with origins is repeated.
+const COPY_REPEAT_MS: u64 = 100;
+/// Number of times that a message with origins is sent at most.
+const COPY_SENDS_MAX: u32 = 4;
+/// Number of streams in one message, which has to fit into a datagram.
+const STREAMS_PER_MESSAGE: usize = 64;
+/// Interval between checks whether the routers that keep copies are still live.
+const COPIES_CHECK_INTERVAL_MS: u64 = 500;
+/// Age of the list of servers up to which a router without any reply from others relies on it alone.
+const LIST_AGE_MAX_MS: u64 = 3_000;
+
+/// A search for the origin of a stream that a client continues.
+#[derive(Clone, Debug)]
+pub struct OriginSearch {
+    /// The stream; `None` if the client does not name it.
+    pub stream: Option<ids::StreamId>,
+    /// The services to which the request's route leads.
+    pub services: Vec<String>,
+}
+
+/// How the origin of a stream was determined. It is a label of a metric and written to the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OriginSource {
+    /// This router had placed the stream, or had a copy of its origin.
+    Own,
+    /// Another router had it.
+    Router,
+    /// It was unknown, but only one version can have written the stream.
+    OnlyVersion,
+}
+
+impl OriginSource {
+    /// The value in metrics and log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Router => "router",
+            Self::OnlyVersion => "only_version",
+        }
+    }
+}
+
+/// The result of an [`OriginSearch`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OriginFound {
+    /// The stream may go on at this origin.
+    Origin {
+        /// The service and version.
+        origin: streams::Origin,
+        /// How they were determined.
+        source: OriginSource,
+    },
+    /// The stream cannot be continued here now.
+    Refused {
+        /// The reason.
+        reason: Reason,
+        /// Time, in milliseconds, after which the caller may try again.
+        retry_after_ms: u64,
+    },
+}
+
+/// A message with origins that is not acknowledged yet.
+#[derive(Debug)]
+struct UnacknowledgedCopies {
+    router: ids::Incarnation,
+    streams: Vec<ids::StreamId>,
+    sent_ms: u64,
+    sends: u32,
+}
+
+/// A search whose routers have not all replied.
+#[derive(Debug)]
+struct RunningSearch {
+    search: OriginSearch,
+    number: u64,
+    unanswered: collections::BTreeSet<ids::Incarnation>,
+    /// The origins that the stream may have according to the replies.
+    candidates: collections::BTreeSet<streams::Origin>,
+    replied: bool,
+    started_ms: u64,
+    sent_ms: u64,
+}
+
+/// The state of the exchange of origins with other routers.
+#[derive(Debug, Default)]
+pub(super) struct StreamOrigins {
+    table: streams::Table,
+    /// Streams whose origin is to be sent now.
+    unsent: collections::BTreeSet<ids::StreamId>,
+    /// The routers to which the origins of streams were sent.
+    copies: collections::HashMap<ids::StreamId, Vec<ids::Incarnation>>,
+    copies_checked_ms: u64,
+    unacknowledged: collections::BTreeMap<u64, UnacknowledgedCopies>,
+    searches: slotmap::SlotMap<ids::OriginSearchSlot, RunningSearch>,
+    /// The number of the last message that is repeated until it is answered.
+    last_number: u64,
+    /// The services with several recent versions.
+    mixed_services: collections::BTreeSet<String>,
+}
+
+impl StreamOrigins {
+    /// Whether all origins that are to be sent have been acknowledged or abandoned.
+    pub(super) fn is_settled(&self) -> bool {
+        self.unsent.is_empty() && self.unacknowledged.is_empty()
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+}
+
+impl Node {
+    /// Searches for the origin of a stream. [`Action::OriginFound`] follows within 0.2 s, often before this returns.
+    pub fn find_stream_origin(
+        &mut self,
+        search: OriginSearch,
+        now_ms: u64,
+    ) -> ids::OriginSearchSlot {
+        let number = self.stream_origins.next_number();
+        let unanswered: collections::BTreeSet<ids::Incarnation> = match search.stream {
+            // Without the stream's id nobody can know its origin.
+            None => collections::BTreeSet::new(),
+            Some(stream) => self.routers_to_ask(stream).collect(),
+        };
+        let slot = self.stream_origins.searches.insert(RunningSearch {
+            search,
+            number,
+            unanswered,
+            candidates: Default::default(),
+            replied: false,
+            started_ms: now_ms,
+            sent_ms: now_ms,
+        });
+        let refusal = match self.lifecycle {
+            Lifecycle::Ready => None,
+            Lifecycle::Starting => Some(Reason::NotReady),
+            Lifecycle::Fenced => Some(Reason::Fenced),
+            Lifecycle::Stopping | Lifecycle::Stopped => Some(Reason::Stopping),
+        };
+        if let Some(reason) = refusal {
+            self.refuse_continuation(slot, reason);
+            return slot;
+        }
+        let stream = self.stream_origins.searches[slot].search.stream;
+        match stream.and_then(|stream| self.stream_origins.table.origin(stream)).cloned() {
+            Some(origin) => self.accept_origin(slot, origin, OriginSource::Own),
+            None if self.stream_origins.searches[slot].unanswered.is_empty() => {
+                self.conclude_search(slot, now_ms);
+            }
+            None => self.send_origin_requests(slot, now_ms),
+        }
+        slot
+    }
+
+    /// Records the version at which a stream is placed, if its client may continue it.
+    pub(super) fn record_stream_origin(
+        &mut self,
+        slot: ids::RequestSlot,
+        server: ids::ServerSlot,
+        now_ms: u64,
+    ) {
+        let Some(request) = self.requests.get(slot) else { return };
+        let Some(stream) = &request.admission.stream else { return };
+        let Some(server) = self.servers.get(server) else { return };
+        let origin = streams::Origin {
+            service: server.vm.service.clone(),
+            version: server.vm.version.clone(),
+        };
+        let (stream, kept_ms) = (stream.id, stream.kept_ms);
+        let expires_ms = now_ms + kept_ms.min(streams::KEPT_MAX_MS);
+        let changed = self.stream_origins.table.record_own(stream, &origin, expires_ms);
+        if changed && self.stream_origins.mixed_services.contains(&origin.service) {
+            self.stream_origins.unsent.insert(stream);
+            // The first event may reach the client before the next tick.
+            self.send_unsent_origins(now_ms);
+        }
+    }
+
+    /// Sends origins to other routers, repeats what is not answered, and ends searches.
+    pub(super) fn tick_stream_origins(&mut self, now_ms: u64) {
+        self.stream_origins.table.expire(now_ms);
+        self.update_mixed_services(now_ms);
+        self.check_copies(now_ms);
+        self.repeat_unacknowledged_origins(now_ms);
+        self.tick_searches(now_ms);
+    }
+
+    /// Hands the origins that this router keeps for others over to routers that go on.
+    pub(super) fn hand_over_stream_origins(&mut self, now_ms: u64) {
+        let state = &mut self.stream_origins;
+        let in_mixed_service = |stream: &ids::StreamId| {
+            let origin = state.table.origin(*stream);
+            origin.is_some_and(|origin| state.mixed_services.contains(&origin.service))
+        };
+        let streams = state.table.streams().filter(in_mixed_service).collect();
+        state.unsent = streams;
+        self.send_unsent_origins(now_ms);
+    }
+
+    /// Stores the origins that another router sent, and acknowledges them.
+    pub(super) fn handle_stream_origins(
+        &mut self,
+        from: ids::Incarnation,
+        number: u64,
+        origins: &[streams::Origin],
+        copies: &[streams::StreamCopy],
+        now_ms: u64,
+    ) {
+        for copy in copies {
+            let Some(origin) = origins.get(copy.origin as usize) else { continue };
+            let expires_ms = now_ms + copy.left_ms.min(streams::KEPT_MAX_MS);
+            let source = (from, number);
+            self.stream_origins.table.record_copy(copy.stream, origin, expires_ms, source);
+        }
+        self.send(from, message::Message::StreamOriginsStored { number });
+    }
+
+    /// Records that another router has stored the origins of message `number`.
+    pub(super) fn handle_stream_origins_stored(&mut self, number: u64) {
+        self.stream_origins.unacknowledged.remove(&number);
+    }
+
+    /// Answers another router that asks for the origin of a stream.
+    pub(super) fn handle_origin_request(
+        &mut self,
+        from: ids::Incarnation,
+        number: u64,
+        stream: ids::StreamId,
+        services: &[String],
+        now_ms: u64,
+    ) {
+        let reply = match self.stream_origins.table.origin(stream) {
+            Some(origin) => streams::Reply::Known(origin.clone()),
+            None => streams::Reply::Candidates(self.possible_origins(services, now_ms).collect()),
+        };
+        self.send(from, message::Message::StreamOriginReply { number, reply });
+    }
+
+    /// Handles a router's answer to a request for the origin of a stream.
+    pub(super) fn handle_origin_reply(
+        &mut self,
+        from: ids::Incarnation,
+        number: u64,
+        reply: streams::Reply,
+        now_ms: u64,
+    ) {
+        let mut searches = self.stream_origins.searches.iter_mut();
+        let Some((slot, search)) = searches.find(|(_, search)| search.number == number) else {
+            return;
+        };
+        if !search.unanswered.remove(&from) {
+            return;
+        }
+        search.replied = true;
+        match reply {
+            streams::Reply::Known(origin) => {
+                self.accept_origin(slot, origin, OriginSource::Router);
+            }
+            streams::Reply::Candidates(candidates) => {
+                search.candidates.extend(candidates);
+                if search.unanswered.is_empty() {
+                    self.conclude_search(slot, now_ms);
+                }
+            }
+        }
+    }
+
+    /// The origins that a stream of these services may have, as far as this router has seen.
+    fn possible_origins(
+        &self,
+        services: &[String],
+        now_ms: u64,
+    ) -> impl Iterator<Item = streams::Origin> {
+        services.iter().flat_map(move |service| {
+            let versions = self.servers.recent_versions(service, now_ms).into_iter();
+            versions.map(|version| streams::Origin {
+                service: service.clone(),
+                version: version.to_owned(),
+            })
+        })
+    }
+
+    /// Ends a search for a stream whose origin no router knows: it can go on if only one version can have written it.
+    fn conclude_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
+        let Some(running) = self.stream_origins.searches.get(slot) else { return };
+        let mut candidates = running.candidates.clone();
+        candidates.extend(self.possible_origins(&running.search.services, now_ms));
+        let list_age_ms =
+            self.watching.as_ref().and_then(|watching| watching.servers.age_ms(now_ms));
+        let list_is_recent = list_age_ms.is_none_or(|age_ms| age_ms <= LIST_AGE_MAX_MS);
+        let reliable = running.replied || running.unanswered.is_empty() || list_is_recent;
+        match (candidates.pop_first(), candidates.is_empty()) {
+            (None, _) => self.refuse_continuation(slot, Reason::NoServer),
+            (Some(origin), true) if reliable => {
+                self.accept_origin(slot, origin, OriginSource::OnlyVersion);
+            }
+            (Some(_), _) => self.refuse_continuation(slot, Reason::StreamOriginUnknown),
+        }
+    }
+
+    fn accept_origin(
+        &mut self,
+        slot: ids::OriginSearchSlot,
+        origin: streams::Origin,
+        source: OriginSource,
+    ) {
+        let Some(running) = self.stream_origins.searches.get(slot) else { return };
+        if !running.search.services.contains(&origin.service) {
+            // The route no longer leads to the service that began the stream.
+            self.refuse_continuation(slot, Reason::NoServerOfVersion);
+            return;
+        }
+        *self.counters.stream_origins.entry(source).or_default() += 1;
+        self.end_search(slot, OriginFound::Origin { origin, source });
+    }
+
+    fn refuse_continuation(&mut self, slot: ids::OriginSearchSlot, reason: Reason) {
+        *self.counters.refused.entry(reason).or_default() += 1;
+        let retry_after_ms = admit::RETRY_AFTER_SHORT_MS;
+        self.end_search(slot, OriginFound::Refused { reason, retry_after_ms });
+    }
+
+    fn end_search(&mut self, slot: ids::OriginSearchSlot, found: OriginFound) {
+        self.stream_origins.searches.remove(slot);
+        self.actions.push(Action::OriginFound { search: slot, found });
+    }
+
+    fn tick_searches(&mut self, now_ms: u64) {
+        let mut expired = Vec::new();
+        let mut unanswered = Vec::new();
+        for (slot, search) in &self.stream_origins.searches {
+            if now_ms >= search.started_ms + SEARCH_TIMEOUT_MS {
+                expired.push(slot);
+            } else if now_ms >= search.sent_ms + REQUEST_REPEAT_MS {
+                unanswered.push(slot);
+            }
+        }
+        expired.into_iter().for_each(|slot| self.conclude_search(slot, now_ms));
+        unanswered.into_iter().for_each(|slot| self.send_origin_requests(slot, now_ms));
+    }
+
+    fn send_origin_requests(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
+        let Some(running) = self.stream_origins.searches.get_mut(slot) else { return };
+        let Some(stream) = running.search.stream else { return };
+        running.sent_ms = now_ms;
+        let (number, services) = (running.number, running.search.services.clone());
+        for router in running.unanswered.clone() {
+            let services = services.clone();
+            self.send(router, message::Message::StreamOriginRequest { number, stream, services });
+        }
+    }
+
+    /// The routers that may have a copy of a stream's origin, those ranked highest for it.
+    fn routers_to_ask(&self, stream: ids::StreamId) -> impl Iterator<Item = ids::Incarnation> {
+        let mut ranked: Vec<ids::Incarnation> =
+            self.members.live().map(|record| record.id).collect();
+        ranked.sort_by_key(|router| {
+            std::cmp::Reverse(rendezvous::weight(stream.subject(), router.0))
+        });
+        ranked.into_iter().take(ROUTERS_ASKED_MAX)
+    }
+
+    /// The routers that are to keep copies of a stream's origin: in other failure domains than this one and each other,
+    /// where there are such.
+    fn routers_for_copies(&self, stream: ids::StreamId) -> Vec<ids::Incarnation> {
+        let mut domains = vec![self.settings.failure_domain.as_str()];
+        let mut chosen: Vec<ids::Incarnation> = Vec::new();
+        for _ in 0..COPIES {
+            let rank = |record: &&members::Record| {
+                let in_other_domain = !domains.contains(&record.failure_domain.as_str());
+                (in_other_domain, rendezvous::weight(stream.subject(), record.id.0))
+            };
+            let others = self.members.live().filter(|record| !chosen.contains(&record.id));
+            let Some(best) = others.max_by_key(rank) else { break };
+            chosen.push(best.id);
+            domains.push(&best.failure_domain);
+        }
+        chosen
+    }
+
+    /// Sends the origins of all streams of a service as soon as it has several versions.
+    pub(super) fn update_mixed_services(&mut self, now_ms: u64) {
+        let state = &mut self.stream_origins;
+        let services = self.servers.services_of_several_versions(now_ms);
+        let mixed: collections::BTreeSet<String> = services.map(str::to_owned).collect();
+        if mixed == state.mixed_services {
+            return;
+        }
+        let is_newly_mixed =
+            |service: &String| mixed.contains(service) && !state.mixed_services.contains(service);
+        let streams = state.table.own_streams();
+        let newly_mixed = streams.filter(|(_, origin)| is_newly_mixed(&origin.service));
+        let unsent: Vec<ids::StreamId> = newly_mixed.map(|(stream, _)| stream).collect();
+        state.unsent.extend(unsent);
+        state.mixed_services = mixed;
+        self.send_unsent_origins(now_ms);
+    }
+
+    /// Has the origins of streams sent again of which a router that kept a copy has ended.
+    fn check_copies(&mut self, now_ms: u64) {
+        let state = &mut self.stream_origins;
+        if state.copies.is_empty() || now_ms < state.copies_checked_ms + COPIES_CHECK_INTERVAL_MS {
+            return;
+        }
+        state.copies_checked_ms = now_ms;
+        let table = &state.table;
+        state.copies.retain(|stream, _| table.origin(*stream).is_some());
+        let live: collections::HashSet<ids::Incarnation> =
+            self.members.live().map(|record| record.id).collect();
+        let wanted = COPIES.min(live.len());
+        let lacks_copies = |routers: &Vec<ids::Incarnation>| {
+            routers.iter().filter(|router| live.contains(router)).count() < wanted
+        };
+        let lacking = state.copies.iter().filter(|(_, routers)| lacks_copies(routers));
+        let lacking: Vec<ids::StreamId> = lacking.map(|(stream, _)| *stream).collect();
+        state.unsent.extend(lacking);
+        self.send_unsent_origins(now_ms);
+    }
+
+    fn send_unsent_origins(&mut self, now_ms: u64) {
+        let unsent = std::mem::take(&mut self.stream_origins.unsent);
+        let mut by_router = collections::BTreeMap::<ids::Incarnation, Vec<ids::StreamId>>::new();
+        for stream in unsent {
+            let routers = self.routers_for_copies(stream);
+            for router in &routers {
+                by_router.entry(*router).or_default().push(stream);
+            }
+            self.stream_origins.copies.insert(stream, routers);
+        }
+        for (router, streams) in by_router {
+            for streams in streams.chunks(STREAMS_PER_MESSAGE) {
+                let number = self.stream_origins.next_number();
+                let copies = UnacknowledgedCopies {
+                    router,
+                    streams: streams.to_vec(),
+                    sent_ms: now_ms,
+                    sends: 1,
+                };
+                self.stream_origins.unacknowledged.insert(number, copies);
+                self.send_origins(number, now_ms);
+            }
+        }
+    }
+
+    fn repeat_unacknowledged_origins(&mut self, now_ms: u64) {
+        let state = &mut self.stream_origins;
+        state.unacknowledged.retain(|_, copies| {
+            copies.sends < COPY_SENDS_MAX || now_ms < copies.sent_ms + COPY_REPEAT_MS
+        });
+        let due = state
+            .unacknowledged
+            .iter_mut()
+            .filter(|(_, copies)| now_ms >= copies.sent_ms + COPY_REPEAT_MS);
+        let due: Vec<u64> = due
+            .map(|(number, copies)| {
+                copies.sent_ms = now_ms;
+                copies.sends += 1;
+                *number
+            })
+            .collect();
+        due.into_iter().for_each(|number| self.send_origins(number, now_ms));
+    }
+
+    /// Sends the origins of message `number` as they are now.
+    fn send_origins(&mut self, number: u64, now_ms: u64) {
+        let state = &self.stream_origins;
+        let Some(unacknowledged) = state.unacknowledged.get(&number) else { return };
+        let mut origins: Vec<streams::Origin> = Vec::new();
+        let mut copies = Vec::new();
+        for stream in &unacknowledged.streams {
+            let (Some(origin), Some(expires_ms)) =
+                (state.table.origin(*stream), state.table.expires_ms(*stream))
+            else {
+                continue;
+            };
+            let index = origins.iter().position(|known| known == origin).unwrap_or_else(|| {
+                origins.push(origin.clone());
+                origins.len() - 1
+            });
+            copies.push(streams::StreamCopy {
+                stream: *stream,
+                origin: index as u32,
+                left_ms: expires_ms.saturating_sub(now_ms),
+            });
+        }
+        let router = unacknowledged.router;
+        self.send(router, message::Message::StreamOrigins { number, origins, streams: copies });
+    }
+
+    /// The number of streams whose origin this router keeps.
+    pub fn stream_origins_kept(&self) -> usize {
+        self.stream_origins.table.len()
+    }
+}
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of a node: settings, requests and their outcomes, answers and actions.
 
-use super::{ConfigSource, Notice};
+use super::{ConfigSource, Notice, OriginFound};
 use crate::{ids, log_index, message, servers, store, watch};
 use serde::Serialize;
 
@@ -90,10 +90,24 @@
     pub fingerprint: Option<ids::Fingerprint>,
     /// Parts of the prompt, where they are known.
     pub parts: Vec<servers::Part>,
+    /// The stream that the answer begins or goes on with; `None` if the client can't continue it.
+    pub stream: Option<StreamRequest>,
     /// Time at which the caller stops waiting.
     pub deadline_ms: u64,
 }
 
+/// The part of an [`AdmissionRequest`] for a stream that its client may continue with another request after its
+/// connection broke.
+#[derive(Clone, Debug)]
+pub struct StreamRequest {
+    /// The stream: that of the request that began it.
+    pub id: ids::StreamId,
+    /// Software version of the server that wrote the first event; `None` for a new stream.
+    pub version: Option<String>,
+    /// Time for which the origin of the stream is kept, in milliseconds; at most [`crate::streams::KEPT_MAX_MS`].
+    pub kept_ms: u64,
+}
+
 /// How a request ended that was sent to a backend server: it did not run, it ran and used tokens, the caller
 /// disconnected, or it is not known whether it ran. The thread that sent the request reports it to the [`super::Node`],
 /// and it determines how many tokens are charged.
@@ -178,6 +192,8 @@
     Backoff,
     /// No matching server has the software version at which the answer began.
     NoServerOfVersion,
+    /// A client continues a stream of which no router in reach knows the software version.
+    StreamOriginUnknown,
 }
 
 impl Reason {
@@ -203,6 +219,7 @@
             Self::Suspended => "Suspended",
             Self::Limited => "Limited",
             Self::Backoff => "Backoff",
+            Self::StreamOriginUnknown => "StreamOriginUnknown",
         }
     }
 }
@@ -298,6 +315,13 @@
         /// The decision on the request.
         answer: Answer,
     },
+    /// Sends the result of a search for a stream's origin to its traffic thread.
+    OriginFound {
+        /// The search.
+        search: ids::OriginSearchSlot,
+        /// Its result.
+        found: OriginFound,
+    },
     /// Reports that a new configuration is in force.
     ConfigInForce {
         /// Version of the configuration that is in force.
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod permits;
 mod restarts;
+mod versions;
 mod vm;
 mod warm_up;
 
@@ -221,6 +222,7 @@
     backing_off: collections::BTreeSet<ids::ServerSlot>,
     /// Number of requests that a limited server did not get because of its limit, by service.
     held_back: collections::BTreeMap<String, u64>,
+    versions: versions::Versions,
     /// Average answer time of each service.
     service_answer_times: collections::HashMap<String, answer_time::ServiceAnswerTime>,
 }
@@ -237,6 +239,8 @@
             self.apply_vm(vm, now_ms);
         }
         self.remove_unlisted(&listed, now_ms);
+        let listed = self.servers.values().filter(|server| server.listed && !server.superseded);
+        self.versions.update(listed.map(|server| &server.vm), now_ms);
     }
 
     /// Returns the server in a slot.
--- /dev/null
+++ b/core/src/streams.rs
@@ -0,0 +1,197 @@
+//! The origins of streams: which service and software version wrote the first event of a stream that may be continued
+//! after its connection broke. What servers of two versions write does not fit together, so a stream goes on only at
+//! its origin.
+
+use crate::ids;
+use serde::{Deserialize, Serialize};
+use std::collections;
+
+/// The longest time for which an origin is kept.
+pub const KEPT_MAX_MS: u64 = 120_000;
+/// The maximum number of origins that are kept; beyond it, those that expire first are dropped.
+pub const STREAMS_MAX: usize = 65_536;
+
+/// The service and the software version of the server that wrote the first event of a stream. A client that continues a
+/// broken stream is served by a server with the same.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// Name of the service.
+    pub service: String,
+    /// Software version; empty if the records of the service's servers name none.
+    pub version: String,
+}
+
+/// The origin of one stream in a message between routers, which lists each distinct [`Origin`] once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamCopy {
+    /// The stream.
+    pub stream: ids::StreamId,
+    /// Index of its origin in the message's list.
+    pub origin: u32,
+    /// How much longer the origin is to be kept, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// What a router answers to another one that asks for the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The origin of the stream.
+    Known(Origin),
+    /// The stream is unknown; one of these may have written it, as far as the router has seen.
+    Candidates(Vec<Origin>),
+}
+
+/// From where a router has the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// It placed the stream at a server itself.
+    Own,
+    /// Another router sent it, in the message with this number.
+    Router { router: ids::Incarnation, number: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    origin: ids::OriginSlot,
+    expires_ms: u64,
+    source: Source,
+}
+
+#[derive(Debug)]
+struct Interned {
+    origin: Origin,
+    /// The number of entries that refer to it.
+    entries: usize,
+}
+
+/// The origins of streams that one router keeps: of those that it placed itself, and copies of those of other routers.
+#[derive(Debug, Default)]
+pub struct Table {
+    entries: collections::HashMap<ids::StreamId, Entry>,
+    expiries: collections::BTreeSet<(u64, ids::StreamId)>,
+    origins: slotmap::SlotMap<ids::OriginSlot, Interned>,
+    by_origin: collections::HashMap<Origin, ids::OriginSlot>,
+}
+
+impl Table {
+    /// Returns the number of streams whose origin is kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no origin is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the origin of a stream; `None` if it is unknown.
+    pub fn origin(&self, stream: ids::StreamId) -> Option<&Origin> {
+        let entry = self.entries.get(&stream)?;
+        self.origins.get(entry.origin).map(|interned| &interned.origin)
+    }
+
+    /// Returns when the origin of a stream expires; `None` if the stream is unknown.
+    pub fn expires_ms(&self, stream: ids::StreamId) -> Option<u64> {
+        self.entries.get(&stream).map(|entry| entry.expires_ms)
+    }
+
+    /// Iterates over all streams whose origin is kept.
+    pub fn streams(&self) -> impl Iterator<Item = ids::StreamId> {
+        self.entries.keys().copied()
+    }
+
+    /// Iterates over the streams that this router placed itself, with their origins.
+    pub fn own_streams(&self) -> impl Iterator<Item = (ids::StreamId, &Origin)> {
+        let own = self.entries.iter().filter(|(_, entry)| entry.source == Source::Own);
+        own.filter_map(|(stream, entry)| Some((*stream, &self.origins.get(entry.origin)?.origin)))
+    }
+
+    /// Records the origin of a stream that this router places at a server. Returns whether other routers may have
+    /// another origin of it, or none.
+    pub fn record_own(&mut self, stream: ids::StreamId, origin: &Origin, expires_ms: u64) -> bool {
+        let known = self.entries.get(&stream).map(|entry| (entry.source, entry.expires_ms));
+        let unchanged = self.origin(stream) == Some(origin)
+            && known
+                .is_some_and(|(source, known_ms)| source == Source::Own && known_ms >= expires_ms);
+        if !unchanged {
+            let expires_ms = known.map_or(expires_ms, |(_, known_ms)| known_ms.max(expires_ms));
+            self.insert(stream, origin, expires_ms, Source::Own);
+        }
+        !unchanged
+    }
+
+    /// Records an origin that another router sent in its message `number`. A stream that this router placed itself
+    /// keeps its origin, as does one of which the same router has sent a later message, or another router another one.
+    pub fn record_copy(
+        &mut self,
+        stream: ids::StreamId,
+        origin: &Origin,
+        expires_ms: u64,
+        (router, number): (ids::Incarnation, u64),
+    ) {
+        let known = self.entries.get(&stream).copied();
+        let same_origin = self.origin(stream) == Some(origin);
+        let accepted = match known.map(|entry| entry.source) {
+            None => true,
+            Some(Source::Own) => false,
+            Some(Source::Router { router: earlier, number: latest }) => match earlier == router {
+                true => number > latest,
+                false => same_origin,
+            },
+        };
+        if accepted {
+            let known_ms = known.filter(|_| same_origin).map_or(0, |entry| entry.expires_ms);
+            let source = Source::Router { router, number };
+            self.insert(stream, origin, expires_ms.max(known_ms), source);
+        }
+    }
+
+    /// Removes the origins that have expired.
+    pub fn expire(&mut self, now_ms: u64) {
+        while self.expiries.first().is_some_and(|(expires_ms, _)| now_ms >= *expires_ms) {
+            self.remove_first();
+        }
+    }
+
+    fn insert(&mut self, stream: ids::StreamId, origin: &Origin, expires_ms: u64, source: Source) {
+        self.remove(stream);
+        let origin = self.intern(origin);
+        self.entries.insert(stream, Entry { origin, expires_ms, source });
+        self.expiries.insert((expires_ms, stream));
+        if self.entries.len() > STREAMS_MAX {
+            self.remove_first();
+        }
+    }
+
+    fn remove_first(&mut self) {
+        if let Some((_, stream)) = self.expiries.first().copied() {
+            self.remove(stream);
+        }
+    }
+
+    fn remove(&mut self, stream: ids::StreamId) {
+        let Some(entry) = self.entries.remove(&stream) else { return };
+        self.expiries.remove(&(entry.expires_ms, stream));
+        let Some(interned) = self.origins.get_mut(entry.origin) else { return };
+        interned.entries -= 1;
+        if interned.entries == 0
+            && let Some(unused) = self.origins.remove(entry.origin)
+        {
+            self.by_origin.remove(&unused.origin);
+        }
+    }
+
+    fn intern(&mut self, origin: &Origin) -> ids::OriginSlot {
+        let slot = match self.by_origin.get(origin) {
+            Some(slot) => *slot,
+            None => {
+                let interned = Interned { origin: origin.clone(), entries: 0 };
+                let slot = self.origins.insert(interned);
+                self.by_origin.insert(origin.clone(), slot);
+                slot
+            }
+        };
+        self.origins[slot].entries += 1;
+        slot
+    }
+}
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -367,6 +367,7 @@
         prefix_hash: None,
         fingerprint: None,
         parts: Vec::new(),
+        stream: None,
         deadline_ms: world.now_ms + 60_000,
     }
 }
--- a/core/tests/shared_retries.rs
+++ b/core/tests/shared_retries.rs
@@ -28,6 +28,7 @@
         prefix_hash: None,
         fingerprint: None,
         parts: Vec::new(),
+        stream: None,
         deadline_ms: now_ms + 3_000,
     }
 }
--- a/core/tests/watch_fleet/traffic.rs
+++ b/core/tests/watch_fleet/traffic.rs
@@ -80,6 +80,7 @@
             prefix_hash: None,
             fingerprint: None,
             parts,
+            stream: None,
             deadline_ms: self.fleet.now_ms + 3_000,
         }
     }
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -5,7 +5,7 @@
 
 use doorswitch_core::{
     evacuation, ids, leaving_servers, log_index, members, message, quarantine, servers, store,
-    watch,
+    streams, watch,
 };
 use std::collections;
 
@@ -72,6 +72,10 @@
     }
 }
 
+fn origin() -> streams::Origin {
+    streams::Origin { service: "a".to_owned(), version: "b".to_owned() }
+}
+
 fn limit() -> servers::LimitUpdate {
     servers::LimitUpdate {
         vm: "a".to_owned(),
@@ -256,4 +260,23 @@
         ],
         addresses: vec!["a".to_owned()],
     } => "010102170103020003010402010161";
+    stream_origins_keep_their_bytes: message::Message::StreamOrigins {
+        number: 1,
+        origins: vec![origin()],
+        streams: vec![streams::StreamCopy { stream: ids::StreamId([2; 16]), origin: 3, left_ms: 4 }],
+    } => "0101021801010161016201020202020202020202020202020202020304";
+    stream_origins_stored_keeps_its_bytes: message::Message::StreamOriginsStored { number: 1 } => "0101021901";
+    stream_origin_request_keeps_its_bytes: message::Message::StreamOriginRequest {
+        number: 1,
+        stream: ids::StreamId([2; 16]),
+        services: vec!["a".to_owned()],
+    } => "0101021a0102020202020202020202020202020202010161";
+    stream_origin_reply_keeps_its_bytes: message::Message::StreamOriginReply {
+        number: 1,
+        reply: streams::Reply::Known(origin()),
+    } => "0101021b010001610162";
+    unknown_stream_origin_reply_keeps_its_bytes: message::Message::StreamOriginReply {
+        number: 1,
+        reply: streams::Reply::Candidates(vec![origin()]),
+    } => "0101021b01010101610162";
 }
--- a/core/tests/withheld.rs
+++ b/core/tests/withheld.rs
@@ -295,6 +295,7 @@
         unrepeatable: false,
         prefix_hash: None,
         parts: Vec::new(),
+        stream: None,
         deadline_ms: u64::MAX,
     }
 }
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -340,6 +340,7 @@
             unrepeatable,
             prefix_hash: None,
             parts: Vec::new(),
+            stream: None,
             deadline_ms: self.now_ms + self.deadline_ms,
         };
         let incarnation = target.incarnation;
@@ -533,7 +534,9 @@
                     }
                     self.notices.push(notice);
                 }
-                node::Action::ConfigInForce { .. } | node::Action::ServerRestarted { .. } => {}
+                node::Action::ConfigInForce { .. }
+                | node::Action::ServerRestarted { .. }
+                | node::Action::OriginFound { .. } => {}
                 // The simulation delivers the platform's state itself: `settings.watch` is `None`.
                 node::Action::Poll(_)
                 | node::Action::CancelPoll { .. }
--- a/src/api_error.rs
+++ b/src/api_error.rs
@@ -131,6 +131,11 @@
             "no matching backend server can take the request now, and this router's queue is full or too slow",
         ),
         Reason::NoServer => (unavailable, "no_server", "no matching backend server is live"),
+        Reason::StreamOriginUnknown => (
+            unavailable,
+            "stream_origin_unknown",
+            "it is not known which software version began this stream, and several may have",
+        ),
         Reason::NoServerOfVersion => (
             unavailable,
             "no_server_of_version",
--- a/src/control.rs
+++ b/src/control.rs
@@ -61,6 +61,7 @@
     http: http_client::ServerClients,
     peers: Option<peers::Peers>,
     waiters: collections::HashMap<ids::RequestSlot, oneshot::Sender<node::Answer>>,
+    origin_waiters: collections::HashMap<ids::OriginSearchSlot, oneshot::Sender<node::OriginFound>>,
     started: Instant,
     config_index: u64,
     vms_index: u64,
@@ -96,6 +97,7 @@
             http: http_client::ServerClients::new(parts.links),
             peers: None,
             waiters: Default::default(),
+            origin_waiters: Default::default(),
             started: Instant::now(),
             config_index: 0,
             vms_index: 0,
@@ -157,6 +159,12 @@
                     }
                 }
                 node::Action::Answer { slot, answer } => self.answer(slot, answer),
+                node::Action::OriginFound { search, found } => {
+                    if let Some(waiter) = self.origin_waiters.remove(&search) {
+                        // The client may have closed its connection.
+                        let _ = waiter.send(found);
+                    }
+                }
                 node::Action::ConfigInForce { version, source } => {
                     self.publish_config(version, source)
                 }
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -6,6 +6,7 @@
 use actix::prelude::{Handler, ResponseFuture};
 use doorswitch_core::{members, message, servers};
 use std::net;
+use tokio::sync::oneshot;
 
 impl peers::Receiver for Control {}
 
@@ -84,6 +85,23 @@
     }
 }
 
+impl Handler<messages::FindStreamOrigin> for Control {
+    type Result = actix::MessageResult<messages::FindStreamOrigin>;
+
+    fn handle(
+        &mut self,
+        find: messages::FindStreamOrigin,
+        context: &mut Self::Context,
+    ) -> Self::Result {
+        let now_ms = self.now_ms();
+        let search = self.node.find_stream_origin(find.0, now_ms);
+        let (sender, receiver) = oneshot::channel();
+        self.origin_waiters.insert(search, sender);
+        self.perform_actions(context);
+        actix::MessageResult(receiver)
+    }
+}
+
 impl Handler<messages::Finish> for Control {
     type Result = actix::MessageResult<messages::Finish>;
 
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -4,6 +4,7 @@
 use actix::prelude::Message;
 use doorswitch_core::{ids, node, quarantine, servers};
 use std::time::Instant;
+use tokio::sync::oneshot;
 
 /// Requests the admission of a request. The reply contains its slot, by which later messages refer to it.
 #[derive(Debug, Message)]
@@ -13,6 +14,11 @@
     pub request: node::AdmissionRequest,
 }
 
+/// Searches for the origin of a stream that a client continues.
+#[derive(Debug, Message)]
+#[rtype(result = "oneshot::Receiver<node::OriginFound>")]
+pub struct FindStreamOrigin(pub node::OriginSearch);
+
 /// Reports the end of a dispatched request. The reply comes when its settlement is safe.
 #[derive(Debug, Message)]
 #[rtype(result = "Reply")]
--- a/src/front.rs
+++ b/src/front.rs
@@ -409,6 +409,7 @@
                 prefix_hash: None,
                 fingerprint: None,
                 parts: Vec::new(),
+                stream: None,
                 deadline_ms,
             };
             Ok((admission_request, priority))
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod backends;
 mod body;
+mod continuation;
 mod event_gaps;
 mod events;
 mod exchange;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,9 +1,9 @@
 //! Handles one client request: checks it, has it admitted, and sends it to servers until one answers.
 
-use super::{attempt, backends, body, listener, refusal, socket, streaming, ticket};
+use super::{attempt, backends, body, continuation, listener, refusal, socket, streaming, ticket};
 use crate::{api_error, control, logging, policy, probe, snapshot, timer, upstream};
 use bytes::Bytes;
-use doorswitch_core::{config, ids, node, rendezvous, routes, servers};
+use doorswitch_core::{config, ids, node, rendezvous, routes, servers, streams};
 use doorswitch_platform::headers;
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -48,11 +48,11 @@
 }
 
 /// What a request's head resolves to under the configuration in force.
-struct ResolvedHead {
+pub(super) struct ResolvedHead {
     snapshot: Arc<snapshot::Snapshot>,
-    route: routes::Route,
-    workspace: Option<config::Workspace>,
-    parameters: headers::ClientHeaders,
+    pub(super) route: routes::Route,
+    pub(super) workspace: Option<config::Workspace>,
+    pub(super) parameters: headers::ClientHeaders,
     deadline: Instant,
 }
 
@@ -92,8 +92,9 @@
         let (parts, body) = request.into_parts();
         let limit = head.snapshot.document.callers.body_bytes_max as usize;
         let body = read_body(body, limit).await?;
+        let origin = self.find_stream_origin(&head, started).await?;
         let (mut admission_request, cost, event_tokens) =
-            self.admission_request(&head, &parts.method, parts.uri.path())?;
+            self.admission_request(&head, origin, &parts.method, parts.uri.path())?;
         let workspace = head.workspace.as_ref().map(|workspace| workspace.name.as_str());
         let digest = || attempt::head_digest(workspace, &parts.method, &head.route, &parts.uri);
         admission_request.fingerprint = self.published.suspected(digest, &body);
@@ -105,7 +106,7 @@
             admission_request.budget,
             admission_request.bound_tokens,
             admission_request.priority,
-            reconnection_fields(&head.parameters),
+            continuation::log_fields(&head),
         );
         let placement = match upstream::admit(&self.control, admission_request).await {
             upstream::Admission::Placed(placement) => placement,
@@ -166,12 +167,16 @@
     fn admission_request(
         &self,
         head: &ResolvedHead,
+        origin: Option<streams::Origin>,
         method: &http::Method,
         path: &str,
     ) -> Result<(node::AdmissionRequest, ticket::Cost, u64), Error> {
         let parameters = &head.parameters;
         let digest = rendezvous::digest(&parameters.id);
-        let service = head.route.service(digest);
+        let service = match &origin {
+            Some(origin) => Some(origin.service.as_str()),
+            None => head.route.service(digest),
+        };
         let service = service.and_then(|name| head.snapshot.document.service(name));
         let service = service.ok_or_else(|| api_error::refusal(node::Reason::NoServer, 1_000))?;
         let metered = service.kind == config::Kind::Model;
@@ -198,6 +203,7 @@
             prefix_hash: None,
             fingerprint: None,
             parts,
+            stream: continuation::stream_request(head, origin),
             deadline_ms: left.as_millis() as u64,
         };
         let cost = ticket::Cost {
@@ -441,13 +447,6 @@
     headers.get(header::HOST)?.to_str().ok()
 }
 
-/// The fields by which the log lines of a request tell that its client continues a broken stream.
-fn reconnection_fields(parameters: &headers::ClientHeaders) -> String {
-    let Some(last_event_id) = &parameters.last_event_id else { return String::new() };
-    let resumes = parameters.resumes.as_deref().map_or_else(|| "-".to_owned(), logging::quoted);
-    format!(" resumes={resumes} last_event_id={}", logging::quoted(last_event_id))
-}
-
 fn log_outcome(
     call: &attempt::Call,
     placement: &upstream::Placement,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -80,6 +80,11 @@
             metrics::counter!("doorswitch_refused_total", "reason" => reason.as_str())
                 .absolute(*count);
         }
+        for (source, count) in &counters.stream_origins {
+            metrics::counter!("doorswitch_stream_origins_total", "source" => source.as_str())
+                .absolute(*count);
+        }
+        metrics::gauge!("doorswitch_stream_origins").set(node.stream_origins_kept() as f64);
         report_directives(node);
         for ((purpose, outcome), count) in &counters.store_calls {
             let labels = [("purpose", purpose.as_str()), ("outcome", outcome.as_str())];
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -4,7 +4,7 @@
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderValue};
-use doorswitch_core::{ids, node, quarantine, servers};
+use doorswitch_core::{ids, node, quarantine, servers, streams};
 use doorswitch_platform::answers;
 use std::sync::Arc;
 use std::time::Instant;
@@ -139,6 +139,24 @@
     admission(slot, control::await_answer(Ok(reply)).await)
 }
 
+/// Searches for the origin of a stream that a client continues, and waits for the result.
+pub async fn find_stream_origin(
+    control: &Addr<control::Control>,
+    search: node::OriginSearch,
+) -> Result<(streams::Origin, node::OriginSource), api_error::ApiError> {
+    let found = match control.send(control::FindStreamOrigin(search)).await {
+        Ok(receiver) => receiver.await.ok(),
+        Err(_) => None,
+    };
+    match found {
+        Some(node::OriginFound::Origin { origin, source }) => Ok((origin, source)),
+        Some(node::OriginFound::Refused { reason, retry_after_ms }) => {
+            Err(api_error::refusal(reason, retry_after_ms))
+        }
+        None => Err(api_error::ApiError::closing()),
+    }
+}
+
 /// Requests another server after an attempt failed, and waits for the decision.
 pub async fn retry(
     control: &Addr<control::Control>,
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -347,3 +347,113 @@
     assert_refused(&gone);
     assert_continued(&staying);
 }
+
+/// Continues the stream `first` with these headers, at a router that did not place it.
+fn continue_with(world: &World, id: &str, headers: &str) -> Received {
+    let mut received = Received { last_id: BROKEN_AFTER, ..Received::default() };
+    read_into(&mut received, world, 1, id, headers);
+    received
+}
+
+macro_rules! unusable_continuations {
+    ($($name:ident: $headers:expr, $status:expr;)*) => { $(
+        #[test]
+        fn $name() {
+            let world = start(stringify!($name), &TWO);
+            let begun = begin(&world, 0, "id-1");
+            assert_eq!(begun.last_id, BROKEN_AFTER);
+            let received = continue_with(&world, "id-2", &$headers);
+            let (status, took) = received.answers[0];
+            assert_eq!(status, $status, "{received:?}");
+            assert!(took <= REFUSAL_MAX, "refused after {took:?}");
+        }
+    )* };
+}
+
+unusable_continuations! {
+    a_stream_that_never_began_is_refused: "Last-Event-Id: 2\r\nResumes: other\r\n", 503;
+    a_stream_that_is_not_named_is_refused: "Last-Event-Id: 2\r\n", 503;
+    a_stream_with_two_names_is_refused: "Last-Event-Id: 2\r\nResumes: id-1\r\nResumes: id-1\r\n", 400;
+    a_stream_with_too_long_a_name_is_refused: format!("Last-Event-Id: 2\r\nResumes: {}\r\n", "x".repeat(257)), 400;
+    a_stream_with_an_unreadable_name_is_refused: "Last-Event-Id: 2\r\nResumes: \u{e9}\r\n", 400;
+    a_stream_with_an_empty_name_is_refused: "Last-Event-Id: 2\r\nResumes: \r\n", 400;
+}
+
+/// Guards against a workspace that learns where a stream of another one runs, or that has it continued.
+#[test]
+fn a_stream_of_another_workspace_is_refused() {
+    let world = start("other-workspace", &TWO);
+    let begun = begin(&world, 0, "id-1");
+    for router in 0..ROUTERS {
+        let headers = begun.headers();
+        let request = routes::Request {
+            key: "school-key",
+            headers: &headers,
+            ..request("/resume/x", "id-2")
+        };
+        assert_eq!(world.call(router, &request).status, 503);
+    }
+}
+
+#[test]
+fn a_request_that_names_a_stream_but_no_event_begins_a_new_one() {
+    let world = start("no-event", &TWO);
+    begin(&world, 0, "id-1");
+    let answer = read(&world, 1, "id-2", "Resumes: id-1\r\n", None);
+    let mut received = Received::default();
+    received.add("id-2", &answer, Duration::ZERO);
+    assert!(received.whole && received.versions.len() == 1, "{received:?}");
+}
+
+/// Guards against an origin that is lost because the router that placed the stream and one with a copy end.
+#[test]
+fn streams_go_on_after_their_router_and_another_one_were_killed() {
+    let mut world = start("two-killed", &TWO);
+    let mut streams = begin_all(&world, 16, |_| 0);
+    world.kill(0);
+    world.kill(1);
+    for_each(&mut streams, |_, stream| continue_once(&world, 2, stream));
+    assert_unmixed(&streams);
+    assert_continued(&streams);
+}
+
+/// Guards against an origin that is lost because all routers are restarted as planned, one after the other.
+#[test]
+fn streams_go_on_while_all_routers_are_restarted_in_turn() {
+    let mut world = start("restarted-in-turn", &TWO);
+    let mut streams = begin_all(&world, 16, |number| number % ROUTERS);
+    for router in 0..ROUTERS {
+        world.signal(router, "TERM");
+        world.wait_stopped(router);
+        world.spawn(router);
+        world.wait_ready(router);
+        for other in 0..ROUTERS {
+            world.wait_for_peers(other, ROUTERS - 1);
+        }
+    }
+    for_each(&mut streams, |number, stream| continue_once(&world, number % ROUTERS, stream));
+    assert_unmixed(&streams);
+    assert_continued(&streams);
+}
+
+/// Guards against the origin of a stream that began before a service had several versions.
+#[test]
+fn streams_that_began_before_a_release_hold_one_version() {
+    let mut world = start("release", &["v1", "v1"]);
+    let mut streams = begin_all(&world, 16, |number| number % ROUTERS);
+    for _ in 0..2 {
+        let backend = backend::Backend::start(server("v2")).unwrap();
+        world.backends.push(backend);
+        let index = world.backends.len() - 1;
+        world.record_version(index, &format!("i-{index}"), "v2", "ready");
+    }
+    for router in 0..ROUTERS {
+        fleet::eventually("the router lists both versions", || {
+            world.dump(router)["versions"]["app"].as_object().is_some_and(|all| all.len() == 2)
+        });
+    }
+    world.kill(0);
+    for_each(&mut streams, |number, stream| continue_once(&world, 1 + number % 2, stream));
+    assert_unmixed(&streams);
+    assert_continued(&streams);
+}
