Schedules of streams at several versions; an id placed at two versions is unknown

And a client that uses the id of a request twice, against the protocol, had its stream continued at the version of either request: three routers each kept the first origin that reached them.

Now: copies of one id with two origins, from two routers, make the origin unknown, so that the stream is refused.

--- a/core/src/streams.rs
+++ b/core/src/streams.rs
@@ -48,6 +48,8 @@
     Own,
     /// Another router sent it, in the message with this number.
     Router { router: ids::Incarnation, number: u64 },
+    /// Several routers placed a stream with this id at different origins, of which none can be told from the others.
+    Conflicting,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +89,9 @@
     /// Returns the origin of a stream; `None` if it is unknown.
     pub fn origin(&self, stream: ids::StreamId) -> Option<&Origin> {
         let entry = self.entries.get(&stream)?;
+        if entry.source == Source::Conflicting {
+            return None;
+        }
         self.origins.get(entry.origin).map(|interned| &interned.origin)
     }
 
@@ -120,8 +125,8 @@
         !unchanged
     }
 
-    /// Records an origin that another router sent in its message `number`. A stream that this router placed itself
-    /// keeps its origin, as does one of which the same router has sent a later message, or another router another one.
+    /// Records an origin that another router sent in its message `number`, unless the same router has sent a later one
+    /// before. If another router, or this one, has placed a stream with the same id elsewhere, the origin is unknown.
     pub fn record_copy(
         &mut self,
         stream: ids::StreamId,
@@ -129,21 +134,23 @@
         expires_ms: u64,
         (router, number): (ids::Incarnation, u64),
     ) {
-        let known = self.entries.get(&stream).copied();
+        let received = Source::Router { router, number };
+        let Some(known) = self.entries.get(&stream).copied() else {
+            self.insert(stream, origin, expires_ms, received);
+            return;
+        };
         let same_origin = self.origin(stream) == Some(origin);
-        let accepted = match known.map(|entry| entry.source) {
-            None => true,
-            Some(Source::Own) => false,
-            Some(Source::Router { router: earlier, number: latest }) => match earlier == router {
-                true => number > latest,
-                false => same_origin,
-            },
+        let source = match known.source {
+            Source::Router { router: earlier, number: latest } if earlier == router => {
+                if number <= latest {
+                    return;
+                }
+                received
+            }
+            source if same_origin => source,
+            _ => Source::Conflicting,
         };
-        if accepted {
-            let known_ms = known.filter(|_| same_origin).map_or(0, |entry| entry.expires_ms);
-            let source = Source::Router { router, number };
-            self.insert(stream, origin, expires_ms.max(known_ms), source);
-        }
+        self.insert(stream, origin, expires_ms.max(known.expires_ms), source);
     }
 
     /// Removes the origins that have expired.
--- /dev/null
+++ b/core/tests/stream_origins.rs
@@ -0,0 +1,183 @@
+//! Unit tests of the origins of streams: which version a stream goes on at, what is kept of it, and what is refused.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod watch_fleet;
+
+use doorswitch_core::{ids, node, servers, streams};
+use watch_fleet::traffic::Traffic;
+
+const KEPT_MS: u64 = 5_000;
+
+fn origin(version: &str) -> streams::Origin {
+    streams::Origin { service: "service".to_owned(), version: version.to_owned() }
+}
+
+fn stream(number: u8) -> ids::StreamId {
+    ids::StreamId([number; 16])
+}
+
+fn router(number: u64) -> ids::Incarnation {
+    ids::Incarnation(number)
+}
+
+/// A fleet whose routers list these servers with their versions, each of which runs `slots` requests at once.
+fn fleet(routers: usize, servers: &[(&str, &str)], slots: u64) -> Traffic {
+    let mut traffic = Traffic::new(routers, 1, 1);
+    traffic.fleet.loss_percent = 0;
+    for (name, version) in servers {
+        put(&mut traffic, name, version, slots);
+    }
+    traffic.fleet.run_ms(6_000);
+    traffic
+}
+
+fn put(traffic: &mut Traffic, name: &str, version: &str, slots: u64) {
+    traffic.fleet.server_versions.insert(name.to_owned(), version.to_owned());
+    traffic.fleet.put_server_with_slots(name, servers::VmState::Live, slots);
+}
+
+/// Submits a request at a router and returns its slot.
+fn admit(traffic: &mut Traffic, router: usize, version: Option<&str>) -> ids::RequestSlot {
+    let mut request = traffic.next_request();
+    request.parts = Vec::new();
+    request.priority = u8::from(version.is_some());
+    let version = version.map(str::to_owned);
+    request.stream = Some(node::StreamRequest { id: stream(9), version, kept_ms: KEPT_MS });
+    let now_ms = traffic.fleet.now_ms;
+    let slot = traffic.fleet.routers[router].node.admit(request, now_ms);
+    traffic.fleet.perform_actions(router);
+    slot
+}
+
+/// The VM to which a request was dispatched, or why it was refused; `None` if it waits.
+fn decision(traffic: &Traffic, slot: ids::RequestSlot) -> Option<Result<String, node::Reason>> {
+    let mut answers = traffic.fleet.answers.iter().rev();
+    answers.find(|(_, _, other, _)| *other == slot).and_then(|(_, _, _, answer)| match answer {
+        node::Answer::Dispatch { vm, .. } => Some(Ok(vm.clone())),
+        node::Answer::Refuse { reason, .. } => Some(Err(*reason)),
+        _ => None,
+    })
+}
+
+fn search(traffic: &mut Traffic, router: usize, number: u8) -> node::OriginFound {
+    let search =
+        node::OriginSearch { stream: Some(stream(number)), services: vec!["service".to_owned()] };
+    let now_ms = traffic.fleet.now_ms;
+    let slot = traffic.fleet.routers[router].node.find_stream_origin(search, now_ms);
+    traffic.fleet.perform_actions(router);
+    traffic.fleet.run_ms(400);
+    let found = traffic.fleet.origins_found.iter().find(|(_, _, other, _)| *other == slot);
+    found.unwrap().3.clone()
+}
+
+fn is_refused(found: &node::OriginFound, expected: node::Reason) -> bool {
+    matches!(found, node::OriginFound::Refused { reason, .. } if *reason == expected)
+}
+
+/// Guards against a stream that waits, after the last server of its version has left, until its time in the queue is
+/// over.
+#[test]
+fn a_stream_that_waits_is_refused_when_its_version_leaves() {
+    let mut traffic = fleet(1, &[("vm-1", "v1"), ("vm-2", "v2")], 1);
+    admit(&mut traffic, 0, Some("v1"));
+    let bound = admit(&mut traffic, 0, Some("v1"));
+    assert_eq!(decision(&traffic, bound), None);
+    traffic.fleet.put_server_with_slots("vm-1", servers::VmState::Leaving, 1);
+    traffic.fleet.run_ms(100);
+    assert_eq!(decision(&traffic, bound), Some(Err(node::Reason::NoServerOfVersion)));
+}
+
+#[test]
+fn a_stream_of_a_version_without_servers_is_refused_at_once() {
+    let mut traffic = fleet(1, &[("vm-1", "v1")], 8);
+    let slot = admit(&mut traffic, 0, Some("v2"));
+    assert_eq!(decision(&traffic, slot), Some(Err(node::Reason::NoServerOfVersion)));
+}
+
+#[test]
+fn an_unknown_stream_goes_on_where_there_is_one_version() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v1")], 8);
+    let found = search(&mut traffic, 0, 1);
+    let source = node::OriginSource::OnlyVersion;
+    assert_eq!(found, node::OriginFound::Origin { origin: origin("v1"), source });
+}
+
+#[test]
+fn an_unknown_stream_is_refused_where_there_are_two_versions() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+    let found = search(&mut traffic, 0, 1);
+    assert!(is_refused(&found, node::Reason::StreamOriginUnknown), "{found:?}");
+}
+
+/// Guards against a version that has just left and is forgotten by a router that started after that.
+#[test]
+fn an_unknown_stream_is_refused_at_a_new_router_if_others_have_seen_two_versions() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+    traffic.fleet.remove_server("vm-1");
+    traffic.fleet.run_ms(5_000);
+    traffic.fleet.restart(0);
+    traffic.fleet.run_ms(5_000);
+    let found = search(&mut traffic, 0, 1);
+    assert!(is_refused(&found, node::Reason::StreamOriginUnknown), "{found:?}");
+}
+
+#[test]
+fn an_unknown_stream_goes_on_again_when_the_other_version_is_long_gone() {
+    let mut traffic = fleet(2, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+    traffic.fleet.remove_server("vm-1");
+    traffic.fleet.run_ms(streams::KEPT_MAX_MS + 5_000);
+    let found = search(&mut traffic, 0, 1);
+    let source = node::OriginSource::OnlyVersion;
+    assert_eq!(found, node::OriginFound::Origin { origin: origin("v2"), source });
+}
+
+#[test]
+fn nothing_is_sent_about_streams_of_a_single_version() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v1")], 8);
+    (0..8).for_each(|_| {
+        admit(&mut traffic, 0, None);
+    });
+    traffic.fleet.run_ms(2_000);
+    assert_eq!(traffic.fleet.origin_messages, (0, 0));
+}
+
+#[test]
+fn an_origin_expires() {
+    let mut table = streams::Table::default();
+    table.record_own(stream(1), &origin("v1"), 1_000);
+    table.expire(999);
+    assert_eq!(table.origin(stream(1)), Some(&origin("v1")));
+    table.expire(1_000);
+    assert_eq!(table.origin(stream(1)), None);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn the_number_of_origins_is_bounded() {
+    let mut table = streams::Table::default();
+    for number in 0..streams::STREAMS_MAX as u64 + 10 {
+        let mut id = [0; 16];
+        id[..8].copy_from_slice(&number.to_be_bytes());
+        table.record_own(ids::StreamId(id), &origin("v1"), 1_000 + number);
+    }
+    assert_eq!(table.len(), streams::STREAMS_MAX);
+    assert_eq!(table.origin(stream(0)), None, "the origin that expires first was kept");
+}
+
+#[test]
+fn an_earlier_message_does_not_replace_a_later_one() {
+    let mut table = streams::Table::default();
+    table.record_copy(stream(1), &origin("v2"), 1_000, (router(1), 2));
+    table.record_copy(stream(1), &origin("v1"), 1_000, (router(1), 1));
+    assert_eq!(table.origin(stream(1)), Some(&origin("v2")));
+}
+
+/// Guards against a client that uses the id of a request twice and has its streams continued at a version by chance.
+#[test]
+fn an_id_that_two_routers_placed_at_two_versions_is_unknown() {
+    let mut table = streams::Table::default();
+    table.record_copy(stream(1), &origin("v1"), 1_000, (router(1), 1));
+    table.record_copy(stream(1), &origin("v2"), 1_000, (router(2), 1));
+    assert_eq!(table.origin(stream(1)), None);
+}
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -97,6 +97,8 @@
     pub store: StoreMode,
     /// Percentage of gossip datagrams that are lost.
     pub loss_percent: u32,
+    /// Percentage of the messages in datagrams that are lost.
+    pub message_loss_percent: u32,
     /// The maximum time that an answer of the store is in transit, in milliseconds.
     pub answer_delay_max_ms: u64,
     /// Number of calls of routers that reached the store: polls and announcements.
@@ -136,6 +138,12 @@
     incarnations: u64,
     /// Answers of routers to requests: the router's index, its incarnation, the request's slot and the answer.
     pub answers: Vec<(usize, u64, ids::RequestSlot, node::Answer)>,
+    /// Results of searches for the origins of streams: the router's index, its incarnation, the search and the result.
+    pub origins_found: Vec<(usize, u64, ids::OriginSearchSlot, node::OriginFound)>,
+    /// The number and the bytes of the messages about origins of streams that routers sent.
+    pub origin_messages: (u64, u64),
+    /// The software version in the records of each server; empty for the others.
+    pub server_versions: BTreeMap<String, String>,
     rng: StdRng,
     /// A separate generator for delays of value calls, so that the schedule of a seed does not depend on these calls.
     value_rng: StdRng,
@@ -161,6 +169,7 @@
             routers: Vec::new(),
             store: StoreMode::Available,
             loss_percent: 0,
+            message_loss_percent: 0,
             answer_delay_max_ms: TICK_MS,
             calls: 0,
             bounds,
@@ -185,6 +194,9 @@
             next_event: 0,
             incarnations: 0,
             answers: Vec::new(),
+            origins_found: Vec::new(),
+            origin_messages: (0, 0),
+            server_versions: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
             value_rng: StdRng::seed_from_u64(!seed),
         };
@@ -411,6 +423,13 @@
                 }
                 node::Action::Announce => self.announce(index),
                 node::Action::Send { address, envelope } => {
+                    self.count_origin_message(&envelope.message);
+                    let lost = envelope.message.by_datagram()
+                        && self.message_loss_percent > 0
+                        && self.value_rng.random_range(0..100) < self.message_loss_percent;
+                    if lost {
+                        continue;
+                    }
                     self.send(index, address.clone(), Event::Message { to: address, envelope });
                 }
                 node::Action::Gossip { address, gossip } => {
@@ -427,11 +446,29 @@
                     let incarnation = self.routers[index].incarnation;
                     self.answers.push((index, incarnation, slot, answer));
                 }
+                node::Action::OriginFound { search, found } => {
+                    let incarnation = self.routers[index].incarnation;
+                    self.origins_found.push((index, incarnation, search, found));
+                }
                 _ => {}
             }
         }
     }
 
+    fn count_origin_message(&mut self, message: &message::Message) {
+        let counted = matches!(
+            message,
+            message::Message::StreamOrigins { .. }
+                | message::Message::StreamOriginsStored { .. }
+                | message::Message::StreamOriginRequest { .. }
+                | message::Message::StreamOriginReply { .. }
+        );
+        if counted {
+            self.origin_messages.0 += 1;
+            self.origin_messages.1 += postcard::to_stdvec(message).unwrap().len() as u64;
+        }
+    }
+
     fn call_store(&mut self, index: usize, call: ids::CallId, request: &store::Request) {
         self.value_calls += 1;
         let answered = self.reaches_store(index);
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -17,7 +17,7 @@
             service: "service".to_owned(),
             address: "10.9.0.1:1".to_owned(),
             class: String::new(),
-            version: String::new(),
+            version: self.server_versions.get(name).cloned().unwrap_or_default(),
             failure_domain: "a".to_owned(),
             state,
             slots,
--- a/core/tests/watch_fleet/traffic.rs
+++ b/core/tests/watch_fleet/traffic.rs
@@ -58,7 +58,8 @@
         Some(handle)
     }
 
-    fn next_request(&mut self) -> node::AdmissionRequest {
+    /// A request of a client, with a key of its own.
+    pub fn next_request(&mut self) -> node::AdmissionRequest {
         self.keys += 1;
         let parts = match self.rng.random_bool(0.5) {
             true => {
