Let requests pass one that waits for a server of its version

What callers saw: a request that only some servers may run, whose servers were full, held up all others of its service, though other servers were free, until its time in the queue was over. It was so for the classes of a policy, and streams that are bound to a version would have made it common.

Cause: the queue of a service was drained from its head, and ended at the first request for which there was no room.

Now: one that is bound to classes or to a version is passed over. If there is no room for a request that any server may run, there is none for those after it.

Evidence: a_stream_that_waits_for_its_version_does_not_hold_up_other_requests failed before (None, where vm-2 is free) and passes.

Conclusion: mended for both bounds.

--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Reason, admit};
 use crate::{ids, servers};
-use std::cmp;
+use std::{cmp, collections};
 
 /// One in this many dequeued requests is the oldest one of the lowest priority, so that low priorities are not starved.
 const LOWEST_PRIORITY_EVERY: u64 = 10;
@@ -66,18 +66,24 @@
     }
 
     pub(super) fn drain_queue(&mut self, service: &str, now_ms: u64) {
+        // Requests that only some servers may run, and for which none of these is available.
+        let mut passed_over = collections::BTreeSet::new();
         loop {
-            let Some(position) = self.next_in_queue(service) else { return };
+            let Some(position) = self.next_in_queue(service, &passed_over) else { return };
             let Some(request) = self.requests.get(position.slot) else {
                 self.waiting_servers.remove(&position);
                 continue;
             };
+            let restricted = request.version.is_some() || !request.admission.classes.is_empty();
             match admit::choose(&mut self.servers, request, now_ms, &mut self.rng) {
                 Ok(choice) => {
                     self.waiting_servers.remove(&position);
                     self.queue_drains.entry(service.to_owned()).or_default().dequeued += 1;
                     self.handle_server_choice(position.slot, choice, now_ms);
                 }
+                Err(unavailable) if may_wait(unavailable) && restricted => {
+                    passed_over.insert(position.slot);
+                }
                 Err(unavailable) if may_wait(unavailable) => return,
                 Err(unavailable) => {
                     let reason = self.unavailability_reason(position.slot, unavailable);
@@ -169,12 +175,21 @@
         self.queue(service).find(|position| position.priority == lowest_priority)
     }
 
-    fn next_in_queue(&self, service: &str) -> Option<QueuePosition> {
+    /// The next request of a service's queue that is not among those `passed_over`.
+    fn next_in_queue(
+        &self,
+        service: &str,
+        passed_over: &collections::BTreeSet<ids::RequestSlot>,
+    ) -> Option<QueuePosition> {
+        let eligible = |position: &&QueuePosition| !passed_over.contains(&position.slot);
         let dequeued = self.queue_drains.get(service).map_or(0, |drain| drain.dequeued);
         if dequeued % LOWEST_PRIORITY_EVERY == LOWEST_PRIORITY_EVERY - 1 {
-            return self.oldest_of_lowest_priority(service).cloned();
+            let oldest = self.oldest_of_lowest_priority(service).filter(eligible);
+            if oldest.is_some() {
+                return oldest.cloned();
+            }
         }
-        self.queue(service).next().cloned()
+        self.queue(service).find(eligible).cloned()
     }
 
     /// Estimate, in milliseconds, of the time in which the queue of a service drains, at its recent rate.
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -75,6 +75,22 @@
     matches!(found, node::OriginFound::Refused { reason, .. } if *reason == expected)
 }
 
+/// Guards against a stream that waits for a server of its version and holds up requests that other servers could run.
+#[test]
+fn a_stream_that_waits_for_its_version_does_not_hold_up_other_requests() {
+    let mut traffic = fleet(1, &[("vm-1", "v1"), ("vm-2", "v2")], 1);
+    let running = [admit(&mut traffic, 0, Some("v1")), admit(&mut traffic, 0, Some("v2"))];
+    let bound = admit(&mut traffic, 0, Some("v1"));
+    let free = admit(&mut traffic, 0, None);
+    assert!(decision(&traffic, bound).is_none() && decision(&traffic, free).is_none());
+    let now_ms = traffic.fleet.now_ms;
+    let end = node::RequestOutcome::Ran { consumed_tokens: 0, outcome: None, healthy: true };
+    traffic.fleet.routers[0].node.finish(running[1], end, now_ms);
+    traffic.fleet.perform_actions(0);
+    assert_eq!(decision(&traffic, free), Some(Ok("vm-2".to_owned())));
+    assert_eq!(decision(&traffic, bound), None);
+}
+
 /// Guards against a stream that waits, after the last server of its version has left, until its time in the queue is
 /// over.
 #[test]
