Take a server whose version changes under one incarnation for another server

Cause: the record of a VM with the same incarnation replaced the earlier one in its slot, so that requests that ran there counted as runs of the new version.

Now: a record with another version is that of a later incarnation, as one with a later start is. The earlier slot stays for its running requests, with its version.

Evidence: a_server_that_changes_its_version_counts_as_another_one failed before (the same slot) and passes.

Not mended: a request that reaches a new server before the list says so, where the server can't check for whom it is meant (the callers' API).

--- a/core/src/servers/restarts.rs
+++ b/core/src/servers/restarts.rs
@@ -31,13 +31,17 @@
     }
 
     /// Applies a listed record of a server: updates the slot of its incarnation, or creates one for a new server or a
-    /// later incarnation. A record of an earlier incarnation is ignored.
+    /// later incarnation. A record of an earlier incarnation is ignored. An incarnation has one software version, so a
+    /// record with another one is that of a later incarnation, also where servers do not record their start.
     pub(super) fn apply_vm(&mut self, vm: &Vm, now_ms: u64) {
         if let Some(slot) = self.find(&vm.vm) {
-            match vm.incarnation.cmp(&self.servers[slot].vm.incarnation) {
+            let known = &self.servers[slot].vm;
+            match vm.incarnation.cmp(&known.incarnation) {
                 Ordering::Less => return,
-                Ordering::Equal => return self.update_incarnation(slot, vm, now_ms),
-                Ordering::Greater => self.end_incarnation(slot, vm.incarnation),
+                Ordering::Equal if vm.version == known.version => {
+                    return self.update_incarnation(slot, vm, now_ms);
+                }
+                Ordering::Equal | Ordering::Greater => self.end_incarnation(slot, vm.incarnation),
             }
         }
         let slot = self.servers.insert(Server::new(vm.clone()));
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -111,6 +111,32 @@
     assert_eq!(decision(&traffic, slot), Some(Err(node::Reason::NoServerOfVersion)));
 }
 
+/// Guards against a server that starts again under its name with another version, without an incarnation in its record,
+/// and takes over what was recorded of the earlier one.
+#[test]
+fn a_server_that_changes_its_version_counts_as_another_one() {
+    let mut table = servers::Table::default();
+    let vm = |version: &str| servers::Vm {
+        vm: "vm-1".to_owned(),
+        service: "service".to_owned(),
+        address: "10.0.0.1:1".to_owned(),
+        class: String::new(),
+        version: version.to_owned(),
+        failure_domain: "a".to_owned(),
+        state: servers::VmState::Live,
+        slots: 1,
+        incarnation: ids::ServerIncarnation::UNKNOWN,
+        cold_ms: 0,
+    };
+    table.apply_list(&[vm("v1")], 0);
+    let earlier = table.find("vm-1").unwrap();
+    table.apply_list(&[vm("v2")], 1_000);
+    let later = table.find("vm-1").unwrap();
+    assert_ne!(earlier, later);
+    assert!(table.get(earlier).is_none_or(|server| server.vm.version == "v1"));
+    assert_eq!(table.get(later).unwrap().vm.version, "v2");
+}
+
 #[test]
 fn an_unknown_stream_goes_on_where_there_is_one_version() {
     let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v1")], 8);
