Soak: servers of three versions that are released, clients that continue streams

Cause: the soak's servers all had one version and no client followed a stream, so it could not show the incident's fault.

Now each run has four servers of three versions, one replaced every 1.5 to 4 s, that break every third stream off, and six clients that continue through any router. The checker reads which version wrote each event: StreamOfTwoVersions.

Conclusion: the fault class is covered beside all other faults of the soak.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of real router processes in front of stand-ins: how they are started, and the faults that can be injected
 //! from outside.
 
+use crate::servers;
 use doorswitch_standins::{backend, network, ports, store, wire};
 use snafu::ResultExt;
 use std::fs::{self, File, OpenOptions};
@@ -27,6 +28,10 @@
 pub const DIRECTIVES_SERVICE: &str = "outspoken";
 /// The path of the route to [`DIRECTIVES_SERVICE`].
 pub const DIRECTIVES_PATH: &str = "/outspoken/";
+/// The service whose servers have several software versions.
+pub const VERSIONS_SERVICE: &str = "released";
+/// The path of the route to [`VERSIONS_SERVICE`].
+pub const VERSIONS_PATH: &str = "/released/";
 /// The number of failure domains among which the routers are spread.
 const FAILURE_DOMAINS: usize = 3;
 /// The number of other routers that each router has as seeds.
@@ -163,6 +168,7 @@
         let record = wire::Record {
             service: SERVICE,
             address: self.server_incarnations[number].address(),
+            version: servers::VERSION,
             state,
             started_ms: FIRST_START_MS + number as u64,
         };
@@ -216,9 +222,17 @@
             (LIMITED_PATH, LIMITED_SERVICE),
             (DIRECTIVES_PATH, DIRECTIVES_SERVICE),
         ];
-        let routes =
+        let plain_routes =
             added_routes.chain(fixed_routes.map(|(path, service)| (path.to_owned(), service)));
-        let services = [SERVICE, FRAGILE_SERVICE, LIMITED_SERVICE, DIRECTIVES_SERVICE];
+        let route = |(path, service)| wire::Route { path, service, streams: false };
+        let streams = wire::Route {
+            path: VERSIONS_PATH.to_owned(),
+            service: VERSIONS_SERVICE,
+            streams: true,
+        };
+        let routes = plain_routes.map(route).chain([streams]);
+        let services =
+            [SERVICE, FRAGILE_SERVICE, LIMITED_SERVICE, DIRECTIVES_SERVICE, VERSIONS_SERVICE];
         self.store.publish(&wire::configuration(self.version, HOST, &services, routes));
         self.version
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod run;
 pub mod schedule;
 mod servers;
+pub mod versions;
--- a/soak/src/observe.rs
+++ b/soak/src/observe.rs
@@ -49,6 +49,8 @@
     SentToLeavingServer,
     /// Requests of a router reached a server that had requested a backoff from this router.
     SentDuringBackoff,
+    /// A stream holds events of servers of two software versions.
+    StreamOfTwoVersions,
 }
 
 impl ViolationKind {
@@ -65,6 +67,7 @@
             Self::RefusedWithFreeServer => "RefusedBesideFree",
             Self::SentToLeavingServer => "SentToLeaving",
             Self::SentDuringBackoff => "SentInBackoff",
+            Self::StreamOfTwoVersions => "StreamOfTwoVersions",
         }
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs a schedule against a fleet and reports the results.
 
-use crate::{directives, fleet, limited, observe, poison, prober, schedule};
+use crate::{directives, fleet, limited, observe, poison, prober, schedule, versions};
 use doorswitch_standins::{network, store};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -45,6 +45,8 @@
     pub limited: limited::Summary,
     /// Results of the servers that announce that they are leaving, or request backoffs.
     pub directives: directives::Summary,
+    /// Results of the streams of servers of several software versions.
+    pub versions: versions::Summary,
 }
 
 /// A timed event of a run.
@@ -90,6 +92,7 @@
         (0..*routers).map(|index| run.fleet.clients_address(index)).collect();
     let limited = limited::start(&store, clients.clone(), run.shared.clone(), *seed)?;
     let directives = directives::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
+    let versions = versions::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
     let poison = poison::start(store, clients, run.shared.clone())?;
     let began = Instant::now();
     let executed = run.execute(schedule, began);
@@ -100,6 +103,7 @@
     let poison = poison.join().unwrap_or_default();
     let limited = limited.join().unwrap_or_default();
     let directives = directives.join().unwrap_or_default();
+    let versions = versions.join().unwrap_or_default();
     let ended = run.fleet.unexpectedly_ended().into_iter().collect();
     executed?;
     let observations = run.shared.observations();
@@ -111,6 +115,7 @@
         poison,
         limited,
         directives,
+        versions,
     })
 }
 
--- a/soak/src/servers.rs
+++ b/soak/src/servers.rs
@@ -4,6 +4,9 @@
 use doorswitch_standins::{backend, store, wire};
 use snafu::ResultExt;
 
+/// The software version of the servers that all have the same.
+pub const VERSION: &str = "v1";
+
 /// Starts a scripted server on a free port.
 pub fn start(script: backend::Script) -> Result<backend::Backend, fleet::Error> {
     backend::Backend::start(script).context(fleet::IoSnafu { what: "start a server" })
@@ -18,6 +21,6 @@
     started_ms: u64,
 ) {
     let address = server.address();
-    let record = wire::Record { service, address, state: "ready", started_ms };
+    let record = wire::Record { service, address, version: VERSION, state: "ready", started_ms };
     store.record_server(name, &record);
 }
--- /dev/null
+++ b/soak/src/versions.rs
@@ -0,0 +1,278 @@
+//! Servers of several software versions that are replaced and break streams off, and clients that continue the broken
+//! streams through any router. Each event names the version that wrote it.
+
+use crate::{fleet, observe, prober, servers};
+use doorswitch_standins::{backend, store, wire};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use std::{fmt, thread};
+
+/// The software versions of the servers.
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+/// The number of servers that run at the same time.
+const SERVERS: usize = 4;
+/// The number of clients, each of which follows one stream after the other.
+const CLIENTS: usize = 6;
+/// The number of events of a whole stream.
+const EVENTS: u64 = 8;
+const EVENT_INTERVAL: Duration = Duration::from_millis(30);
+/// One in this many streams is broken off by its server.
+const BROKEN_EVERY: u64 = 3;
+/// How long a server runs until one of another version replaces it, in milliseconds.
+const RELEASE_INTERVAL_MS: std::ops::Range<u64> = 1_500..4_000;
+/// How long a server that leaves still serves.
+const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+/// How long a client waits for a whole stream.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(4);
+/// The time after which a client gives an answer up that says nothing.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The time between two attempts to continue a stream.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// The Unix millisecond before the start of the first server.
+const FIRST_START_MS: u64 = 1_800_000_000_000;
+
+/// The results of the clients.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Summary {
+    /// The number of streams whose first event arrived, and how many of them were received whole.
+    pub streams: (usize, usize),
+    /// The number of streams that broke after an event, and how many of them were received whole.
+    pub broken: (usize, usize),
+    /// The number of streams that hold events of several versions.
+    pub mixed: usize,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ((streams, whole), (broken, continued)) = (self.streams, self.broken);
+        let mixed = self.mixed;
+        write!(
+            out,
+            "streams={streams} streams_whole={whole} streams_broken={broken} \
+             streams_continued={continued} streams_mixed={mixed}"
+        )
+    }
+}
+
+/// Starts the servers and the clients.
+pub fn start(
+    store: Arc<store::Store>,
+    routers: Vec<SocketAddr>,
+    shared: Arc<prober::Shared>,
+    seed: u64,
+) -> Result<thread::JoinHandle<Summary>, fleet::Error> {
+    let mut releases = Releases {
+        store,
+        running: Vec::new(),
+        leaving: Vec::new(),
+        started: 0,
+        rng: StdRng::seed_from_u64(seed),
+    };
+    for _ in 0..SERVERS {
+        releases.start_server()?;
+    }
+    Ok(thread::spawn(move || {
+        let summary = Mutex::new(Summary::default());
+        thread::scope(|scope| {
+            for number in 0..CLIENTS {
+                let client = Client {
+                    number,
+                    routers: &routers,
+                    shared: &shared,
+                    summary: &summary,
+                    rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1)),
+                };
+                scope.spawn(move || client.run());
+            }
+            scope.spawn(|| releases.run(&shared));
+        });
+        summary.into_inner().unwrap_or_else(PoisonError::into_inner)
+    }))
+}
+
+/// A server that runs, under its name.
+struct Server {
+    name: String,
+    number: u64,
+    backend: backend::Backend,
+    version: &'static str,
+}
+
+/// The servers, one of which is replaced by one of another version at intervals.
+struct Releases {
+    store: Arc<store::Store>,
+    running: Vec<Server>,
+    /// Servers that leave, and when they end.
+    leaving: Vec<(Instant, Server)>,
+    started: u64,
+    rng: StdRng,
+}
+
+impl Releases {
+    fn run(mut self, shared: &prober::Shared) {
+        let mut next = Instant::now();
+        while !shared.ended() {
+            if Instant::now() >= next {
+                next += Duration::from_millis(self.rng.random_range(RELEASE_INTERVAL_MS));
+                self.replace_server();
+            }
+            let now = Instant::now();
+            let store = &self.store;
+            self.leaving.retain(|(end, server)| {
+                let stays = now < *end;
+                if !stays {
+                    store.remove_server(&server.name);
+                }
+                stays
+            });
+            thread::sleep(EVENT_INTERVAL);
+        }
+    }
+
+    fn replace_server(&mut self) {
+        // A port that is not free is another process's; the next release tries again.
+        if let Err(error) = self.start_server() {
+            eprintln!("event=server_not_started fault={error}");
+            return;
+        }
+        let server = self.running.remove(0);
+        self.record(&server, "draining");
+        self.leaving.push((Instant::now() + DRAIN_TIME, server));
+    }
+
+    fn start_server(&mut self) -> Result<(), fleet::Error> {
+        let version = VERSIONS.choose(&mut self.rng).copied().unwrap_or(VERSIONS[0]);
+        let backend = servers::start(script(version))?;
+        self.started += 1;
+        let (name, number) = (format!("i-version-{}", self.started), self.started);
+        let server = Server { name, number, backend, version };
+        self.record(&server, "ready");
+        self.running.push(server);
+        Ok(())
+    }
+
+    fn record(&self, server: &Server, state: &str) {
+        let record = wire::Record {
+            service: fleet::VERSIONS_SERVICE,
+            address: server.backend.address(),
+            version: server.version,
+            state,
+            started_ms: FIRST_START_MS + server.number,
+        };
+        self.store.record_server(&server.name, &record);
+    }
+}
+
+/// A server that continues any stream, and breaks some of them off.
+fn script(version: &'static str) -> backend::Script {
+    Box::new(move |number, received| {
+        let continued = received.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let breaks = (number as u64).is_multiple_of(BROKEN_EVERY);
+        let mut steps = vec![backend::Step::Write(wire::STREAM_HEAD.to_owned())];
+        for event in continued.map_or(1, |last| last + 1)..=EVENTS {
+            steps.push(backend::Step::Pause(EVENT_INTERVAL));
+            let text = format!("id: {event}\ndata: {version}\n\n");
+            steps.push(backend::Step::Write(format!("{:x}\r\n{text}\r\n", text.len())));
+            if breaks && event == EVENTS / 2 {
+                steps.push(backend::Step::Reset);
+                return steps;
+            }
+        }
+        steps.push(backend::Step::Write("0\r\n\r\n".to_owned()));
+        steps
+    })
+}
+
+struct Client<'a> {
+    number: usize,
+    routers: &'a [SocketAddr],
+    shared: &'a prober::Shared,
+    summary: &'a Mutex<Summary>,
+    rng: StdRng,
+}
+
+/// What a client has received of one stream.
+#[derive(Default)]
+struct Received {
+    /// The id of the request whose answer brought the first event.
+    first: String,
+    last_id: u64,
+    versions: BTreeSet<String>,
+}
+
+impl Client<'_> {
+    fn run(mut self) {
+        let mut streams = 0;
+        while !self.shared.ended() {
+            streams += 1;
+            self.follow_stream(streams);
+            thread::sleep(EVENT_INTERVAL);
+        }
+    }
+
+    fn summary(&self) -> MutexGuard<'_, Summary> {
+        self.summary.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Receives one stream, and continues it through other routers when it breaks.
+    fn follow_stream(&mut self, number: usize) {
+        let (mut received, started) = (Received::default(), Instant::now());
+        let mut broke = false;
+        for attempt in 0.. {
+            let router = self.rng.random_range(0..self.routers.len());
+            let id = format!("stream-{}-{number}-{attempt}", self.number);
+            self.receive(&mut received, router, &id);
+            let whole = received.last_id == EVENTS;
+            broke |= !whole && received.last_id > 0;
+            if received.versions.len() > 1 {
+                self.summary().mixed += 1;
+                let kind = observe::ViolationKind::StreamOfTwoVersions;
+                self.shared.observations().record_violation(kind, router, started);
+            }
+            let ended = whole || self.shared.ended() || started.elapsed() >= STREAM_TIMEOUT;
+            if ended || received.versions.len() > 1 {
+                break;
+            }
+            thread::sleep(RETRY_DELAY);
+        }
+        if received.last_id == 0 {
+            return;
+        }
+        let whole = usize::from(received.last_id == EVENTS);
+        let mut summary = self.summary();
+        summary.streams.0 += 1;
+        summary.streams.1 += whole;
+        if broke {
+            summary.broken.0 += 1;
+            summary.broken.1 += whole;
+        }
+    }
+
+    /// Sends one request, and adds the events that arrive.
+    fn receive(&self, received: &mut Received, router: usize, id: &str) {
+        let continued = match received.last_id {
+            0 => String::new(),
+            last => format!("Last-Event-Id: {last}\r\nResumes: {}\r\n", received.first),
+        };
+        let headers = format!("Attempt-Id: {id}\r\nDeadline-Ms: 4000\r\n{continued}");
+        let address = self.routers[router];
+        let path = format!("{}x", fleet::VERSIONS_PATH);
+        // What arrived before the connection broke counts.
+        let answer = wire::get_partial(address, fleet::HOST, &path, &headers, SILENCE_TIMEOUT);
+        for event in wire::events(&answer) {
+            if event.number != received.last_id + 1 {
+                return;
+            }
+            received.last_id = event.number;
+            received.versions.insert(event.data);
+            if received.first.is_empty() {
+                received.first = id.to_owned();
+            }
+        }
+    }
+}
--- a/soak/tests/printed_texts.rs
+++ b/soak/tests/printed_texts.rs
@@ -89,6 +89,7 @@
         (ViolationKind::RefusedWithFreeServer, "RefusedBesideFree"),
         (ViolationKind::SentToLeavingServer, "SentToLeaving"),
         (ViolationKind::SentDuringBackoff, "SentInBackoff"),
+        (ViolationKind::StreamOfTwoVersions, "StreamOfTwoVersions"),
     ];
     assert!(texts.is_sorted_by_key(|(kind, _)| *kind));
     for (kind, text) in texts {
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -229,6 +229,11 @@
         self.put(&format!("servers/{name}"), &record.value());
     }
 
+    /// Removes a server's record, as the platform does when the server has ended.
+    pub fn remove_server(&self, name: &str) {
+        self.remove(&format!("servers/{name}"));
+    }
+
     /// Overwrites a server's record with a value that cannot be decoded, as a faulty writer would.
     pub fn corrupt_server_record(&self, name: &str) {
         self.put_undecodable(&format!("servers/{name}"));
--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -13,6 +13,8 @@
     pub service: &'a str,
     /// The address on which the server accepts requests.
     pub address: SocketAddr,
+    /// The software version.
+    pub version: &'a str,
     /// The state, as the platform writes it.
     pub state: &'a str,
     /// When the server started, in Unix milliseconds.
@@ -24,25 +26,41 @@
     pub fn value(&self) -> Vec<u8> {
         let record = json!({
             "service": self.service, "address": self.address.to_string(), "zone": "domain-0",
-            "version": "v1", "slots": 64, "state": self.state, "coldLeftMs": 0,
+            "version": self.version, "slots": 64, "state": self.state, "coldLeftMs": 0,
             "born": self.started_ms,
         });
         record.to_string().into_bytes()
     }
 }
 
-/// A configuration with public routes, each given by its path and service.
+/// A public route of a configuration.
+#[derive(Clone, Debug)]
+pub struct Route<'a> {
+    /// The prefix of the paths.
+    pub path: String,
+    /// The name of the service.
+    pub service: &'a str,
+    /// Whether the answers are streams that may be continued at another server.
+    pub streams: bool,
+}
+
+/// A configuration with public routes.
 pub fn configuration<'a>(
     version: u64,
     host: &str,
     services: &[&str],
-    routes: impl Iterator<Item = (String, &'a str)>,
+    routes: impl Iterator<Item = Route<'a>>,
 ) -> Vec<u8> {
-    let route = |(path, service): (String, &str)| {
+    let route = |route: Route<'a>| {
+        let (kind, attempts, timeout_ms) = match route.streams {
+            true => ("streaming", 2, 4_000),
+            false => ("idempotent", 1, 1_000),
+        };
         json!({
-            "name": path.trim_matches('/'), "host": host, "pathPrefix": path,
-            "routeType": "idempotent", "timeoutMs": 1_000, "targetLatencyMs": 200, "priority": 1,
-            "service": service, "maxAttempts": 1, "public": true,
+            "name": route.path.trim_matches('/'), "host": host, "pathPrefix": route.path,
+            "routeType": kind, "timeoutMs": timeout_ms, "targetLatencyMs": 200, "priority": 1,
+            "service": route.service, "maxAttempts": attempts, "public": true,
+            "streamResume": route.streams,
         })
     };
     let service =
@@ -77,13 +95,8 @@
     id: &str,
     timeout: Duration,
 ) -> io::Result<Answer> {
-    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
-    stream.set_read_timeout(Some(timeout))?;
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1000\r\n\
-         Connection: close\r\n\r\n"
-    );
-    stream.write_all(request.as_bytes())?;
+    let headers = format!("Attempt-Id: {id}\r\nDeadline-Ms: 1000\r\n");
+    let mut stream = send(address, host, path, &headers, timeout)?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer)?;
     let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
@@ -93,3 +106,58 @@
         _ => Err(io::ErrorKind::InvalidData.into()),
     }
 }
+
+/// The head of a streamed answer; the id of the request takes the place of `{id}`.
+pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n\
+    Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// An event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The id, a number.
+    pub number: u64,
+    /// The data, a single line.
+    pub data: String,
+}
+
+/// Sends one GET request on a new connection, with further header lines, and reads the answer until the connection ends
+/// or nothing arrives for `timeout`. Returns what arrived by then.
+pub fn get_partial(
+    address: SocketAddr,
+    host: &str,
+    path: &str,
+    headers: &str,
+    timeout: Duration,
+) -> String {
+    let mut received = Vec::new();
+    if let Ok(mut stream) = send(address, host, path, headers, timeout) {
+        // What arrived before an error stays in `received`.
+        let _ = stream.read_to_end(&mut received);
+    }
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// The complete events of a streamed answer in chunks.
+pub fn events(answer: &str) -> impl Iterator<Item = Event> {
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    body.split("id: ").skip(1).filter_map(|text| {
+        let (event, _) = text.split_once("\n\n")?;
+        let (number, data) = event.split_once("\ndata: ")?;
+        Some(Event { number: number.parse().ok()?, data: data.to_owned() })
+    })
+}
+
+fn send(
+    address: SocketAddr,
+    host: &str,
+    path: &str,
+    headers: &str,
+    timeout: Duration,
+) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    let request =
+        format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n{headers}Connection: close\r\n\r\n");
+    stream.write_all(request.as_bytes())?;
+    Ok(stream)
+}
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -473,9 +473,7 @@
     (data, false)
 }
 
-/// The head of a streamed answer.
-pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n\
-    Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+pub use doorswitch_standins::wire::STREAM_HEAD;
 
 /// A server-sent event in a chunk of its own.
 pub fn event(number: u64) -> backend::Step {
