Refuse an unknown stream unless all versions it can have begun at are known

What callers would see: after a loss of all routers, streams that began at a version which had left moments before went on at the only version that is listed now.

Each fleet was new as a whole, so no router had seen the version that left.

Cause: "only one version can have written it" was taken from what a router had seen, also where it had seen only a moment.

Now: a router vouches for it if it has run for longer than origins are kept, is one of the first start, or has read the store's record of the services with several recent versions. One router writes the record when a service gets a second version, and when it is back to one; others read it only when they need it, so that nothing is read or written while services have one version. Without any of this: 503.

Weighed: to refuse all unknown streams for a while after a loss of all, without a record. Fleets of one version, the usual case, would lose streams that go on today.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -32,6 +32,7 @@
 mod tokens;
 mod transfer_requests;
 mod types;
+mod version_record;
 mod watching;
 
 pub use counters::{CallOutcome, CallPurpose, Counters};
@@ -169,6 +170,7 @@
     quarantine: quarantine::Quarantine,
     limits: limits::PermitState,
     stream_origins: stream_origins::StreamOrigins,
+    version_record: version_record::VersionRecord,
     /// The subscriptions to the store's topics; `None` where the shell follows the store.
     watching: Option<watching::Watching>,
     relay: relay::Relay,
@@ -236,6 +238,7 @@
             quarantine: Default::default(),
             limits: Default::default(),
             stream_origins: Default::default(),
+            version_record: Default::default(),
             watching,
             relay: relay::Relay::default(),
             started_ms: now_ms,
@@ -323,6 +326,7 @@
         self.tick_directives(now_ms);
         self.tick_limits(now_ms);
         self.tick_stream_origins(now_ms);
+        self.tick_version_record(now_ms);
         self.tick_waiting_servers(now_ms);
         self.tick_waiting_claims(now_ms);
         self.tick_settlements(now_ms);
--- a/core/src/node/counters.rs
+++ b/core/src/node/counters.rs
@@ -5,7 +5,7 @@
 
 /// What a call of a router to the platform's store is for: following the configuration or the list of servers,
 /// recording the router's address, or reading or writing the ledger (token budgets), the log (who may run a request,
-/// and what it cost) or the record of requests that crash servers. Calls are counted by purpose.
+/// and what it cost) the record of requests that crash servers or that of software versions. Calls are counted by purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
 #[allow(missing_docs)]
@@ -22,6 +22,9 @@
     /// Reads the record of quarantined requests, which are not sent to servers.
     QuarantineRead,
     QuarantineWrite,
+    /// Reads the record of services whose servers have several software versions.
+    VersionsRead,
+    VersionsWrite,
 }
 
 impl CallPurpose {
@@ -37,6 +40,8 @@
             Self::LogWrite => "LogWrite",
             Self::QuarantineRead => "QuarantineRead",
             Self::QuarantineWrite => "QuarantineWrite",
+            Self::VersionsRead => "VersionsRead",
+            Self::VersionsWrite => "VersionsWrite",
         }
     }
 }
--- a/core/src/node/era_record.rs
+++ b/core/src/node/era_record.rs
@@ -70,7 +70,7 @@
     }
 
     /// Whether this router ranks first among the live routers for a subject.
-    fn ranks_first(&self, subject: &str) -> bool {
+    pub(super) fn ranks_first(&self, subject: &str) -> bool {
         let subject = rendezvous::digest(subject);
         let weight = |id: ids::Incarnation| rendezvous::weight(subject, id.0);
         let own = weight(self.settings.incarnation);
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -13,6 +13,8 @@
     Quarantine,
     /// The record of the store's era.
     EraRecord,
+    /// The record of services with several software versions.
+    VersionRecord,
 }
 
 /// A call to the store that has no reply yet.
@@ -30,6 +32,8 @@
             (Purpose::Ledger(_) | Purpose::EraRecord, true) => CallPurpose::LedgerWrite,
             (Purpose::Log(_), false) => CallPurpose::LogRead,
             (Purpose::Log(_), true) => CallPurpose::LogWrite,
+            (Purpose::VersionRecord, false) => CallPurpose::VersionsRead,
+            (Purpose::VersionRecord, true) => CallPurpose::VersionsWrite,
             (Purpose::Quarantine, false) => CallPurpose::QuarantineRead,
             (Purpose::Quarantine, true) => CallPurpose::QuarantineWrite,
         }
@@ -57,6 +61,7 @@
             Purpose::Log(shard) => self.handle_log_reply(shard, call, reply, now_ms),
             Purpose::Quarantine => self.handle_record_reply(reply, now_ms),
             Purpose::EraRecord => self.handle_era_record_reply(reply, now_ms),
+            Purpose::VersionRecord => self.handle_version_record_reply(reply, now_ms),
         }
         self.tick_platform(now_ms);
     }
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -97,7 +97,8 @@
     unanswered: collections::BTreeSet<ids::Incarnation>,
     /// The origins that the stream may have according to the replies.
     candidates: collections::BTreeSet<streams::Origin>,
-    replied: bool,
+    /// Whether a router that replied has seen all versions at which the stream can have begun.
+    complete: bool,
     started_ms: u64,
     sent_ms: u64,
 }
@@ -149,7 +150,7 @@
             number,
             unanswered,
             candidates: Default::default(),
-            replied: false,
+            complete: false,
             started_ms: now_ms,
             sent_ms: now_ms,
         });
@@ -253,7 +254,10 @@
     ) {
         let reply = match self.stream_origins.table.origin(stream) {
             Some(origin) => streams::Reply::Known(origin.clone()),
-            None => streams::Reply::Candidates(self.possible_origins(services, now_ms).collect()),
+            None => streams::Reply::Unknown {
+                candidates: self.possible_origins(services, now_ms).collect(),
+                complete: self.knows_recent_versions(now_ms),
+            },
         };
         self.send(from, message::Message::StreamOriginReply { number, reply });
     }
@@ -273,13 +277,13 @@
         if !search.unanswered.remove(&from) {
             return;
         }
-        search.replied = true;
         match reply {
             streams::Reply::Known(origin) => {
                 self.accept_origin(slot, origin, OriginSource::Router);
             }
-            streams::Reply::Candidates(candidates) => {
+            streams::Reply::Unknown { candidates, complete } => {
                 search.candidates.extend(candidates);
+                search.complete |= complete;
                 if search.unanswered.is_empty() {
                     self.conclude_search(slot, now_ms);
                 }
@@ -302,7 +306,16 @@
         })
     }
 
+    /// Concludes the searches that waited for the store's record of versions.
+    pub(super) fn conclude_answered_searches(&mut self, now_ms: u64) {
+        let searches = self.stream_origins.searches.iter();
+        let answered = searches.filter(|(_, search)| search.unanswered.is_empty());
+        let answered: Vec<ids::OriginSearchSlot> = answered.map(|(slot, _)| slot).collect();
+        answered.into_iter().for_each(|slot| self.conclude_search(slot, now_ms));
+    }
+
     /// Ends a search for a stream whose origin no router knows: it can go on if only one version can have written it.
+    /// The search goes on while the store's record of versions is read.
     fn conclude_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let Some(running) = self.stream_origins.searches.get(slot) else { return };
         let mut candidates = running.candidates.clone();
@@ -310,10 +323,14 @@
         let list_age_ms =
             self.watching.as_ref().and_then(|watching| watching.servers.age_ms(now_ms));
         let list_is_recent = list_age_ms.is_none_or(|age_ms| age_ms <= LIST_AGE_MAX_MS);
-        let reliable = running.replied || running.unanswered.is_empty() || list_is_recent;
+        // A router that no other one answers may have missed what these have seen.
+        let alone = !running.complete && !running.unanswered.is_empty();
+        let complete = running.complete || self.knows_recent_versions(now_ms);
+        let expired = now_ms >= running.started_ms + SEARCH_TIMEOUT_MS;
         match (candidates.pop_first(), candidates.is_empty()) {
             (None, _) => self.refuse_continuation(slot, Reason::NoServer),
-            (Some(origin), true) if reliable => {
+            (Some(_), true) if !complete && !expired => self.request_version_record(now_ms),
+            (Some(origin), true) if complete && (!alone || list_is_recent) => {
                 self.accept_origin(slot, origin, OriginSource::OnlyVersion);
             }
             (Some(_), _) => self.refuse_continuation(slot, Reason::StreamOriginUnknown),
--- a/core/src/servers/versions.rs
+++ b/core/src/servers/versions.rs
@@ -58,6 +58,13 @@
         recent.map(|(name, _)| name.as_str()).collect()
     }
 
+    /// Records that a service had a version until now, which this router may not have seen itself.
+    pub fn record_recent_version(&mut self, service: &str, version: &str, now_ms: u64) {
+        let versions = self.versions.by_service.entry(service.to_owned()).or_default();
+        let unseen = Version { listed: false, listed_ms: now_ms };
+        versions.entry(version.to_owned()).or_insert(unseen).listed_ms = now_ms;
+    }
+
     /// Returns the services with several recent versions.
     pub fn services_of_several_versions(&self, now_ms: u64) -> impl Iterator<Item = &str> {
         let services = self.versions.by_service.iter().filter(move |(_, versions)| {
--- a/core/src/streams.rs
+++ b/core/src/streams.rs
@@ -37,8 +37,13 @@
 pub enum Reply {
     /// The origin of the stream.
     Known(Origin),
-    /// The stream is unknown; one of these may have written it, as far as the router has seen.
-    Candidates(Vec<Origin>),
+    /// The stream is unknown.
+    Unknown {
+        /// The origins that it can have, as far as the router has seen.
+        candidates: Vec<Origin>,
+        /// Whether the router has seen all versions at which it can have begun.
+        complete: bool,
+    },
 }
 
 /// From where a router has the origin of a stream.
--- a/core/tests/external_names.rs
+++ b/core/tests/external_names.rs
@@ -277,7 +277,9 @@
         node::CallPurpose::LogWrite,
         node::CallPurpose::QuarantineRead,
         node::CallPurpose::QuarantineWrite,
-    ].map(node::CallPurpose::as_str).join(" ") => r#"WatchConfiguration WatchServers Announce LedgerRead LedgerWrite LogRead LogWrite QuarantineRead QuarantineWrite"#;
+        node::CallPurpose::VersionsRead,
+        node::CallPurpose::VersionsWrite,
+    ].map(node::CallPurpose::as_str).join(" ") => r#"WatchConfiguration WatchServers Announce LedgerRead LedgerWrite LogRead LogWrite QuarantineRead QuarantineWrite VersionsRead VersionsWrite"#;
     outcomes_of_calls: [
         node::CallOutcome::Sent,
         node::CallOutcome::News,
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -277,6 +277,6 @@
     } => "0101021b010001610162";
     unknown_stream_origin_reply_keeps_its_bytes: message::Message::StreamOriginReply {
         number: 1,
-        reply: streams::Reply::Candidates(vec![origin()]),
-    } => "0101021b01010101610162";
+        reply: streams::Reply::Unknown { candidates: vec![origin()], complete: true },
+    } => "0101021b0101010161016201";
 }
