Use a single copy of an origin only after a while, the placing router's at once

What callers would see: a stream that continues at the version of its first placement, though its first event came from a server of another one.

The server of the first placement crashed before its first event, the router placed the stream at another version, the message with that was lost on its way to one of the two routers with copies, and this one's reply came first when the client continued the stream.

Now: what the placing router itself says counts at once. A copy counts when another one agrees, when all routers have replied, or after 50 ms; of two that differ the one with the later message, and if two routers placed the stream, none.

Weighed: to hold the first event back until copies are acknowledged (costs each stream that was placed twice a round trip), to bind a stream to its first placement's version (loses streams whose server fails first).

--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -16,6 +16,8 @@
 const ROUTERS_ASKED_MAX: usize = 8;
 /// Time after which a router that has not replied is not waited for.
 const SEARCH_TIMEOUT_MS: u64 = 200;
+/// Time after which a single copy of an origin is used.
+const SECOND_COPY_TIMEOUT_MS: u64 = 50;
 /// Time after which an unanswered request for an origin is repeated.
 const REQUEST_REPEAT_MS: u64 = 60;
 /// Time after which an unacknowledged message with origins is repeated.
@@ -97,6 +99,8 @@
     unanswered: collections::BTreeSet<ids::Incarnation>,
     /// The origins that the stream may have according to the replies.
     candidates: collections::BTreeSet<streams::Origin>,
+    /// The most recent copy of the origin so far, and from where it is.
+    copy: Option<(streams::Placement, OriginSource)>,
     /// Whether a router that replied has seen all versions at which the stream can have begun.
     complete: bool,
     started_ms: u64,
@@ -150,6 +154,7 @@
             number,
             unanswered,
             candidates: Default::default(),
+            copy: None,
             complete: false,
             started_ms: now_ms,
             sent_ms: now_ms,
@@ -164,13 +169,18 @@
             self.refuse_continuation(slot, reason);
             return slot;
         }
-        let stream = self.stream_origins.searches[slot].search.stream;
-        match stream.and_then(|stream| self.stream_origins.table.origin(stream)).cloned() {
-            Some(origin) => self.accept_origin(slot, origin, OriginSource::Own),
-            None if self.stream_origins.searches[slot].unanswered.is_empty() => {
-                self.conclude_search(slot, now_ms);
-            }
-            None => self.send_origin_requests(slot, now_ms),
+        let own = self.settings.incarnation;
+        let state = &self.stream_origins;
+        let stream = state.searches[slot].search.stream;
+        let placement = stream.and_then(|stream| state.table.placement(stream, own));
+        if let Some(placement) = placement
+            && self.handle_placement(slot, placement, OriginSource::Own)
+        {
+            return slot;
+        }
+        match self.stream_origins.searches[slot].unanswered.is_empty() {
+            true => self.conclude_search(slot, now_ms),
+            false => self.send_origin_requests(slot, now_ms),
         }
         slot
     }
@@ -252,8 +262,9 @@
         services: &[String],
         now_ms: u64,
     ) {
-        let reply = match self.stream_origins.table.origin(stream) {
-            Some(origin) => streams::Reply::Known(origin.clone()),
+        let own = self.settings.incarnation;
+        let reply = match self.stream_origins.table.placement(stream, own) {
+            Some(placement) => streams::Reply::Known(placement),
             None => streams::Reply::Unknown {
                 candidates: self.possible_origins(services, now_ms).collect(),
                 complete: self.knows_recent_versions(now_ms),
@@ -278,17 +289,47 @@
             return;
         }
         match reply {
-            streams::Reply::Known(origin) => {
-                self.accept_origin(slot, origin, OriginSource::Router);
+            streams::Reply::Known(placement) => {
+                if self.handle_placement(slot, placement, OriginSource::Router) {
+                    return;
+                }
             }
             streams::Reply::Unknown { candidates, complete } => {
                 search.candidates.extend(candidates);
                 search.complete |= complete;
-                if search.unanswered.is_empty() {
-                    self.conclude_search(slot, now_ms);
-                }
             }
         }
+        if self.stream_origins.searches[slot].unanswered.is_empty() {
+            self.conclude_search(slot, now_ms);
+        }
+    }
+
+    /// Handles what this or another router has of a stream. The router that placed it knows where; a copy may have
+    /// missed its latest message, so it counts together with another one, or after a while. Returns whether the search
+    /// has ended.
+    fn handle_placement(
+        &mut self,
+        slot: ids::OriginSearchSlot,
+        placement: streams::Placement,
+        source: OriginSource,
+    ) -> bool {
+        let Some(search) = self.stream_origins.searches.get_mut(slot) else { return true };
+        let agrees =
+            search.copy.as_ref().is_some_and(|(known, _)| known.origin == placement.origin);
+        if placement.number.is_none() || agrees {
+            self.accept_origin(slot, placement.origin, source);
+            return true;
+        }
+        match &search.copy {
+            Some((known, _)) if known.router != placement.router => {
+                // The client has used the id of its request twice.
+                self.refuse_continuation(slot, Reason::StreamOriginUnknown);
+                return true;
+            }
+            Some((known, _)) if known.number > placement.number => {}
+            _ => search.copy = Some((placement, source)),
+        }
+        false
     }
 
     /// The origins that a stream of these services may have, as far as this router has seen.
@@ -318,6 +359,10 @@
     /// The search goes on while the store's record of versions is read.
     fn conclude_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let Some(running) = self.stream_origins.searches.get(slot) else { return };
+        if let Some((copy, source)) = running.copy.clone() {
+            self.accept_origin(slot, copy.origin, source);
+            return;
+        }
         let mut candidates = running.candidates.clone();
         candidates.extend(self.possible_origins(&running.search.services, now_ms));
         let list_age_ms =
@@ -368,7 +413,11 @@
         let mut expired = Vec::new();
         let mut unanswered = Vec::new();
         for (slot, search) in &self.stream_origins.searches {
-            if now_ms >= search.started_ms + SEARCH_TIMEOUT_MS {
+            let timeout_ms = match search.copy {
+                None => SEARCH_TIMEOUT_MS,
+                Some(_) => SECOND_COPY_TIMEOUT_MS,
+            };
+            if now_ms >= search.started_ms + timeout_ms {
                 expired.push(slot);
             } else if now_ms >= search.sent_ms + REQUEST_REPEAT_MS {
                 unanswered.push(slot);
--- a/core/src/streams.rs
+++ b/core/src/streams.rs
@@ -32,11 +32,23 @@
     pub left_ms: u64,
 }
 
+/// The origin that one router has of a stream, and how recent it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The service and version.
+    pub origin: Origin,
+    /// The router that placed the stream there.
+    pub router: ids::Incarnation,
+    /// The number of that router's message with the origin; `None` if this is that router itself. Until the first event
+    /// the router may place the stream elsewhere, and a later message has a higher number.
+    pub number: Option<u64>,
+}
+
 /// What a router answers to another one that asks for the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The origin of the stream.
-    Known(Origin),
+    Known(Placement),
     /// The stream is unknown.
     Unknown {
         /// The origins that it can have, as far as the router has seen.
@@ -100,6 +112,17 @@
         self.origins.get(entry.origin).map(|interned| &interned.origin)
     }
 
+    /// Returns the origin of a stream and where `own`, this router, has it from; `None` if it is unknown.
+    pub fn placement(&self, stream: ids::StreamId, own: ids::Incarnation) -> Option<Placement> {
+        let origin = self.origin(stream)?.clone();
+        let (router, number) = match self.entries.get(&stream)?.source {
+            Source::Own => (own, None),
+            Source::Router { router, number } => (router, Some(number)),
+            Source::Conflicting => return None,
+        };
+        Some(Placement { origin, router, number })
+    }
+
     /// Returns when the origin of a stream expires; `None` if the stream is unknown.
     pub fn expires_ms(&self, stream: ids::StreamId) -> Option<u64> {
         self.entries.get(&stream).map(|entry| entry.expires_ms)
