Let the demonstration log warnings only, so that its lines to try stay in view

Cause: three routers in one process log each event and, every 5 s, a line for each budget, under the lines that the demonstration prints. RUST_LOG shows the rest.

--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -20,7 +20,8 @@
 type DemoError = Box<dyn error::Error + Send + Sync>;
 
 fn main() -> Result<(), DemoError> {
-    logging::start();
+    // The lines to try stay readable.
+    logging::start("warn");
     let platform = standin::Platform::start(local(PLATFORM_PORT))?;
     let mode = engine::Mode { slots: 4, token_ms: 20, prompt_ms: 50, ..engine::Mode::default() };
     let engines =
@@ -146,7 +147,7 @@
 }
 
 const HINTS: &str = r#"
-The fleet stays up until Ctrl-C. To try, in another terminal:
+The fleet stays up until Ctrl-C; RUST_LOG=warn,doorswitch=info shows its logs. To try, in another terminal:
 
 # a streamed answer
 curl -N http://127.0.0.1:PORT/v1/chat/completions -H 'Authorization: Bearer cafes-sample-key' \
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -11,7 +11,7 @@
 }
 
 pub(super) fn run(matches: &clap::ArgMatches) -> Result<(), Error> {
-    logging::start();
+    logging::start(logging::ROUTER_LEVELS);
     let file = super::path(matches, "settings");
     let settings = settings::Settings::load(&file)?;
     router::run(settings, Some(file), router::StopHandle::default())?;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -55,11 +55,14 @@
     }
 }
 
-/// Starts logging to standard error. `RUST_LOG` sets the levels.
-pub fn start() {
+/// The levels at which a router logs.
+pub const ROUTER_LEVELS: &str = "warn,doorswitch=info";
+
+/// Starts logging to standard error at these levels, which `RUST_LOG` overrides.
+pub fn start(levels: &str) {
     let (sender, lines) = mpsc::sync_channel(QUEUE_LENGTH);
     thread::spawn(move || write_lines(&lines));
-    let env = env_logger::Env::default().default_filter_or("warn,doorswitch=info");
+    let env = env_logger::Env::default().default_filter_or(levels);
     let _ = env_logger::Builder::from_env(env)
         .target(env_logger::Target::Pipe(Box::new(LineQueue(sender))))
         .format(|out, record| {
