Write the headers of a continued stream in one place of the stand-ins

Cause: the soak's clients and the tests each wrote the platform's headers by which a client continues a stream, and the soak named Attempt-Id outside the stand-ins. Two tests killed and started all routers by the same lines.

Now wire::Continuation and wire::get_stream, and restart_all.

--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -255,15 +255,13 @@
 
     /// Sends one request, and adds the events that arrive.
     fn receive(&self, received: &mut Received, router: usize, id: &str) {
-        let continued = match received.last_id {
-            0 => String::new(),
-            last => format!("Last-Event-Id: {last}\r\nResumes: {}\r\n", received.first),
-        };
-        let headers = format!("Attempt-Id: {id}\r\nDeadline-Ms: 4000\r\n{continued}");
+        let continuation = (received.last_id > 0)
+            .then(|| wire::Continuation { last_id: received.last_id, first: &received.first });
         let address = self.routers[router];
         let path = format!("{}x", fleet::VERSIONS_PATH);
         // What arrived before the connection broke counts.
-        let answer = wire::get_partial(address, fleet::HOST, &path, &headers, SILENCE_TIMEOUT);
+        let answer =
+            wire::get_stream(address, fleet::HOST, &path, id, continuation, SILENCE_TIMEOUT);
         for event in wire::events(&answer) {
             if event.number != received.last_id + 1 {
                 return;
--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -120,17 +120,37 @@
     pub data: String,
 }
 
-/// Sends one GET request on a new connection, with further header lines, and reads the answer until the connection ends
-/// or nothing arrives for `timeout`. Returns what arrived by then.
-pub fn get_partial(
+/// Where a client continues a stream: after the event `last_id`, of the stream whose first event came in the answer to
+/// the request `first`.
+#[derive(Clone, Copy, Debug)]
+pub struct Continuation<'a> {
+    /// The id of the last event that the client received.
+    pub last_id: u64,
+    /// The id of the request that began the stream.
+    pub first: &'a str,
+}
+
+impl Continuation<'_> {
+    /// The header lines of a request that continues the stream.
+    pub fn headers(&self) -> String {
+        format!("Last-Event-Id: {}\r\nResumes: {}\r\n", self.last_id, self.first)
+    }
+}
+
+/// Sends one GET request for a stream on a new connection, and reads the answer until the connection ends or nothing
+/// arrives for `timeout`. Returns what arrived by then.
+pub fn get_stream(
     address: SocketAddr,
     host: &str,
     path: &str,
-    headers: &str,
+    id: &str,
+    continuation: Option<Continuation<'_>>,
     timeout: Duration,
 ) -> String {
+    let continued = continuation.map_or_else(String::new, |continuation| continuation.headers());
+    let headers = format!("Attempt-Id: {id}\r\nDeadline-Ms: 4000\r\n{continued}");
     let mut received = Vec::new();
-    if let Ok(mut stream) = send(address, host, path, headers, timeout) {
+    if let Ok(mut stream) = send(address, host, path, &headers, timeout) {
         // What arrived before an error stays in `received`.
         let _ = stream.read_to_end(&mut received);
     }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 mod fleet;
 mod routes;
 
-use doorswitch_standins::backend;
+use doorswitch_standins::{backend, wire};
 use routes::{World, request};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, TcpStream};
@@ -101,7 +101,7 @@
     fn headers(&self) -> String {
         match self.last_id {
             0 => String::new(),
-            last => format!("Last-Event-Id: {last}\r\nResumes: {}\r\n", self.first),
+            last_id => wire::Continuation { last_id, first: &self.first }.headers(),
         }
     }
 }
@@ -162,6 +162,17 @@
     read_into(received, world, router, &id, &headers);
 }
 
+/// Kills all routers, and then starts them again.
+fn restart_all(world: &mut World) {
+    for router in 0..ROUTERS {
+        world.kill(router);
+    }
+    for router in 0..ROUTERS {
+        world.spawn(router);
+        world.wait_ready(router);
+    }
+}
+
 fn in_parallel<T: Send>(count: usize, run: impl Fn(usize) -> T + Sync) -> Vec<T> {
     thread::scope(|scope| {
         let run = &run;
@@ -299,13 +310,7 @@
 fn streams_are_refused_or_go_on_at_their_version_after_the_loss_of_all_routers() {
     let mut world = start("all-routers", &TWO);
     let mut streams = begin_all(&world, 16, |number| number % ROUTERS);
-    for router in 0..ROUTERS {
-        world.kill(router);
-    }
-    for router in 0..ROUTERS {
-        world.spawn(router);
-        world.wait_ready(router);
-    }
+    restart_all(&mut world);
     for_each(&mut streams, |number, stream| continue_once(&world, number % ROUTERS, stream));
     assert_unmixed(&streams);
     let not_whole = streams.into_iter().filter(|stream| !stream.whole);
@@ -316,13 +321,7 @@
 fn streams_of_a_single_version_go_on_after_the_loss_of_all_routers() {
     let mut world = start("all-routers-one-version", &["v1", "v1"]);
     let mut streams = begin_all(&world, 16, |number| number % ROUTERS);
-    for router in 0..ROUTERS {
-        world.kill(router);
-    }
-    for router in 0..ROUTERS {
-        world.spawn(router);
-        world.wait_ready(router);
-    }
+    restart_all(&mut world);
     for_each(&mut streams, |number, stream| continue_once(&world, number % ROUTERS, stream));
     assert_continued(&streams);
 }
