Don't take the loss of all links for silent servers if they are lost in turn

What callers saw: while no router reached a server, a request waited 300 ms for each server instead of being refused at once.

Cause: left servers that were found to fail out of those that tell a failed server from lost links. It named crashes, but left out silent servers as well. As soon as one wrong or true word "unresponsive" stood for two of three servers, the last one had no other, so routers told one another that it was silent too. None of them compared its links, and the marks stayed until a server was reached.

Why it works: a silent server counts for the question whether another silence is that of the links, and not for a refusal. A refusal is an answer of the address, so the crash of a service's last server is still recognized (core links, both kinds of question).

Not covered: links that are lost one after another and refuse instead of being silent look like crashes, as before.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -108,8 +108,8 @@
     received_ms: Option<u64>,
     /// The last word of other routers that the server fails, and when it was received.
     server_fault: Option<(ServerFault, u64)>,
-    /// Whether the server itself, and not the link, was found to have failed; until it is reached again.
-    server_failed: bool,
+    /// How the server itself, and not the link, was found to fail; until it is reached again.
+    server_failure: Option<ServerFault>,
     /// The last answer to another router that asked for a connection to this server, if there was none, and its time.
     refused_peers: Option<(message::ConnectReply, u64)>,
     /// When the link was last checked because of a poll.
@@ -181,7 +181,7 @@
         link.connect_ms = took_ms.max((link.connect_ms + took_ms) / 2);
         link.reached_ms = Some(now_ms);
         link.server_fault = None;
-        link.server_failed = false;
+        link.server_failure = None;
         link.refused_peers = None;
         let lost_since_ms = link.lost_since_ms.take();
         if let Some(since_ms) = self.all_lost_since_ms.take() {
@@ -225,7 +225,7 @@
         let link = self.link(address, now_ms);
         link.server_fault = Some((fault, now_ms));
         match fault {
-            ServerFault::Refused | ServerFault::Unresponsive => link.server_failed = true,
+            ServerFault::Refused | ServerFault::Unresponsive => link.server_failure = Some(fault),
             ServerFault::Unknown => self.peers_unknown_ms = Some(now_ms),
         }
     }
@@ -245,8 +245,13 @@
     ) {
         let link = self.link(address, now_ms);
         link.refused_peers = Some((reply, now_ms));
-        link.server_failed |=
-            matches!(reply, message::ConnectReply::Refused | message::ConnectReply::Unresponsive);
+        match reply {
+            message::ConnectReply::Refused => link.server_failure = Some(ServerFault::Refused),
+            message::ConnectReply::Unresponsive => {
+                link.server_failure = Some(ServerFault::Unresponsive);
+            }
+            _ => {}
+        }
     }
 
     /// The answer that other routers get without another attempt, because one failed lately.
@@ -268,7 +273,7 @@
     /// Records that another router reached a server that was not reached over the own link.
     pub fn record_lost(&mut self, address: &str, now_ms: u64) -> Option<Change> {
         let link = self.link(address, now_ms);
-        link.server_failed = false;
+        link.server_failure = None;
         if link.lost_since_ms.is_some() {
             return None;
         }
@@ -300,18 +305,24 @@
     }
 
     /// Addresses of at most `count` other servers of the same service whose links are not known to be lost; `None` if
-    /// the service has no other server. They show whether a server has failed or the links to its service. Servers
-    /// that were found to have failed are left out, because that they are not reached shows neither.
+    /// the service has no other server. They show whether a server that seems to fail as in `fault` has failed or the
+    /// links to its service. Servers that refused connections are left out, because that they are not reached shows
+    /// neither. Servers that did not respond are left out only for other faults: if the links are lost one after
+    /// another, all but the last server were found not to respond.
     pub fn others_of_service(
         &self,
         address: &str,
+        fault: ServerFault,
         count: usize,
         rng: &mut rngs::StdRng,
     ) -> Option<Vec<String>> {
         let service = self.services.get(address)?;
-        let has_failed = |other: &str| self.links.get(other).is_some_and(|link| link.server_failed);
+        let is_left_out = |other: &str| match self.links.get(other).and_then(|l| l.server_failure) {
+            Some(ServerFault::Unresponsive) => fault != ServerFault::Unresponsive,
+            failure => failure.is_some(),
+        };
         let of_service =
-            |other: &str| self.services.get(other) == Some(service) && !has_failed(other);
+            |other: &str| self.services.get(other) == Some(service) && !is_left_out(other);
         let any = self.services.keys().any(|other| other != address && of_service(other));
         any.then(|| self.select_others(address, of_service, count, rng))
     }
--- a/core/tests/links.rs
+++ b/core/tests/links.rs
@@ -167,10 +167,15 @@
     let services =
         [(FIRST, "model"), (SECOND, "plain"), (THIRD, "model"), ("10.0.0.4:80", "alone")];
     table.set_services(services.map(|(one, two)| (one.to_owned(), two.to_owned())).into());
-    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [THIRD]);
-    assert_eq!(table.others_of_service("10.0.0.4:80", 4, &mut rng()), None);
+    assert_eq!(
+        table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()).unwrap(),
+        [THIRD]
+    );
+    assert_eq!(table.others_of_service("10.0.0.4:80", ServerFault::Refused, 4, &mut rng()), None);
     table.record_lost(THIRD, 2_000);
-    assert!(table.others_of_service(FIRST, 4, &mut rng()).unwrap().is_empty());
+    assert!(
+        table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()).unwrap().is_empty()
+    );
 }
 
 // Guards against the crash of a service's last server being taken for lost links, as the others had crashed before.
@@ -180,19 +185,47 @@
     let services = [(FIRST, "model"), (SECOND, "model"), (THIRD, "model")];
     table.set_services(services.map(|(one, two)| (one.to_owned(), two.to_owned())).into());
     table.record_server_fault(SECOND, ServerFault::Refused, 2_000);
-    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [THIRD]);
+    assert_eq!(
+        table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()).unwrap(),
+        [THIRD]
+    );
     table.record_refused_peer(THIRD, message::ConnectReply::Refused, 2_010);
-    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()), None);
+    assert_eq!(table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()), None);
     table.record_reached(SECOND, 1, 5_000);
-    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [SECOND]);
+    assert_eq!(
+        table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()).unwrap(),
+        [SECOND]
+    );
     table.record_lost(THIRD, 5_001);
     table.record_lost(SECOND, 5_001);
-    assert!(table.others_of_service(FIRST, 4, &mut rng()).unwrap().is_empty());
+    assert!(
+        table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()).unwrap().is_empty()
+    );
     // A word that is no verdict on the server.
     table.record_reached(SECOND, 1, 6_000);
     table.record_server_fault(SECOND, ServerFault::Unknown, 6_001);
     table.record_refused_peer(SECOND, message::ConnectReply::Unavailable, 6_001);
-    assert_eq!(table.others_of_service(FIRST, 4, &mut rng()).unwrap(), [SECOND]);
+    assert_eq!(
+        table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()).unwrap(),
+        [SECOND]
+    );
+}
+
+// Guards against the loss of all links, of one after another, being taken for the failure of all servers.
+#[test]
+fn servers_that_do_not_respond_still_tell_silent_servers_from_lost_links() {
+    let mut table = reached();
+    let services = [(FIRST, "model"), (SECOND, "model"), (THIRD, "model")];
+    table.set_services(services.map(|(one, two)| (one.to_owned(), two.to_owned())).into());
+    table.record_server_fault(SECOND, ServerFault::Unresponsive, 2_000);
+    table.record_refused_peer(THIRD, message::ConnectReply::Unresponsive, 2_010);
+    let silent =
+        |table: &Table| table.others_of_service(FIRST, ServerFault::Unresponsive, 4, &mut rng());
+    assert_eq!(silent(&table).unwrap().len(), 2);
+    // A crash of the last server is still recognized.
+    assert_eq!(table.others_of_service(FIRST, ServerFault::Refused, 4, &mut rng()), None);
+    table.record_server_fault(SECOND, ServerFault::Refused, 2_020);
+    assert_eq!(silent(&table).unwrap(), [THIRD]);
 }
 
 #[test]
--- a/src/links.rs
+++ b/src/links.rs
@@ -332,12 +332,12 @@
         future::join_all(races.map(|(other, _)| self.connect(other))).await;
     }
 
-    /// Whether this router reaches other servers of the same service over its own links; `None` if there is no other, or
-    /// all others were found to have failed.
-    async fn reaches_others(&self, address: &str) -> Option<bool> {
+    /// Whether this router reaches other servers of the same service over its own links; `None` if there is no other
+    /// that tells whether this one fails as in `fault`.
+    async fn reaches_others(&self, address: &str, fault: links::ServerFault) -> Option<bool> {
         let others = {
             let table = lock(&self.table);
-            table.others_of_service(address, REACHED_OTHERS_MAX, &mut lock(&self.rng))?
+            table.others_of_service(address, fault, REACHED_OTHERS_MAX, &mut lock(&self.rng))?
         };
         // The first one is the most likely to be reached.
         let (first, others) = others.split_at(others.len().min(1));
--- a/src/links/race.rs
+++ b/src/links/race.rs
@@ -127,7 +127,7 @@
             self.request_comparison(address);
             return error;
         }
-        match self.reaches_others(address).await {
+        match self.reaches_others(address, links::ServerFault::Refused).await {
             Some(false) => {
                 self.request_comparison(address);
                 Error::NoRoute
--- a/src/links/relay.rs
+++ b/src/links/relay.rs
@@ -4,7 +4,7 @@
 //! interpreted: admission, limits and retries stay with the router that has the request.
 
 use super::{Error, Links, lock};
-use doorswitch_core::message;
+use doorswitch_core::{links, message};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -57,16 +57,17 @@
         if let Some(reply) = lock(&self.table).refused_peer(address, self.now_ms()) {
             return Err(reply);
         }
-        let failed = match self.connect_directly(address, target, self.reach_timeout(address)).await
+        let fault = match self.connect_directly(address, target, self.reach_timeout(address)).await
         {
             Ok(stream) => return Ok(Opened { stream, _count: count }),
-            Err(Error::Refused) => message::ConnectReply::Refused,
-            Err(_) => message::ConnectReply::Unresponsive,
+            Err(Error::Refused) => links::ServerFault::Refused,
+            Err(_) => links::ServerFault::Unresponsive,
         };
         // The failure says something about the server only if this router's own links work.
-        let reply = match self.reaches_others(address).await {
-            Some(false) => message::ConnectReply::Unavailable,
-            Some(true) | None => failed,
+        let reply = match (self.reaches_others(address, fault).await, fault) {
+            (Some(false), _) => message::ConnectReply::Unavailable,
+            (_, links::ServerFault::Refused) => message::ConnectReply::Refused,
+            _ => message::ConnectReply::Unresponsive,
         };
         lock(&self.table).record_refused_peer(address, reply, self.now_ms());
         Err(reply)
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -37,14 +37,24 @@
 
 /// Drops the segments of these routers at all servers.
 fn cut(world: &World, routers: &[usize]) {
-    for proxy in &world.server_proxies {
-        let dropped =
-            routers.iter().map(|router| (address(*router), OpenConnections::Silent)).collect();
-        proxy.set_faults(Faults { dropped, ..Faults::default() });
+    for server in 0..world.server_proxies.len() {
+        set_dropped(world, server, routers);
     }
     std::thread::sleep(FAULTS_APPLIED);
 }
 
+/// Drops the segments of these routers at one server.
+fn cut_from(world: &World, server: usize, routers: &[usize]) {
+    set_dropped(world, server, routers);
+    std::thread::sleep(FAULTS_APPLIED);
+}
+
+fn set_dropped(world: &World, server: usize, routers: &[usize]) {
+    let dropped =
+        routers.iter().map(|router| (address(*router), OpenConnections::Silent)).collect();
+    world.server_proxies[server].set_faults(Faults { dropped, ..Faults::default() });
+}
+
 /// Starts routers in front of servers without proxies, whose resets and refusals then reach the routers.
 fn start_without_proxies(name: &str, routers: usize, scripts: Vec<backend::Script>) -> World {
     let mut world = World::unready(name, scripts);
@@ -194,18 +204,8 @@
     );
 }
 
-#[test]
-fn requests_are_refused_at_once_while_no_router_reaches_a_server() {
-    let scripts = (0..3).map(|_| routes::answers("served")).collect();
-    let world = start("all-cut", 3, scripts);
-    for router in 0..3 {
-        assert_eq!(world.call(router, &request("/read/x", "before")).status, 200);
-    }
-    cut(&world, &[0, 1, 2]);
-    // The first requests find out that the links are lost.
-    for number in 0..4 {
-        world.call(number % 3, &request("/read/x", &format!("first-{number}")));
-    }
+/// Requires that three routers that reach no server refuse requests at once, say so, and serve again after the cut.
+fn assert_refused_until_the_cut_ends(world: &World) {
     for number in 0..20 {
         let began = Instant::now();
         let answer = world.call(number % 3, &request("/read/x", &format!("id-{number}")));
@@ -225,7 +225,7 @@
             world.metrics(router).contains("doorswitch_all_links_lost 1")
         });
     }
-    cut(&world, &[]);
+    cut(world, &[]);
     for router in 0..3 {
         fleet::eventually("the router serves again", || {
             world.call(router, &request("/read/x", "after")).status == 200
@@ -234,6 +234,38 @@
     }
 }
 
+fn start_three_with_connections(name: &str) -> World {
+    let scripts = (0..3).map(|_| routes::answers("served")).collect();
+    let world = start(name, 3, scripts);
+    for router in 0..3 {
+        assert_eq!(world.call(router, &request("/read/x", "before")).status, 200);
+    }
+    world
+}
+
+#[test]
+fn requests_are_refused_at_once_while_no_router_reaches_a_server() {
+    let world = start_three_with_connections("all-cut");
+    cut(&world, &[0, 1, 2]);
+    // The first requests find out that the links are lost.
+    for number in 0..4 {
+        world.call(number % 3, &request("/read/x", &format!("first-{number}")));
+    }
+    assert_refused_until_the_cut_ends(&world);
+}
+
+#[test]
+fn requests_are_refused_at_once_after_links_to_one_server_after_another_were_lost() {
+    let world = start_three_with_connections("cut-in-turn");
+    for server in 0..3 {
+        cut_from(&world, server, &[0, 1, 2]);
+        for number in 0..9 {
+            world.call(number % 3, &request("/read/x", &format!("first-{server}-{number}")));
+        }
+    }
+    assert_refused_until_the_cut_ends(&world);
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_outlives_a_short_loss_of_the_link() {
     let script = |_: usize, _: &backend::ReceivedRequest| {
