Give the links the services of the servers as the list changes

What callers saw: after a router had started, requests of other routers waited for servers that were called silent, though only the links were lost.

Cause: the services by which a router tells a failed server from lost links were passed to its links every 500 ms. A router that had started since knew of no other server of the service, and answered other routers that a server was unresponsive which it could not reach itself.

Ruled out: a router that does not know the list at all: it refuses to connect then (NotAllowed).

Why it works: the list is passed on in the same step of the control thread that applies it, before the thread answers another router.

--- a/src/control.rs
+++ b/src/control.rs
@@ -139,6 +139,7 @@
     fn perform_actions(&mut self, context: &mut Context<Self>) {
         self.published.set_ready(self.node.lifecycle() == node::Lifecycle::Ready);
         self.publish_suspected();
+        self.update_services_of_links();
         self.published.set_any_limits(!self.node.servers().limits().is_empty());
         for action in self.node.take_actions() {
             match action {
@@ -179,6 +180,11 @@
     fn exchange_with_links(&mut self, _: &mut Context<Self>) {
         telemetry::report_links(&self.links.state());
         self.links.set_peers(self.peers_for_connections());
+    }
+
+    /// Passes the services of the listed servers to the links if the list has changed. A router without them takes lost
+    /// links for the failure of a server.
+    fn update_services_of_links(&mut self) {
         if self.node.vms_index() == self.links_vms_index {
             return;
         }
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -133,6 +133,26 @@
     });
 }
 
+#[test]
+fn a_router_that_has_just_started_does_not_call_servers_unresponsive_that_it_cannot_reach() {
+    let scripts = (0..3).map(|_| routes::answers("served")).collect();
+    let mut world = start("started-cut", 2, scripts);
+    let server = world.server_proxies[0].address.to_string();
+    let peer = incarnation(&world, 1);
+    cut(&world, &[0]);
+    world.kill(0);
+    world.spawn(0);
+    world.wait_ready(0);
+    let own = incarnation(&world, 0);
+    let mut reply = None;
+    fleet::eventually("the routers know each other and the list", || {
+        let connect = message::Connect { from: peer, to: own, address: server.clone() };
+        reply = ask(&world, address(1), connect);
+        reply != Some(message::ConnectReply::NotAllowed)
+    });
+    assert_eq!(reply, Some(message::ConnectReply::Unavailable), "{}", world.log(0));
+}
+
 /// The head of an answer whose end is that of its connection.
 const UNFRAMED_HEAD: &str =
     "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\nConnection: close\r\n\r\n";
