--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -4,7 +4,7 @@
 
 mod watch_fleet;
 
-use doorswitch_core::{ids, node, servers, streams};
+use doorswitch_core::{ids, message, node, servers, streams};
 use watch_fleet::traffic::Traffic;
 
 const KEPT_MS: u64 = 5_000;
@@ -223,3 +223,50 @@
     table.record_copy(stream(1), &origin("v2"), 1_000, (router(2), 1));
     assert_eq!(table.origin(stream(1)), None);
 }
+
+/// Guards against a version that left while no router ran, and is unknown to all that start after that.
+#[test]
+fn an_unknown_stream_is_refused_if_its_version_left_while_no_router_ran() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+    (0..3).for_each(|router| traffic.fleet.kill(router));
+    traffic.fleet.remove_server("vm-1");
+    (0..3).for_each(|router| traffic.fleet.restart(router));
+    traffic.fleet.run_ms(6_000);
+    let found = search(&mut traffic, 0, 1);
+    assert!(is_refused(&found, node::Reason::StreamOriginUnknown), "{found:?}");
+}
+
+/// The incarnation by which the other routers know one.
+fn incarnation_of(traffic: &Traffic, router: usize) -> ids::Incarnation {
+    let routers = &traffic.fleet.routers;
+    let other = &routers[(router + 1) % routers.len()];
+    let mut records = other.node.members().live();
+    records.find(|record| record.address == routers[router].address).unwrap().id
+}
+
+/// Delivers a router's message that it placed a stream at a version to another router.
+fn deliver_copy(traffic: &mut Traffic, (from, to): (usize, usize), number: u64, version: &str) {
+    let copies = vec![streams::StreamCopy { stream: stream(1), left_ms: 60_000 }];
+    let message =
+        message::Message::StreamOrigins { number, origin: origin(version), streams: copies };
+    let (sender, receiver) = (incarnation_of(traffic, from), incarnation_of(traffic, to));
+    let envelope = message::Envelope { from: sender, to: receiver, message };
+    let now_ms = traffic.fleet.now_ms;
+    traffic.fleet.routers[to].node.handle_message(envelope, now_ms);
+}
+
+/// Guards against a stream that continues at the version of its first placement, which a router with a copy still takes
+/// for its origin because it missed the message about the second one.
+#[test]
+fn a_copy_that_missed_the_last_placement_does_not_decide() {
+    for asked in [1, 2, 3] {
+        let mut traffic = fleet(4, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+        deliver_copy(&mut traffic, (0, 1), 1_000, "v1");
+        deliver_copy(&mut traffic, (0, 2), 1_000, "v1");
+        deliver_copy(&mut traffic, (0, 2), 1_001, "v2");
+        traffic.fleet.kill(0);
+        let found = search(&mut traffic, asked, 1);
+        let node::OriginFound::Origin { origin: found, .. } = found else { panic!("{found:?}") };
+        assert_eq!(found, origin("v2"), "asked of router {asked}");
+    }
+}
