Let a probe of the soak fail once that is open as its server starts again

Cause: the soak took each 502 of a probe for a router that does not serve.

As strict: only a 502, only of a probe that was open from the restart on and was sent within the 2 s in which each router reads it, and one for each router and restart: a prober has one request open at a time.

Ruled out: a router that is not ready: one log has the placement of the probe at 420616 and the restart, with one open request, at 420618 ms.

--- a/soak/src/observe.rs
+++ b/soak/src/observe.rs
@@ -1,6 +1,6 @@
 //! Records faults and acknowledged configurations, and checks answers against the guarantees that hold at the time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,8 @@
     pub version: u64,
     /// When the request was sent.
     pub sent: Instant,
+    /// When the answer was received, or no longer awaited.
+    pub received: Instant,
     /// The status; `None` if there was no answer.
     pub status: Option<u16>,
     /// The number of the server incarnation that answered.
@@ -103,6 +105,8 @@
     acknowledged: HashMap<u64, Instant>,
     /// When each server incarnation ended or announced that it is leaving; it must receive no new requests afterwards.
     ended_servers: HashMap<usize, Instant>,
+    /// When servers started again without leaving before, and the routers that have failed a probe because of it.
+    server_restarts: Vec<(Instant, HashSet<usize>)>,
     newest_acknowledged: u64,
     /// The number of probes by status of their answers; 0 for no answer.
     statuses: HashMap<u16, u64>,
@@ -118,6 +122,7 @@
             restarts: vec![0; routers],
             acknowledged: HashMap::new(),
             ended_servers: HashMap::new(),
+            server_restarts: Vec::new(),
             newest_acknowledged: 0,
             statuses: HashMap::new(),
             violations: Vec::new(),
@@ -135,6 +140,22 @@
         self.ended_servers.entry(incarnation).or_insert_with(Instant::now);
     }
 
+    /// Records that a server starts again from `at` on, without leaving before.
+    pub fn record_server_restart(&mut self, at: Instant) {
+        self.server_restarts.push((at, HashSet::new()));
+    }
+
+    /// Whether a probe failed because it was open when its router read that a server had started again. The router ends
+    /// the connections to the earlier incarnation then, and a prober has one request open at a time.
+    fn fails_by_restart(&mut self, answer: &Answer) -> bool {
+        if answer.status != Some(502) {
+            return false;
+        }
+        let open = |at: Instant| answer.received > at && answer.sent < at + CONFIGURATION_DEADLINE;
+        let mut restarts = self.server_restarts.iter_mut().filter(|(at, _)| open(*at));
+        restarts.any(|(_, failed)| failed.insert(answer.router))
+    }
+
     /// The newest configuration version that was acknowledged; 0 before the first.
     pub fn newest_acknowledged(&self) -> u64 {
         self.newest_acknowledged
@@ -175,6 +196,7 @@
             router,
             version: self.newest_acknowledged,
             sent,
+            received: Instant::now(),
             status: None,
             server_incarnation: None,
         };
@@ -208,7 +230,7 @@
             }
             Some(200 | 404) => None,
             _ if active_faults == 0 && after_fault > SERVING_DEADLINE => {
-                Some(ViolationKind::RouterUnready)
+                (!self.fails_by_restart(&answer)).then_some(ViolationKind::RouterUnready)
             }
             _ => None,
         };
--- a/soak/src/prober.rs
+++ b/soak/src/prober.rs
@@ -69,6 +69,7 @@
                 router,
                 version,
                 sent,
+                received: Instant::now(),
                 status,
                 server_incarnation,
             });
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -202,6 +202,7 @@
             Action::UnreadableEntries => self.fleet.put_unreadable_entries(),
             Action::ServerRestarts => {
                 let ended = self.second_server_incarnation;
+                self.shared.observations().record_server_restart(Instant::now());
                 self.second_server_incarnation = self.fleet.start_server(fleet::SECOND_SERVER)?;
                 self.shared.observations().end_server_incarnation(ended);
             }
