Deal the slots of brittle servers as seats among the routers

What callers saw: a service whose servers say Server-Brittle: N lost all of them in a burst, again and again, until the burst was over.

Cause: the header was read nowhere. A router sends to a server while it estimates its load below its slots, and of other routers' requests it knows only reports that are some hundred milliseconds old. Together they filled the waiting room of each server.

Now: a typed directive beside limit, leaving and backoff; a brittle server gets no more requests than it has slots. Leases end at the router before the dealer deals them again; cut-off routers have their part; a new incarnation is taken for brittle until it answers.

Weighed: a budget of rejections for each router, which is less than one where N is below the number of routers.

Ruled out: that has_room changes for other servers (the same conditions, split in two).

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -209,6 +209,7 @@
         leaving: Vec::new(),
         quarantine: Default::default(),
         limits: Vec::new(),
+        brittle: Vec::new(),
     }
 }
 
--- a/benches/capacity/limits.rs
+++ b/benches/capacity/limits.rs
@@ -28,7 +28,7 @@
         node::Action::Gossip { gossip, .. } => Some(gossip),
         _ => None,
     });
-    let bytes = |gossip: message::Gossip| {
+    let bytes = |gossip: Box<message::Gossip>| {
         let limits = postcard::to_stdvec(&gossip.limits).unwrap_or_default().len();
         (limits, postcard::to_stdvec(&gossip).unwrap_or_default().len())
     };
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of these types and of their transport encoding. It changes with every change of either.
-pub const PROTOCOL: u16 = 16;
+pub const PROTOCOL: u16 = 17;
 
 /// A [`Message`] from one router to another, with the router incarnations that sent it and that it is addressed to. An
 /// incarnation is one run of a router process; a later one at the same address ignores the message.
@@ -252,6 +252,24 @@
         /// What the sender knows of the stream.
         reply: streams::Reply,
     },
+    /// Requests seats at a brittle server from the router that deals them.
+    SeatRequest {
+        /// The statement of the server as known to the requester.
+        brittle: servers::BrittleUpdate,
+        /// The seats that the requester has and wants.
+        requested: servers::SeatsRequested,
+    },
+    /// The reply to [`Message::SeatRequest`].
+    SeatReply {
+        /// The number of the request.
+        number: u64,
+        /// The VM that runs the server.
+        vm: String,
+        /// The server incarnation that the seats are for.
+        incarnation: ids::ServerIncarnation,
+        /// The seats of the requester.
+        dealt: servers::SeatsDealt,
+    },
 }
 
 impl Message {
@@ -268,6 +286,8 @@
                 | Self::TransferUnavailable { .. }
                 | Self::PermitRequest { .. }
                 | Self::PermitReply { .. }
+                | Self::SeatRequest { .. }
+                | Self::SeatReply { .. }
                 | Self::StreamOrigins { .. }
                 | Self::StreamOriginsStored { .. }
                 | Self::StreamOriginRequest { .. }
@@ -302,8 +322,8 @@
 }
 
 /// A datagram from one router to another that may probe whether the receiver is alive, and passes on recent changes of
-/// the routers, the configuration, the list of VMs, the leaving servers, the requests that crash servers and the
-/// request limits of servers.
+/// the routers, the configuration, the list of VMs, the leaving servers, the requests that crash servers, the request
+/// limits of servers and the brittle servers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
     /// The sender's own record.
@@ -321,6 +341,8 @@
     pub quarantine: quarantine::Updates,
     /// Updates on the request limits that servers state.
     pub limits: Vec<servers::LimitUpdate>,
+    /// Updates on servers that are brittle.
+    pub brittle: Vec<servers::BrittleUpdate>,
 }
 
 /// Whether a [`Gossip`] datagram is a probe that requests a reply, the reply to a probe, or contains updates only.
@@ -374,7 +396,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
     /// Updates, possibly with a probe.
-    Gossip(Gossip),
+    Gossip(Box<Gossip>),
     /// A message that is retransmitted until it is answered.
     Message(Envelope),
 }
--- a/core/src/message/ages.rs
+++ b/core/src/message/ages.rs
@@ -7,6 +7,7 @@
     pub fn add_age_ms(&mut self, queued_ms: u64) {
         self.digest.add_age_ms(queued_ms);
         self.limits.iter_mut().for_each(|limit| limit.add_age_ms(queued_ms));
+        self.brittle.iter_mut().for_each(|brittle| brittle.add_age_ms(queued_ms));
         self.quarantine.add_age_ms(queued_ms);
     }
 }
@@ -19,6 +20,7 @@
                 copy_state.add_age_ms(queued_ms)
             }
             Self::PermitRequest { limit_update, .. } => limit_update.add_age_ms(queued_ms),
+            Self::SeatRequest { brittle, .. } => brittle.add_age_ms(queued_ms),
             Self::StreamOrigins { streams, .. } => {
                 for copy in streams {
                     copy.left_ms = copy.left_ms.saturating_sub(queued_ms);
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Node`] receives events as method calls and queues the effects as a list of [`Action`]s. Its functions are in the
 //! submodules: `admit` (from a request to its dispatch), `retries`, `tokens` and `queue` (waits for tokens and for
-//! servers), `limits` (rate limits of servers), `directives` (headers of servers' answers that direct routers),
+//! servers), `limits` (rate limits of servers), `seats` (requests at brittle servers), `directives` (headers of servers' answers that direct routers),
 //! `stream_origins` (streams that clients continue), `settle` (ends of requests), `platform` (calls to the store), `peers` (messages).
 
 mod admit;
@@ -27,6 +27,7 @@
 mod queue;
 mod relay;
 mod retries;
+mod seats;
 mod settle;
 mod stream_origins;
 mod tokens;
@@ -169,6 +170,7 @@
     pauses: process_pauses::PauseDetector,
     quarantine: quarantine::Quarantine,
     limits: limits::PermitState,
+    seats: seats::SeatState,
     stream_origins: stream_origins::StreamOrigins,
     version_record: version_record::VersionRecord,
     /// The subscriptions to the store's topics; `None` where the shell follows the store.
@@ -237,6 +239,7 @@
             pauses: process_pauses::PauseDetector::new(now_ms),
             quarantine: Default::default(),
             limits: Default::default(),
+            seats: Default::default(),
             stream_origins: Default::default(),
             version_record: Default::default(),
             watching,
@@ -325,6 +328,7 @@
         self.tick_waiting_budget(now_ms);
         self.tick_directives(now_ms);
         self.tick_limits(now_ms);
+        self.tick_seats(now_ms);
         self.tick_stream_origins(now_ms);
         self.tick_version_record(now_ms);
         self.tick_waiting_servers(now_ms);
--- a/core/src/node/counters.rs
+++ b/core/src/node/counters.rs
@@ -108,6 +108,10 @@
     pub refused: std::collections::BTreeMap<Reason, u64>,
     /// Requests refused because all fitting servers were limited, by service.
     pub refused_for_limits: std::collections::BTreeMap<String, u64>,
+    /// Requests that brittle servers rejected, by service.
+    pub brittle_rejections: std::collections::BTreeMap<String, u64>,
+    /// Requests for seats at brittle servers that were sent to other routers.
+    pub seat_requests: u64,
     /// Backoffs that servers requested, by service.
     pub server_backoffs: std::collections::BTreeMap<String, u64>,
     /// Streams whose origin was found when their client continued them, by how it was found.
--- a/core/src/node/directives.rs
+++ b/core/src/node/directives.rs
@@ -28,6 +28,8 @@
             let left_ms = backoff_ms.saturating_sub(age.received_ms);
             self.start_backoff(vm, incarnation, now_ms + left_ms, now_ms);
         }
+        let rejections_per_s = directives.rejections_per_s;
+        self.report_brittle(vm, incarnation, rejections_per_s, age.sent_ms, now_ms);
         self.report_limit(vm, incarnation, directives.limit_milli_per_s, age.sent_ms, now_ms);
     }
 
--- a/core/src/node/dump.rs
+++ b/core/src/node/dump.rs
@@ -27,6 +27,7 @@
             "versions": self.servers.live_versions(),
             "stream_origins": self.stream_origins_kept(),
             "limited_servers": self.dump_limited_servers(now_ms),
+            "brittle_servers": self.dump_brittle_servers(now_ms),
             "members": self.members.records().collect::<Vec<_>>(),
             "requests": self.dump_requests(now_ms),
             "unsettled": self.outbox.settlements.len(),
@@ -129,6 +130,24 @@
         limits.collect::<serde_json::Map<_, _>>().into()
     }
 
+    fn dump_brittle_servers(&self, now_ms: u64) -> serde_json::Value {
+        let brittle = self.servers.seats().iter().filter_map(|(slot, brittle)| {
+            let server = self.servers.get(slot)?;
+            let figures = json!({
+                "service": server.vm.service,
+                "rejections_per_s": brittle.rejections_per_s,
+                "heard_ms_ago": brittle.age_ms(now_ms),
+                "slots": server.slots(),
+                "in_flight": server.in_flight,
+                "seats": brittle.leased(now_ms),
+                "equal_part": self.servers.seat_share(slot),
+                "dealt_by": self.pacing_router(slot).map(|router| router.to_string()),
+            });
+            Some((server.vm.vm.clone(), figures))
+        });
+        brittle.collect::<serde_json::Map<_, _>>().into()
+    }
+
     fn dump_requests(&self, now_ms: u64) -> serde_json::Value {
         let requests = self.requests.values().map(|request| {
             let stage = match &request.stage {
--- a/core/src/node/notices.rs
+++ b/core/src/node/notices.rs
@@ -146,6 +146,18 @@
         /// Source from which this router received the change.
         source: LimitSource,
     },
+    /// A server is brittle from now on, its statement changed, or it is not brittle any more.
+    ServerBrittle {
+        /// VM of the server.
+        vm: String,
+        /// Service of the server.
+        service: String,
+        /// Number of requests that the server may reject per second without falling over; `None` if it is not brittle any
+        /// more.
+        rejections_per_s: Option<u64>,
+        /// The router that sent the statement, if it was not this one.
+        from: Option<ids::Incarnation>,
+    },
     /// A server leaves: it gets no new requests.
     ServerLeaving {
         /// VM of the server.
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -63,6 +63,12 @@
             message::Message::PermitReply { number, vm, incarnation, trial, granted } => {
                 self.handle_permit_reply(number, &vm, incarnation, trial, granted, now_ms);
             }
+            message::Message::SeatRequest { brittle, requested } => {
+                self.handle_seat_request(from, brittle, requested, now_ms);
+            }
+            message::Message::SeatReply { number, vm, incarnation, dealt } => {
+                self.handle_seat_reply(number, &vm, incarnation, dealt, now_ms);
+            }
             message::Message::LedgerCopy { shard, position, value } => {
                 self.handle_ledger_copy(from, shard, position, &value);
             }
@@ -116,6 +122,7 @@
         self.members.handle_gossip(gossip, now_ms);
         let table_differs = self.merge_quarantine(&gossip.quarantine, now_ms);
         self.merge_limits(&gossip.limits, now_ms);
+        self.merge_brittle(gossip.from.id, &gossip.brittle, now_ms);
         for leaving in &gossip.leaving {
             self.merge_leaving(gossip.from.id, leaving);
         }
@@ -221,9 +228,10 @@
             leaving,
             quarantine: self.quarantine.table.next_updates(peer_differs, now_ms),
             limits: self.take_limit_updates(now_ms),
+            brittle: self.servers.take_brittle_updates(now_ms),
         };
         self.counters.gossip_sent += 1;
-        self.actions.push(Action::Gossip { address, gossip });
+        self.actions.push(Action::Gossip { address, gossip: Box::new(gossip) });
     }
 
     fn handle_settlement(
--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -132,6 +132,11 @@
         self.waiting_servers.insert(position);
         self.shed(&service, length_max, Reason::Overloaded, now_ms);
         self.shed_backing_off(&service, now_ms);
+        if !self.servers.seats().is_empty() {
+            // A seat may be free at once.
+            self.request_seats(&service, now_ms);
+            self.drain_queue(&service, now_ms);
+        }
         if self.servers.limits().is_empty() {
             return;
         }
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -162,6 +162,7 @@
     /// Records that a server rejected a request that was sent at `sent_ms`, and reports its ejection if this causes
     /// one.
     pub(super) fn record_rejection(&mut self, slot: ids::ServerSlot, sent_ms: u64, now_ms: u64) {
+        self.count_brittle_rejection(slot, now_ms);
         if !self.leaves_or_backs_off(slot, now_ms) {
             let ejected_ms = self.servers.record_rejection(slot, sent_ms, now_ms);
             self.report_ejection(slot, ejected_ms);
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -306,7 +306,7 @@
         /// Address of the peer.
         address: String,
         /// The datagram with its sender.
-        gossip: message::Gossip,
+        gossip: Box<message::Gossip>,
     },
     /// Sends the decision about a request to its traffic thread.
     Answer {
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod permits;
 mod restarts;
+mod seats;
 mod versions;
 mod vm;
 mod warm_up;
@@ -26,6 +27,7 @@
     PERMIT_TTL_MS, PermitsGranted, PermitsRequested, TRIAL_INTERVAL_MAX_MS, trial_interval_ms,
 };
 pub use restarts::Restarted;
+pub use seats::{Brittle, BrittleUpdate, Pool, Seats, SeatsDealt, SeatsRequested};
 pub use vm::{Load, Vm, VmState};
 pub use warm_up::{ColdLimit, Fleet};
 
@@ -148,10 +150,14 @@
         !self.superseded && self.listed && self.vm.state == VmState::Leaving
     }
 
-    fn has_room(&self, now_ms: u64) -> bool {
-        let held_back = self.warm_up.is_some_and(|warm_up| warm_up.holds_back(now_ms))
-            || self.backoff.is_some_and(|backoff| backoff.holds_back(now_ms));
-        self.estimated_load() < self.slots() && !held_back
+    fn has_room(&self) -> bool {
+        self.estimated_load() < self.slots()
+    }
+
+    /// Whether the server gets no request now because it is cold or has just ended a backoff.
+    fn is_held_back(&self, now_ms: u64) -> bool {
+        self.warm_up.is_some_and(|warm_up| warm_up.holds_back(now_ms))
+            || self.backoff.is_some_and(|backoff| backoff.holds_back(now_ms))
     }
 
     /// Whether the server is live, and its class and version are allowed.
@@ -218,6 +224,7 @@
     fleet: Fleet,
     restarted: Vec<Restarted>,
     limits: Limits,
+    seats: Seats,
     /// Servers with a backoff.
     backing_off: collections::BTreeSet<ids::ServerSlot>,
     /// Number of requests that a limited server did not get because of its limit, by service.
@@ -360,6 +367,7 @@
         });
         let servers = &self.servers;
         self.limits.retain(|slot| servers.contains_key(slot));
+        self.seats.retain(|slot| servers.contains_key(slot));
         self.by_vm.retain(|_, slot| servers.contains_key(*slot));
         for slots in self.by_service.values_mut() {
             slots.retain(|slot| servers.contains_key(*slot));
@@ -413,6 +421,7 @@
         }
         server.in_flight += 1;
         self.limits.count(slot, now_ms);
+        self.seats.count_sent(slot, now_ms);
         server.mark_probed();
     }
 }
--- a/core/src/servers/directives.rs
+++ b/core/src/servers/directives.rs
@@ -14,7 +14,8 @@
 }
 
 /// The instructions to the routers in the headers of one answer of a backend server: the rate of requests that it
-/// accepts, whether it is about to stop, and for how long this router is to send nothing.
+/// accepts, whether it is about to stop, for how long this router is to send nothing, and how few requests it may have to
+/// reject.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Directives {
     /// Rate of requests that the server accepts from all routers together, in thousandths per
@@ -24,6 +25,8 @@
     pub is_leaving: Directive<bool>,
     /// Time for which the server requests a backoff from this router, in milliseconds.
     pub backoff_ms: Directive<u64>,
+    /// Number of requests that the server may reject for want of room per second without falling over.
+    pub rejections_per_s: Directive<u64>,
 }
 
 /// How long ago a request was sent to a backend server and the headers of its answer were received, in milliseconds.
@@ -49,6 +52,8 @@
     Leaving,
     /// The time in which the server is to be sent nothing: [`Directives::backoff_ms`].
     Backoff,
+    /// The number of requests that the server may reject: [`Directives::rejections_per_s`].
+    Brittle,
 }
 
 impl Header {
@@ -58,6 +63,7 @@
             Self::Limit => "Limit",
             Self::Leaving => "Leaving",
             Self::Backoff => "Backoff",
+            Self::Brittle => "Brittle",
         }
     }
 }
@@ -74,6 +80,7 @@
             (Header::Limit, self.limit_milli_per_s == Directive::Unreadable),
             (Header::Leaving, self.is_leaving == Directive::Unreadable),
             (Header::Backoff, self.backoff_ms == Directive::Unreadable),
+            (Header::Brittle, self.rejections_per_s == Directive::Unreadable),
         ];
         headers.into_iter().filter(|(_, unreadable)| *unreadable).map(|(header, _)| header)
     }
--- a/core/src/servers/limit_checks.rs
+++ b/core/src/servers/limit_checks.rs
@@ -78,9 +78,14 @@
         limit_permits && self.servers.get(slot).is_some_and(accepts)
     }
 
-    /// Whether a server has room and its limit permits a request of this router now.
+    /// Whether a server has room, or a seat if it is brittle, and its limit permits a request of this router now.
     pub(super) fn is_open(&self, slot: ids::ServerSlot, now_ms: u64) -> bool {
-        self.limits.may_send(slot, now_ms) && self.servers[slot].has_room(now_ms)
+        let server = &self.servers[slot];
+        let has_room = match self.free_seats(slot, now_ms) {
+            Some(free) => free > 0,
+            None => server.has_room(),
+        };
+        has_room && !server.is_held_back(now_ms) && self.limits.may_send(slot, now_ms)
     }
 
     /// Whether a trial request is to be sent to a limited server now.
--- a/core/src/servers/restarts.rs
+++ b/core/src/servers/restarts.rs
@@ -34,6 +34,8 @@
     /// later incarnation. A record of an earlier incarnation is ignored. An incarnation has one software version, so a
     /// record with another one is that of a later incarnation, also where servers do not record their start.
     pub(super) fn apply_vm(&mut self, vm: &Vm, now_ms: u64) {
+        let of_service = self.by_service.get(&vm.service).map_or(&[][..], Vec::as_slice);
+        let brittle = self.seats.latest_statement(of_service);
         if let Some(slot) = self.find(&vm.vm) {
             let known = &self.servers[slot].vm;
             match vm.incarnation.cmp(&known.incarnation) {
@@ -45,6 +47,10 @@
             }
         }
         let slot = self.servers.insert(Server::new(vm.clone()));
+        // The servers of a service are brittle together: this one may be so before its first answer.
+        if let Some((rejections_per_s, stated_ms)) = brittle {
+            self.seats.record_statement(slot, rejections_per_s, stated_ms);
+        }
         self.servers[slot].evacuated = self.evacuated.contains(&vm.failure_domain);
         self.start_warm_up(slot, now_ms);
         self.by_vm.insert(vm.vm.clone(), slot);
@@ -60,6 +66,7 @@
         let (vm, open_requests) = (server.vm.vm.clone(), server.in_flight);
         self.restarted.push(Restarted { vm, incarnation: next, open_requests });
         self.limits.remove(slot);
+        self.seats.remove(slot);
         for slots in self.by_service.values_mut() {
             slots.retain(|other| *other != slot);
         }
--- a/core/tests/arbitrary_messages.rs
+++ b/core/tests/arbitrary_messages.rs
@@ -49,7 +49,7 @@
     datagrams
 }
 
-/// A permit request and a reply, which routers don't send in an undisturbed fleet.
+/// Requests for permits and seats and replies, which routers don't send in an undisturbed fleet.
 fn permits(fleet: &Fleet, (vm, incarnation): &(String, ids::ServerIncarnation)) -> Vec<Vec<u8>> {
     let id = |router: usize| fleet.routers[router].node.members().own().id;
     let wanted = servers::PermitsRequested { permits: 2, within_ms: 400, trial: false };
@@ -64,7 +64,14 @@
         sent_age_ms: 40,
         received_age_ms: 20,
     };
+    let brittle =
+        servers::BrittleUpdate { vm: vm.clone(), incarnation, rejections_per_s: 3, age_ms: 20 };
+    let seats =
+        servers::SeatsRequested { number: 2, replied: 1, held: 3, wanted: 5, rejections: 1 };
+    let dealt = servers::SeatsDealt { seats: 4, in_turn: true, retry_ms: 50 };
     let messages = [
+        message::Message::SeatRequest { brittle, requested: seats },
+        message::Message::SeatReply { number: 1, vm: vm.clone(), incarnation, dealt },
         message::Message::PermitRequest { number: 1, limit_update: update, requested: wanted },
         message::Message::PermitReply { number: 1, vm, incarnation, trial: false, granted },
     ];
--- a/core/tests/external_names.rs
+++ b/core/tests/external_names.rs
@@ -317,9 +317,9 @@
         node::QuarantineSource::SuccessfulRun,
         node::QuarantineSource::Operator,
     ].map(node::QuarantineSource::as_str).join(" ") => "Seen Peer Store GoodEnd Operator";
-    headers: [servers::Header::Limit, servers::Header::Leaving, servers::Header::Backoff]
+    headers: [servers::Header::Limit, servers::Header::Leaving, servers::Header::Backoff, servers::Header::Brittle]
         .map(servers::Header::as_str)
-        .join(" ") => "Limit Leaving Backoff";
+        .join(" ") => "Limit Leaving Backoff Brittle";
     recovery_decision: ledger_writer::RecoveryDecision { silent_routers: Some(2), is_final: false }
         .to_string() => "Verdict { silent: Some(2), is_final: false }";
     final_recovery_decision: ledger_writer::RecoveryDecision { silent_routers: None, is_final: true }
@@ -334,7 +334,7 @@
     log_checkpoint: String::from_utf8(checkpoint().encode()).unwrap() => r#"{"upto":12,"clock_s":3,"ids":[[{"high":1,"low":4},{"Claimed":{"key":{"high":1,"low":4},"attempt":8,"body_hash":9}},3],[{"high":1,"low":2},{"Settled":{"body_hash":6,"outcome":{"status":200,"content_type":"text/plain","body":"done"}}},3]],"origins":{"4":{"below":0,"above":[5],"seen_s":3}},"released":[8],"totals":[["cafe/main","north",{"billed_tokens":7,"billed_requests":1,"repeated_tokens":0}]]}"#;
     record_of_quarantined_requests: String::from_utf8(quarantine_record().encode()).unwrap()
         => r#"{"requests":[{"request":{"head":1,"whole":[2,2,2,2,2,2,2,2,2,2,2,2,2,2,2,2]},"crashes":[{"server":{"Life":3},"at_unix_ms":996},{"server":{"Vm":5},"at_unix_ms":994}]}]}"#;
-    counters_in_the_dump: json(&counters()) => r#"{"admitted":0,"dispatched":0,"settled":0,"closed_unsafe":0,"not_run":0,"replayed":0,"server_crashes":0,"refused":{"not_ready":0,"stopping":1,"fenced":2,"unconfigured":3,"budget_exhausted":4,"budget_low":5,"budget_unreachable":6,"overloaded":7,"no_server":8,"deadline_too_close":9,"claim_unreachable":10,"in_progress":11,"id_conflict":12,"retries_exhausted":13,"quarantined":14,"suspended":15,"limited":16,"backoff":17,"no_server_of_version":18,"stream_origin_unknown":19},"refused_for_limits":{"notes":1},"server_backoffs":{"notes":2},"stream_origins":{"router":3},"consumed_tokens":0,"written_off_tokens":0,"overrun_tokens":0,"platform_reads":0,"platform_writes":0,"platform_unknown":0,"platform_conflicts":0,"messages_sent":0,"gossip_sent":0,"transfers_sent":0,"transfers_received":0,"store_restores":0}"#;
+    counters_in_the_dump: json(&counters()) => r#"{"admitted":0,"dispatched":0,"settled":0,"closed_unsafe":0,"not_run":0,"replayed":0,"server_crashes":0,"refused":{"not_ready":0,"stopping":1,"fenced":2,"unconfigured":3,"budget_exhausted":4,"budget_low":5,"budget_unreachable":6,"overloaded":7,"no_server":8,"deadline_too_close":9,"claim_unreachable":10,"in_progress":11,"id_conflict":12,"retries_exhausted":13,"quarantined":14,"suspended":15,"limited":16,"backoff":17,"no_server_of_version":18,"stream_origin_unknown":19},"refused_for_limits":{"notes":1},"brittle_rejections":{},"seat_requests":0,"server_backoffs":{"notes":2},"stream_origins":{"router":3},"consumed_tokens":0,"written_off_tokens":0,"overrun_tokens":0,"platform_reads":0,"platform_writes":0,"platform_unknown":0,"platform_conflicts":0,"messages_sent":0,"gossip_sent":0,"transfers_sent":0,"transfers_received":0,"store_restores":0}"#;
     lifecycles: json(&[
         node::Lifecycle::Starting,
         node::Lifecycle::Ready,
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -259,6 +259,7 @@
         }],
         quarantine: Default::default(),
         limits: Vec::new(),
+        brittle: Vec::new(),
     }
 }
 
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -36,7 +36,7 @@
 /// A message or a reply that is in transit.
 enum Event {
     Message { to: String, envelope: message::Envelope },
-    Gossip { to: String, gossip: message::Gossip },
+    Gossip { to: String, gossip: Box<message::Gossip> },
     StoreReply { router: usize, incarnation: u64, call: ids::CallId, reply: store::Reply },
 }
 
@@ -300,6 +300,7 @@
             leaving: Vec::new(),
             quarantine: Default::default(),
             limits: Vec::new(),
+            brittle: Vec::new(),
         };
         let now_ms = self.now_ms;
         self.routers[index].node.handle_gossip(&gossip, now_ms);
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -87,6 +87,15 @@
     }
 }
 
+fn brittle() -> servers::BrittleUpdate {
+    servers::BrittleUpdate {
+        vm: "a".to_owned(),
+        incarnation: ids::ServerIncarnation(1),
+        rejections_per_s: 2,
+        age_ms: 3,
+    }
+}
+
 fn gossip() -> message::Gossip {
     let request = ids::Fingerprint { head: 1, whole: [2; 16] };
     let crashes = vec![
@@ -125,6 +134,7 @@
         }],
         quarantine: quarantine::Updates { summary: 8, reports: vec![report] },
         limits: vec![limit()],
+        brittle: vec![brittle()],
     }
 }
 
@@ -174,8 +184,8 @@
 #[test]
 fn gossip_keeps_its_bytes() {
     assert_eq!(
-        hex(message::Datagram::Gossip(gossip())),
-        r#"0001016101620163020102010201020103010201016101020103030404016101020001610162016301640166016501010203016101020101610102020161010203050101016101620163020101016101010801010202020202020202020202020202020202000304010506010701016101010203040506"#
+        hex(message::Datagram::Gossip(Box::new(gossip()))),
+        r#"0001016101620163020102010201020103010201016101020103030404016101020001610162016301640166016501010203016101020101610102020161010203050101016101620163020101016101010801010202020202020202020202020202020202000304010506010701016101010203040506010161010203"#
     );
 }
 
@@ -283,4 +293,20 @@
         number: 1,
         reply: streams::Reply::Unknown { candidates: vec![origin()], complete: true },
     } => "0101021b0101010161016201";
+    seat_request_keeps_its_bytes: message::Message::SeatRequest {
+        brittle: brittle(),
+        requested: servers::SeatsRequested {
+            number: 4,
+            replied: 5,
+            held: 6,
+            wanted: 7,
+            rejections: 8,
+        },
+    } => "0101021c01610102030405060708";
+    seat_reply_keeps_its_bytes: message::Message::SeatReply {
+        number: 1,
+        vm: "a".to_owned(),
+        incarnation: ids::ServerIncarnation(2),
+        dealt: servers::SeatsDealt { seats: 3, in_turn: true, retry_ms: 4 },
+    } => "0101021d01016102030104";
 }
--- a/core/tests/world/faults.rs
+++ b/core/tests/world/faults.rs
@@ -170,7 +170,7 @@
         }
     }
 
-    pub(super) fn send_gossip(&mut self, from: usize, address: &str, gossip: message::Gossip) {
+    pub(super) fn send_gossip(&mut self, from: usize, address: &str, gossip: Box<message::Gossip>) {
         let Some(to) = self.routers.iter().position(|router| router.address == address) else {
             return;
         };
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -42,7 +42,7 @@
     },
     Gossip {
         to: usize,
-        gossip: message::Gossip,
+        gossip: Box<message::Gossip>,
     },
     Served {
         router: usize,
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -53,6 +53,7 @@
         "leaving_vms": dump["leaving_vms"],
         "quarantined": dump["quarantine"]["quarantined"].as_array().map_or(0, Vec::len),
         "limited_servers": count(&dump["limited_servers"]),
+        "brittle_servers": count(&dump["brittle_servers"]),
         "backing_off_servers": count(&dump["backing_off_servers"]),
         "links": links(&dump["links"]),
         "versions": dump["versions"],
@@ -82,7 +83,7 @@
 
 fn show(rows: &[Value]) {
     println!(
-        "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8} {:>7}  LEAVING",
+        "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>7} {:>8} {:>7}  LEAVING",
         "ROUTER",
         "VM",
         "STATE",
@@ -93,6 +94,7 @@
         "UNSETTLED",
         "QUARANTINED",
         "LIMITED",
+        "BRITTLE",
         "BACKOFF",
         "LINKS",
         "MIXED"
@@ -108,7 +110,7 @@
             .map(|vms| vms.iter().filter_map(Value::as_str).collect())
             .unwrap_or_default();
         println!(
-            "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>8} {:>7}  {}",
+            "{:<28} {:<12} {:<10} {:>8} {:>5} {:>8} {:>9} {:>10} {:>11} {:>7} {:>7} {:>7} {:>8} {:>7}  {}",
             plain("router"),
             plain("vm"),
             if row["fault"].is_null() { plain("lifecycle") } else { "unreachable".to_owned() },
@@ -119,6 +121,7 @@
             plain("unsettled"),
             plain("quarantined"),
             plain("limited_servers"),
+            plain("brittle_servers"),
             plain("backing_off_servers"),
             plain("links"),
             services_of_several_versions(&row["versions"]),
--- a/src/control.rs
+++ b/src/control.rs
@@ -140,7 +140,9 @@
         self.published.set_ready(self.node.lifecycle() == node::Lifecycle::Ready);
         self.publish_suspected();
         self.update_services_of_links();
-        self.published.set_any_limits(!self.node.servers().limits().is_empty());
+        let servers = self.node.servers();
+        let any_limits = !servers.limits().is_empty() || !servers.seats().is_empty();
+        self.published.set_any_limits(any_limits);
         for action in self.node.take_actions() {
             match action {
                 node::Action::Store { call, request } => self.call_store(call, request, context),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -46,7 +46,7 @@
 /// Gossip that was received from a peer in a datagram.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub struct GossipReceived(pub message::Gossip);
+pub struct GossipReceived(pub Box<message::Gossip>);
 
 /// Encodes a frame's body.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
@@ -115,7 +115,7 @@
     }
 
     /// Sends gossip in a datagram.
-    pub fn gossip(&self, address: &str, gossip: message::Gossip) {
+    pub fn gossip(&self, address: &str, gossip: Box<message::Gossip>) {
         self.send_datagram(address, &message::Datagram::Gossip(gossip));
     }
 
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -145,12 +145,13 @@
         self.suspected.store(std::sync::Arc::new(heads));
     }
 
-    /// Whether any server has a rate limit. Then an answer without a limit is reported too, as it removes one.
+    /// Whether any server has a rate limit or is brittle. Then an answer that does not say so is reported too, as it ends
+    /// that.
     pub fn any_limits(&self) -> bool {
         self.any_limits.load(atomic::Ordering::Relaxed)
     }
 
-    /// Sets whether any server has a rate limit.
+    /// Sets whether any server has a rate limit or is brittle.
     pub fn set_any_limits(&self, any_limits: bool) {
         self.any_limits.store(any_limits, atomic::Ordering::Relaxed);
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -72,6 +72,7 @@
             ("doorswitch_transfers_sent_total", counters.transfers_sent),
             ("doorswitch_transfers_received_total", counters.transfers_received),
             ("doorswitch_store_restores_total", counters.store_restores),
+            ("doorswitch_seat_requests_total", counters.seat_requests),
         ];
         for (name, value) in counts {
             metrics::counter!(name).absolute(value);
@@ -124,6 +125,7 @@
 fn report_directives(node: &node::Node) {
     let servers = node.servers();
     let limited = servers.limited_services();
+    let seats = servers.seats();
     for service in node.config().iter().flat_map(|config| &config.document.services) {
         let of_service = |server: &servers::Server| server.vm.service == service.name;
         let backing_off = servers.backing_off().filter_map(|(slot, _)| servers.get(slot));
@@ -134,6 +136,14 @@
                 "doorswitch_backing_off_servers",
                 backing_off.filter(|server| of_service(server)).count(),
             ),
+            (
+                "doorswitch_brittle_servers",
+                seats
+                    .iter()
+                    .filter_map(|(slot, _)| servers.get(slot))
+                    .filter(|s| of_service(s))
+                    .count(),
+            ),
             (
                 "doorswitch_leaving_servers",
                 leaving.filter(|(_, server)| of_service(server)).count(),
@@ -148,6 +158,11 @@
         metrics::counter!("doorswitch_server_backoffs_total", "service" => service)
             .absolute(*count);
     }
+    for (service, count) in &node.counters().brittle_rejections {
+        let service = service.clone();
+        metrics::counter!("doorswitch_brittle_rejections_total", "service" => service)
+            .absolute(*count);
+    }
     for (service, count) in servers.held_back() {
         let service = service.clone();
         metrics::counter!("doorswitch_held_back_total", "service" => service).absolute(*count);
--- a/src/telemetry/notices.rs
+++ b/src/telemetry/notices.rs
@@ -39,6 +39,11 @@
                 node::LimitSource::Expired => "lapsed".to_owned(),
             }
         ),
+        node::Notice::ServerBrittle { vm, service, rejections_per_s, from } => log::info!(
+            "event=server_brittle vm={vm} service={service} rejections_per_s={} from={}",
+            rejections_per_s.map_or_else(|| "none".to_owned(), |rejections| rejections.to_string()),
+            from.map_or_else(|| "self".to_owned(), |peer| peer.to_string()),
+        ),
         node::Notice::ServerLeaving { vm, incarnation, service, source, from } => log::info!(
             "event=server_leaving vm={vm} born_ms={} service={service} source={} from={}",
             incarnation.0,
