Look up a server's seats only if it is brittle

Cause: free_seats computed the equal part of each server that a choice looks at, also where no server is brittle: no price is to be paid there.

Now: the lookup of the server among the brittle ones, in an empty map, comes first.

Not measured.

--- a/core/src/servers/seats.rs
+++ b/core/src/servers/seats.rs
@@ -635,6 +635,7 @@
 
     /// How many requests this router may send to a brittle server now; `None` if the server is not brittle.
     pub fn free_seats(&self, slot: ids::ServerSlot, now_ms: u64) -> Option<u64> {
+        self.seats.get(slot)?;
         let in_flight = self.servers.get(slot)?.in_flight;
         self.seats.free(slot, in_flight, self.seat_share(slot), now_ms)
     }
