Let callers of server_limit_calls not wait for answers

Cause: the check that a server gets half of an even share after its limit has ended failed once for each of the three tests, by chance: each caller had one request in flight, so that the answer times of servers that answer at once decided over the server. Traced before: without any limit one of three servers got less than the check wants in 1 of 12 windows of 4 s.

Now: servers work on each request for 250 ms and callers send every 60 ms without waiting, so that about twelve requests are in flight and load decides. As strict: the limit, the share and the 97 in 100 that must be served are as before, and what is served after the limit has ended is checked as well.

--- a/tests/fleet/scripted.rs
+++ b/tests/fleet/scripted.rs
@@ -37,7 +37,8 @@
     pub fleet: Fleet,
     /// Engines first, then plain services.
     pub servers: Vec<backend::Backend>,
-    /// Replies of the first server of each service; the other servers answer every request with success.
+    /// Replies of the first server of each service; the other servers answer every request with success, after the same
+    /// work as the first one at the start.
     pub replies: Replies,
     servers_per_service: usize,
     request_count: AtomicUsize,
@@ -76,13 +77,23 @@
         Self::with_servers(name, SERVERS)
     }
 
+    /// Starts servers that work on each request for this long, so that load spreads the requests over them if callers
+    /// don't wait for answers. Servers that answer at once share by chance.
+    pub fn start_slow(name: &str, work: Duration) -> Self {
+        Self::with_work(name, SERVERS, work)
+    }
+
     pub fn with_servers(name: &str, servers_per_service: usize) -> Self {
+        Self::with_work(name, servers_per_service, Duration::ZERO)
+    }
+
+    fn with_work(name: &str, servers_per_service: usize, work: Duration) -> Self {
         let options = Options { routers: ROUTERS, engines: 0, services: 0, ..Options::default() };
         let fleet = Fleet::start(name, options);
-        let replies = Replies::new(Reply::served(Duration::ZERO));
+        let replies = Replies::new(Reply::served(work));
         let start = |index: usize| {
             let is_first = index.is_multiple_of(servers_per_service);
-            let served = || Replies::new(Reply::served(Duration::ZERO));
+            let served = || Replies::new(Reply::served(work));
             let replies = if is_first { replies.clone() } else { served() };
             backend::Backend::start(script(replies)).unwrap()
         };
@@ -93,7 +104,8 @@
         Self { fleet, servers, replies, servers_per_service, request_count: AtomicUsize::new(0) }
     }
 
-    /// Sends requests to all routers for the given time; returns their results.
+    /// Sends requests to all routers for the given time, to each the next one after the answer to the last; returns
+    /// their results.
     pub fn send(&self, kind: RequestKind, duration: Duration) -> Vec<RequestResult> {
         let got = Mutex::new(Vec::new());
         let started = Instant::now();
@@ -102,18 +114,9 @@
                 let got = &got;
                 scope.spawn(move || {
                     while started.elapsed() < duration {
-                        let sent = Instant::now();
-                        let answer = self.send_one(kind, router);
-                        let took = sent.elapsed();
-                        let (status, body) = answer
-                            .map_or((0, String::new()), |answer| (answer.status, answer.body));
-                        got.lock().unwrap().push(RequestResult {
-                            router,
-                            sent,
-                            took,
-                            status,
-                            body,
-                        });
+                        let result = self.send_one(kind, router);
+                        let took = result.took;
+                        got.lock().unwrap().push(result);
                         thread::sleep(SEND_INTERVAL.saturating_sub(took));
                     }
                 });
@@ -122,7 +125,35 @@
         got.into_inner().unwrap()
     }
 
-    fn send_one(&self, kind: RequestKind, router: usize) -> Option<Answer> {
+    /// The same with callers that don't wait for the answers to earlier requests.
+    pub fn send_at_a_rate(&self, kind: RequestKind, duration: Duration) -> Vec<RequestResult> {
+        let got = Mutex::new(Vec::new());
+        let started = Instant::now();
+        thread::scope(|scope| {
+            while started.elapsed() < duration {
+                for router in 0..ROUTERS {
+                    let got = &got;
+                    scope.spawn(move || {
+                        let result = self.send_one(kind, router);
+                        got.lock().unwrap().push(result);
+                    });
+                }
+                thread::sleep(SEND_INTERVAL);
+            }
+        });
+        got.into_inner().unwrap()
+    }
+
+    fn send_one(&self, kind: RequestKind, router: usize) -> RequestResult {
+        let sent = Instant::now();
+        let answer = self.request(kind, router);
+        let took = sent.elapsed();
+        let (status, body) =
+            answer.map_or((0, String::new()), |answer| (answer.status, answer.body));
+        RequestResult { router, sent, took, status, body }
+    }
+
+    fn request(&self, kind: RequestKind, router: usize) -> Option<Answer> {
         let number = self.request_count.fetch_add(1, Ordering::Relaxed);
         // Different numbers: requests with a common prompt prefix are routed to the same server.
         let id = format!("{router}-{number}");
--- a/tests/server_limit_calls.rs
+++ b/tests/server_limit_calls.rs
@@ -18,6 +18,9 @@
 const LIMIT: &str = "1.5";
 /// Requests that it may get within [`WINDOW`].
 const ALLOWED_REQUESTS: usize = 14;
+/// How long a server works on a request. Callers don't wait for answers, so that several are in flight and their number
+/// decides over the server.
+const WORK: Duration = Duration::from_millis(250);
 /// How long clients send after the server has begun to state its limit.
 const SEND_FOR: Duration = Duration::from_secs(10);
 
@@ -30,20 +33,20 @@
 }
 
 fn check_limit(name: &str, kind: RequestKind) {
-    let scripted = ScriptedFleet::start(name);
-    scripted.send(kind, Duration::from_secs(1));
+    let scripted = ScriptedFleet::start_slow(name, WORK);
+    scripted.send_at_a_rate(kind, Duration::from_secs(1));
     let limit = backend::limit_line(Some(LIMIT));
-    scripted.replies.set(Reply::served(Duration::ZERO).with(&limit));
+    scripted.replies.set(Reply::served(WORK).with(&limit));
     let since = Instant::now();
-    let got = scripted.send(kind, SEND_FOR);
+    let got = scripted.send_at_a_rate(kind, SEND_FOR);
     let requests = max_requests(&scripted, scripted.first_server(kind), since + LIMIT_BOUND);
     assert!(
         requests <= ALLOWED_REQUESTS,
         "{requests} requests in 4 s, {ALLOWED_REQUESTS} are allowed"
     );
     ScriptedFleet::check_served(&got);
-    scripted.replies.set(Reply::served(Duration::ZERO));
-    scripted.send(kind, Duration::from_secs(10));
+    scripted.replies.set(Reply::served(WORK));
+    ScriptedFleet::check_served(&scripted.send_at_a_rate(kind, Duration::from_secs(10)));
     // Half of an even share shows that the limit no longer applies.
     scripted.check_share(kind, WINDOW);
 }
