Name the routers of a pool of seats as those that respond

Cause: the comment said live routers; those that do not respond are left out, as their part of the seats is not dealt.

--- a/core/src/servers/seats.rs
+++ b/core/src/servers/seats.rs
@@ -304,7 +304,7 @@
     pub seats: u64,
     /// The seats that a router uses without an answer of the dealer.
     pub share: u64,
-    /// The live routers, including this one.
+    /// The routers that respond to this one, and this one.
     pub routers: &'a [ids::Incarnation],
     /// Whether the membership has had time to converge.
     pub is_settled: bool,
