Find out that a server is no longer brittle although others have room

What callers saw: a server that was brittle a moment ago got no requests for up to 30 s, while the others of its service took them.

Cause: routers ask for a seat only for requests that wait. Once the first servers are no longer taken for brittle they have room, no request waits, and the others are never asked, so no answer of theirs ends the statement. An end was not sent to other routers.

The new core test every_server_is_found_to_be_no_longer_brittle failed in each run at 30 routers (1 or 2 servers still brittle after 6 s).

Now: the end goes by gossip like the statement, and a router keeps a seat for its next request where the statement is older than 2 s, unless seats are used in turns.

--- a/core/src/node/seats.rs
+++ b/core/src/node/seats.rs
@@ -38,10 +38,7 @@
                 self.record_brittle(slot, rejections_per_s, now_ms, None);
             }
             servers::Directive::Absent => {
-                let sent_ms = now_ms.saturating_sub(sent_age_ms);
-                if self.servers.seats_mut().record_end(slot, sent_ms, now_ms) {
-                    self.end_brittle(slot, now_ms);
-                }
+                self.record_brittle_end(slot, now_ms.saturating_sub(sent_age_ms), None, now_ms);
             }
             servers::Directive::Unreadable => {}
         }
@@ -56,10 +53,13 @@
     ) {
         for update in updates {
             let slot = self.servers.find_incarnation(&update.vm, update.incarnation);
-            let stated_ms = servers::Seats::stated_ms(update, now_ms);
-            if let (Some(slot), Some(stated_ms)) = (slot, stated_ms) {
-                let rejections_per_s = update.rejections_per_s;
-                self.record_brittle(slot, rejections_per_s, stated_ms, Some(from));
+            let at_ms = servers::Seats::update_ms(update, now_ms);
+            let (Some(slot), Some(at_ms)) = (slot, at_ms) else { continue };
+            match update.rejections_per_s {
+                Some(rejections_per_s) => {
+                    self.record_brittle(slot, rejections_per_s, at_ms, Some(from));
+                }
+                None => self.record_brittle_end(slot, at_ms, Some(from), now_ms),
             }
         }
     }
@@ -76,8 +76,20 @@
         }
     }
 
-    fn end_brittle(&mut self, slot: ids::ServerSlot, now_ms: u64) {
-        self.report_brittle_change(slot, None, None);
+    fn record_brittle_end(
+        &mut self,
+        slot: ids::ServerSlot,
+        sent_ms: u64,
+        from: Option<ids::Incarnation>,
+        now_ms: u64,
+    ) {
+        if self.servers.seats_mut().record_end(slot, sent_ms, now_ms) {
+            self.end_brittle(slot, from, now_ms);
+        }
+    }
+
+    fn end_brittle(&mut self, slot: ids::ServerSlot, from: Option<ids::Incarnation>, now_ms: u64) {
+        self.report_brittle_change(slot, None, from);
         let service = self.servers.get(slot).map(|server| server.vm.service.clone());
         if let Some(service) = service {
             self.drain_queue(&service, now_ms);
@@ -109,17 +121,15 @@
     /// Renews, requests and returns seats, and ends what no answer has confirmed for long.
     pub(super) fn tick_seats(&mut self, now_ms: u64) {
         self.count_routers_for_seats(now_ms);
-        if self.servers.seats().is_empty() {
-            return;
-        }
         for slot in self.servers.seats_mut().expire(now_ms) {
-            self.end_brittle(slot, now_ms);
+            self.end_brittle(slot, None, now_ms);
         }
         let services = self.servers.brittle_services(now_ms);
         let services: Vec<String> = services.into_keys().map(str::to_owned).collect();
         for service in services {
             self.request_seats(&service, now_ms);
         }
+        // An end is sent on as well, when no server is brittle any more.
         if self.servers.seats().has_unsent() && now_ms >= self.seats.pushed_ms + PUSH_INTERVAL_MS {
             self.seats.pushed_ms = now_ms;
             self.push_to_random_members(now_ms);
@@ -164,7 +174,10 @@
         for slot in slots {
             let Some(server) = self.servers.get(slot) else { continue };
             let more = needed.min(server.slots());
-            if self.request_seats_at(slot, more, now_ms) {
+            let seats = self.servers.seats();
+            let is_due = seats.get(slot).is_some_and(|brittle| brittle.is_trial_due(now_ms));
+            let trial = u64::from(is_due && server.in_flight == 0);
+            if self.request_seats_at(slot, more.max(trial), now_ms) {
                 needed -= more;
             }
         }
@@ -186,6 +199,7 @@
         }
         let Some(brittle) = self.servers.seats().get(slot) else { return false };
         let (rejections_per_s, age_ms) = (brittle.rejections_per_s, brittle.age_ms(now_ms));
+        let rejections_per_s = Some(rejections_per_s);
         let brittle = servers::BrittleUpdate { vm, incarnation, rejections_per_s, age_ms };
         self.counters.seat_requests += 1;
         self.send(dealer, message::Message::SeatRequest { brittle, requested });
--- a/core/src/servers/seats.rs
+++ b/core/src/servers/seats.rs
@@ -40,20 +40,24 @@
 const RETRY_PER_ROUTER_MS: u64 = 5;
 const RETRY_MIN_MS: u64 = 50;
 const RETRY_MAX_MS: u64 = 300;
+/// Age of a server's statement from which a router keeps a seat for its next request: while other servers have room, no
+/// request would wait for one, and the end of the statement would not be noticed.
+const TRIAL_AGE_MS: u64 = 2_000;
 /// The most seats that a router can have; more in a message count as so many.
 const SEATS_MAX: u64 = 1 << 20;
 
-/// The statement of a backend server that it is brittle, as routers send it to one another. Routers share no clock, so
-/// the time is sent as an age.
+/// The statement of a backend server that it is brittle, or its end, as routers send it to one another. Routers share no
+/// clock, so the time is sent as an age.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BrittleUpdate {
     /// VM of the server.
     pub vm: String,
     /// Incarnation of the server.
     pub incarnation: ids::ServerIncarnation,
-    /// The number of requests that the server may reject per second without falling over.
-    pub rejections_per_s: u64,
-    /// Time since an answer last said so, in milliseconds.
+    /// The number of requests that the server may reject per second without falling over; `None` if it is not brittle any
+    /// more.
+    pub rejections_per_s: Option<u64>,
+    /// Time in milliseconds since an answer last said so, or since the request was sent whose answer said so no more.
     pub age_ms: u64,
 }
 
@@ -328,6 +332,12 @@
         now_ms.saturating_sub(self.stated_ms)
     }
 
+    /// Whether the next request is to find out whether the server is still brittle. Where routers take turns, seats are
+    /// for requests that wait.
+    pub fn is_trial_due(&self, now_ms: u64) -> bool {
+        self.age_ms(now_ms) >= TRIAL_AGE_MS && self.lease.turn_ends_ms.is_none()
+    }
+
     /// The seats of this router that were dealt to it; `None` if it uses an equal part of all.
     pub fn leased(&self, now_ms: u64) -> Option<u64> {
         (now_ms < self.lease.until_ms).then_some(self.lease.seats)
@@ -344,12 +354,33 @@
     }
 }
 
+/// The end of a server's statement.
+#[derive(Debug)]
+struct Ended {
+    /// When it was noticed.
+    at_ms: u64,
+    /// When the request was sent whose answer did not have the statement.
+    sent_ms: u64,
+    sends_left: u32,
+}
+
+impl gossip_rotation::Gossiped for Ended {
+    fn sends_left(&self) -> u32 {
+        self.sends_left
+    }
+
+    fn sends_left_mut(&mut self) -> &mut u32 {
+        &mut self.sends_left
+    }
+}
+
 /// The brittle servers, and those that were lately.
 #[derive(Debug, Default)]
 pub struct Seats {
     by_slot: collections::BTreeMap<ids::ServerSlot, Brittle>,
-    ended_ms: collections::BTreeMap<ids::ServerSlot, u64>,
+    ended: collections::BTreeMap<ids::ServerSlot, Ended>,
     rotation: gossip_rotation::Rotation<ids::ServerSlot>,
+    ended_rotation: gossip_rotation::Rotation<ids::ServerSlot>,
     /// The number of the last request for seats.
     last_number: u64,
 }
@@ -372,7 +403,7 @@
 
     /// Whether an update is queued that was not sent yet.
     pub fn has_unsent(&self) -> bool {
-        gossip_rotation::has_unsent(&self.by_slot)
+        gossip_rotation::has_unsent(&self.by_slot) || gossip_rotation::has_unsent(&self.ended)
     }
 
     /// Records that a server is brittle, as an answer of it said at `stated_ms`. Returns whether that changes anything.
@@ -382,7 +413,7 @@
         rejections_per_s: u64,
         stated_ms: u64,
     ) -> bool {
-        if self.ended_ms.get(&slot).is_some_and(|ended_ms| stated_ms <= *ended_ms) {
+        if self.ended.get(&slot).is_some_and(|ended| stated_ms <= ended.at_ms) {
             return false;
         }
         let is_new = !self.by_slot.contains_key(&slot);
@@ -398,20 +429,21 @@
         changed
     }
 
-    /// Handles an answer that does not call its server brittle, to a request that was sent at `sent_ms`. Returns
-    /// whether the server was brittle until now.
+    /// Handles an answer, to this or another router, that does not call its server brittle, to a request that was sent
+    /// at `sent_ms`. Returns whether the server was brittle until now.
     pub fn record_end(&mut self, slot: ids::ServerSlot, sent_ms: u64, now_ms: u64) -> bool {
         let ends = self.by_slot.get(&slot).is_some_and(|brittle| sent_ms > brittle.stated_ms);
         if ends {
             self.by_slot.remove(&slot);
-            self.ended_ms.insert(slot, now_ms);
+            let sends_left = gossip_rotation::TRANSMISSIONS;
+            self.ended.insert(slot, Ended { at_ms: now_ms, sent_ms, sends_left });
         }
         ends
     }
 
     /// Removes and returns the servers that no answer has called brittle for long.
     pub fn expire(&mut self, now_ms: u64) -> Vec<ids::ServerSlot> {
-        self.ended_ms.retain(|_, ended_ms| now_ms < *ended_ms + ENDED_TTL_MS);
+        self.ended.retain(|_, ended| now_ms < ended.at_ms + ENDED_TTL_MS);
         let is_expired = |brittle: &Brittle| now_ms >= brittle.stated_ms + STATEMENT_TTL_MS;
         let expired = self.by_slot.extract_if(.., |_, brittle| is_expired(brittle));
         expired.map(|(slot, _)| slot).collect()
@@ -420,7 +452,7 @@
     /// Removes the servers that are no longer listed.
     pub fn retain(&mut self, is_listed: impl Fn(ids::ServerSlot) -> bool) {
         self.by_slot.retain(|slot, _| is_listed(*slot));
-        self.ended_ms.retain(|slot, _| is_listed(*slot));
+        self.ended.retain(|slot, _| is_listed(*slot));
     }
 
     /// The latest statement of any of these servers, with its time.
@@ -436,20 +468,24 @@
     /// Forgets a server.
     pub fn remove(&mut self, slot: ids::ServerSlot) {
         self.by_slot.remove(&slot);
-        self.ended_ms.remove(&slot);
+        self.ended.remove(&slot);
     }
 
-    /// Takes the statements for the next datagram, each with the number of rejections and the time of the statement.
+    /// Takes the statements and their ends for the next datagram, each with the number of rejections, `None` for an end,
+    /// and the time.
     pub fn take_updates(
         &mut self,
         name_bytes: impl Fn(ids::ServerSlot) -> usize,
-    ) -> Vec<(ids::ServerSlot, u64, u64)> {
+    ) -> Vec<(ids::ServerSlot, Option<u64>, u64)> {
         let slots = self.rotation.take(&mut self.by_slot, |slot| name_bytes(*slot));
-        let updates = slots.into_iter().filter_map(|slot| {
+        let stated = slots.into_iter().filter_map(|slot| {
             let brittle = self.by_slot.get(&slot)?;
-            Some((slot, brittle.rejections_per_s, brittle.stated_ms))
+            Some((slot, Some(brittle.rejections_per_s), brittle.stated_ms))
         });
-        updates.collect()
+        let slots = self.ended_rotation.take(&mut self.ended, |slot| name_bytes(*slot));
+        let ended =
+            slots.into_iter().filter_map(|slot| Some((slot, None, self.ended.get(&slot)?.sent_ms)));
+        stated.chain(ended).collect()
     }
 
     /// How many requests this router may send to a brittle server now, with `in_flight` there and an equal part of
@@ -581,8 +617,8 @@
         brittle.dealer.deal(from, requested, pool, now_ms)
     }
 
-    /// A statement of another router in this router's time; `None` if it is too old.
-    pub fn stated_ms(update: &BrittleUpdate, now_ms: u64) -> Option<u64> {
+    /// The time of another router's update in this router's time; `None` if it is too old.
+    pub fn update_ms(update: &BrittleUpdate, now_ms: u64) -> Option<u64> {
         (update.age_ms < UPDATE_AGE_MAX_MS).then(|| now_ms.saturating_sub(update.age_ms))
     }
 }
@@ -640,17 +676,17 @@
         self.seats.free(slot, in_flight, self.seat_share(slot), now_ms)
     }
 
-    /// Takes the statements of brittle servers for the next datagram.
+    /// Takes the statements of brittle servers and their ends for the next datagram.
     pub fn take_brittle_updates(&mut self, now_ms: u64) -> Vec<BrittleUpdate> {
         let Self { seats, servers, .. } = self;
         let updates = seats.take_updates(|slot| servers.get(slot).map_or(0, |s| s.vm.vm.len()));
-        let updates = updates.into_iter().filter_map(|(slot, rejections_per_s, stated_ms)| {
+        let updates = updates.into_iter().filter_map(|(slot, rejections_per_s, at_ms)| {
             let vm = &servers.get(slot)?.vm;
             Some(BrittleUpdate {
                 vm: vm.vm.clone(),
                 incarnation: vm.incarnation,
                 rejections_per_s,
-                age_ms: now_ms.saturating_sub(stated_ms),
+                age_ms: now_ms.saturating_sub(at_ms),
             })
         });
         updates.collect()
--- a/core/tests/arbitrary_messages.rs
+++ b/core/tests/arbitrary_messages.rs
@@ -64,8 +64,12 @@
         sent_age_ms: 40,
         received_age_ms: 20,
     };
-    let brittle =
-        servers::BrittleUpdate { vm: vm.clone(), incarnation, rejections_per_s: 3, age_ms: 20 };
+    let brittle = servers::BrittleUpdate {
+        vm: vm.clone(),
+        incarnation,
+        rejections_per_s: Some(3),
+        age_ms: 20,
+    };
     let seats =
         servers::SeatsRequested { number: 2, replied: 1, held: 3, wanted: 5, rejections: 1 };
     let dealt = servers::SeatsDealt { seats: 4, in_turn: true, retry_ms: 50 };
--- a/core/tests/brittle_schedules.rs
+++ b/core/tests/brittle_schedules.rs
@@ -391,3 +391,25 @@
     let Ok(seeds) = std::env::var("LARGE_SEEDS") else { return };
     run(301, 60, &NOT_NONE, &[Fault::Restart, Fault::Kill, Fault::Loss], seeds.parse().unwrap());
 }
+
+/// Guards against a server without requests that stays brittle because the others, which are not any more, have room.
+#[test]
+fn every_server_is_found_to_be_no_longer_brittle() {
+    for routers in [1, 8, 30] {
+        let mut scenario = Scenario::new(routers, 2, &NOT_NONE, 0);
+        scenario.run_ms(6_000);
+        scenario.set_load(CALM_PERCENT);
+        scenario.run_ms(2_000);
+        scenario.stated_ms = Some(scenario.now_ms());
+        scenario.run_ms(CONTACT_MS);
+        scenario.set_load(0);
+        scenario.run_ms(2_000);
+        scenario.stated_ms = None;
+        scenario.set_load(CALM_PERCENT);
+        scenario.run_ms(6_000);
+        for router in &scenario.traffic.fleet.routers {
+            let brittle = router.node.servers().seats().iter().count();
+            assert_eq!(brittle, 0, "{routers} routers");
+        }
+    }
+}
--- a/tests/brittle_servers.rs
+++ b/tests/brittle_servers.rs
@@ -27,6 +27,10 @@
 /// The share of what the servers can run in a burst that must be run, in percent.
 const RUN_PERCENT_MIN: usize = 90;
 const BURST: Duration = Duration::from_secs(6);
+/// The time after which a server that is no longer brittle gets its share of the requests again, and over which that is
+/// counted.
+const RECOVERY_TIME: Duration = Duration::from_secs(4);
+const WINDOW: Duration = Duration::from_secs(2);
 /// The maximum time to a refusal: a request may wait this long for a server, and the network adds little.
 const REFUSAL_BOUND: Duration = Duration::from_millis(700);
 
@@ -198,7 +202,16 @@
     brittle.state();
     brittle.send(&router_indices(3), 50, CONTACT);
     brittle.servers.iter().for_each(|server| server.0.lock().unwrap().stated = None);
-    brittle.send(&router_indices(3), 50, Duration::from_secs(2));
+    brittle.send(&router_indices(3), 50, RECOVERY_TIME);
+    let counts: Vec<usize> = brittle
+        .world
+        .backends
+        .iter()
+        .map(|backend| backend.arrivals().iter().filter(|at| at.elapsed() < WINDOW).count())
+        .collect();
+    let total: usize = counts.iter().sum();
+    // Half of an even share shows that all servers are used.
+    assert!(counts.iter().all(|count| count * 2 * SERVERS >= total), "{counts:?}");
     for router in 0..3 {
         let dump = brittle.world.dump(router);
         assert_eq!(dump["brittle_servers"], serde_json::json!({}), "{dump}");
