Streams whose link goes silent: failing tests, and a stand-in that stops runs

What callers saw: a stream that runs as its router's link to the server goes silent is cut off after 3 s, although the server makes it to its end and another router reaches the server.

Cause: what is known of the link within a quarter of a second is used for new requests only.

The stand-in speaks the platform's published call that stops a run and keeps its memory, and the header by which the same run goes on.

--- a/standins/src/backend.rs
+++ b/standins/src/backend.rs
@@ -1,7 +1,7 @@
 //! A scripted backend server of the users' platform. A test decides for each request which bytes are written and how
 //! the connection ends, so that it can produce any malformed answer.
 
-use crate::network;
+use crate::{network, runs};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -67,6 +67,8 @@
         /// How long connections are refused after that.
         down: Duration,
     },
+    /// Writes a part of a run that other requests may stop and continue.
+    Run(runs::Part),
 }
 
 /// Returns the steps of the answer to a request. The number counts the requests of this server from 0.
@@ -297,6 +299,7 @@
             writer.write_all(text.replace("{id}", id).as_bytes())?;
         }
         Step::Pause(time) => thread::sleep(time),
+        Step::Run(part) => return part.write(writer),
         Step::AwaitClose => {
             if read_byte(reader, shared)?.is_none() {
                 shared.lock().closed_by_client += 1;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod ports;
 pub mod replies;
+pub mod runs;
 pub mod server;
 pub mod service;
 pub mod store;
--- /dev/null
+++ b/standins/src/runs.rs
@@ -0,0 +1,150 @@
+//! Runs of a scripted server that are stopped on request and continued from where they stopped, as model engines that
+//! move runs allow it.
+
+use crate::backend::{self, ReceivedRequest, Step};
+use crate::wire;
+use std::collections::HashMap;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use std::{net, thread};
+
+/// The runs of one server. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Runs(Arc<Mutex<HashMap<String, Run>>>);
+
+impl PartialEq for Runs {
+    fn eq(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+impl Eq for Runs {}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Run {
+    /// The number of events that were made.
+    made: u64,
+    state: State,
+    /// How often the run was continued.
+    continued: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Running,
+    Stopped,
+    Ended,
+}
+
+/// A part of a run, which writes its events to one connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    runs: Runs,
+    id: String,
+    /// The last event that the client has; the part begins after it.
+    after: u64,
+    events: u64,
+    interval: Duration,
+}
+
+impl Runs {
+    /// The script of a server whose answers are streams of this many events, one at each interval.
+    pub fn script(&self, events: u64, interval: Duration) -> backend::Script {
+        let runs = self.clone();
+        Box::new(move |_, request| match request.line.split(' ').nth(1) {
+            Some("/kv-move") => vec![runs.stop(request)],
+            _ => runs.begin(request, events, interval),
+        })
+    }
+
+    /// The number of runs that began.
+    pub fn begun(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// How often runs were continued after they had been stopped.
+    pub fn continued(&self) -> usize {
+        self.lock().values().map(|run| run.continued).sum()
+    }
+
+    /// The number of runs that are not stopped and have not ended.
+    pub fn running(&self) -> usize {
+        self.lock().values().filter(|run| run.state == State::Running).count()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Run>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stops the run that a request names.
+    fn stop(&self, request: &ReceivedRequest) -> Step {
+        let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let id = body["id"].as_str().unwrap_or_default();
+        let mut runs = self.lock();
+        match runs.get_mut(id).filter(|run| run.state == State::Running && body["last"] == true) {
+            None => backend::response("404 Not Found", "{}"),
+            Some(run) => {
+                run.state = State::Stopped;
+                let body =
+                    serde_json::json!({ "handle": format!("handle-{id}"), "made": run.made });
+                backend::response("503 Service Unavailable", &body.to_string())
+            }
+        }
+    }
+
+    /// Begins a run, or continues a stopped one.
+    fn begin(&self, request: &ReceivedRequest, events: u64, interval: Duration) -> Vec<Step> {
+        let id = request.id().unwrap_or_default().to_owned();
+        let after = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let handle = request.header("kv-from").and_then(|from| from.split('/').nth(1));
+        let mut runs = self.lock();
+        if let Some(handle) = handle {
+            let stopped = runs.get_mut(&id).filter(|run| run.state == State::Stopped);
+            let Some(run) = stopped.filter(|_| handle == format!("handle-{id}")) else {
+                let lines = "Not-Executed: 1\r\n";
+                return vec![backend::response_with_headers("503 Service Unavailable", lines, "")];
+            };
+            run.state = State::Running;
+            run.continued += 1;
+        } else {
+            runs.insert(id.clone(), Run::default());
+        }
+        let part = Part { runs: self.clone(), id, after, events, interval };
+        vec![Step::Write(wire::STREAM_HEAD.to_owned()), Step::Run(part)]
+    }
+
+    /// Records that an event is made; `None` if the run was stopped.
+    fn record_event(&self, id: &str, number: u64) -> Option<()> {
+        let mut runs = self.lock();
+        let run = runs.get_mut(id).filter(|run| run.state == State::Running)?;
+        run.made = run.made.max(number);
+        Some(())
+    }
+
+    fn end(&self, id: &str) {
+        if let Some(run) = self.lock().get_mut(id) {
+            run.state = State::Ended;
+        }
+    }
+}
+
+impl Part {
+    /// Writes the events until the run ends or is stopped; `false` ends the connection.
+    pub(crate) fn write(&self, writer: &mut net::TcpStream) -> io::Result<bool> {
+        for number in self.after + 1..=self.events {
+            thread::sleep(self.interval);
+            if self.runs.record_event(&self.id, number).is_none() {
+                return Ok(false);
+            }
+            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            let written = write!(writer, "{:x}\r\n{event}\r\n", event.len());
+            // The client has left.
+            written.inspect_err(|_| self.runs.end(&self.id))?;
+        }
+        self.runs.end(&self.id);
+        writer.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/tests/runs_over_lost_links.rs
@@ -0,0 +1,136 @@
+//! Streams whose router loses its link to the server while it writes them. Guards against answers that are lost although
+//! the server makes them and another router reaches it.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod fleet;
+mod routes;
+
+use doorswitch_standins::network::{Faults, OpenConnections};
+use doorswitch_standins::runs::Runs;
+use routes::{World, long_deadline_request};
+use std::net::{IpAddr, Ipv4Addr, TcpStream};
+use std::time::{Duration, Instant};
+
+const EVENTS: u64 = 60;
+const INTERVAL: Duration = Duration::from_millis(50);
+/// The time that a run takes that nothing disturbs.
+const RUN_TIME: Duration = INTERVAL.saturating_mul(EVENTS as u32);
+/// A stream that goes on has no longer pause.
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+/// An answer that is lost ends within this time after the link went silent.
+const LOST_BOUND: Duration = Duration::from_millis(2_500);
+/// A server whose client has left stops the run within this time.
+const CLIENT_LEFT_BOUND: Duration = Duration::from_secs(1);
+
+fn address(router: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 94, 0, 1 + u8::try_from(router).unwrap()))
+}
+
+/// Routers in front of servers behind proxies; the servers keep runs that are stopped if `keeps` is set.
+fn start(name: &str, routers: usize, runs: &[Runs], events: u64, keeps: bool) -> World {
+    let scripts = runs.iter().map(|runs| runs.script(events, INTERVAL)).collect();
+    let mut world = World::unready(name, scripts);
+    world.put_proxies_before_servers();
+    let mut configuration: serde_json::Value =
+        serde_json::from_slice(&routes::configuration(2, &[routes::KEY], routes::PREPAID)).unwrap();
+    configuration["services"][0]["engine"]["moves"] = keeps.into();
+    world.version = 2;
+    world.store.put("op/config", configuration.to_string().as_bytes());
+    world.add_fleet((0..routers).map(address));
+    world
+}
+
+/// Silences the links of the first router to all servers.
+fn cut(world: &World) {
+    for proxy in &world.server_proxies {
+        let dropped = [(address(0), OpenConnections::Silent)].into();
+        proxy.set_faults(Faults { dropped, ..Faults::default() });
+    }
+}
+
+/// Sends a request to the first router and waits until its run has made some events.
+fn send(world: &World, runs: &[Runs], path: &str) -> TcpStream {
+    let client = world.send(0, &long_deadline_request(path, "id"));
+    fleet::eventually("the run has begun", || runs.iter().any(|runs| runs.begun() > 0));
+    std::thread::sleep(5 * INTERVAL);
+    client
+}
+
+fn assert_whole(answer: &routes::Answer, log: &str) {
+    let expected: String =
+        (1..=EVENTS).map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect();
+    assert!(answer.whole, "{}\n{log}", answer.text());
+    assert_eq!(answer.text(), expected, "{log}");
+}
+
+macro_rules! streams_that_go_on {
+    ($($name:ident: $path:expr, $routers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let runs = [Runs::default(), Runs::default()];
+            let world = start(stringify!($name), $routers, &runs, EVENTS, true);
+            let mut client = send(&world, &runs, $path);
+            let began = Instant::now();
+            cut(&world);
+            let answer = routes::read_answer(&mut client);
+            let took = began.elapsed();
+            let log = world.log(0);
+            assert_whole(&answer, &log);
+            assert!(took < RUN_TIME + PAUSE_MAX, "{took:?}: {log}");
+            let begun: usize = runs.iter().map(Runs::begun).sum();
+            let continued: usize = runs.iter().map(Runs::continued).sum();
+            assert_eq!((begun, continued), (1, 1), "{log}");
+            assert!(log.contains("event=run_continued id=id "), "{log}");
+            assert!(!log.contains("event=server_crashed"), "{log}");
+        }
+    )*};
+}
+
+streams_that_go_on! {
+    a_stream_that_may_not_be_resumed_goes_on_after_its_link_went_silent: "/long-stream/x", 2;
+    a_stream_that_may_be_resumed_goes_on_at_its_server: "/resume/x", 2;
+    a_stream_goes_on_through_one_of_several_routers: "/long-stream/x", 4;
+}
+
+#[test]
+fn a_client_that_leaves_while_its_link_is_silent_frees_the_server() {
+    let runs = [Runs::default()];
+    let world = start("left-while-silent", 2, &runs, 400, true);
+    let client = send(&world, &runs, "/long-stream/x");
+    cut(&world);
+    drop(client);
+    let left = Instant::now();
+    let stopped = || runs[0].running() == 0;
+    assert!(
+        fleet::holds_within(CLIENT_LEFT_BOUND, stopped),
+        "{:?}: {}",
+        left.elapsed(),
+        world.log(0)
+    );
+}
+
+macro_rules! streams_that_are_lost {
+    ($($name:ident: $events:expr, $keeps:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let runs = [Runs::default()];
+            let world = start(stringify!($name), 2, &runs, $events, $keeps);
+            let mut client = send(&world, &runs, "/long-stream/x");
+            let began = Instant::now();
+            cut(&world);
+            let answer = routes::read_answer(&mut client);
+            let took = began.elapsed();
+            let log = world.log(0);
+            assert!(!answer.whole, "{log}");
+            assert!(took < LOST_BOUND, "{took:?}: {log}");
+            assert!(log.contains("outcome=unknown"), "{log}");
+            assert_eq!(runs[0].begun(), 1, "{log}");
+        }
+    )*};
+}
+
+streams_that_are_lost! {
+    a_stream_whose_run_ended_behind_the_silent_link_ends_soon: 6, true;
+    a_stream_of_a_server_that_keeps_no_runs_ends_soon_after_its_link_went_silent: 400, false;
+}
