Know by one lost link that the links to all servers of a service are lost

What callers saw: a router that was cut from the servers of one service only, while others were reached, found out server by server, each by a request that was lost for it.

Cause: a comparison after a lost link connected to four servers of any service, and knew only single links and the loss of all.

Now: it connects to four servers of the same service and four of others; if none of the service is reached the service's links are lost, until one of its servers is reached. A service's links are compared independently of other services'.

Evidence: the four new core tests of links could not pass before (no such state).

Ruled out: marking each link of the service by itself; each would be restored by itself, four at a time.

--- a/core/src/links.rs
+++ b/core/src/links.rs
@@ -81,6 +81,22 @@
     Lost(String),
     /// The link to the server at this address works again.
     Restored(String),
+    /// The links to all servers of a service are lost.
+    ServiceLost {
+        /// The name of the service.
+        service: String,
+        /// The addresses of its servers.
+        addresses: Vec<String>,
+    },
+    /// A server of a service is reached again after the links to all of them were lost.
+    ServiceRestored {
+        /// The name of the service.
+        service: String,
+        /// The addresses of its servers.
+        addresses: Vec<String>,
+        /// The time without any own link to them, in milliseconds.
+        lost_ms: u64,
+    },
     /// No server is reached over an own link.
     AllLost,
     /// A server is reached again after all links were lost for this time.
@@ -90,6 +106,15 @@
     },
 }
 
+/// The servers to connect to over the own links, in order to find out how many of these are lost.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Comparison {
+    /// Other servers of the same service.
+    pub of_service: Vec<String>,
+    /// Servers of other services.
+    pub of_others: Vec<String>,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Link {
     /// The longest time that a recent connection took.
@@ -123,9 +148,12 @@
     /// The services of the servers in the list, by address.
     services: collections::BTreeMap<String, String>,
     all_lost_since_ms: Option<u64>,
+    /// Services of which no server is reached over an own link, and since when.
+    lost_services: collections::BTreeMap<String, u64>,
     /// When other routers were last asked for a server and none of them could tell.
     peers_unknown_ms: Option<u64>,
-    compared_ms: Option<u64>,
+    /// When links were last compared because of a server of a service.
+    compared_ms: collections::BTreeMap<Option<String>, u64>,
     /// Until when routers that could not forward a connection are asked last: to any server, or to one address.
     avoided_until_ms: collections::BTreeMap<(ids::Incarnation, Option<String>), u64>,
 }
@@ -135,11 +163,11 @@
     pub fn order(&mut self, address: &str, now_ms: u64) -> Order {
         let all_lost = self.all_lost();
         let peers_unknown = self.peers_unknown_ms;
-        let link = self.link(address, now_ms);
+        self.link(address, now_ms);
         if all_lost && peers_unknown.is_some_and(|at_ms| now_ms < at_ms + SERVER_FAULT_TTL_MS) {
             return Order::None;
         }
-        match all_lost || link.lost_since_ms.is_some() {
+        match self.is_lost(address) {
             true => Order::PeersOnly,
             false => Order::OwnFirst { head_start_ms: self.patience_ms(address) },
         }
@@ -155,7 +183,24 @@
 
     /// Whether the router's own link to the server at an address is lost.
     pub fn is_lost(&self, address: &str) -> bool {
-        self.all_lost() || self.links.get(address).is_some_and(|link| link.lost_since_ms.is_some())
+        let link_lost = || self.links.get(address).is_some_and(|link| link.lost_since_ms.is_some());
+        self.all_lost() || self.service_lost_since_ms(address).is_some() || link_lost()
+    }
+
+    /// Since when the links to all servers of the same service are lost.
+    fn service_lost_since_ms(&self, address: &str) -> Option<u64> {
+        self.lost_services.get(self.services.get(address)?).copied()
+    }
+
+    /// The name of the service of the server at an address.
+    pub fn service_of(&self, address: &str) -> Option<&str> {
+        self.services.get(address).map(String::as_str)
+    }
+
+    /// The addresses of the servers of a service.
+    fn addresses_of(&self, service: &str) -> Vec<String> {
+        let of_service = self.services.iter().filter(|(_, of)| *of == service);
+        of_service.map(|(address, _)| address.clone()).collect()
     }
 
     /// Whether no server is reached over an own link.
@@ -165,8 +210,11 @@
 
     /// The addresses whose links are lost, with the time since then in milliseconds.
     pub fn lost(&self, now_ms: u64) -> impl Iterator<Item = (&str, u64)> {
-        self.links.iter().filter_map(move |(address, link)| {
-            Some((address.as_str(), now_ms.saturating_sub(link.lost_since_ms?)))
+        let unlisted = self.links.keys().filter(|address| !self.services.contains_key(*address));
+        self.services.keys().chain(unlisted).filter_map(move |address| {
+            let link_lost_ms = self.links.get(address).and_then(|link| link.lost_since_ms);
+            let since_ms = self.service_lost_since_ms(address).or(link_lost_ms)?;
+            Some((address.as_str(), now_ms.saturating_sub(since_ms)))
         })
     }
 
@@ -186,11 +234,27 @@
         let lost_since_ms = link.lost_since_ms.take();
         if let Some(since_ms) = self.all_lost_since_ms.take() {
             self.links.values_mut().for_each(|link| link.lost_since_ms = None);
+            self.lost_services.clear();
             return Some(Change::AllRestored { lost_ms: now_ms.saturating_sub(since_ms) });
         }
+        if let Some(since_ms) = self.service_lost_since_ms(address) {
+            return self.restore_service(address, now_ms.saturating_sub(since_ms));
+        }
         lost_since_ms.map(|_| Change::Restored(address.to_owned()))
     }
 
+    fn restore_service(&mut self, address: &str, lost_ms: u64) -> Option<Change> {
+        let service = self.services.get(address)?.clone();
+        self.lost_services.remove(&service);
+        let addresses = self.addresses_of(&service);
+        for address in &addresses {
+            if let Some(link) = self.links.get_mut(address) {
+                link.lost_since_ms = None;
+            }
+        }
+        Some(Change::ServiceRestored { service, addresses, lost_ms })
+    }
+
     /// Records when data last arrived on an open connection over the own link.
     pub fn record_received(&mut self, address: &str, at_ms: u64) {
         if let Some(link) = self.links.get_mut(address) {
@@ -205,9 +269,12 @@
             Some(since_ms) => {
                 (since_ms, self.links.values().filter_map(|link| link.received_ms).max())
             }
-            None => match link.and_then(|link| link.lost_since_ms) {
-                Some(since_ms) => (since_ms, link.and_then(|link| link.received_ms)),
-                None => return true,
+            None => match self.service_lost_since_ms(address) {
+                Some(since_ms) => (since_ms, self.last_received_ms(self.services.get(address))),
+                None => match link.and_then(|link| link.lost_since_ms) {
+                    Some(since_ms) => (since_ms, link.and_then(|link| link.received_ms)),
+                    None => return true,
+                },
             },
         };
         received_ms.is_some_and(|at_ms| {
@@ -215,6 +282,13 @@
         })
     }
 
+    /// When data last arrived on an open connection over the own link to a server of a service.
+    fn last_received_ms(&self, service: Option<&String>) -> Option<u64> {
+        let of_service =
+            self.links.iter().filter(|(address, _)| self.services.get(*address) == service);
+        of_service.filter_map(|(_, link)| link.received_ms).max()
+    }
+
     /// Records that a connection over the own link failed.
     pub fn record_not_reached(&mut self, address: &str, now_ms: u64) {
         self.link(address, now_ms).failed_ms = Some(now_ms);
@@ -283,24 +357,35 @@
     }
 
     /// Starts a comparison after a connection to the server at `address` failed for a reason that may be the own link:
-    /// returns the addresses to connect to over the own link; `None` if none is due.
+    /// returns the servers to connect to over the own links; `None` if none is due.
     pub fn start_comparison(
         &mut self,
         address: &str,
         now_ms: u64,
         rng: &mut rngs::StdRng,
-    ) -> Option<Vec<String>> {
-        let due = self.compared_ms.is_none_or(|at_ms| now_ms >= at_ms + COMPARISON_INTERVAL_MS);
+    ) -> Option<Comparison> {
+        let service = self.services.get(address).cloned();
+        let compared_ms = self.compared_ms.get(&service);
+        let due = compared_ms.is_none_or(|at_ms| now_ms >= at_ms + COMPARISON_INTERVAL_MS);
         if !due || self.all_lost() {
             return None;
         }
-        self.compared_ms = Some(now_ms);
-        Some(self.others(address, CHECKED_MAX, rng))
+        let of_service =
+            |other: &str| service.is_some() && self.services.get(other) == service.as_ref();
+        let comparison = Comparison {
+            of_service: self.select_others(address, of_service, CHECKED_MAX, rng),
+            of_others: self.select_others(address, |other| !of_service(other), CHECKED_MAX, rng),
+        };
+        self.compared_ms.insert(service, now_ms);
+        Some(comparison)
     }
 
     /// Sets the services of the servers in the list, by address. Links to other addresses are forgotten.
     pub fn set_services(&mut self, services: collections::BTreeMap<String, String>) {
         self.links.retain(|address, _| services.contains_key(address));
+        let listed = |service: &String| services.values().any(|listed| listed == service);
+        self.lost_services.retain(|service, _| listed(service));
+        self.compared_ms.retain(|service, _| service.as_ref().is_none_or(listed));
         self.services = services;
     }
 
@@ -357,6 +442,7 @@
         let others = used.chain(unused);
         let mut others: Vec<(&String, Link)> = others
             .filter(|(other, link)| *other != address && link.lost_since_ms.is_none())
+            .filter(|(other, _)| self.service_lost_since_ms(other).is_none())
             .filter(|(other, _)| allowed(other))
             .collect();
         others.shuffle(rng);
@@ -375,6 +461,17 @@
         Some(Change::AllLost)
     }
 
+    /// Records that a comparison reached no server of the service of `address` over an own link, and others.
+    pub fn record_service_not_reached(&mut self, address: &str, now_ms: u64) -> Option<Change> {
+        let service = self.services.get(address)?.clone();
+        if self.all_lost() || self.lost_services.contains_key(&service) {
+            return None;
+        }
+        let addresses = self.addresses_of(&service);
+        self.lost_services.insert(service.clone(), now_ms);
+        Some(Change::ServiceLost { service, addresses })
+    }
+
     /// Lost links that are due for a check, and the removal of those that are no longer used.
     pub fn checks_due(&mut self, now_ms: u64, rng: &mut rngs::StdRng) -> Vec<String> {
         self.links.retain(|_, link| now_ms < link.used_ms + UNUSED_TTL_MS);
@@ -383,7 +480,7 @@
         let due: Vec<String> = self
             .links
             .iter()
-            .filter(|(_, link)| all_lost || link.lost_since_ms.is_some())
+            .filter(|(address, _)| self.is_lost(address))
             .filter(|(_, link)| now_ms >= link.checked_ms + CHECK_INTERVAL_MS)
             .map(|(address, _)| address.clone())
             .collect();
@@ -401,7 +498,8 @@
 
     /// Whether any link is lost, so that checks may become due.
     pub fn any_lost(&self) -> bool {
-        self.all_lost() || self.links.values().any(|link| link.lost_since_ms.is_some())
+        let any_link = || self.links.values().any(|link| link.lost_since_ms.is_some());
+        self.all_lost() || !self.lost_services.is_empty() || any_link()
     }
 
     /// The routers to ask for a connection to the server at an address, the first one first: those that could not
--- a/core/src/node/settle.rs
+++ b/core/src/node/settle.rs
@@ -172,13 +172,20 @@
     /// Applies a change of this router's links to servers: failures that a lost link caused are not counted against the
     /// servers.
     pub fn handle_links_changed(&mut self, change: &links::Change, now_ms: u64) {
-        let address = match change {
+        match change {
             links::Change::Lost(address) | links::Change::Restored(address) => {
-                Some(address.as_str())
+                self.servers.forgive_failures(Some(address), now_ms);
             }
-            links::Change::AllLost | links::Change::AllRestored { .. } => None,
-        };
-        self.servers.forgive_failures(address, now_ms);
+            links::Change::ServiceLost { addresses, .. }
+            | links::Change::ServiceRestored { addresses, .. } => {
+                for address in addresses {
+                    self.servers.forgive_failures(Some(address), now_ms);
+                }
+            }
+            links::Change::AllLost | links::Change::AllRestored { .. } => {
+                self.servers.forgive_failures(None, now_ms);
+            }
+        }
     }
 
     /// Whether a server leaves or backs off, so that a failed request does not count as a failure of the server.
--- a/core/tests/links.rs
+++ b/core/tests/links.rs
@@ -74,8 +74,8 @@
     let mut table = reached();
     table.record_lost(FIRST, 2_000);
     let mut compared = table.start_comparison(FIRST, 2_000, &mut rng()).unwrap();
-    compared.sort();
-    assert_eq!(compared, [SECOND, THIRD]);
+    compared.of_others.sort();
+    assert_eq!(compared.of_others, [SECOND, THIRD]);
     assert_eq!(table.record_none_reached(2_060), Some(Change::AllLost));
     for address in [FIRST, SECOND, THIRD, "10.0.0.4:80"] {
         assert_eq!(table.order(address, 2_061), Order::PeersOnly);
@@ -300,3 +300,76 @@
     let ejected = (0..2).filter_map(|_| table.record_failure(slot, 1_200, 1_200)).count();
     assert_eq!(ejected, 0, "earlier failures still count");
 }
+
+/// A table of three services, of which the first has three servers.
+fn of_services() -> Table {
+    let mut table = Table::default();
+    let services = [
+        (FIRST, "first"),
+        (SECOND, "first"),
+        (THIRD, "first"),
+        ("10.0.0.4:80", "second"),
+        ("10.0.0.5:80", "third"),
+    ];
+    table.set_services(
+        services.map(|(address, service)| (address.to_owned(), service.to_owned())).into(),
+    );
+    for (address, _) in services {
+        table.record_reached(address, 1, 1_000);
+    }
+    table
+}
+
+#[test]
+fn the_links_to_a_service_are_lost_if_a_comparison_reaches_no_server_of_it_and_restored_by_one() {
+    let mut table = of_services();
+    table.record_lost(FIRST, 2_000);
+    let mut compared = table.start_comparison(FIRST, 2_000, &mut rng()).unwrap();
+    compared.of_service.sort();
+    compared.of_others.sort();
+    assert_eq!(compared.of_service, [SECOND, THIRD]);
+    assert_eq!(compared.of_others, ["10.0.0.4:80", "10.0.0.5:80"]);
+    let (service, addresses) = ("first".to_owned(), [FIRST, SECOND, THIRD].map(str::to_owned));
+    let lost = Change::ServiceLost { service: service.clone(), addresses: addresses.to_vec() };
+    assert_eq!(table.record_service_not_reached(FIRST, 2_060), Some(lost));
+    assert_eq!(table.record_service_not_reached(SECOND, 2_061), None);
+    for address in [FIRST, SECOND, THIRD] {
+        assert_eq!(table.order(address, 2_062), Order::PeersOnly);
+        assert!(!table.open_connections_work(address, 2_062));
+    }
+    assert!(matches!(table.order("10.0.0.4:80", 2_062), Order::OwnFirst { .. }));
+    let lost: Vec<&str> = table.lost(2_062).map(|(address, _)| address).collect();
+    assert_eq!(lost, [FIRST, SECOND, THIRD]);
+    assert_eq!(table.checks_due(2_600, &mut rng()).len(), 3);
+
+    let restored = Change::ServiceRestored { service, addresses: addresses.to_vec(), lost_ms: 640 };
+    assert_eq!(table.record_reached(SECOND, 1, 2_700), Some(restored));
+    for address in [FIRST, SECOND, THIRD] {
+        assert!(matches!(table.order(address, 2_701), Order::OwnFirst { .. }));
+    }
+    assert!(!table.any_lost());
+}
+
+#[test]
+fn links_of_different_services_are_compared_independently() {
+    let mut table = of_services();
+    assert!(table.start_comparison(FIRST, 2_000, &mut rng()).is_some());
+    assert_eq!(table.start_comparison(SECOND, 2_001, &mut rng()), None);
+    assert!(table.start_comparison("10.0.0.4:80", 2_002, &mut rng()).is_some());
+}
+
+#[test]
+fn servers_of_a_service_whose_links_are_lost_are_no_evidence_against_one_of_them() {
+    let mut table = of_services();
+    table.record_service_not_reached(FIRST, 2_000);
+    let others = table.others_of_service(SECOND, ServerFault::Refused, 4, &mut rng());
+    assert_eq!(others, Some(Vec::new()));
+}
+
+#[test]
+fn a_service_that_has_left_the_list_is_no_longer_lost() {
+    let mut table = of_services();
+    table.record_service_not_reached(FIRST, 2_000);
+    table.set_services([("10.0.0.4:80".to_owned(), "second".to_owned())].into());
+    assert!(!table.any_lost());
+}
--- a/src/links.rs
+++ b/src/links.rs
@@ -181,6 +181,11 @@
         lock(&self.table).is_lost(address)
     }
 
+    /// The name of the service of the server at an address.
+    pub fn service_of(&self, address: &str) -> Option<String> {
+        lock(&self.table).service_of(address).map(str::to_owned)
+    }
+
     /// Whether any link to a server is lost.
     pub fn any_lost(&self) -> bool {
         lock(&self.table).any_lost()
@@ -262,6 +267,12 @@
         match &change {
             links::Change::Lost(address) => log::warn!("event=link_lost server={address}"),
             links::Change::Restored(address) => log::info!("event=link_restored server={address}"),
+            links::Change::ServiceLost { service, .. } => {
+                log::warn!("event=service_links_lost service={service}");
+            }
+            links::Change::ServiceRestored { service, lost_ms, .. } => {
+                log::warn!("event=service_links_restored service={service} lost_ms={lost_ms}");
+            }
             links::Change::AllLost => log::warn!("event=all_links_lost"),
             links::Change::AllRestored { lost_ms } => {
                 log::warn!("event=links_restored lost_ms={lost_ms}");
@@ -319,22 +330,33 @@
         self.comparison_due.notify_one();
     }
 
-    /// Finds out whether all links are lost, after the one to the server at `address` failed.
+    /// Finds out whether all links are lost, or all to servers of one service, after the one to the server at `address`
+    /// failed.
     async fn compare(&self, address: &str) {
-        let others =
+        let comparison =
             lock(&self.table).start_comparison(address, self.now_ms(), &mut lock(&self.rng));
-        let Some(mut addresses) = others else { return };
-        addresses.push(address.to_owned());
-        let reached = self.reach(&addresses).await;
-        if !reached.contains(&true) {
-            let change = lock(&self.table).record_none_reached(self.now_ms());
-            self.record(change);
+        let Some(links::Comparison { of_service, of_others }) = comparison else { return };
+        let own = [address.to_owned()];
+        let (own_reached, of_service_reached, of_others_reached) =
+            tokio::join!(self.reach(&own), self.reach(&of_service), self.reach(&of_others));
+        let service_reached = own_reached == [true] || of_service_reached.contains(&true);
+        let change = match (service_reached, of_others_reached.contains(&true)) {
+            (false, false) => lock(&self.table).record_none_reached(self.now_ms()),
+            (false, true) if !of_service.is_empty() => {
+                lock(&self.table).record_service_not_reached(address, self.now_ms())
+            }
+            _ => None,
+        };
+        let is_explained = change.is_some();
+        self.record(change);
+        if is_explained {
             return;
         }
-        // Several links may be lost, such as those to all servers of a service.
-        let unreached = addresses.iter().zip(reached).filter(|(_, reached)| !reached);
-        let races = unreached.filter(|(other, _)| *other != address);
-        future::join_all(races.map(|(other, _)| self.connect(other))).await;
+        // Single links may be lost.
+        let addresses = of_service.iter().chain(&of_others);
+        let compared = addresses.zip(of_service_reached.into_iter().chain(of_others_reached));
+        let races = compared.filter(|(_, reached)| !reached).map(|(other, _)| self.connect(other));
+        future::join_all(races).await;
     }
 
     /// Whether this router reaches other servers of the same service over its own links; `None` if there is no other
