Find silent links to plain services as fast as those to all servers

What callers saw: of the calls of a plain service with 0.6 s to answer each one that was sent within half a second after its link went silent was lost, at each server anew.

Cause: silence of one server was taken as unusual only after 0.5 s, since a model server may read a prompt for so long; and silence by the whole way was compared with the longest one of any number of waiting requests.

Now: connections are watched by way, by service and by server; what is usual for a server is the longest recent silence of the servers of its service, within 0.15 and 0.5 s, and what is usual for a way or service depends on how many exchanges wait, up to four.

the_loss_of_the_links_to_one_service_is_known_by_one_request failed before (calls lost until a second after the cut, no event=service_links_lost) and passes. All ten of routers_cut_off pass.

Ruled out: a fixed shorter time for all servers; prompts are read for longer.

--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -129,6 +129,7 @@
 #[derive(Debug)]
 struct Open {
     placement: Rc<upstream::Placement>,
+    service: Option<Rc<str>>,
     /// The router through which the connection leads; `None` if it is direct.
     via: Option<Rc<str>>,
     established: Instant,
@@ -140,6 +141,8 @@
 pub struct OpenConnection {
     /// The server, and one of the requests that were sent to it.
     pub placement: Rc<upstream::Placement>,
+    /// The name of the server's service; `None` if the server was not in the list.
+    pub service: Option<Rc<str>>,
     /// The router through which the connection leads; `None` if it is direct.
     pub via: Option<Rc<str>>,
     /// The exchange that uses the connection, if there is one.
@@ -229,6 +232,7 @@
         let established = Instant::now();
         self.open.borrow_mut().push(Open {
             placement: Rc::new(placement.clone()),
+            service: self.links.service_of(&placement.address).map(Rc::from),
             via: via.clone(),
             established,
             handle: handle.clone(),
@@ -333,6 +337,7 @@
                 exchange: open.handle.exchange(),
                 received_at: open.handle.received_at()?,
                 placement: open.placement.clone(),
+                service: open.service.clone(),
                 via: open.via.clone(),
                 handle: open.handle.clone(),
             })
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -12,14 +12,15 @@
 
 /// The time between two looks at the connections.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// A server is checked if nothing arrived from it for this long.
-const SERVER_SILENCE_MAX: Duration = Duration::from_millis(500);
-/// A way is checked if nothing arrived on any of its connections for this multiple of its longest recent silence.
-const WAY_SILENCE_FACTOR: f64 = 2.0;
+/// A way is checked if nothing arrived for this multiple of the longest recent silence: on any of its connections, from
+/// any server of a service, or from one server.
+const SILENCE_FACTOR: f64 = 2.0;
 /// The bounds of that silence.
-const WAY_SILENCE_MIN: Duration = Duration::from_millis(150);
-const WAY_SILENCE_MAX: Duration = Duration::from_millis(500);
-/// How long the silence of a way that is no longer used is remembered.
+const SILENCE_MIN: Duration = Duration::from_millis(150);
+const SILENCE_MAX: Duration = Duration::from_millis(500);
+/// The more exchanges wait, the shorter silences are. From this number on they are not told apart.
+const WAITING_MAX: usize = 4;
+/// How long the silences on connections that are no longer used are remembered.
 const SILENCE_TTL: Duration = Duration::from_secs(60);
 /// The longest recent silence shrinks by this factor at each look.
 const SILENCE_DECAY: f64 = 0.999;
@@ -36,6 +37,20 @@
 /// The router through which a connection leads; `None` for the own link.
 type Way = Option<Rc<str>>;
 
+/// The connections by one way that are watched together.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Scope {
+    /// All of them.
+    All,
+    /// Those to the servers of a service.
+    Service(Rc<str>),
+    /// Those to the server at an address.
+    Server(Rc<str>),
+}
+
+/// Names a group of connections.
+type GroupKey = (Way, Scope);
+
 /// Watches the connections until it is dropped.
 pub async fn watch(backends: Rc<backends::Backends>) {
     let mut watch = Watch::new(backends);
@@ -63,7 +78,7 @@
     checked: HashMap<(Way, String), Check>,
     /// Routers that did not connect when they were checked, and when that was.
     lost_relays: HashMap<Rc<str>, Instant>,
-    silences: HashMap<Way, Silence>,
+    silences: HashMap<GroupKey, Silence>,
 }
 
 /// A check of a way to a server.
@@ -74,56 +89,74 @@
     interval: Duration,
 }
 
-/// How long nothing arrives by one way.
+/// How long nothing arrives on a group of connections.
 #[derive(Debug)]
 struct Silence {
     /// At the last look.
     last: Duration,
-    /// The longest one that ended lately.
-    longest: Duration,
+    /// How many exchanges waited then.
+    waiting: usize,
+    /// The longest one that ended lately while one exchange waited, while two did, and so on.
+    longest: [Duration; WAITING_MAX],
     looked_at: Instant,
 }
 
 impl Silence {
     fn new(now: Instant) -> Self {
-        Self { last: Duration::ZERO, longest: Duration::ZERO, looked_at: now }
+        let longest = [Duration::ZERO; WAITING_MAX];
+        Self { last: Duration::ZERO, waiting: 1, longest, looked_at: now }
     }
 
     /// Records the silence at a look; it has ended if it was longer at the last one. Silences that a lost link causes
     /// are not `usual`.
-    fn record(&mut self, current: Duration, usual: bool, now: Instant) {
-        self.longest = self.longest.mul_f64(SILENCE_DECAY);
+    fn record(&mut self, current: Duration, waiting: usize, usual: bool, now: Instant) {
+        for longest in &mut self.longest {
+            *longest = longest.mul_f64(SILENCE_DECAY);
+        }
         if usual && current < self.last {
-            self.longest = self.longest.max(self.last);
+            let longest = &mut self.longest[self.waiting - 1];
+            *longest = self.last.max(*longest);
         }
         self.last = current;
+        self.waiting = waiting.clamp(1, WAITING_MAX);
         self.looked_at = now;
     }
 
-    fn is_unusual(&self) -> bool {
-        let usual = self.longest.mul_f64(WAY_SILENCE_FACTOR);
-        self.last >= usual.clamp(WAY_SILENCE_MIN, WAY_SILENCE_MAX)
+    /// The longest silence that is usual with the present number of exchanges.
+    fn usual(&self) -> Duration {
+        self.longest[self.waiting - 1]
+    }
+
+    fn is_unusual(&self, usual: Duration) -> bool {
+        self.last >= usual.mul_f64(SILENCE_FACTOR).clamp(SILENCE_MIN, SILENCE_MAX)
     }
 }
 
-/// What arrives on some connections that have their way in common, and maybe their server.
+/// What arrives on a group of connections.
 struct Group<'a> {
     /// When data last arrived on any of them.
     received_at: Instant,
     /// The one whose exchange has waited for the longest time, with the start of the exchange.
     longest: Option<(Instant, &'a backends::OpenConnection)>,
+    /// The number of exchanges that wait.
+    waiting: usize,
+    service: Option<Rc<str>>,
 }
 
 impl<'a> Group<'a> {
     fn add(group: Option<Self>, connection: &'a backends::OpenConnection) -> Self {
         let began = connection.exchange.map(|exchange| (exchange.began, connection));
+        let waiting = usize::from(began.is_some());
         let Some(group) = group else {
-            return Self { received_at: connection.received_at, longest: began };
+            let service = connection.service.clone();
+            return Self { received_at: connection.received_at, longest: began, waiting, service };
         };
         let longest = [group.longest, began].into_iter().flatten();
         Self {
             received_at: group.received_at.max(connection.received_at),
             longest: longest.min_by_key(|(began, _)| *began),
+            waiting: group.waiting + waiting,
+            service: group.service,
         }
     }
 
@@ -151,34 +184,31 @@
         self.lost_relays.retain(|_, at| now.duration_since(*at) < RELAY_LOST_TIME);
         self.silences.retain(|_, silence| now.duration_since(silence.looked_at) < SILENCE_TTL);
         let groups = groups(&connections);
-        for ((way, address), group) in &groups {
-            if let (None, Some(address)) = (way, address) {
+        for ((way, scope), group) in &groups {
+            if let (None, Scope::Server(address)) = (way, scope) {
                 self.backends.links().record_received(address, group.received_at);
             }
         }
         for one in &connections {
-            let server = (one.via.as_deref(), Some(one.placement.address.as_str()));
-            let silence = groups.get(&server).map_or(Duration::ZERO, |group| group.silence(now));
-            if silence >= WAY_SILENCE_MIN && self.is_lost(one) {
+            let silence =
+                groups.get(&server_key(one)).map_or(Duration::ZERO, |group| group.silence(now));
+            if silence >= SILENCE_MIN && self.is_lost(one) {
                 one.report_link_lost();
                 if silence >= GIVE_UP_SILENCE {
                     give_up(one, now);
                 }
             }
         }
-        let usual = !self.backends.links().any_lost();
+        self.record_silences(&groups, now);
+        let usual_by_service = self.usual_silences_of_servers(&groups);
         let mut due = Vec::new();
-        for ((way, address), group) in groups {
-            let current = group.silence(now);
-            let unusual = if address.is_some() {
-                current >= SERVER_SILENCE_MAX
-            } else {
-                let silence = self.silences.entry(way.map(Rc::from));
-                let silence = silence.or_insert_with(|| Silence::new(now));
-                silence.record(current, usual, now);
-                silence.is_unusual()
+        for (key, group) in groups {
+            let Some(silence) = self.silences.get(&key) else { continue };
+            let usual = match &key {
+                (way, Scope::Server(_)) => usual_by_service[&(way.clone(), group.service.clone())],
+                _ => silence.usual(),
             };
-            if let Some((_, suspect)) = group.longest.filter(|_| unusual)
+            if let Some((_, suspect)) = group.longest.filter(|_| silence.is_unusual(usual))
                 && self.take_check(suspect, now)
             {
                 due.push((suspect.placement.clone(), suspect.via.clone()));
@@ -187,6 +217,29 @@
         due
     }
 
+    fn record_silences(&mut self, groups: &HashMap<GroupKey, Group<'_>>, now: Instant) {
+        let usual = !self.backends.links().any_lost();
+        for (key, group) in groups {
+            let silence = self.silences.entry(key.clone()).or_insert_with(|| Silence::new(now));
+            silence.record(group.silence(now), group.waiting, usual, now);
+        }
+    }
+
+    /// The longest usual silence of one server, by way and service. A single server answers too seldom to tell.
+    fn usual_silences_of_servers(
+        &self,
+        groups: &HashMap<GroupKey, Group<'_>>,
+    ) -> HashMap<(Way, Option<Rc<str>>), Duration> {
+        let mut usual = HashMap::new();
+        for (key, group) in groups {
+            let (way, Scope::Server(_)) = key else { continue };
+            let of_server = self.silences.get(key).map_or(Duration::ZERO, Silence::usual);
+            let of_service = usual.entry((way.clone(), group.service.clone())).or_default();
+            *of_service = of_server.max(*of_service);
+        }
+        usual
+    }
+
     /// Whether the way of a connection is to be checked; if so, the next check is due later.
     fn take_check(&mut self, suspect: &backends::OpenConnection, now: Instant) -> bool {
         let key = (suspect.via.clone(), suspect.placement.address.clone());
@@ -217,14 +270,13 @@
     }
 }
 
-/// The connections by their way, and by their way and server.
-fn groups(
-    connections: &[backends::OpenConnection],
-) -> HashMap<(Option<&str>, Option<&str>), Group<'_>> {
+/// The groups that the connections belong to: all by one way, and those of them to one service and to one server.
+fn groups(connections: &[backends::OpenConnection]) -> HashMap<GroupKey, Group<'_>> {
     let mut groups = HashMap::new();
     for one in connections {
-        let (way, address) = (one.via.as_deref(), one.placement.address.as_str());
-        for key in [(way, None), (way, Some(address))] {
+        let service = one.service.clone().map(|service| (one.via.clone(), Scope::Service(service)));
+        let keys = [(one.via.clone(), Scope::All), server_key(one)].into_iter().chain(service);
+        for key in keys {
             let group = Group::add(groups.remove(&key), one);
             groups.insert(key, group);
         }
@@ -232,6 +284,10 @@
     groups
 }
 
+fn server_key(connection: &backends::OpenConnection) -> GroupKey {
+    (connection.via.clone(), Scope::Server(Rc::from(connection.placement.address.as_str())))
+}
+
 /// Aborts a connection if the request on it may be repeated.
 fn give_up(connection: &backends::OpenConnection, now: Instant) {
     let Some(exchange) = connection.exchange.filter(|exchange| exchange.repeatable) else { return };
--- a/tests/routers_cut_off.rs
+++ b/tests/routers_cut_off.rs
@@ -128,3 +128,55 @@
     a_router_that_can_open_no_connection_to_all_servers_but_one_serves_unrepeatable_requests:
         "/pay/x", [0], SERVERS - 1, OpenConnections::Unaffected;
 }
+
+const OTHER_SERVICE: &str = "other";
+/// The loss of the links to one service is known within this time.
+const SERVICE_NOTICE_BOUND: Duration = Duration::from_millis(500);
+
+/// Adds a service whose servers are those from `first` on, with a route of its own.
+fn add_other_service(world: &mut World, first: usize) {
+    let configuration = routes::configuration(4, &[routes::KEY], routes::PREPAID);
+    let mut configuration: serde_json::Value = serde_json::from_slice(&configuration).unwrap();
+    let mut service = configuration["services"][0].clone();
+    service["name"] = OTHER_SERVICE.into();
+    configuration["services"].as_array_mut().unwrap().push(service);
+    let mut route = configuration["routes"][0].clone();
+    (route["name"], route["pathPrefix"]) = ("other".into(), "/other/".into());
+    route["service"] = OTHER_SERVICE.into();
+    configuration["routes"].as_array_mut().unwrap().push(route);
+    world.version = 4;
+    world.store.put("op/config", configuration.to_string().as_bytes());
+    for server in first..world.backends.len() {
+        world.record_server_of(server, OTHER_SERVICE);
+    }
+}
+
+#[test]
+fn the_loss_of_the_links_to_one_service_is_known_by_one_request() {
+    let scripts = (0..2 * SERVERS).map(|_| answers("served")).collect();
+    let mut world = World::unready("one-service", scripts);
+    world.put_proxies_before_servers();
+    add_other_service(&mut world, SERVERS);
+    world.add_fleet((0..ROUTERS).map(address));
+    let time = Duration::from_secs(1);
+    std::thread::scope(|scope| {
+        let others = scope.spawn(|| send_requests(&world, 0, "/other/x", 5 * time));
+        let before = send_requests(&world, 0, "/pay/x", 2 * time);
+        assert!(before.iter().all(|(_, status)| *status == 200), "{before:?}");
+        cut(&world, &[0], SERVERS, Some(OpenConnections::Silent));
+        let answers = send_requests(&world, 0, "/pay/x", 2 * time);
+        let lost = answers.iter().filter(|(_, status)| *status != 200);
+        let lost_late = lost.clone().filter(|(sent, _)| *sent >= SERVICE_NOTICE_BOUND);
+        let log = world.log(0);
+        assert_eq!(lost_late.count(), 0, "{answers:?}\n{log}");
+        assert!(lost.count() <= answers.len() / 4, "{answers:?}\n{log}");
+        assert!(log.contains("event=service_links_lost"), "{log}");
+        let others = others.join().unwrap();
+        assert!(others.iter().all(|(_, status)| *status == 200), "{others:?}");
+        assert!(!log.contains("event=all_links_lost"), "{log}");
+        cut(&world, &[0], SERVERS, None);
+    });
+    fleet::eventually("the links are restored", || {
+        world.log(0).contains("event=service_links_restored")
+    });
+}
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -174,6 +174,13 @@
         self.record_server_in(index, state, "a");
     }
 
+    /// Writes the record of a server of another service.
+    pub fn record_server_of(&self, index: usize, service: &str) {
+        let mut record = self.server_record(index, "ready", "a");
+        record["service"] = service.into();
+        self.put_record(&format!("i-{index}"), &record);
+    }
+
     /// Writes a server's record with this state, in the given failure domain.
     pub fn record_server_in(&self, index: usize, state: &str, domain: &str) {
         self.record(index, &format!("i-{index}"), state, domain);
