Have runs go on whose connection was reset while the server still runs them

Cause: the end of a connection was taken for the end of the run. A link that resets a connection at the router need not reset it at the server.

Now: the server is asked to stop the run while it is probed whether it has crashed, and the run goes on over the new connection. If it has no such run, all is as before.

Also: what arrives within 50 ms after a client has left is no sign that the server is still reached; it may have been on its way. The stand-in no longer ends a run when its connection ends, and answers the call that discards a state.

--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -17,6 +17,11 @@
 
 /// A server that is reached sends something within this time after its client has left.
 const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(150);
+/// What arrives this soon after that may have been on its way before.
+const ON_ITS_WAY_MAX: Duration = Duration::from_millis(50);
+
+/// How long a stream whose connection has ended waits for its run to go on over another one.
+const CONTINUE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A streamed answer that is being forwarded.
 pub struct Stream {
@@ -48,6 +53,12 @@
     LinkLost,
 }
 
+/// A run that goes on over another connection.
+struct Continued {
+    incoming: Incoming,
+    connection: backends::Connection,
+}
+
 /// The part of a stream that one connection carries.
 struct Part {
     incoming: Incoming,
@@ -83,8 +94,8 @@
                         continued = continuing => continued,
                         () = sender.closed() => None,
                     };
-                    if let Some(incoming) = continued {
-                        part = Part::new(incoming);
+                    if let Some(continued) = continued {
+                        part = self.switch_to(continued);
                     }
                     continue;
                 }
@@ -100,18 +111,23 @@
                     return;
                 }
                 StreamEnd::DeadlineExceeded => log::info!("event=stream_late id={id}"),
-                StreamEnd::ConnectionLost if self.call.route.resumable => {
-                    self.log_broken(true);
-                    self.gateway.report_connection_lost(&self.call, &self.placement).await;
-                    if let Some(incoming) = self.resume(last_id.as_deref()).await {
+                StreamEnd::ConnectionLost => {
+                    let resumable = self.call.route.resumable;
+                    self.log_broken(resumable);
+                    // The server may not have seen a reset that a failed link caused.
+                    let ((), continued) = tokio::join!(
+                        self.gateway.report_connection_lost(&self.call, &self.placement),
+                        time::timeout(CONTINUE_TIMEOUT, self.continue_run(last_id.as_deref())),
+                    );
+                    if let Ok(Some(continued)) = continued {
+                        part = self.switch_to(continued);
+                        continue;
+                    }
+                    if resumable && let Some(incoming) = self.resume(last_id.as_deref()).await {
                         part = Part::new(incoming);
                         continue;
                     }
                 }
-                StreamEnd::ConnectionLost => {
-                    self.log_broken(false);
-                    self.gateway.report_connection_lost(&self.call, &self.placement).await;
-                }
             }
             self.ticket.finish_unknown();
             let _ = sender.send(Err(body::Truncated)).await;
@@ -185,16 +201,20 @@
         }
     }
 
-    /// Whether anything is received of an answer whose client has left, its end included.
+    /// Whether the server still sends something after its client has left, the end of its answer included.
     async fn receives_more(&mut self, part: &mut Part) -> bool {
-        let frame = time::timeout(CLOSE_SILENCE_MAX, part.incoming.frame()).await;
-        if let Ok(Some(Ok(frame))) = &frame
-            && let Some(bytes) = frame.data_ref()
-            && let Some(batch) = part.splitter.push(bytes)
-        {
-            self.ticket.cost.answer_tokens += batch.count * self.call.engine.event_tokens;
+        let closed = time::Instant::now();
+        let until = closed + CLOSE_SILENCE_MAX;
+        while let Ok(frame) = time::timeout_at(until, part.incoming.frame()).await {
+            let Some(Ok(frame)) = frame else { return true };
+            if let Some(batch) = frame.data_ref().and_then(|bytes| part.splitter.push(bytes)) {
+                self.ticket.cost.answer_tokens += batch.count * self.call.engine.event_tokens;
+            }
+            if closed.elapsed() >= ON_ITS_WAY_MAX {
+                return true;
+            }
         }
-        frame.is_ok()
+        false
     }
 
     fn log_broken(&self, resumable: bool) {
@@ -206,9 +226,14 @@
         );
     }
 
+    fn switch_to(&mut self, continued: Continued) -> Part {
+        self.connection = continued.connection;
+        Part::new(continued.incoming)
+    }
+
     /// Has the run go on at its server over another connection, after the last event that was forwarded. Returns `None`
     /// if it may still go on over the present one.
-    async fn continue_run(&mut self, last_id: Option<&str>) -> Option<Incoming> {
+    async fn continue_run(&self, last_id: Option<&str>) -> Option<Continued> {
         let context = self.gateway.attempts();
         let run = match stopped_runs::stop(context, &self.call, &self.placement).await {
             stopped_runs::Stop::Stopped(run) => run,
@@ -230,8 +255,7 @@
                 if answer.status().is_success() =>
             {
                 log::info!("event=run_continued id={id} vm={vm}");
-                self.connection = connection;
-                Some(answer.into_body())
+                Some(Continued { incoming: answer.into_body(), connection })
             }
             _ => {
                 log::info!("event=run_not_continued id={id} vm={vm}");
--- a/standins/src/runs.rs
+++ b/standins/src/runs.rs
@@ -57,6 +57,7 @@
         let runs = self.clone();
         Box::new(move |_, request| match request.line.split(' ').nth(1) {
             Some("/kv-move") => vec![runs.stop(request)],
+            Some(path) if path.starts_with("/kv-handle/") => vec![backend::response("200 OK", "")],
             _ => runs.begin(request, events, interval),
         })
     }
@@ -149,9 +150,8 @@
                 return Ok(false);
             }
             let event = format!("id: {number}\ndata: piece {number}\n\n");
-            let written = write!(writer, "{:x}\r\n{event}\r\n", event.len());
-            // The client has left.
-            written.inspect_err(|_| self.runs.end(&self.id))?;
+            // The run goes on if its connection has ended: this server does not notice that.
+            let _ = write!(writer, "{:x}\r\n{event}\r\n", event.len());
         }
         self.runs.end(&self.id);
         writer.write_all(b"0\r\n\r\n")?;
