--- a/src/gateway/stopped_runs.rs
+++ b/src/gateway/stopped_runs.rs
@@ -10,7 +10,6 @@
 use doorswitch_platform::runs;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::time;
 
@@ -32,6 +31,16 @@
     NoReply,
 }
 
+impl Stop {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Stopped(_) => "stopped",
+            Self::NotKept => "not_kept",
+            Self::NoReply => "no_reply",
+        }
+    }
+}
+
 /// Stops the run of a call at its server, if that keeps stopped runs.
 pub async fn stop(
     context: attempt::Context<'_>,
@@ -41,30 +50,38 @@
     if !call.engine.keeps_stopped_runs {
         return Stop::NotKept;
     }
-    let (server, id) = (&placement.address, &call.parameters.id);
-    let mut stop = Stop::NotKept;
+    let stop = ask_to_stop(context.backends, &call.parameters.id, placement).await;
+    let (id, vm) = (&call.parameters.id, &placement.vm);
+    match &stop {
+        Stop::Stopped(run) => log::info!("event=run_stopped id={id} vm={vm} events={}", run.events),
+        Stop::NotKept | Stop::NoReply => {
+            log::info!("event=run_not_stopped id={id} vm={vm} cause={}", stop.as_str());
+        }
+    }
+    metrics::counter!("doorswitch_stopped_runs_total", "outcome" => stop.as_str()).increment(1);
+    stop
+}
+
+async fn ask_to_stop(
+    backends: &backends::Backends,
+    id: &str,
+    placement: &upstream::Placement,
+) -> Stop {
+    let server = &placement.address;
     for _ in 0..TARGETS_MAX {
-        let Some(target) = context.backends.links().another_of_service(server) else { break };
+        let Some(target) = backends.links().another_of_service(server) else { break };
         let request = runs::stop_request(server, id, &target);
-        let Some(reply) = exchange(context.backends, placement, request).await else {
-            stop = Stop::NoReply;
-            break;
+        let Some((status, body)) = exchange(backends, placement, request).await else {
+            return Stop::NoReply;
         };
-        match runs::decode_stop_reply(server, reply.status, &reply.body) {
-            runs::StopReply::Stopped(run) => {
-                let (via, events) = (reply.via.as_deref().unwrap_or("own_link"), run.events);
-                log::info!(
-                    "event=run_stopped id={id} vm={} via={via} events={events}",
-                    placement.vm
-                );
-                return Stop::Stopped(run);
-            }
+        match runs::decode_stop_reply(server, status, &body) {
+            runs::StopReply::Stopped(run) => return Stop::Stopped(run),
             runs::StopReply::NoRun => break,
+            // Another target may have room.
             runs::StopReply::Refused => {}
         }
     }
-    log::info!("event=run_not_stopped id={id} vm={} cause={stop:?}", placement.vm);
-    stop
+    Stop::NotKept
 }
 
 /// Has a server discard the state of a stopped run.
@@ -77,29 +94,20 @@
     let _ = exchange(context.backends, placement, run.release_request()).await;
 }
 
-/// A server's reply.
-struct Reply {
-    status: u16,
-    body: Bytes,
-    /// The router through which it was received; `None` if it came over the own link.
-    via: Option<Rc<str>>,
-}
-
-/// Sends a request to a server and reads its reply. Returns `None` if there is none in time.
+/// Sends a request to a server; returns the status and body of its reply, or `None` if there is none in time.
 async fn exchange(
     backends: &backends::Backends,
     placement: &upstream::Placement,
     request: Request<Bytes>,
-) -> Option<Reply> {
+) -> Option<(u16, Bytes)> {
     let exchange = async {
         let mut connection = backends.connect(placement, false, false).await.ok()?;
         let answer = connection.sender.send_request(request.map(Full::new)).await.ok()?;
         let (parts, body) = answer.into_parts();
         let body = Limited::new(body, REPLY_BYTES_MAX).collect().await.ok()?.to_bytes();
         connection.record_keep_alive(&parts.headers);
-        let via = connection.via.clone();
         backends.keep_idle(connection);
-        Some(Reply { status: parts.status.as_u16(), body, via })
+        Some((parts.status.as_u16(), body))
     };
     time::timeout(REPLY_TIMEOUT, exchange).await.ok().flatten()
 }
