--- a/tests/runs_over_lost_links.rs
+++ b/tests/runs_over_lost_links.rs
@@ -97,6 +97,45 @@
         "/resume/x", 2, OpenConnections::Reset;
 }
 
+#[test]
+fn a_stream_that_goes_on_is_billed_once() {
+    const PROMPT_TOKENS: u64 = 100;
+    const EVENT_TOKENS: u64 = 3;
+    let runs = [Runs::default(), Runs::default()];
+    let world = start("billed-once", 2, &runs, EVENTS, true);
+    let tokens = Some((PROMPT_TOKENS, 2 * EVENTS * EVENT_TOKENS));
+    let request = routes::Request { tokens, ..long_deadline_request("/long-stream/x", "id") };
+    let mut client = world.send(0, &request);
+    fleet::eventually("the run has begun", || runs.iter().any(|runs| runs.begun() > 0));
+    std::thread::sleep(5 * INTERVAL);
+    cut(&world, OpenConnections::Silent);
+    assert_whole(&routes::read_answer(&mut client), &world.log(0));
+    let ended = format!(
+        "event=request_ended id=id outcome=ran tokens={} ",
+        PROMPT_TOKENS + EVENTS * EVENT_TOKENS
+    );
+    fleet::eventually("the request is settled", || world.log(0).contains(&ended));
+    assert_eq!(world.log(0).matches("event=request_ended").count(), 1, "{}", world.log(0));
+}
+
+#[test]
+fn a_stream_that_goes_on_outlives_the_router_in_between() {
+    let runs = [Runs::default(), Runs::default()];
+    let mut world = start("relay-killed", 3, &runs, EVENTS, true);
+    let mut client = send(&world, &runs, "/long-stream/x");
+    cut(&world, OpenConnections::Silent);
+    fleet::eventually("the run goes on", || world.log(0).contains("event=run_continued"));
+    let log = world.log(0);
+    let relay = log.lines().rfind(|line| line.contains("event=attempt_relayed id=id ")).unwrap();
+    let relay = if relay.ends_with("via=entry-1") { 1 } else { 2 };
+    std::thread::sleep(2 * INTERVAL);
+    world.kill(relay);
+    let answer = routes::read_answer(&mut client);
+    assert_whole(&answer, &world.log(0));
+    assert_eq!(runs.iter().map(Runs::begun).sum::<usize>(), 1, "{}", world.log(0));
+    assert_eq!(world.log(0).matches("event=run_continued").count(), 2, "{}", world.log(0));
+}
+
 #[test]
 fn a_client_that_leaves_while_its_link_is_silent_frees_the_server() {
     let runs = [Runs::default(), Runs::default()];
