--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -129,6 +129,7 @@
 #[derive(Debug)]
 struct Open {
     placement: Rc<upstream::Placement>,
+    address: Rc<str>,
     service: Option<Rc<str>>,
     /// The router through which the connection leads; `None` if it is direct.
     via: Option<Rc<str>>,
@@ -141,6 +142,8 @@
 pub struct OpenConnection {
     /// The server, and one of the requests that were sent to it.
     pub placement: Rc<upstream::Placement>,
+    /// The address of the server.
+    pub address: Rc<str>,
     /// The name of the server's service; `None` if the server was not in the list.
     pub service: Option<Rc<str>>,
     /// The router through which the connection leads; `None` if it is direct.
@@ -232,6 +235,7 @@
         let established = Instant::now();
         self.open.borrow_mut().push(Open {
             placement: Rc::new(placement.clone()),
+            address: Rc::from(placement.address.as_str()),
             service: self.links.service_of(&placement.address).map(Rc::from),
             via: via.clone(),
             established,
@@ -337,6 +341,7 @@
                 exchange: open.handle.exchange(),
                 received_at: open.handle.received_at()?,
                 placement: open.placement.clone(),
+                address: open.address.clone(),
                 service: open.service.clone(),
                 via: open.via.clone(),
                 handle: open.handle.clone(),
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -285,7 +285,7 @@
 }
 
 fn server_key(connection: &backends::OpenConnection) -> GroupKey {
-    (connection.via.clone(), Scope::Server(Rc::from(connection.placement.address.as_str())))
+    (connection.via.clone(), Scope::Server(connection.address.clone()))
 }
 
 /// Aborts a connection if the request on it may be repeated.
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -19,7 +19,6 @@
 const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(150);
 /// What arrives this soon after that may have been on its way before.
 const ON_ITS_WAY_MAX: Duration = Duration::from_millis(50);
-
 /// How long a stream whose connection has ended waits for its run to go on over another one.
 const CONTINUE_TIMEOUT: Duration = Duration::from_millis(250);
 
