Ask any model server to keep a stopped run; no new field in the configuration

Cause: the new field of a service was left out where it is false. Routers send each other the configuration in an encoding without field names.

Now: there is no such field, so messages between routers are as before (protocol 17). A model server that keeps no stopped runs refuses the call, which is made only when a link is lost or a connection has ended.

No test caught it: fleets of the tests' size get the configuration from the store. New test a_configuration_of_defaults_survives_the_encoding_between_routers: fails with a field that is left out (DeserializeUnexpectedEnd), passes now.

Ruled out: the field always written, with protocol 18; each such number makes an upgrade a partition.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -153,7 +153,6 @@
         answer_time_ms: 1,
         connections_max: None,
         event_tokens: 1,
-        keeps_stopped_runs: false,
         cold_milli_per_s: 0,
         cold_start_ms: 0,
     };
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -256,10 +256,6 @@
     /// For a model service: the maximum number of tokens in one event of a streamed answer.
     #[serde(default = "default_event_tokens")]
     pub event_tokens: u64,
-    /// For a model service: whether its servers stop a run on request and keep its state, so that the run can go on over
-    /// another connection. Requests by routes use this if the link to a server is lost.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub keeps_stopped_runs: bool,
     /// The maximum rate of requests of all routers together to a cold server, in thousandths of a request per second; 0
     /// for no limit.
     #[serde(default)]
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -580,7 +580,6 @@
         answer_time_ms: 10_000,
         connections_max: None,
         event_tokens: 1,
-        keeps_stopped_runs: false,
         cold_milli_per_s: 0,
         cold_start_ms: 0,
     }
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -4,8 +4,8 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use doorswitch_core::{
-    evacuation, ids, leaving_servers, log_index, members, message, quarantine, servers, store,
-    streams, watch,
+    config, evacuation, ids, leaving_servers, log_index, members, message, quarantine, servers,
+    store, streams, watch,
 };
 use std::collections;
 
@@ -310,3 +310,17 @@
         dealt: servers::SeatsDealt { seats: 3, in_turn: true, retry_ms: 4 },
     } => "0101021d01016102030104";
 }
+
+/// Routers send each other the configuration in an encoding without field names, in which no field may be left out.
+#[test]
+fn a_configuration_of_defaults_survives_the_encoding_between_routers() {
+    let document = r#"{
+        "workspaces": [{ "name": "cafe", "keys": [], "budgets": [{ "name": "main" }] }],
+        "services": [{ "name": "notes", "kind": "model", "policy": "all" }],
+        "policies": [{ "name": "all", "program": "deny(1)" }]
+    }"#;
+    let document: config::Document = serde_json::from_str(document).unwrap();
+    let published = config::Published::next(None, "operation", document);
+    let bytes = postcard::to_stdvec(&published).unwrap();
+    assert_eq!(postcard::from_bytes::<config::Published>(&bytes).unwrap(), published);
+}
--- a/core/tests/world/sample.rs
+++ b/core/tests/world/sample.rs
@@ -44,7 +44,6 @@
             answer_time_ms: 60_000,
             connections_max: None,
             event_tokens: 1,
-            keeps_stopped_runs: false,
             cold_milli_per_s: 0,
             cold_start_ms: 0,
         }],
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -40,8 +40,8 @@
 pub struct Engine {
     /// The maximum number of tokens in one event of an answer.
     pub event_tokens: u64,
-    /// Whether they keep the state of runs that are stopped.
-    pub keeps_stopped_runs: bool,
+    /// Whether they are model servers, which may keep the state of runs that are stopped.
+    pub is_model: bool,
 }
 
 /// Where the answer to a call goes on.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -211,10 +211,7 @@
             bound_tokens,
             answer_tokens: 0,
         };
-        let engine = attempt::Engine {
-            event_tokens: service.event_tokens,
-            keeps_stopped_runs: service.keeps_stopped_runs,
-        };
+        let engine = attempt::Engine { event_tokens: service.event_tokens, is_model: metered };
         Ok((admission_request, cost, engine))
     }
 
--- a/src/gateway/stopped_runs.rs
+++ b/src/gateway/stopped_runs.rs
@@ -41,13 +41,13 @@
     }
 }
 
-/// Stops the run of a call at its server, if that keeps stopped runs.
+/// Stops the run of a call at its server, if that keeps stopped runs: a model server that does not refuses the call.
 pub async fn stop(
     context: attempt::Context<'_>,
     call: &attempt::Call,
     placement: &upstream::Placement,
 ) -> Stop {
-    if !call.engine.keeps_stopped_runs {
+    if !call.engine.is_model {
         return Stop::NotKept;
     }
     let stop = ask_to_stop(context.backends, &call.parameters.id, placement).await;
--- a/standins/src/runs.rs
+++ b/standins/src/runs.rs
@@ -52,10 +52,12 @@
 }
 
 impl Runs {
-    /// The script of a server whose answers are streams of this many events, one at each interval.
-    pub fn script(&self, events: u64, interval: Duration) -> backend::Script {
+    /// The script of a server whose answers are streams of this many events, one at each interval. It keeps stopped runs
+    /// if `keeps` is set.
+    pub fn script(&self, events: u64, interval: Duration, keeps: bool) -> backend::Script {
         let runs = self.clone();
         Box::new(move |_, request| match request.line.split(' ').nth(1) {
+            Some("/kv-move") if !keeps => vec![backend::response("404 Not Found", "")],
             Some("/kv-move") => vec![runs.stop(request)],
             Some(path) if path.starts_with("/kv-handle/") => vec![backend::response("200 OK", "")],
             _ => runs.begin(request, events, interval),
--- a/tests/external_names.rs
+++ b/tests/external_names.rs
@@ -58,7 +58,7 @@
     unknown_key_of_a_key: document_error("{\"workspaces\": [{\"keys\": [{\"x\": 1}]}]}") => "unknown field `x`, expected `name` or `sha256` at line 1 column 30";
     unknown_key_of_a_budget: document_error("{\"workspaces\": [{\"budgets\": [{\"x\": 1}]}]}")
         => r#"unknown field `x`, expected one of `name`, `cover_s`, `minimum_grant_tokens`, `prepaid_tokens`, `held_percent`, `holders`, `loss_spread_s` at line 1 column 33"#;
-    unknown_key_of_a_service: document_error("{\"services\": [{\"x\": 1}]}") => r#"unknown field `x`, expected one of `name`, `kind`, `policy`, `models`, `answer_tokens_max`, `call_tokens`, `unrepeatable`, `queue_length`, `queue_age_ms`, `answer_time_ms`, `connections_max`, `event_tokens`, `keeps_stopped_runs`, `cold_milli_per_s`, `cold_start_ms` at line 1 column 18"#;
+    unknown_key_of_a_service: document_error("{\"services\": [{\"x\": 1}]}") => r#"unknown field `x`, expected one of `name`, `kind`, `policy`, `models`, `answer_tokens_max`, `call_tokens`, `unrepeatable`, `queue_length`, `queue_age_ms`, `answer_time_ms`, `connections_max`, `event_tokens`, `cold_milli_per_s`, `cold_start_ms` at line 1 column 18"#;
     unknown_kind_of_a_service: document_error("{\"services\": [{\"kind\": \"x\"}]}") => "unknown variant `x`, expected `model` or `plain` at line 1 column 26";
     unknown_key_of_a_call: document_error("{\"services\": [{\"unrepeatable\": [{\"x\": 1}]}]}")
         => "unknown field `x`, expected `method` or `path_prefix` at line 1 column 36";
--- a/tests/runs_over_lost_links.rs
+++ b/tests/runs_over_lost_links.rs
@@ -29,14 +29,10 @@
 
 /// Routers in front of servers behind proxies; the servers keep runs that are stopped if `keeps` is set.
 fn start(name: &str, routers: usize, runs: &[Runs], events: u64, keeps: bool) -> World {
-    let scripts = runs.iter().map(|runs| runs.script(events, INTERVAL)).collect();
+    let scripts = runs.iter().map(|runs| runs.script(events, INTERVAL, keeps)).collect();
     let mut world = World::unready(name, scripts);
     world.put_proxies_before_servers();
-    let mut configuration: serde_json::Value =
-        serde_json::from_slice(&routes::configuration(2, &[routes::KEY], routes::PREPAID)).unwrap();
-    configuration["services"][0]["engine"]["moves"] = keeps.into();
-    world.version = 2;
-    world.store.put("op/config", configuration.to_string().as_bytes());
+    world.publish(&[routes::KEY], routes::PREPAID);
     world.add_fleet((0..routers).map(address));
     world
 }
