--- a/core/tests/stream_version_schedules.rs
+++ b/core/tests/stream_version_schedules.rs
@@ -51,6 +51,8 @@
     Outage,
     /// All routers are killed and start again.
     KillAll,
+    /// All routers are killed and start again after a while, in which servers are replaced.
+    LoseAll,
 }
 
 struct Server {
@@ -153,6 +155,8 @@
     counts: Counts,
     wakes: Vec<(u64, usize)>,
     joins: Vec<(u64, usize)>,
+    /// When routers start again that were lost together.
+    routers_start_ms: Option<u64>,
     outage_ends_ms: u64,
     names: u64,
 }
@@ -168,6 +172,7 @@
             counts: Counts::default(),
             wakes: Vec::new(),
             joins: Vec::new(),
+            routers_start_ms: None,
             outage_ends_ms: 0,
             names: 0,
         };
@@ -254,17 +259,7 @@
                     self.servers[server].starts_ms = Some(now_ms + down_ms);
                 }
             }
-            Fault::Release => {
-                let left_ms = now_ms + self.traffic.rng.random_range(500..3_000);
-                if let Some(server) = server {
-                    self.servers[server].ends_ms = Some(left_ms);
-                    let name = self.servers[server].name.clone();
-                    let leaving = servers::VmState::Leaving;
-                    self.traffic.fleet.put_server_with_slots(&name, leaving, SLOTS);
-                }
-                let version = VERSIONS.choose(&mut self.traffic.rng).unwrap();
-                self.start_server(version);
-            }
+            Fault::Release => self.release(server),
             Fault::Kill => self.kill(router),
             Fault::KillTwo => {
                 self.kill(router);
@@ -273,6 +268,17 @@
             Fault::KillAll => {
                 (0..self.traffic.fleet.routers.len()).for_each(|router| self.kill(router))
             }
+            Fault::LoseAll => {
+                (0..self.traffic.fleet.routers.len())
+                    .for_each(|router| self.traffic.fleet.kill(router));
+                let lost_ms = self.traffic.rng.random_range(20..3_000);
+                self.routers_start_ms = Some(now_ms + lost_ms);
+                match self.traffic.rng.random_range(0..3) {
+                    0 => {}
+                    1 => accepting.iter().for_each(|server| self.release(Some(*server))),
+                    _ => self.replace_all(&accepting),
+                }
+            }
             Fault::Freeze => {
                 self.traffic.fleet.set_frozen(router, true);
                 let frozen_ms = self.traffic.rng.random_range(100..3_000);
@@ -291,6 +297,28 @@
         }
     }
 
+    /// Has a server leave as planned, and one of any version start.
+    fn release(&mut self, server: Option<usize>) {
+        let left_ms = self.now_ms() + self.traffic.rng.random_range(500..3_000);
+        if let Some(server) = server {
+            self.servers[server].ends_ms = Some(left_ms);
+            let name = self.servers[server].name.clone();
+            let leaving = servers::VmState::Leaving;
+            self.traffic.fleet.put_server_with_slots(&name, leaving, SLOTS);
+        }
+        let version = VERSIONS.choose(&mut self.traffic.rng).unwrap();
+        self.start_server(version);
+    }
+
+    /// Has these servers end at once, and as many of one version start.
+    fn replace_all(&mut self, servers: &[usize]) {
+        let version = *VERSIONS.choose(&mut self.traffic.rng).unwrap();
+        for server in servers {
+            self.servers[*server].ends_ms = Some(self.now_ms());
+            self.start_server(version);
+        }
+    }
+
     /// Kills a router, which starts again at once.
     fn kill(&mut self, router: usize) {
         self.traffic.fleet.restart(router);
@@ -335,6 +363,9 @@
                 false => self.joins.push((at_ms, router)),
             }
         }
+        if self.routers_start_ms.take_if(|at_ms| now_ms >= *at_ms).is_some() {
+            (0..self.traffic.fleet.routers.len()).for_each(|router| self.kill(router));
+        }
         if self.outage_ends_ms > 0 && now_ms >= self.outage_ends_ms {
             self.outage_ends_ms = 0;
             self.traffic.fleet.set_store(watch_fleet::StoreMode::Available);
@@ -645,6 +676,7 @@
     )* };
 }
 
+const ONE: [&str; 1] = ["v1"];
 const TWO: [&str; 2] = ["v1", "v2"];
 const LOPSIDED: [&str; 6] = ["v1", "v1", "v1", "v1", "v1", "v2"];
 
@@ -667,7 +699,7 @@
     ($($name:ident: $routers:expr, $versions:expr, $faults:expr;)*) => { $(
         #[test]
         fn $name() {
-            let counts = run($routers, &$versions, &$faults, seeds());
+            let counts = run($routers, &$versions, &$faults, 4 * seeds());
             println!("{} {counts:?}", stringify!($name));
             assert!(counts.broke > 0, "no stream broke: {counts:?}");
         }
@@ -677,6 +709,17 @@
 unmixed_schedules! {
     streams_hold_one_version_while_routers_are_partitioned: 8, TWO, [Fault::Partition, Fault::Kill, Fault::Reset, Fault::Release];
     streams_hold_one_version_after_the_loss_of_all_routers: 8, TWO, [Fault::KillAll, Fault::Release];
+    streams_hold_one_version_while_servers_are_replaced_during_losses_of_all_routers: 8, ONE, [
+        Fault::LoseAll, Fault::Release, Fault::Reset,
+    ];
+    streams_hold_one_version_at_one_router_that_is_lost: 1, ONE, [Fault::LoseAll, Fault::Release];
+    streams_hold_one_version_while_the_store_is_down_around_losses_of_all_routers: 8, TWO, [
+        Fault::LoseAll, Fault::Release, Fault::Outage,
+    ];
+    streams_hold_one_version_while_losses_of_all_routers_and_of_single_ones_overlap: 8, ONE, [
+        Fault::LoseAll, Fault::Release, Fault::Outage, Fault::Kill, Fault::Partition, Fault::Freeze,
+        Fault::Crash,
+    ];
     streams_hold_one_version_at_two_routers: 2, TWO, [Fault::Kill, Fault::Partition, Fault::Release];
     streams_hold_one_version_under_all_faults: 8, VERSIONS, [
         Fault::Reset, Fault::Crash, Fault::Release, Fault::Kill, Fault::KillTwo, Fault::Freeze,
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -5,6 +5,7 @@
 pub mod crashing;
 pub mod load;
 pub mod scripted;
+pub mod streams;
 
 use crate::fleet;
 use doorswitch_standins::{backend, network, store};
