Record a software version before streams begin at it

Cause: the record of versions was written once a service had two of them, at most once a second, and a router that found no record took that for proof that there was one version only. Absence of evidence was read as evidence.

Now a version stands in the record (doorswitch/stream-versions) before a stream that its client may continue begins at one of its servers: such a stream goes to recorded versions, waits in the queue while there is none, and is refused as version_unrecorded when its time there is over. One write a version and service, none for a stream. A version that left is marked after 120 s and removed 30 s later, so that a late removal cannot cross a new use. A record is believed to be complete only if it says so in the store's present era. It says so if its writers have seen everything since the store was new (no ledger, no marker) or for 120 s. Beside a router that does not write it (gossip without the extension that follows the fields of protocol 17, which older builds ignore) it is incomplete, and the word of such a router that it has seen all versions is not believed either. A record of a later format is left as it is.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -210,6 +210,7 @@
         quarantine: Default::default(),
         limits: Vec::new(),
         brittle: Vec::new(),
+        extension: None,
     }
 }
 
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -183,6 +183,8 @@
     read_times_ms: collections::BTreeMap<u64, u64>,
     /// The latest recovery decision and the era for which it was made.
     recovery_decision: Option<(u64, RecoveryDecision)>,
+    /// Whether the first answer that this router read showed that the shard had never been written.
+    was_missing: Option<bool>,
 }
 
 impl Writer {
@@ -215,6 +217,7 @@
             call_started_ms: 0,
             read_times_ms: Default::default(),
             recovery_decision: None,
+            was_missing: None,
         }
     }
 
@@ -223,6 +226,11 @@
         self.sync_requested = true;
     }
 
+    /// Whether the shard had never been written when this router first read it; `None` before that.
+    pub fn was_missing(&self) -> Option<bool> {
+        self.was_missing
+    }
+
     /// Whether a call is in flight or the result of a write is not known.
     pub fn busy(&self) -> bool {
         !matches!(self.state, State::Idle) || self.unresolved_write_index.is_some()
--- a/core/src/ledger_writer/replies.rs
+++ b/core/src/ledger_writer/replies.rs
@@ -79,6 +79,13 @@
         context: &Context<'_>,
         rng: &mut rngs::StdRng,
     ) -> (Option<Write>, Vec<Event>) {
+        match &reply {
+            store::Reply::Missing { .. } => _ = self.was_missing.get_or_insert(true),
+            store::Reply::Found { .. } | store::Reply::Undecodable { .. } => {
+                self.was_missing.get_or_insert(false);
+            }
+            _ => {}
+        }
         let (index, value) = match reply {
             store::Reply::Found { index, value } if index >= self.latest_index => (index, value),
             store::Reply::Missing { era }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod servers;
 pub mod store;
 pub mod streams;
+pub mod version_record;
 pub mod watch;
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     evacuation, ids, leaving_servers, log_index, members, quarantine, servers, store, streams,
-    watch,
+    version_record, watch,
 };
 use serde::{Deserialize, Serialize};
 
@@ -343,6 +343,23 @@
     pub limits: Vec<servers::LimitUpdate>,
     /// Updates on servers that are brittle.
     pub brittle: Vec<servers::BrittleUpdate>,
+    /// What follows the other fields in a datagram; `None` from a build that sends no such part. A build that does not
+    /// know it ignores it.
+    #[serde(skip)]
+    pub extension: Option<GossipExtension>,
+}
+
+/// The part of a [`Gossip`] datagram that follows the fields which all builds of the protocol's version know. A router
+/// that sends it writes the store's record of the software versions at which streams begin.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipExtension {
+    /// The position of the sender's copy of the record.
+    pub versions_position: store::Position,
+    /// The sender's copy, if it is later than the receiver's.
+    pub versions: Option<version_record::Record>,
+    /// How long ago gossip of a router without this part was last received, by the sender or by one that told it, in
+    /// milliseconds.
+    pub older_build_age_ms: Option<u64>,
 }
 
 /// Whether a [`Gossip`] datagram is a probe that requests a reply, the reply to a probe, or contains updates only.
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -408,6 +408,7 @@
         service: &request.admission.service,
         classes: &request.admission.classes,
         version: request.version.as_deref(),
+        recorded_versions_only: request.admission.stream.is_some() && request.version.is_none(),
         prefix_hash: request.admission.prefix_hash,
         parts: &request.admission.parts,
         excluded: &request.failed_servers,
--- a/core/src/node/config_and_vms.rs
+++ b/core/src/node/config_and_vms.rs
@@ -50,6 +50,7 @@
             (service.name.clone(), limit)
         });
         self.servers.set_cold_limits(limits, now_ms);
+        self.version_record.set_services(&published.document.routes);
         self.config = Some(published);
         self.update_evacuated_domains(now_ms);
         self.become_ready();
@@ -114,6 +115,8 @@
         self.members.add_seeds(routers.map(|vm| vm.address.clone()));
         self.servers.apply_list(&self.backends(&vms), now_ms);
         self.update_mixed_services(now_ms);
+        self.version_record.schedule_check();
+        self.tick_version_record(now_ms);
         self.report_restarted();
         let previous_vms = std::mem::take(&mut self.vms);
         self.vms = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
--- a/core/src/node/counters.rs
+++ b/core/src/node/counters.rs
@@ -22,7 +22,7 @@
     /// Reads the record of quarantined requests, which are not sent to servers.
     QuarantineRead,
     QuarantineWrite,
-    /// Reads the record of services whose servers have several software versions.
+    /// Reads the record of the software versions at which streams may begin.
     VersionsRead,
     VersionsWrite,
 }
--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -131,6 +131,9 @@
         if previous.is_some_and(|current| era <= current) {
             return;
         }
+        if self.store_era() != era {
+            self.reset_version_record();
+        }
         self.eras.current = Some(era);
         self.eras.current_since_ms = now_ms;
         self.eras.unconfirmed = self.eras.unconfirmed.filter(|unconfirmed| unconfirmed.era > era);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -123,6 +123,7 @@
         let table_differs = self.merge_quarantine(&gossip.quarantine, now_ms);
         self.merge_limits(&gossip.limits, now_ms);
         self.merge_brittle(gossip.from.id, &gossip.brittle, now_ms);
+        self.merge_version_record(gossip.from.id, gossip.extension.as_ref(), now_ms);
         for leaving in &gossip.leaving {
             self.merge_leaving(gossip.from.id, leaving);
         }
@@ -142,8 +143,10 @@
                 records,
                 now_ms,
             );
-        } else if table_differs && gossip.kind == message::GossipKind::Ack {
-            self.quarantine.peer_differs = true;
+        } else if gossip.kind == message::GossipKind::Ack
+            && (table_differs || self.version_record.peer_lacks_record())
+        {
+            self.quarantine.peer_differs = table_differs;
             let address = gossip.from.address.clone();
             self.push_gossip(address, message::GossipKind::Push, Vec::new(), now_ms);
         }
@@ -229,6 +232,7 @@
             quarantine: self.quarantine.table.next_updates(peer_differs, now_ms),
             limits: self.take_limit_updates(now_ms),
             brittle: self.servers.take_brittle_updates(now_ms),
+            extension: Some(self.gossip_extension(now_ms)),
         };
         self.counters.gossip_sent += 1;
         self.actions.push(Action::Gossip { address, gossip: Box::new(gossip) });
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -13,7 +13,7 @@
     Quarantine,
     /// The record of the store's era.
     EraRecord,
-    /// The record of services with several software versions.
+    /// The record of the software versions at which streams may begin.
     VersionRecord,
 }
 
--- a/core/src/node/queue.rs
+++ b/core/src/node/queue.rs
@@ -54,9 +54,12 @@
             if request.admission.deadline_ms <= now_ms {
                 self.refuse(position.slot, Reason::DeadlineTooClose, now_ms);
             } else if age_ms >= age_max_ms {
-                let reason = match self.servers.all_limited(&position.service, now_ms) {
-                    true => Reason::Limited,
-                    false => Reason::Overloaded,
+                let reason = if self.servers.awaits_record(&admit::server_criteria(request)) {
+                    Reason::VersionUnrecorded
+                } else if self.servers.all_limited(&position.service, now_ms) {
+                    Reason::Limited
+                } else {
+                    Reason::Overloaded
                 };
                 self.refuse(position.slot, reason, now_ms);
             }
@@ -79,7 +82,9 @@
                 self.waiting_servers.remove(&position);
                 continue;
             };
-            let restricted = request.version.is_some() || !request.admission.classes.is_empty();
+            let restricted = request.version.is_some()
+                || request.admission.stream.is_some()
+                || !request.admission.classes.is_empty();
             match admit::choose(&mut self.servers, request, now_ms, &mut self.rng) {
                 Ok(choice) => {
                     self.waiting_servers.remove(&position);
@@ -229,7 +234,9 @@
 /// the first server that accepts requests again accepts a single one, and most of the queue would expire.
 fn may_wait(unavailable: servers::Unavailable) -> bool {
     match unavailable {
-        servers::Unavailable::Full | servers::Unavailable::Limited => true,
+        servers::Unavailable::Full
+        | servers::Unavailable::Limited
+        | servers::Unavailable::Unrecorded => true,
         servers::Unavailable::Backoff | servers::Unavailable::None => false,
     }
 }
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -298,7 +298,8 @@
             }
             streams::Reply::Unknown { candidates, complete } => {
                 search.candidates.extend(candidates);
-                search.complete |= complete;
+                // Other builds take a missing record for a complete one.
+                search.complete |= complete && self.version_record.is_writer(from);
             }
         }
         if self.stream_origins.searches[slot].unanswered.is_empty() {
@@ -341,8 +342,11 @@
         now_ms: u64,
     ) -> impl Iterator<Item = streams::Origin> {
         services.iter().flat_map(move |service| {
-            let versions = self.servers.recent_versions(service, now_ms).into_iter();
-            versions.map(|version| streams::Origin {
+            let versions = match self.record_names_all_versions(now_ms) {
+                true => self.servers.recorded_versions(service, now_ms),
+                false => self.servers.recent_versions(service, now_ms),
+            };
+            versions.into_iter().map(|version| streams::Origin {
                 service: service.clone(),
                 version: version.to_owned(),
             })
@@ -376,7 +380,9 @@
         let expired = now_ms >= running.started_ms + SEARCH_TIMEOUT_MS;
         match (candidates.pop_first(), candidates.is_empty()) {
             (None, _) => self.refuse_continuation(slot, Reason::NoServer),
-            (Some(_), true) if !complete && !expired => self.request_version_record(now_ms),
+            (Some(_), true) if !complete && !expired && !self.version_record.is_read() => {
+                self.request_version_record(now_ms);
+            }
             (Some(origin), true) if complete && (!alone || list_is_recent) => {
                 self.accept_origin(slot, origin, OriginSource::OnlyVersion);
             }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -207,6 +207,8 @@
     NoServerOfVersion,
     /// A client continues a stream of which no router in reach knows the software version.
     StreamOriginUnknown,
+    /// A stream that its client may continue can begin only at a software version that is not in the store's record yet.
+    VersionUnrecorded,
 }
 
 impl Reason {
@@ -234,6 +236,7 @@
             Self::Limited => "Limited",
             Self::Backoff => "Backoff",
             Self::StreamOriginUnknown => "StreamOriginUnknown",
+            Self::VersionUnrecorded => "VersionUnrecorded",
         }
     }
 }
@@ -245,6 +248,7 @@
             servers::Unavailable::Limited => Self::Limited,
             servers::Unavailable::Backoff => Self::Backoff,
             servers::Unavailable::None => Self::NoServer,
+            servers::Unavailable::Unrecorded => Self::VersionUnrecorded,
         }
     }
 }
--- a/core/src/servers.rs
+++ b/core/src/servers.rs
@@ -60,6 +60,8 @@
     listed: bool,
     /// Whether its failure domain is evacuated.
     evacuated: bool,
+    /// Whether streams that clients can continue may begin at its version.
+    version_recorded: bool,
     warm_up: Option<warm_up::WarmUp>,
     /// Last load report of the server.
     pub load: Option<Load>,
@@ -95,6 +97,7 @@
             superseded: false,
             listed: true,
             evacuated: false,
+            version_recorded: false,
             warm_up: None,
             unread_tokens: 0,
             name_hash: rendezvous::digest(&vm.vm),
@@ -165,7 +168,8 @@
     fn matches(&self, criteria: &Criteria<'_>) -> bool {
         let class = criteria.classes.is_empty() || criteria.classes.contains(&self.vm.class);
         let version = criteria.version.is_none_or(|version| version == self.vm.version);
-        class && version && self.is_live()
+        let recorded = !criteria.recorded_versions_only || self.version_recorded;
+        class && version && recorded && self.is_live()
     }
 
     /// Estimated time for one more request, in microseconds: the server's answer time scaled by its
@@ -186,6 +190,9 @@
     pub classes: &'a [String],
     /// Software version that the server must have; `None` allows all.
     pub version: Option<&'a str>,
+    /// Whether the store's record must contain the server's version, as a stream begins there that its client may
+    /// continue after all routers were lost.
+    pub recorded_versions_only: bool,
     /// Hash of the beginning of the prompt.
     pub prefix_hash: Option<u64>,
     /// Parts of the prompt; empty if they are not known.
@@ -208,6 +215,8 @@
     Backoff,
     /// No matching server is live.
     None,
+    /// No matching server is live whose version is in the store's record, but others are.
+    Unrecorded,
 }
 
 /// All backend servers of which one router has a record, with the load, limits and failures on which the choice of a
@@ -247,8 +256,7 @@
             self.apply_vm(vm, now_ms);
         }
         self.remove_unlisted(&listed, now_ms);
-        let listed = self.servers.values().filter(|server| server.listed && !server.superseded);
-        self.versions.update(listed.map(|server| &server.vm), now_ms);
+        self.update_versions(now_ms);
     }
 
     /// Returns the server in a slot.
@@ -282,6 +290,19 @@
         criteria: &Criteria<'_>,
         now_ms: u64,
         rng: &mut rngs::StdRng,
+    ) -> Result<Choice, Unavailable> {
+        let chosen = self.choose_recorded(criteria, now_ms, rng);
+        match chosen {
+            Err(Unavailable::None) if self.awaits_record(criteria) => Err(Unavailable::Unrecorded),
+            chosen => chosen,
+        }
+    }
+
+    fn choose_recorded(
+        &mut self,
+        criteria: &Criteria<'_>,
+        now_ms: u64,
+        rng: &mut rngs::StdRng,
     ) -> Result<Choice, Unavailable> {
         if !criteria.parts.is_empty() {
             return self.choose_for_prompt(criteria, now_ms);
--- a/core/tests/cold_servers.rs
+++ b/core/tests/cold_servers.rs
@@ -82,6 +82,7 @@
                     service: SERVICE,
                     classes: &[],
                     version: None,
+                    recorded_versions_only: false,
                     prefix_hash: None,
                     parts: &parts,
                     excluded: &[],
--- a/core/tests/external_names.rs
+++ b/core/tests/external_names.rs
@@ -236,7 +236,7 @@
     counters
 }
 
-const REASONS: [node::Reason; 21] = [
+const REASONS: [node::Reason; 22] = [
     node::Reason::NotReady,
     node::Reason::Stopping,
     node::Reason::Fenced,
@@ -258,11 +258,12 @@
     node::Reason::Backoff,
     node::Reason::NoServerOfVersion,
     node::Reason::StreamOriginUnknown,
+    node::Reason::VersionUnrecorded,
 ];
 
 texts! {
-    reasons: REASONS.map(node::Reason::as_str).join(" ") => r#"NotReady Stopping Fenced Unconfigured BudgetExhausted BudgetLow BudgetUnreachable Overloaded NoServer DeadlineTooClose ClaimUnreachable InProgress IdConflict RetriesExhausted Quarantined PartQuarantined Suspended Limited Backoff NoServerOfVersion StreamOriginUnknown"#;
-    reasons_in_the_dump: json(&REASONS) => r#"["not_ready","stopping","fenced","unconfigured","budget_exhausted","budget_low","budget_unreachable","overloaded","no_server","deadline_too_close","claim_unreachable","in_progress","id_conflict","retries_exhausted","quarantined","part_quarantined","suspended","limited","backoff","no_server_of_version","stream_origin_unknown"]"#;
+    reasons: REASONS.map(node::Reason::as_str).join(" ") => r#"NotReady Stopping Fenced Unconfigured BudgetExhausted BudgetLow BudgetUnreachable Overloaded NoServer DeadlineTooClose ClaimUnreachable InProgress IdConflict RetriesExhausted Quarantined PartQuarantined Suspended Limited Backoff NoServerOfVersion StreamOriginUnknown VersionUnrecorded"#;
+    reasons_in_the_dump: json(&REASONS) => r#"["not_ready","stopping","fenced","unconfigured","budget_exhausted","budget_low","budget_unreachable","overloaded","no_server","deadline_too_close","claim_unreachable","in_progress","id_conflict","retries_exhausted","quarantined","part_quarantined","suspended","limited","backoff","no_server_of_version","stream_origin_unknown","version_unrecorded"]"#;
     sources_of_origins: [
         node::OriginSource::Own,
         node::OriginSource::Router,
@@ -335,7 +336,7 @@
     log_checkpoint: String::from_utf8(checkpoint().encode()).unwrap() => r#"{"upto":12,"clock_s":3,"ids":[[{"high":1,"low":4},{"Claimed":{"key":{"high":1,"low":4},"attempt":8,"body_hash":9}},3],[{"high":1,"low":2},{"Settled":{"body_hash":6,"outcome":{"status":200,"content_type":"text/plain","body":"done"}}},3]],"origins":{"4":{"below":0,"above":[5],"seen_s":3}},"released":[8],"totals":[["cafe/main","north",{"billed_tokens":7,"billed_requests":1,"repeated_tokens":0}]]}"#;
     record_of_quarantined_requests: String::from_utf8(quarantine_record().encode()).unwrap()
         => r#"{"requests":[{"request":{"head":1,"whole":[2,2,2,2,2,2,2,2,2,2,2,2,2,2,2,2]},"crashes":[{"server":{"Life":3},"at_unix_ms":996},{"server":{"Vm":5},"at_unix_ms":994}]}]}"#;
-    counters_in_the_dump: json(&counters()) => r#"{"admitted":0,"dispatched":0,"settled":0,"closed_unsafe":0,"not_run":0,"replayed":0,"server_crashes":0,"refused":{"not_ready":0,"stopping":1,"fenced":2,"unconfigured":3,"budget_exhausted":4,"budget_low":5,"budget_unreachable":6,"overloaded":7,"no_server":8,"deadline_too_close":9,"claim_unreachable":10,"in_progress":11,"id_conflict":12,"retries_exhausted":13,"quarantined":14,"part_quarantined":15,"suspended":16,"limited":17,"backoff":18,"no_server_of_version":19,"stream_origin_unknown":20},"refused_for_limits":{"notes":1},"brittle_rejections":{},"seat_requests":0,"server_backoffs":{"notes":2},"stream_origins":{"router":3},"consumed_tokens":0,"written_off_tokens":0,"overrun_tokens":0,"platform_reads":0,"platform_writes":0,"platform_unknown":0,"platform_conflicts":0,"messages_sent":0,"gossip_sent":0,"transfers_sent":0,"transfers_received":0,"store_restores":0}"#;
+    counters_in_the_dump: json(&counters()) => r#"{"admitted":0,"dispatched":0,"settled":0,"closed_unsafe":0,"not_run":0,"replayed":0,"server_crashes":0,"refused":{"not_ready":0,"stopping":1,"fenced":2,"unconfigured":3,"budget_exhausted":4,"budget_low":5,"budget_unreachable":6,"overloaded":7,"no_server":8,"deadline_too_close":9,"claim_unreachable":10,"in_progress":11,"id_conflict":12,"retries_exhausted":13,"quarantined":14,"part_quarantined":15,"suspended":16,"limited":17,"backoff":18,"no_server_of_version":19,"stream_origin_unknown":20,"version_unrecorded":21},"refused_for_limits":{"notes":1},"brittle_rejections":{},"seat_requests":0,"server_backoffs":{"notes":2},"stream_origins":{"router":3},"consumed_tokens":0,"written_off_tokens":0,"overrun_tokens":0,"platform_reads":0,"platform_writes":0,"platform_unknown":0,"platform_conflicts":0,"messages_sent":0,"gossip_sent":0,"transfers_sent":0,"transfers_received":0,"store_restores":0}"#;
     lifecycles: json(&[
         node::Lifecycle::Starting,
         node::Lifecycle::Ready,
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -260,6 +260,7 @@
         quarantine: Default::default(),
         limits: Vec::new(),
         brittle: Vec::new(),
+        extension: None,
     }
 }
 
--- a/core/tests/server_incarnations.rs
+++ b/core/tests/server_incarnations.rs
@@ -45,6 +45,7 @@
             service: "service",
             classes: &[],
             version: None,
+            recorded_versions_only: false,
             prefix_hash: None,
             parts,
             excluded: &[],
--- a/core/tests/server_shares.rs
+++ b/core/tests/server_shares.rs
@@ -122,6 +122,7 @@
             service: SERVICE,
             classes: &[],
             version: None,
+            recorded_versions_only: false,
             prefix_hash: None,
             parts: &[],
             excluded: &[],
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -4,7 +4,7 @@
 
 mod watch_fleet;
 
-use doorswitch_core::{ids, message, node, servers, streams};
+use doorswitch_core::{ids, message, node, servers, streams, version_record};
 use watch_fleet::traffic::Traffic;
 
 const KEPT_MS: u64 = 5_000;
@@ -270,3 +270,120 @@
         assert_eq!(found, origin("v2"), "asked of router {asked}");
     }
 }
+
+/// The store's record of versions.
+fn record(traffic: &Traffic) -> version_record::Record {
+    let (_, value) = &traffic.fleet.values[version_record::KEY];
+    version_record::Record::decode(value).unwrap()
+}
+
+/// Restarts all routers and lets them read the store.
+fn restart_all(traffic: &mut Traffic) {
+    let routers = traffic.fleet.routers.len();
+    (0..routers).for_each(|router| traffic.fleet.restart(router));
+    traffic.fleet.run_ms(3_000);
+}
+
+#[test]
+fn streams_of_one_version_cause_no_calls() {
+    let mut traffic = fleet(3, &[("vm-1", "v1")], 60);
+    assert!(record(&traffic).complete);
+    let calls = traffic.fleet.value_calls;
+    for _ in 0..40 {
+        admit(&mut traffic, 0, None);
+        traffic.fleet.run_ms(500);
+    }
+    assert_eq!(traffic.fleet.value_calls, calls);
+}
+
+#[test]
+fn a_version_that_left_stays_in_the_record_while_streams_may_be_continued() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+    traffic.fleet.remove_server("vm-1");
+    traffic.fleet.run_ms(streams::KEPT_MAX_MS);
+    assert_eq!(record(&traffic).state("service", "v1"), Some(version_record::State::Current));
+    traffic.fleet.run_ms(10_000);
+    assert_eq!(record(&traffic).state("service", "v1"), Some(version_record::State::Retiring));
+    traffic.fleet.run_ms(40_000);
+    assert_eq!(record(&traffic).state("service", "v1"), None);
+    assert_eq!(record(&traffic).state("service", "v2"), Some(version_record::State::Current));
+    restart_all(&mut traffic);
+    let found = search(&mut traffic, 0, 1);
+    assert!(
+        matches!(found, node::OriginFound::Origin { ref origin, .. } if origin.version == "v2")
+    );
+}
+
+/// Guards against a version that is used again while its removal from the record is under way.
+#[test]
+fn a_retiring_version_is_current_again_before_streams_begin_at_it() {
+    let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+    traffic.fleet.remove_server("vm-1");
+    traffic.fleet.run_ms(streams::KEPT_MAX_MS + 10_000);
+    assert_eq!(record(&traffic).state("service", "v1"), Some(version_record::State::Retiring));
+    put(&mut traffic, "vm-3", "v1", 8);
+    traffic.fleet.remove_server("vm-2");
+    traffic.fleet.run_ms(5_000);
+    assert_eq!(record(&traffic).state("service", "v1"), Some(version_record::State::Current));
+    let slot = admit(&mut traffic, 0, None);
+    assert_eq!(decision(&traffic, slot), Some(Ok("vm-3".to_owned())));
+}
+
+/// Guards against the trust in a record that routers of an earlier build do not write.
+#[test]
+fn a_record_is_incomplete_beside_a_router_that_does_not_write_it() {
+    let mut traffic = fleet(3, &[("vm-1", "v1")], 8);
+    assert!(record(&traffic).complete);
+    traffic.fleet.gossip_from_unknown_peer(1, message::Digest::default());
+    traffic.fleet.run_ms(2_000);
+    assert!(!record(&traffic).complete);
+    restart_all(&mut traffic);
+    let found = search(&mut traffic, 0, 1);
+    assert!(is_refused(&found, node::Reason::StreamOriginUnknown), "{found:?}");
+    traffic.fleet.run_ms(streams::KEPT_MAX_MS + 5_000);
+    assert!(record(&traffic).complete);
+}
+
+/// Guards against a router that overwrites what a later build has written, or goes on by it.
+#[test]
+fn a_record_of_a_later_format_is_left_as_it_is() {
+    let mut traffic = fleet(3, &[("vm-1", "v1")], 8);
+    let later = br#"{"format":2,"fleets":[]}"#.to_vec();
+    let (revision, value) = traffic.fleet.values.get_mut(version_record::KEY).unwrap();
+    (*revision, *value) = (*revision + 1_000, later.clone());
+    restart_all(&mut traffic);
+    let found = search(&mut traffic, 0, 1);
+    assert!(is_refused(&found, node::Reason::StreamOriginUnknown), "{found:?}");
+    let slot = admit(&mut traffic, 0, None);
+    assert_eq!(decision(&traffic, slot), Some(Ok("vm-1".to_owned())));
+    traffic.fleet.run_ms(5_000);
+    assert_eq!(traffic.fleet.values[version_record::KEY].1, later);
+}
+
+/// Guards against a stream that begins at a version before it is in the record, and against one that waits in vain while
+/// a router that cannot reach the store has peers which can.
+#[test]
+fn a_router_without_the_store_learns_from_peers_where_streams_may_begin() {
+    let mut traffic = fleet(3, &[("vm-1", "v1")], 8);
+    traffic.fleet.restart(1);
+    traffic.fleet.set_cut(1, true);
+    traffic.fleet.run_ms(3_000);
+    let slot = admit(&mut traffic, 1, None);
+    assert_eq!(decision(&traffic, slot), Some(Ok("vm-1".to_owned())));
+}
+
+/// Guards against a stream that begins at a version which is not in the record.
+#[test]
+fn a_stream_waits_while_its_version_cannot_be_recorded() {
+    let mut traffic = fleet(1, &[("vm-1", "v1")], 8);
+    let now_ms = traffic.fleet.now_ms;
+    traffic.fleet.set_store(watch_fleet::StoreMode::Rejecting);
+    let mut vm = traffic.fleet.routers[0].node.servers().iter().next().unwrap().1.vm.clone();
+    (vm.vm, vm.version) = ("vm-2".to_owned(), "v2".to_owned());
+    let position = traffic.fleet.routers[0].node.vms_index();
+    traffic.fleet.routers[0].node.offer_vms(position, vec![vm], now_ms);
+    let slot = admit(&mut traffic, 0, None);
+    assert_eq!(decision(&traffic, slot), None);
+    traffic.fleet.run_ms(1_000);
+    assert_eq!(decision(&traffic, slot), Some(Err(node::Reason::VersionUnrecorded)));
+}
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -14,7 +14,9 @@
 #[allow(unused_imports)]
 pub use backup::Backup;
 
-use doorswitch_core::{config, evacuation, ids, members, message, node, servers, store, watch};
+use doorswitch_core::{
+    config, evacuation, ids, members, message, node, routes, servers, store, watch,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -213,7 +215,11 @@
     /// Like `new`, with a configuration of one service, to which requests can be submitted.
     pub fn with_service(routers: usize, seeds: usize, bounds: watch::Bounds, seed: u64) -> Self {
         let mut fleet = Self::new(routers, seeds, bounds, seed);
-        let document = config::Document { services: vec![service()], ..document() };
+        let document = config::Document {
+            services: vec![service()],
+            routes: vec![route_of_streams()],
+            ..document()
+        };
         fleet.published = config::Published::next(None, "first", document);
         fleet
     }
@@ -301,6 +307,7 @@
             quarantine: Default::default(),
             limits: Vec::new(),
             brittle: Vec::new(),
+            extension: None,
         };
         let now_ms = self.now_ms;
         self.routers[index].node.handle_gossip(&gossip, now_ms);
@@ -566,6 +573,23 @@
     }
 }
 
+/// A route whose streams clients may continue.
+fn route_of_streams() -> routes::Route {
+    routes::Route {
+        name: "route".to_owned(),
+        host: "host".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: routes::RouteKind::Stream,
+        timeout_ms: 10_000,
+        target_ms: 500,
+        priority: 1,
+        targets: vec![routes::Target { service: "service".to_owned(), weight: 1 }],
+        attempts_max: 2,
+        public: false,
+        resumable: true,
+    }
+}
+
 fn service() -> config::Service {
     config::Service {
         name: "service".to_owned(),
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -135,6 +135,7 @@
         quarantine: quarantine::Updates { summary: 8, reports: vec![report] },
         limits: vec![limit()],
         brittle: vec![brittle()],
+        extension: None,
     }
 }
 
--- a/src/api_error.rs
+++ b/src/api_error.rs
@@ -139,6 +139,11 @@
             "stream_origin_unknown",
             "it is not known which software version began this stream, and several may have",
         ),
+        Reason::VersionUnrecorded => (
+            unavailable,
+            "version_unrecorded",
+            "no backend server is live of a software version that is recorded in the platform's store yet",
+        ),
         Reason::NoServerOfVersion => (
             unavailable,
             "no_server_of_version",
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -58,10 +58,42 @@
 
 /// Decodes a frame's body.
 pub fn decode<'a, T: Deserialize<'a>>(mut frame: &'a [u8]) -> Result<T, Error> {
+    let body = check_protocol(&mut frame)?;
+    postcard::from_bytes(body).map_err(|source| Error::Decode { source })
+}
+
+/// Checks the protocol's version and returns the body after it.
+fn check_protocol<'a>(frame: &mut &'a [u8]) -> Result<&'a [u8], Error> {
     snafu::ensure!(frame.len() >= 2, ShortSnafu);
     let found = frame.get_u16_le();
     snafu::ensure!(found == message::PROTOCOL, ProtocolSnafu { found });
-    postcard::from_bytes(frame).map_err(|source| Error::Decode { source })
+    Ok(frame)
+}
+
+/// Encodes a datagram. The extension of gossip follows the other fields, where builds that do not know it ignore it.
+pub fn encode_datagram(datagram: &message::Datagram) -> Vec<u8> {
+    let frame = encode(datagram);
+    match datagram {
+        message::Datagram::Gossip(gossip) => match &gossip.extension {
+            Some(extension) => postcard::to_extend(extension, frame).unwrap_or_default(),
+            None => frame,
+        },
+        message::Datagram::Message(_) => frame,
+    }
+}
+
+/// Decodes a datagram.
+pub fn decode_datagram(mut frame: &[u8]) -> Result<message::Datagram, Error> {
+    let body = check_protocol(&mut frame)?;
+    let decoded = postcard::take_from_bytes::<message::Datagram>(body);
+    let (mut datagram, rest) = decoded.map_err(|source| Error::Decode { source })?;
+    if let message::Datagram::Gossip(gossip) = &mut datagram
+        && !rest.is_empty()
+    {
+        let extension = postcard::from_bytes(rest).map_err(|source| Error::Decode { source })?;
+        gossip.extension = Some(extension);
+    }
+    Ok(datagram)
 }
 
 /// An actor that handles the messages, the gossip and the requests for connections of peers.
@@ -121,7 +153,7 @@
 
     fn send_datagram(&self, address: &str, datagram: &message::Datagram) {
         let Ok(address) = address.parse::<net::SocketAddr>() else { return };
-        let frame = encode(datagram);
+        let frame = encode_datagram(datagram);
         if frame.len() > DATAGRAM_BYTES_MAX {
             log::warn!("event=datagram_too_large to={address} bytes={}", frame.len());
             return;
@@ -203,7 +235,7 @@
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else { continue };
-        match decode::<message::Datagram>(&buffer[..length]) {
+        match decode_datagram(&buffer[..length]) {
             Ok(message::Datagram::Gossip(gossip)) => receiver.do_send(GossipReceived(gossip)),
             Ok(message::Datagram::Message(envelope)) => receiver.do_send(MessageReceived(envelope)),
             Err(error) => {
--- /dev/null
+++ b/tests/peer_datagrams.rs
@@ -0,0 +1,73 @@
+//! The bytes of gossip between routers. Guards against an extension that keeps builds which do not know it from reading
+//! the other fields.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use doorswitch::peers;
+use doorswitch_core::{ids, members, message, store, version_record};
+
+fn gossip(extension: Option<message::GossipExtension>) -> message::Datagram {
+    let from = members::Record {
+        id: ids::Incarnation(1),
+        address: "10.0.0.1:1".to_owned(),
+        vm: "entry-1".to_owned(),
+        failure_domain: "a".to_owned(),
+        beat: 2,
+        health: members::Health::Alive,
+    };
+    message::Datagram::Gossip(Box::new(message::Gossip {
+        from,
+        kind: message::GossipKind::Push,
+        digest: message::Digest::default(),
+        member_updates: Vec::new(),
+        leaving: Vec::new(),
+        quarantine: Default::default(),
+        limits: Vec::new(),
+        brittle: Vec::new(),
+        extension,
+    }))
+}
+
+fn extension() -> message::GossipExtension {
+    let mut record = version_record::Record::new(0);
+    record.set("app", "v1", version_record::State::Current);
+    let versions_position = store::Position::new(0, 7);
+    message::GossipExtension {
+        versions_position,
+        versions: Some(record),
+        older_build_age_ms: Some(8),
+    }
+}
+
+#[test]
+fn gossip_with_an_extension_is_read_whole() {
+    let sent = gossip(Some(extension()));
+    assert_eq!(peers::decode_datagram(&peers::encode_datagram(&sent)).unwrap(), sent);
+}
+
+#[test]
+fn gossip_with_an_extension_is_read_by_builds_that_do_not_know_it() {
+    let frame = peers::encode_datagram(&gossip(Some(extension())));
+    let read: message::Datagram = peers::decode(&frame).unwrap();
+    assert_eq!(read, gossip(None));
+}
+
+#[test]
+fn gossip_of_builds_without_an_extension_is_read() {
+    let frame = peers::encode(&gossip(None));
+    assert_eq!(peers::decode_datagram(&frame).unwrap(), gossip(None));
+}
+
+#[test]
+fn an_extension_that_a_later_build_continues_is_read() {
+    let mut frame = peers::encode_datagram(&gossip(Some(extension())));
+    frame.extend([1, 2, 3]);
+    assert_eq!(peers::decode_datagram(&frame).unwrap(), gossip(Some(extension())));
+}
+
+#[test]
+fn an_unreadable_extension_is_refused() {
+    let mut frame = peers::encode(&gossip(None));
+    frame.extend([0xff; 4]);
+    assert!(peers::decode_datagram(&frame).is_err());
+}
