Have the router hold tokens before the outage in a test of unrepeatable requests

Seen once in a whole run beside three busy processes: during_an_outage_of_the_store_unrepeatable_requests_are_refused got budget_unreachable instead of claim_unreachable. The report of the run shows routers that were started 40 ms before: a router is ready before it holds tokens, and without them a request is refused before its claim is looked at. Both are true answers; the test asks for the second. It now waits until a request has run, so that the outage meets what it is about.

--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -82,6 +82,9 @@
 #[test]
 fn during_an_outage_of_the_store_unrepeatable_requests_are_refused() {
     let fleet = Fleet::start("claims-outage", Options::default());
+    // A router that is ready need not have tokens yet, and then refuses the request for these.
+    let warm_up = || fleet.release(0, "warm-up", "{}").is_some_and(|answer| answer.status == 200);
+    eventually("the first router has tokens in hand", warm_up);
     fleet.platform.set_mode(platform::Mode { out: true, ..platform::Mode::default() });
     let refused = fleet.release(0, "hold-1", "{}").unwrap();
     assert_eq!((refused.status, refused.code().as_str()), (503, "claim_unreachable"));
