--- a/soak/src/prober.rs
+++ b/soak/src/prober.rs
@@ -3,7 +3,7 @@
 use crate::{fleet, observe};
 use doorswitch_standins::wire;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,12 +18,18 @@
 pub struct Shared {
     observations: Mutex<observe::Observations>,
     ended: AtomicBool,
+    /// The number of losses of all routers so far.
+    losses: AtomicU64,
 }
 
 impl Shared {
     /// Creates the state of a run that begins.
     pub fn new(observations: observe::Observations) -> Arc<Self> {
-        Arc::new(Self { observations: Mutex::new(observations), ended: AtomicBool::new(false) })
+        Arc::new(Self {
+            observations: Mutex::new(observations),
+            ended: AtomicBool::new(false),
+            losses: AtomicU64::new(0),
+        })
     }
 
     /// Locks and returns the observations of the run.
@@ -36,6 +42,16 @@
         self.ended.load(Ordering::Relaxed)
     }
 
+    /// Records that all routers have been killed.
+    pub fn record_loss(&self) {
+        self.losses.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The number of losses of all routers so far.
+    pub fn losses(&self) -> u64 {
+        self.losses.load(Ordering::Relaxed)
+    }
+
     /// Stops the probers and the other clients.
     pub fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -324,6 +324,7 @@
             }
             self.fleet.kill(index)?;
         }
+        self.shared.record_loss();
         Ok(())
     }
 
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -1,5 +1,6 @@
 //! Servers of several software versions that are replaced and break streams off, and clients that continue the broken
-//! streams through any router. Each event names the version that wrote it.
+//! streams through any router. Each event names the version that wrote it. In some runs all servers have one version, and
+//! are replaced together while no router runs.
 
 use crate::{fleet, observe, prober, servers};
 use doorswitch_standins::{backend, store, wire};
@@ -71,10 +72,13 @@
         running: Vec::new(),
         leaving: Vec::new(),
         started: 0,
+        replaced_at_losses: seed.is_multiple_of(2),
+        losses: 0,
         rng: StdRng::seed_from_u64(seed),
     };
     for _ in 0..SERVERS {
-        releases.start_server()?;
+        let version = releases.next_version();
+        releases.start_server(version)?;
     }
     Ok(thread::spawn(move || {
         let summary = Mutex::new(Summary::default());
@@ -103,13 +107,16 @@
     version: &'static str,
 }
 
-/// The servers, one of which is replaced by one of another version at intervals.
+/// The servers. At intervals one is replaced by one of another version, or all are replaced at a loss of all routers.
 struct Releases {
     store: Arc<store::Store>,
     running: Vec<Server>,
     /// Servers that leave, and when they end.
     leaving: Vec<(Instant, Server)>,
     started: u64,
+    replaced_at_losses: bool,
+    /// The number of losses of all routers that this has seen.
+    losses: u64,
     rng: StdRng,
 }
 
@@ -117,7 +124,12 @@
     fn run(mut self, shared: &prober::Shared) {
         let mut next = Instant::now();
         while !shared.ended() {
-            if Instant::now() >= next {
+            if self.replaced_at_losses {
+                if self.losses < shared.losses() {
+                    self.losses = shared.losses();
+                    self.replace_all();
+                }
+            } else if Instant::now() >= next {
                 next += Duration::from_millis(self.rng.random_range(RELEASE_INTERVAL_MS));
                 self.replace_server();
             }
@@ -136,7 +148,8 @@
 
     fn replace_server(&mut self) {
         // A port that is not free is another process's; the next release tries again.
-        if let Err(error) = self.start_server() {
+        let version = self.next_version();
+        if let Err(error) = self.start_server(version) {
             eprintln!("event=server_not_started fault={error}");
             return;
         }
@@ -145,8 +158,27 @@
         self.leaving.push((Instant::now() + DRAIN_TIME, server));
     }
 
-    fn start_server(&mut self) -> Result<(), fleet::Error> {
-        let version = VERSIONS.choose(&mut self.rng).copied().unwrap_or(VERSIONS[0]);
+    /// Ends all servers at once, and starts as many of the next version.
+    fn replace_all(&mut self) {
+        for server in std::mem::take(&mut self.running) {
+            self.store.remove_server(&server.name);
+        }
+        for _ in 0..SERVERS {
+            let version = self.next_version();
+            if let Err(error) = self.start_server(version) {
+                eprintln!("event=server_not_started fault={error}");
+            }
+        }
+    }
+
+    fn next_version(&mut self) -> &'static str {
+        match self.replaced_at_losses {
+            true => VERSIONS[self.losses as usize % VERSIONS.len()],
+            false => VERSIONS.choose(&mut self.rng).copied().unwrap_or(VERSIONS[0]),
+        }
+    }
+
+    fn start_server(&mut self, version: &'static str) -> Result<(), fleet::Error> {
         let backend = servers::start(script(version))?;
         self.started += 1;
         let (name, number) = (format!("i-version-{}", self.started), self.started);
