Keep a version usable that was away, and believe routers that started together

Three faults of the record's first form, found by reading it again and by a repeated run beside load.

A version whose servers were away for 60 to 120 s stayed unused: routers forgot that it was recorded, and the record that named it was not applied again. The limit is gone, as a removal takes two steps anyway, and the record is applied with each list. streams_begin_again_at_a_version_that_was_away failed at 90 s before.

Of routers that start a new fleet together, one took its own ledger, or the marker of another one, for a trace of earlier routers, and the record stayed incomplete for 120 s: streams_of_a_single_version_go_on_after_the_loss_of_all_routers, 0 of 16 once beside a load of 30. A ledger that was missing when a router first read it, and a marker that a live router wrote (it now has its incarnation), are no traces. 30 of 30 whole runs of tests/stream_versions.rs passed beside a load of 20.

A version is no longer removed before its time because the route that used it stopped being resumable.

--- a/core/src/node/version_record.rs
+++ b/core/src/node/version_record.rs
@@ -5,13 +5,15 @@
 //! earlier era or of a fleet with routers that do not write it proves nothing: what a router has not seen itself is then
 //! unknown for as long as streams may be continued.
 
-use super::{Lifecycle, Node, Notice, platform};
+use super::{Lifecycle, Node, Notice, platform, watching};
 use crate::{ids, ledger, message, routes, store, streams, version_record};
 use rand::RngExt;
 use std::collections;
 
-/// Interval between calls for the record while calls fail.
+/// Minimum interval between calls for the record while calls fail.
 const RETRY_INTERVAL_MS: u64 = 250;
+/// Rate of the calls of all routers while calls fail.
+const RETRIES_PER_S: u64 = 200;
 /// Interval of the check whether the record is to be changed, while neither it nor the list of servers changes.
 const CHECK_INTERVAL_MS: u64 = 1_000;
 /// The same interval until the record is complete.
@@ -145,11 +147,15 @@
         let state = &self.version_record;
         let found_nothing =
             state.was_missing == Some(true) && state.traces_read == self.traces().len();
+        let first_of_store = found_nothing || (self.had_no_ledger() && state.is_read());
+        self.is_first_start || (first_of_store && !state.trace_found && self.store_era() == 0)
+    }
+
+    /// Whether the ledger had never been written when this router first read it.
+    fn had_no_ledger(&self) -> bool {
         let shard = self.first_shard_with_budgets();
         let ledger = shard.and_then(|shard| self.ledgers.get(shard as usize));
-        let found_no_ledger = ledger.is_some_and(|ledger| ledger.was_missing() == Some(true));
-        let first_of_store = found_nothing || (found_no_ledger && state.is_read());
-        self.is_first_start || (first_of_store && !state.trace_found && self.store_era() == 0)
+        ledger.is_some_and(|ledger| ledger.was_missing() == Some(true))
     }
 
     /// The first shard of the ledger that contains configured budgets.
@@ -184,9 +190,10 @@
             self.read_version_record(now_ms);
             return;
         }
-        let looks_for_traces = state.was_missing == Some(true) && !state.trace_found;
-        let trace = self.traces().into_iter().nth(state.traces_read);
-        if let Some(key) = trace.filter(|_| looks_for_traces) {
+        if state.was_missing == Some(true)
+            && !state.trace_found
+            && let Some(key) = self.traces().into_iter().nth(state.traces_read)
+        {
             self.call_store(Call::ReadTrace, store::Request::Read { key }, now_ms);
             return;
         }
@@ -238,10 +245,8 @@
         let mut record = state.stored.clone().unwrap_or(version_record::Record::new(era));
         let mut urgent = false;
         let was_complete = record.complete && record.era == era;
-        let mut seen = collections::BTreeSet::new();
         for service in state.services.iter().map(String::as_str) {
             for version in self.servers.recent_versions(service, now_ms) {
-                seen.insert((service, version));
                 if record.state(service, version).is_none() {
                     record.set(service, version, version_record::State::Current);
                 }
@@ -257,10 +262,10 @@
             self.watching.as_ref().and_then(|watching| watching.servers.age_ms(now_ms));
         if list_age_ms.is_none_or(|age_ms| age_ms <= LIST_AGE_MAX_MS) {
             let may_remove = now_ms >= state.changed_ms + RETIREMENT_MS;
-            for versions in record.services.iter_mut() {
-                let (service, versions) = versions;
+            for (service, versions) in &mut record.services {
+                let recent = self.servers.recent_versions(service, now_ms);
                 versions.retain(|version, known| {
-                    let gone = !seen.contains(&(service.as_str(), version.as_str()));
+                    let gone = !recent.contains(&version.as_str());
                     let retired = *known == version_record::State::Retiring;
                     if gone {
                         *known = version_record::State::Retiring;
@@ -293,7 +298,7 @@
             let request = store::Request::Write {
                 key: version_record::MARKER_KEY.to_owned(),
                 expected_index,
-                value: Vec::new(),
+                value: version_record::marker(self.settings.incarnation),
                 sets_era_marker: false,
             };
             self.call_store(Call::WriteMarker, request, now_ms);
@@ -322,11 +327,12 @@
         let Some(call) = state.call.take() else { return };
         match (reply, call) {
             (store::Reply::Missing { .. }, Call::ReadTrace) => state.traces_read += 1,
-            (store::Reply::Found { .. } | store::Reply::Undecodable { .. }, Call::ReadTrace) => {
-                state.trace_found = true;
+            (store::Reply::Found { value, .. }, Call::ReadTrace) => {
+                self.handle_trace(&value, now_ms);
             }
+            (store::Reply::Undecodable { .. }, Call::ReadTrace) => state.trace_found = true,
             (store::Reply::Unknown, Call::ReadTrace | Call::WriteMarker) => {
-                state.not_before_ms = state.not_before_ms.max(now_ms + RETRY_INTERVAL_MS);
+                self.delay_retry(now_ms)
             }
             // A marker that is there already is as good as one that was written.
             (_, Call::WriteMarker) => state.is_marked = true,
@@ -356,11 +362,38 @@
                 self.apply_version_record(version_record::Record::new(era), now_ms);
             }
             // The next read tells what was written by this router or another one.
-            _ => state.not_before_ms = state.not_before_ms.max(now_ms + RETRY_INTERVAL_MS),
+            _ => self.delay_retry(now_ms),
         }
         self.tick_version_record(now_ms);
     }
 
+    /// Decides whether a trace is one of routers that ran before this one and those that started with it.
+    fn handle_trace(&mut self, value: &[u8], now_ms: u64) {
+        let is_marker = self.version_record.traces_read + 1 == self.traces().len();
+        let is_of_this_fleet = match is_marker {
+            true => version_record::marked_by(value).is_some_and(|router| {
+                let mut live = self.members.live();
+                router == self.settings.incarnation || live.any(|record| record.id == router)
+            }),
+            false => self.had_no_ledger(),
+        };
+        let may_be_of_this_fleet =
+            is_marker && now_ms < self.started_ms + watching::MEMBERSHIP_SETTLE_MS;
+        match (is_of_this_fleet, may_be_of_this_fleet) {
+            (true, _) => self.version_record.traces_read += 1,
+            (false, true) => self.delay_retry(now_ms),
+            (false, false) => self.version_record.trace_found = true,
+        }
+    }
+
+    /// Delays the next call after one that failed.
+    fn delay_retry(&mut self, now_ms: u64) {
+        let spread_ms = self.members.live_count() * 1_000 / RETRIES_PER_S;
+        let wait_ms = RETRY_INTERVAL_MS + self.rng.random_range(0..=spread_ms);
+        let state = &mut self.version_record;
+        state.not_before_ms = state.not_before_ms.max(now_ms + wait_ms);
+    }
+
     fn handle_version_record(&mut self, index: store::Position, value: &[u8], now_ms: u64) {
         let state = &mut self.version_record;
         state.index = index;
@@ -411,22 +444,28 @@
                 self.servers.record_recent_version(service, version, now_ms);
             }
         }
-        let is_of_later_format = self.version_record.is_of_later_format;
-        self.servers.set_recorded_versions(|service, version| {
-            let state = record.state(service, version);
-            let current = state == Some(version_record::State::Current) && record.era == era;
-            match is_of_later_format {
-                true => Some(true),
-                false => state.map(|_| current),
-            }
-        });
         self.version_record.stored = Some(record);
+        self.mark_recorded_versions();
         self.conclude_answered_searches(now_ms);
         for service in self.services_with_waiting_requests() {
             self.drain_queue(&service, now_ms);
         }
     }
 
+    /// Has streams begin at the versions that the record names, and at no others.
+    pub(super) fn mark_recorded_versions(&mut self) {
+        let era = self.store_era();
+        let state = &self.version_record;
+        self.servers.set_recorded_versions(|service, version| {
+            if state.is_of_later_format {
+                return Some(true);
+            }
+            let record = state.stored.as_ref()?;
+            let known = record.state(service, version)?;
+            Some(record.era == era && known == version_record::State::Current)
+        });
+    }
+
     fn services_with_waiting_requests(&self) -> collections::BTreeSet<String> {
         self.waiting_servers.iter().map(|position| position.service.clone()).collect()
     }
@@ -439,7 +478,7 @@
         state.index = store::Position::START;
         state.turn_ms = None;
         state.checked_next_ms = 0;
-        self.servers.set_recorded_versions(|_, _| None);
+        self.mark_recorded_versions();
     }
 
     /// What follows the fields of gossip that all builds know.
--- a/core/src/servers/versions.rs
+++ b/core/src/servers/versions.rs
@@ -4,10 +4,6 @@
 use crate::streams;
 use std::collections;
 
-/// Time for which a version may be missing from the list until it has to be found in the record again. A version is
-/// removed from the record after a multiple of it.
-const RECORD_VALID_MS: u64 = streams::KEPT_MAX_MS / 2;
-
 #[derive(Clone, Copy, Debug)]
 struct Version {
     listed: bool,
@@ -38,7 +34,6 @@
             let known = self.by_service.get_mut(&vm.service);
             match known.and_then(|versions| versions.get_mut(&vm.version)) {
                 Some(version) => {
-                    version.recorded &= now_ms < version.listed_ms + RECORD_VALID_MS;
                     version.listed = true;
                     version.listed_ms = now_ms;
                 }
--- a/core/src/version_record.rs
+++ b/core/src/version_record.rs
@@ -4,8 +4,9 @@
 //! may be continued. A router that starts after a loss of all routers therefore finds each version that can have written
 //! the events of a stream which its client continues.
 
+use crate::ids;
 use serde::{Deserialize, Serialize};
-use std::collections;
+use std::{collections, str};
 
 /// Key of the record in the store.
 pub const KEY: &str = "doorswitch/stream-versions";
@@ -14,6 +15,16 @@
 /// The format that this build reads and writes.
 const FORMAT: u32 = 1;
 
+/// Encodes the marker that a router writes.
+pub fn marker(router: ids::Incarnation) -> Vec<u8> {
+    router.0.to_string().into_bytes()
+}
+
+/// Returns the router that wrote a marker; `None` if that is not readable.
+pub fn marked_by(marker: &[u8]) -> Option<ids::Incarnation> {
+    str::from_utf8(marker).ok()?.parse().ok().map(ids::Incarnation)
+}
+
 /// Whether streams may begin at a version in the record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -329,6 +329,21 @@
     assert_eq!(decision(&traffic, slot), Some(Ok("vm-3".to_owned())));
 }
 
+/// Guards against a version that stays unused because its servers were away for a while.
+#[test]
+fn streams_begin_again_at_a_version_that_was_away() {
+    for away_ms in [1_000, streams::KEPT_MAX_MS - 30_000, streams::KEPT_MAX_MS - 100] {
+        let mut traffic = fleet(3, &[("vm-1", "v1"), ("vm-2", "v2")], 8);
+        traffic.fleet.remove_server("vm-1");
+        traffic.fleet.run_ms(away_ms);
+        put(&mut traffic, "vm-3", "v1", 8);
+        traffic.fleet.remove_server("vm-2");
+        traffic.fleet.run_ms(5_000);
+        let slot = admit(&mut traffic, 0, None);
+        assert_eq!(decision(&traffic, slot), Some(Ok("vm-3".to_owned())), "away for {away_ms} ms");
+    }
+}
+
 /// Guards against the trust in a record that routers of an earlier build do not write.
 #[test]
 fn a_record_is_incomplete_beside_a_router_that_does_not_write_it() {
