--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Shared parts of the cases: a record, routers as processes, scripted servers and clients.
 
 pub mod client;
+pub mod engine;
 pub mod fleet;
 pub mod server;
 
