--- a/review/kit/src/bin/review_leak.rs
+++ b/review/kit/src/bin/review_leak.rs
@@ -27,8 +27,14 @@
 const LATER_REQUESTS: u64 = 800;
 const PREPAID: u64 = 2_000_000;
 const ENGINES: usize = 7;
-const SETTINGS: engine::Settings =
-    engine::Settings { slots: 64, queue: 134, step: Duration::from_millis(6), stride: 3 };
+const SETTINGS: engine::Settings = engine::Settings {
+    slots: 64,
+    queue: 134,
+    step: Duration::from_millis(6),
+    stride: 3,
+    read_per_ms: None,
+    events: 3,
+};
 
 fn configuration() -> Vec<u8> {
     json!({
--- a/review/kit/src/engine.rs
+++ b/review/kit/src/engine.rs
@@ -19,6 +19,10 @@
     pub step: Duration,
     /// The tokens in an event.
     pub stride: u64,
+    /// The prompt tokens that are read in a millisecond, of one prompt after the other; `None`: at once.
+    pub read_per_ms: Option<f64>,
+    /// The number of events of an answer, of at least 3.
+    pub events: u64,
 }
 
 pub struct Engine {
@@ -35,6 +39,7 @@
     record: Record,
     places: Mutex<(usize, usize)>,
     freed: Condvar,
+    reading: Mutex<()>,
     seals: AtomicU64,
     /// Tokens taken in, once for each request, and handed out.
     pub tokens: AtomicU64,
@@ -54,6 +59,7 @@
             record: record.clone(),
             places: Mutex::new((0, 0)),
             freed: Condvar::new(),
+            reading: Mutex::new(()),
             seals: AtomicU64::new(0),
             tokens: AtomicU64::new(0),
             runs: Mutex::default(),
@@ -121,7 +127,7 @@
             .map_or((0, 0), |(prompt, most)| (prompt.parse().unwrap_or(0), most.parse().unwrap_or(0)));
         self.tokens.fetch_add(prompt, Ordering::Relaxed);
         self.running.fetch_add(1, Ordering::Relaxed);
-        let (result, made) = self.run(id, most, deadline, stream);
+        let (result, made) = self.run(id, (prompt, most), deadline, stream);
         self.tokens.fetch_add(made, Ordering::Relaxed);
         self.running.fetch_sub(1, Ordering::Relaxed);
         let end = if result.is_ok() { "ended" } else { "closed" };
@@ -132,11 +138,18 @@
     }
 
     /// Runs a request: returns the tokens that it has made.
-    fn run(&self, id: &str, most: u64, deadline: Instant, stream: &mut TcpStream) -> (std::io::Result<()>, u64) {
+    fn run(&self, id: &str, (prompt, most): (u64, u64), deadline: Instant, stream: &mut TcpStream) -> (std::io::Result<()>, u64) {
         let number = self.seals.fetch_add(1, Ordering::Relaxed);
         // Most answers are much shorter than the most that they may have.
-        let events = (3 + number % 5).min(most / self.settings.stride);
+        let events = (self.settings.events + number % 5).min(most / self.settings.stride);
         let mut made = 0;
+        if let Some(read_per_ms) = self.settings.read_per_ms {
+            let _reading = self.reading.lock().unwrap();
+            if closed(stream) {
+                return (Err(std::io::ErrorKind::BrokenPipe.into()), made);
+            }
+            std::thread::sleep(Duration::from_secs_f64(prompt as f64 / read_per_ms / 1_000.0));
+        }
         std::thread::sleep(self.settings.step);
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{number}\r\nServer-Load: {}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nKeep-Alive: timeout=30\r\nTransfer-Encoding: chunked\r\n\r\n",
