--- a/review/kit/src/engine.rs
+++ b/review/kit/src/engine.rs
@@ -127,7 +127,10 @@
             .map_or((0, 0), |(prompt, most)| (prompt.parse().unwrap_or(0), most.parse().unwrap_or(0)));
         self.tokens.fetch_add(prompt, Ordering::Relaxed);
         self.running.fetch_add(1, Ordering::Relaxed);
-        let (result, made) = self.run(id, (prompt, most), deadline, stream);
+        let (result, made) = match path.starts_with("/ask/") {
+            true => self.run_whole(id, (prompt, most), stream),
+            false => self.run(id, (prompt, most), deadline, stream),
+        };
         self.tokens.fetch_add(made, Ordering::Relaxed);
         self.running.fetch_sub(1, Ordering::Relaxed);
         let end = if result.is_ok() { "ended" } else { "closed" };
@@ -178,6 +181,22 @@
         (stream.write_all(b"0\r\n\r\n"), made)
     }
 
+    /// Runs a request whose answer is no stream: returns the tokens that it has made.
+    fn run_whole(&self, id: &str, (_, most): (u64, u64), stream: &mut TcpStream) -> (std::io::Result<()>, u64) {
+        let number = self.seals.fetch_add(1, Ordering::Relaxed);
+        let made = (self.settings.events + number % 5).min(most / self.settings.stride) * self.settings.stride;
+        std::thread::sleep(self.settings.step * (made / self.settings.stride) as u32);
+        if closed(stream) {
+            return (Err(std::io::ErrorKind::BrokenPipe.into()), made);
+        }
+        let body = "token ".repeat(made as usize);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{number}\r\nServer-Load: {}\r\nWeight-Versions: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: {}\r\n\r\n{body}",
+            self.id, self.load(), body.len()
+        );
+        (stream.write_all(head.as_bytes()), made)
+    }
+
     fn reject(&self, stream: &mut TcpStream, status: &str, id: &str) -> std::io::Result<()> {
         write!(
             stream,
