--- a/review/kit/src/bin/review_surplus.rs
+++ b/review/kit/src/bin/review_surplus.rs
@@ -16,7 +16,7 @@
 /// Clients send their next request at the next multiple of this time.
 const WAVE: Duration = Duration::from_millis(150);
 const SETTINGS: server::Settings =
-    server::Settings { slots: 6, queue: 4, work: Duration::from_millis(20) };
+    server::Settings { slots: 6, queue: 4, work: Duration::from_millis(20), answer_bytes: 0 };
 /// At most 3 in 100 answers of half of the servers, for 5 s.
 const SURPLUS: server::Surplus = server::Surplus { share: 0.03 };
 const SURPLUS_TIME: Duration = Duration::from_secs(5);
--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -15,6 +15,8 @@
     pub slots: usize,
     pub queue: usize,
     pub work: Duration,
+    /// The bytes of an answer, beyond a line that names the request.
+    pub answer_bytes: usize,
 }
 
 /// The part of its answers for which a server hands out a second, late one while it is `on`.
@@ -181,7 +183,7 @@
         std::thread::sleep(self.settings.work);
         self.leave_place();
         let number = self.seals.fetch_add(1, Ordering::Relaxed);
-        let body = format!("done {id}\n");
+        let body = format!("done {id}\n{}", "x".repeat(self.settings.answer_bytes));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{number}\r\nServer-Load: {}\r\nKeep-Alive: timeout=30\r\nContent-Length: {}\r\n\r\n{body}",
             self.id,
