--- a/review/kit/src/bin/review_freeze.rs
+++ b/review/kit/src/bin/review_freeze.rs
@@ -81,8 +81,11 @@
     let mut received = Vec::new();
     let mut chunk = [0; 8192];
     let (status, cause) = loop {
-        let status = String::from_utf8_lossy(received.get(9..12).unwrap_or_default()).parse().unwrap_or(0);
-        if received.ends_with(b"0\r\n\r\n") || (status != 200 && received.windows(4).any(|w| w == b"\r\n\r\n")) {
+        let status =
+            String::from_utf8_lossy(received.get(9..12).unwrap_or_default()).parse().unwrap_or(0);
+        if received.ends_with(b"0\r\n\r\n")
+            || (status != 200 && received.windows(4).any(|w| w == b"\r\n\r\n"))
+        {
             break (status, "whole");
         }
         match stream.read(&mut chunk) {
@@ -125,7 +128,8 @@
     let start = |count: u64, rounds: u64| -> Vec<std::thread::JoinHandle<()>> {
         (0..count)
             .map(|_| {
-                let (next_id, statuses, record) = (next_id.clone(), statuses.clone(), record.clone());
+                let (next_id, statuses, record) =
+                    (next_id.clone(), statuses.clone(), record.clone());
                 std::thread::spawn(move || {
                     for _ in 0..rounds {
                         let id = format!("a{:06x}", next_id.fetch_add(1, Ordering::Relaxed));
@@ -157,14 +161,21 @@
     }
     clients.into_iter().for_each(|client| client.join().unwrap());
     std::thread::sleep(Duration::from_secs(3));
-    let text = format!("after the burst: {} of {PREPAID} tokens used at the servers, answers {:?}", used(&engines), statuses.lock().unwrap());
+    let text = format!(
+        "after the burst: {} of {PREPAID} tokens used at the servers, answers {:?}",
+        used(&engines),
+        statuses.lock().unwrap()
+    );
     record.note(&text);
     println!("{text}");
     // The tenant goes on until its tokens are used up.
     start(10, 60).into_iter().for_each(|client| client.join().unwrap());
     std::thread::sleep(Duration::from_secs(2));
     let all = used(&engines);
-    let text = format!("in the end: {all} of {PREPAID} tokens used at the servers, answers {:?}", statuses.lock().unwrap());
+    let text = format!(
+        "in the end: {all} of {PREPAID} tokens used at the servers, answers {:?}",
+        statuses.lock().unwrap()
+    );
     record.note(&text);
     println!("{text}");
     if all > PREPAID {
--- a/review/kit/src/bin/review_leak.rs
+++ b/review/kit/src/bin/review_leak.rs
@@ -69,7 +69,8 @@
 
 impl Numbers {
     fn next(&mut self, limit: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (self.0 >> 33) % limit
     }
 }
@@ -84,7 +85,13 @@
 }
 
 /// One client in one wave; returns the status, 0 if it left.
-fn call_in_wave(front: SocketAddr, id: &str, numbers: &mut Numbers, leaves: bool, record: &Record) -> u16 {
+fn call_in_wave(
+    front: SocketAddr,
+    id: &str,
+    numbers: &mut Numbers,
+    leaves: bool,
+    record: &Record,
+) -> u16 {
     let headers = headers(WAVE_TOKENS, numbers.next(1 << 30) + 1);
     let body = "x".repeat(600);
     let request = client::Request {
@@ -130,7 +137,13 @@
 }
 
 /// One request of a tenant's user that waits for its answer.
-fn ask(front: SocketAddr, id: &str, tokens: (u64, u64), numbers: &mut Numbers, record: &Record) -> u16 {
+fn ask(
+    front: SocketAddr,
+    id: &str,
+    tokens: (u64, u64),
+    numbers: &mut Numbers,
+    record: &Record,
+) -> u16 {
     let headers = headers(tokens, numbers.next(1 << 30) + 1);
     let request = client::Request {
         method: "POST",
@@ -149,8 +162,10 @@
 
 /// The tokens that the ledger in the platform's store counts as lost with processes that were killed.
 fn written_off(fleet: &fleet::Fleet) -> u64 {
-    let values = (0..256).filter_map(|shard| fleet.store.get(&format!("doorswitch/ledger/{shard}")));
-    let budgets = values.filter_map(|value| serde_json::from_slice::<serde_json::Value>(&value).ok());
+    let values =
+        (0..256).filter_map(|shard| fleet.store.get(&format!("doorswitch/ledger/{shard}")));
+    let budgets =
+        values.filter_map(|value| serde_json::from_slice::<serde_json::Value>(&value).ok());
     budgets
         .filter_map(|shard| shard["budgets"]["cafe/prepaid"]["written_off_tokens"].as_u64())
         .sum()
--- a/review/kit/src/bin/review_stop.rs
+++ b/review/kit/src/bin/review_stop.rs
@@ -168,7 +168,8 @@
     clients.into_iter().for_each(|client| client.join().unwrap());
     let ends = ends.lock().unwrap();
     let whole = ends.iter().flatten().filter(|end| end.whole()).count();
-    let cut: Vec<&End> = ends.iter().flatten().filter(|end| end.status == 200 && !end.whole()).collect();
+    let cut: Vec<&End> =
+        ends.iter().flatten().filter(|end| end.status == 200 && !end.whole()).collect();
     let summary = format!(
         "{whole} of {CLIENTS} answers whole, {} cut off; the router ended after {ended_after:?}; {:?}",
         cut.len(),
@@ -179,7 +180,8 @@
     // Only answers that were cut before the grace was over count.
     let broken = cut.iter().any(|end| end.took < GRACE);
     if broken {
-        record.note("BROKEN LOST a connection closed with no complete answer during a planned stop");
+        record
+            .note("BROKEN LOST a connection closed with no complete answer during a planned stop");
     }
     let code = match (broken, whole + cut.len() == CLIENTS) {
         (true, _) => 1,
--- a/review/kit/src/bin/review_surplus.rs
+++ b/review/kit/src/bin/review_surplus.rs
@@ -140,7 +140,9 @@
         let status = answers.get(id).copied().unwrap_or(0);
         if count > 1 {
             twice += 1;
-            record.note(&format!("BROKEN TWICE id={id} ran {count} times, at {at:?}; client got {status}"));
+            record.note(&format!(
+                "BROKEN TWICE id={id} ran {count} times, at {at:?}; client got {status}"
+            ));
         }
         if [429, 503, 408, 421].contains(&status) {
             refused += 1;
--- a/review/kit/src/bin/review_whole.rs
+++ b/review/kit/src/bin/review_whole.rs
@@ -116,7 +116,10 @@
     clients.into_iter().for_each(|client| client.join().unwrap());
     std::thread::sleep(Duration::from_secs(2));
     let used: u64 = engines.iter().map(|engine| engine.shared.tokens.load(Ordering::Relaxed)).sum();
-    let text = format!("{used} of {PREPAID} tokens used at the servers, answers {:?}", statuses.lock().unwrap());
+    let text = format!(
+        "{used} of {PREPAID} tokens used at the servers, answers {:?}",
+        statuses.lock().unwrap()
+    );
     record.note(&text);
     println!("{text}");
     if used > PREPAID {
--- a/review/kit/src/client.rs
+++ b/review/kit/src/client.rs
@@ -49,7 +49,8 @@
 
 impl Request<'_> {
     pub fn bytes(&self) -> Vec<u8> {
-        let key = self.key.map_or_else(String::new, |key| format!("Authorization: Bearer {key}\r\n"));
+        let key =
+            self.key.map_or_else(String::new, |key| format!("Authorization: Bearer {key}\r\n"));
         format!(
             "{} {} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\n{key}{}Content-Length: {}\r\n\r\n{}",
             self.method, self.path, self.id, self.deadline_ms, self.headers, self.body.len(), self.body
@@ -104,7 +105,12 @@
             Ok(0) => ended = true,
             Ok(length) => received.extend_from_slice(&chunk[..length]),
             Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) =>
+            {
                 return match head_end(&received) {
                     Some(end) => Answer::Answered {
                         head: Head::parse(&received[..end]),
--- a/review/kit/src/engine.rs
+++ b/review/kit/src/engine.rs
@@ -102,20 +102,27 @@
     fn answer(&self, head: &Head, stream: &mut TcpStream) -> std::io::Result<()> {
         let path = head.line.split(' ').nth(1).unwrap_or_default();
         if path == "/health" {
-            return write!(stream, "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            return write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
         }
         if path == "/kv-move" {
             // It keeps no such run.
             return stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
         }
         let Some(id) = head.header("attempt-id") else {
-            return stream.write_all(b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return stream.write_all(
+                b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            );
         };
         if head.header("expect-instance").is_some_and(|expected| expected != self.id) {
             return self.reject(stream, "421 Misdirected Request", id);
         }
         let deadline_ms = head.header("deadline-ms").and_then(|value| value.parse::<f64>().ok());
-        let deadline = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000.0) as u64);
+        let deadline =
+            Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000.0) as u64);
         if !self.take_place(deadline) {
             self.record.note(&format!("rejected id={id} server={} 503", self.id));
             return self.reject(stream, "503 Service Unavailable", id);
@@ -124,7 +131,9 @@
         let (prompt, most) = head
             .header("token-count")
             .and_then(|value| value.split_once(','))
-            .map_or((0, 0), |(prompt, most)| (prompt.parse().unwrap_or(0), most.parse().unwrap_or(0)));
+            .map_or((0, 0), |(prompt, most)| {
+                (prompt.parse().unwrap_or(0), most.parse().unwrap_or(0))
+            });
         self.tokens.fetch_add(prompt, Ordering::Relaxed);
         self.running.fetch_add(1, Ordering::Relaxed);
         let (result, made) = match path.starts_with("/ask/") {
@@ -134,14 +143,21 @@
         self.tokens.fetch_add(made, Ordering::Relaxed);
         self.running.fetch_sub(1, Ordering::Relaxed);
         let end = if result.is_ok() { "ended" } else { "closed" };
-        self.record.note(&format!("run id={id} server={} prompt={prompt} made={made} {end}", self.id));
+        self.record
+            .note(&format!("run id={id} server={} prompt={prompt} made={made} {end}", self.id));
         self.places.lock().unwrap().0 -= 1;
         self.freed.notify_one();
         result
     }
 
     /// Runs a request: returns the tokens that it has made.
-    fn run(&self, id: &str, (prompt, most): (u64, u64), deadline: Instant, stream: &mut TcpStream) -> (std::io::Result<()>, u64) {
+    fn run(
+        &self,
+        id: &str,
+        (prompt, most): (u64, u64),
+        deadline: Instant,
+        stream: &mut TcpStream,
+    ) -> (std::io::Result<()>, u64) {
         let number = self.seals.fetch_add(1, Ordering::Relaxed);
         // Most answers are much shorter than the most that they may have.
         let events = (self.settings.events + number % 5).min(most / self.settings.stride);
@@ -156,7 +172,8 @@
         std::thread::sleep(self.settings.step);
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{number}\r\nServer-Load: {}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nKeep-Alive: timeout=30\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id, self.load()
+            self.id,
+            self.load()
         );
         if closed(stream) {
             return (Err(std::io::ErrorKind::BrokenPipe.into()), made);
@@ -182,9 +199,15 @@
     }
 
     /// Runs a request whose answer is no stream: returns the tokens that it has made.
-    fn run_whole(&self, id: &str, (_, most): (u64, u64), stream: &mut TcpStream) -> (std::io::Result<()>, u64) {
+    fn run_whole(
+        &self,
+        id: &str,
+        (_, most): (u64, u64),
+        stream: &mut TcpStream,
+    ) -> (std::io::Result<()>, u64) {
         let number = self.seals.fetch_add(1, Ordering::Relaxed);
-        let made = (self.settings.events + number % 5).min(most / self.settings.stride) * self.settings.stride;
+        let made = (self.settings.events + number % 5).min(most / self.settings.stride)
+            * self.settings.stride;
         std::thread::sleep(self.settings.step * (made / self.settings.stride) as u32);
         if closed(stream) {
             return (Err(std::io::ErrorKind::BrokenPipe.into()), made);
@@ -192,7 +215,9 @@
         let body = "token ".repeat(made as usize);
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{number}\r\nServer-Load: {}\r\nWeight-Versions: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: {}\r\n\r\n{body}",
-            self.id, self.load(), body.len()
+            self.id,
+            self.load(),
+            body.len()
         );
         (stream.write_all(head.as_bytes()), made)
     }
--- a/review/kit/src/fleet.rs
+++ b/review/kit/src/fleet.rs
@@ -151,7 +151,8 @@
             Some(folder) => {
                 for index in 0..self.routers.len() {
                     let name = format!("router-{index}.log");
-                    let _ = std::fs::copy(self.folder.join(&name), PathBuf::from(&folder).join(&name));
+                    let _ =
+                        std::fs::copy(self.folder.join(&name), PathBuf::from(&folder).join(&name));
                 }
             }
             None => {}
--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -154,7 +154,8 @@
     fn answer(&self, head: &Head, connection: u16) -> (Vec<u8>, Option<String>) {
         let path = head.line.split(' ').nth(1).unwrap_or_default();
         if path == "/health" {
-            let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            let head =
+                format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
             return (head.into_bytes(), None);
         }
         let Some(id) = head.header("attempt-id").map(str::to_owned) else {
