--- a/review/kit/src/bin/review_leak.rs
+++ b/review/kit/src/bin/review_leak.rs
@@ -28,10 +28,10 @@
 const WAVE_TOKENS: (u64, u64) = (20, 4_000);
 const LATER_TOKENS: (u64, u64) = (9_000, 100);
 const EARLY_REQUESTS: u64 = 40;
-const MEASURED_REQUESTS: u64 = 25;
+const MEASURED_REQUESTS: u64 = 16;
 const PREPAID: u64 = 2_000_000;
 /// The tenant has used this much when `recoveryS` has passed. All measured requests fit into the rest.
-const USED_BEFORE: u64 = PREPAID / 100 * 82;
+const USED_BEFORE: u64 = PREPAID / 100 * 88;
 const ENGINES: usize = 7;
 const SETTINGS: engine::Settings = engine::Settings {
     slots: 64,
