Believe nothing in an answer that belongs to another request

Cause: handle_head looked at what a head states (Not-Executed, 421, load, directives) before it looked at whose it is. A late second copy of a rejection of request A, which arrives in the place of B's answer on a kept connection, counted as a rejection of B, and the connection, on which B's own answer was still to come, was kept.

Ruled out: a second send by the retry (a server that failed a request is not chosen for it again), and surplus bytes that arrive while a connection is idle (hyper closes it then).

All six cases of tests/answers_to_other_requests.rs fail without this change: 2 runs instead of 1 in the four cases of the macro. After: the six pass.

Why it works: a head is read only once its id is that of the request. One that carries another id, or none, leaves the request's outcome unknown and closes the connection. Logged and counted.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -220,37 +220,56 @@
 ) -> Outcome {
     let head =
         answers::decode_head(answer.status().as_u16(), answer.headers(), &call.parameters.id);
-    if let Some((running, queued, slots)) = head.load {
-        let load = servers::Load { running, queued, slots };
-        context.control.do_send(control::LoadReported {
-            vm: placement.vm.clone(),
-            incarnation: placement.incarnation,
-            load,
-        });
-    }
-    // A misdirected request was answered by another server incarnation, whose directives are not those of this one. An
-    // answer to another request was sent at an unknown time.
-    let misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
-    let applies_to_server = !misdirected && (head.not_run || head.id_matches);
-    if applies_to_server {
-        upstream::report_head(context.control, context.published, placement, head.directives, sent);
+    if !head.id_matches {
+        // An answer to another request states nothing about this one, which may have run. The connection is closed with
+        // it: the answer to this request may still arrive there.
+        log::info!(
+            "event=answer_to_another_request id={} vm={} status={} states_not_run={} reused={}",
+            call.parameters.id,
+            placement.vm,
+            answer.status().as_u16(),
+            head.not_run,
+            connection.used,
+        );
+        metrics::counter!("doorswitch_answers_to_other_requests_total").increment(1);
+        return Outcome::Unknown;
     }
     connection.record_keep_alive(answer.headers());
-    if applies_to_server && head.directives.is_leaving == servers::Directive::Value(true) {
-        connection.close_after_exchange();
-        context.backends.close_idle(placement);
+    // A misdirected request was answered by another server incarnation, whose load and directives are not those of this
+    // one.
+    let misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !misdirected {
+        report_head(context, placement, &head, sent);
+        if head.directives.is_leaving == servers::Directive::Value(true) {
+            connection.close_after_exchange();
+            context.backends.close_idle(placement);
+        }
     }
     if head.not_run || misdirected {
         discard_body(context.backends, answer, connection).await;
         return Outcome::Rejected;
     }
-    if !head.id_matches {
-        // This is an answer to another request. It is unknown whether this one ran.
-        return Outcome::Unknown;
-    }
     Outcome::Answered { answer: Box::new(answer), connection }
 }
 
+/// Reports what the server states in the head of an answer about its load and the requests that it accepts.
+fn report_head(
+    context: Context<'_>,
+    placement: &upstream::Placement,
+    head: &answers::Head,
+    sent: Instant,
+) {
+    if let Some((running, queued, slots)) = head.load {
+        let load = servers::Load { running, queued, slots };
+        context.control.do_send(control::LoadReported {
+            vm: placement.vm.clone(),
+            incarnation: placement.incarnation,
+            load,
+        });
+    }
+    upstream::report_head(context.control, context.published, placement, head.directives, sent);
+}
+
 /// Reads and discards a short body so that the connection can be used again. A body of more than 4 KiB or 20 ms is not
 /// read to its end, and its connection is closed.
 async fn discard_body(
