Give unrepeatable calls of the callers' interface connections of their own

What callers saw: an unrepeatable call was sent to two servers, or a call that had run was refused with "ran": "not_run", after a server had repeated an earlier rejection on a pooled connection.

Cause: the status and body of an answer decided whether its call ran, and nothing told whose answer it was. Calls that close their connections shared the pool of those that don't, so an unrepeatable call could start on a connection with an answer still to come.

Why it works: unrepeatable calls have a client whose connections are closed after one call, so that no other answer can arrive there. For other calls an answer that echoes another x-attempt-id is not believed.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -14,6 +14,8 @@
     direct: awc::Client,
     /// For servers whose links are lost: it keeps no connections that were made before.
     relayed: awc::Client,
+    /// For calls that close their connections, so that none is shared with an earlier call.
+    unshared: awc::Client,
 }
 
 impl ServerClients {
@@ -47,7 +49,13 @@
         };
         let direct = build(connector());
         let relayed = build(connector().conn_lifetime(links::RELAYED_AGE_MAX));
-        Self { links, direct, relayed }
+        let unshared = build(connector());
+        Self { links, direct, relayed, unshared }
+    }
+
+    /// Starts a call on a connection of its own, on which no answer to another call can arrive.
+    pub fn request_alone(&self, method: awc::http::Method, url: String) -> awc::ClientRequest {
+        self.unshared.request(method, url).force_close()
     }
 
     /// The client for the server at an address.
--- a/src/model.rs
+++ b/src/model.rs
@@ -199,7 +199,7 @@
             .http
             .client(&placement.address)
             .post(url)
-            .insert_header(("x-attempt-id", placement.attempt.0));
+            .insert_header((upstream::ATTEMPT_ID, placement.attempt.0));
         let sent = Instant::now();
         let mut response = match request.send_json(&body).await {
             Ok(response) => response,
@@ -211,6 +211,9 @@
             Err(_) => return AttemptEnd::Failed,
         };
         let status = response.status();
+        if upstream::answers_another_call(placement, response.headers()) {
+            return AttemptEnd::Failed;
+        }
         self.reports.report_answer(placement, status, response.headers(), sent);
         if !status.is_success() {
             let body = response.body().limit(ERROR_BYTES_MAX).await.unwrap_or_default();
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -122,16 +122,16 @@
     async fn attempt_server(&self, placement: &upstream::Placement) -> AttemptEnd {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let url = format!("http://{}{}", placement.address, self.path);
-        let mut request = self.http.client(&placement.address).request(self.method.clone(), url);
+        let method = self.method.clone();
+        // On a pooled connection, which the server may be closing, the outcome could remain unknown.
+        let mut request = match self.unrepeatable {
+            true => self.http.request_alone(method, url),
+            false => self.http.client(&placement.address).request(method, url),
+        };
         request = request
             .insert_header(("Idempotency-Key", self.id.as_str()))
-            .insert_header(("x-attempt-id", placement.attempt.0))
+            .insert_header((upstream::ATTEMPT_ID, placement.attempt.0))
             .timeout(left.max(Duration::from_millis(1)));
-        if self.unrepeatable {
-            // The server may be closing a pooled connection, which would leave the outcome unknown. This closes the
-            // connection after the call; it does not exclude one that a repeatable call has left in the pool.
-            request = request.force_close();
-        }
         if let Some(content_type) = &self.content_type {
             request = request.insert_header((header::CONTENT_TYPE, content_type.clone()));
         }
@@ -146,6 +146,9 @@
             Err(_) => return AttemptEnd::Unknown,
         };
         let status = response.status();
+        if upstream::answers_another_call(placement, response.headers()) {
+            return AttemptEnd::Unknown;
+        }
         self.reports.report_answer(placement, status, response.headers(), sent);
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -9,6 +9,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+/// The header with the id of an attempt, which servers echo in their answers.
+pub const ATTEMPT_ID: &str = "x-attempt-id";
+
 /// Reports to the control thread how the runs of one request ended, if that may affect other requests.
 pub struct RunReports {
     /// The address of the control thread.
@@ -206,6 +209,22 @@
     error.kind() == std::io::ErrorKind::NetworkUnreachable
 }
 
+/// Whether an answer carries the id of another call, and so states nothing about this one, which may have run. An answer
+/// without an id is taken for the call's own.
+pub fn answers_another_call(placement: &Placement, headers: &HeaderMap) -> bool {
+    let echoed = headers.get(ATTEMPT_ID).and_then(|value| value.to_str().ok());
+    let is_other = echoed.is_some_and(|id| id.parse() != Ok(placement.attempt.0));
+    if is_other {
+        log::info!(
+            "event=answer_to_another_request id={} vm={}",
+            placement.attempt.0,
+            placement.vm
+        );
+        metrics::counter!("doorswitch_answers_to_other_requests_total").increment(1);
+    }
+    is_other
+}
+
 /// Whether a server's answer states that it rejected the request without running it.
 pub fn is_rejection(status: StatusCode, body: &[u8]) -> bool {
     let states_not_run = || {
