Return what a killed holder cannot have spent

Cause: a holder has 15 s of spending in hand, and all of a dead holder's grant counted as spent, as nothing showed that it did not spend it since its last write. The steady clock of the holder's machine shows it to its successor on that machine, and was not used.

Ruled out: leases (a store that stands still keeps them waiting), less in hand (measured before, lost in cuts), the time of day (it steps).

Change: with its grant a holder writes how far its spending may go until it writes again (a limit that rises with the machine's steady clock), and stays below each limit that the ledger may contain. A successor that has bound its address on the same machine, in the same run of the clock, returns the rest. Everything else counts as spent, as before: loss of power, another machine, another era of the store, an older build.

Why overspend stays 0: the limit counts reserved and sent tokens, is the lowest of all that may be in the ledger, and the address that the successor has bound shows that the holder had ended. The simulation checks it after each step; a quickcheck with lost replies fails without the limits of unresolved writes.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -93,6 +93,7 @@
         region: "r".to_owned(),
         seeds: Vec::new(),
         started_s: 0,
+        machine_clock: None,
         platform_reads_per_s: 2_000,
         platform_writes_per_s: 100,
         budget_wait_ms: 500,
--- a/benches/capacity/values.rs
+++ b/benches/capacity/values.rs
@@ -2,7 +2,7 @@
 
 use crate::nanoseconds;
 use doorswitch::policy;
-use doorswitch_core::{config, ids, ledger, log_index};
+use doorswitch_core::{config, ids, ledger, log_index, machine_clock};
 
 pub fn show() {
     ledgers();
@@ -44,6 +44,10 @@
             address: format!("10.1.{}.{}:7100", holder / 250, holder % 250),
             listed_index: 1,
             listed_era: 0,
+            clock_run: Some(machine_clock::ClockRun {
+                boot: "8d6f3c52a41b9e70".to_owned(),
+                epoch_ms: 1_796_440_000_000,
+            }),
         };
         shard.holders.insert(id, description);
     }
--- a/core/benches/routing/strategies.rs
+++ b/core/benches/routing/strategies.rs
@@ -209,6 +209,7 @@
         region: "r".to_owned(),
         seeds: Vec::new(),
         started_s: 0,
+        machine_clock: None,
         platform_reads_per_s: 1_000_000,
         platform_writes_per_s: 1_000_000,
         budget_wait_ms: 500,
--- a/core/src/grants.rs
+++ b/core/src/grants.rs
@@ -5,6 +5,7 @@
 //! are subtracted before the write is sent, and added again only once it is certain that the write had no effect.
 
 mod account;
+mod pacing;
 mod refill;
 mod reserve;
 mod throttle;
@@ -12,7 +13,7 @@
 pub use account::{Account, Prepaid};
 pub use reserve::{DEFAULT_BACKUP_AGE_MS, UndrawnSnapshot};
 
-use crate::{config, ids, ledger, request};
+use crate::{config, ids, ledger, machine_clock, request};
 use std::collections;
 
 /// One router's [`Account`] of every token budget, found by slot, by name or by the shard of the [`ledger`] that
@@ -23,6 +24,8 @@
     by_name: collections::HashMap<String, ids::BudgetSlot>,
     by_shard: Vec<Vec<ids::BudgetSlot>>,
     backup_age_ms: u64,
+    /// Time 0 of the node on the machine's steady clock, if it has one.
+    clock_origin_ms: Option<u64>,
     slots_with_shortage: Vec<ids::BudgetSlot>,
 }
 
@@ -39,6 +42,11 @@
         self.backup_age_ms = backup_age_ms;
     }
 
+    /// Sets the steady clock by which this router bounds its spending, for budgets that are declared from now on.
+    pub fn set_machine_clock(&mut self, clock: Option<&machine_clock::MachineClock>) {
+        self.clock_origin_ms = clock.map(|clock| clock.origin_ms);
+    }
+
     /// Adds a budget or changes its settings.
     pub fn declare(&mut self, name: &str, settings: config::Cover, now_ms: u64) -> ids::BudgetSlot {
         self.declare_prepaid(name, settings, None, now_ms)
@@ -61,6 +69,7 @@
         let mut account = Account::new(name, settings, now_ms);
         account.set_prepaid(prepaid);
         account.backup_age_ms = self.backup_age_ms;
+        account.pacing = pacing::Pacing::new(self.clock_origin_ms);
         let slot = self.accounts.insert(account);
         self.by_name.insert(name.to_owned(), slot);
         let shard = ledger::shard_of(name, self.by_shard.len() as u32);
@@ -126,12 +135,13 @@
         &mut self,
         slot: ids::BudgetSlot,
         bound_tokens: u64,
+        now_ms: u64,
     ) -> Option<request::Reservation<request::Held>> {
         if bound_tokens == 0 {
             return Some(request::Reservation::new(slot, 0));
         }
         let account = &mut self.accounts[slot];
-        if account.free_tokens() < bound_tokens
+        if account.spendable_tokens(now_ms) < bound_tokens
             || account.awaited_config_version > 0
             || account.awaits_recovery
             || account.is_refused_by_throttle(bound_tokens)
--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -1,6 +1,6 @@
 //! The state of one budget at this router: which tokens are free, and how many to draw or to return.
 
-use super::{refill, reserve, throttle};
+use super::{pacing, refill, reserve, throttle};
 use crate::{config, ids, ledger};
 
 /// Limits of the window over which the spend rate of budgets without `held_percent` is averaged, which is half the
@@ -126,6 +126,7 @@
     pub others_rate_tokens_per_s: u64,
     rate_milli_tokens_per_s: u64,
     refill: refill::Refill,
+    pub(super) pacing: pacing::Pacing,
     pub(crate) throttle: throttle::Throttle,
     pub(super) declared_ms: u64,
     /// The decaying peak of the spend rate, in thousandths of a token per second.
@@ -177,6 +178,7 @@
             others_rate_tokens_per_s: 0,
             rate_milli_tokens_per_s: 0,
             refill: refill::Refill::default(),
+            pacing: pacing::Pacing::default(),
             throttle: throttle::Throttle::default(),
             declared_ms: now_ms,
             peak_milli_tokens_per_s: 0,
@@ -405,20 +407,21 @@
         self.free_tokens().min(self.granted_tokens.saturating_sub(self.returning_tokens))
     }
 
-    /// The free tokens that no waiting request of this router needs; 0 while nothing may be spent here.
-    pub fn unneeded_tokens(&self) -> u64 {
+    /// The tokens that may be spent now and that no waiting request of this router needs; 0 while nothing may be spent
+    /// here.
+    pub fn unneeded_tokens(&self, now_ms: u64) -> u64 {
         if self.awaited_config_version > 0 || self.awaits_recovery {
             return 0;
         }
-        self.free_tokens().saturating_sub(self.own_shortage_tokens)
+        self.spendable_tokens(now_ms).saturating_sub(self.own_shortage_tokens)
     }
 
-    /// The tokens that may be sent to another holder that lacks tokens for a waiting request: all free tokens, or none
-    /// if requests need tokens here as well and `peer_has_priority` is not set.
-    pub fn transferable_tokens(&self, peer_has_priority: bool) -> u64 {
+    /// The tokens that may be sent to another holder that lacks tokens for a waiting request: all that may be spent now,
+    /// or none if requests need tokens here as well and `peer_has_priority` is not set.
+    pub fn transferable_tokens(&self, peer_has_priority: bool, now_ms: u64) -> u64 {
         let may_transfer =
             (self.shortage_tokens == 0 || peer_has_priority) && !self.awaits_recovery;
-        if may_transfer { self.free_tokens() } else { 0 }
+        if may_transfer { self.spendable_tokens(now_ms) } else { 0 }
     }
 
     /// Records that the ledger was read.
@@ -444,6 +447,7 @@
         self.granted_tokens = grant.map_or(0, |grant| grant.granted_tokens);
         self.reported_tokens = grant.map_or(0, |grant| grant.consumed_tokens);
         self.has_grant = grant.is_some();
+        self.pacing.apply(grant.and_then(|grant| grant.pace), definite);
         if definite {
             self.returning_tokens = 0;
         }
--- a/core/src/grants/throttle.rs
+++ b/core/src/grants/throttle.rs
@@ -10,7 +10,7 @@
 /// Losses of at most one part in this many of the paid tokens change nothing.
 const TOLERATED_LOSS_DIVISOR: u64 = 33;
 /// The weight of the tokens that are left against the lost ones, see `lasting_ms`.
-const LEFT_WEIGHT: u128 = 2;
+const LEFT_WEIGHT: u128 = 1;
 /// One part in this many of the rate is for requests of any size.
 const ANY_SIZE_DIVISOR: u64 = 8;
 /// The most that is saved up while little is spent, in milliseconds of the rate.
@@ -163,11 +163,16 @@
 
     /// Takes tokens from this router's part of the budget for another router, which needs some now and wants more in
     /// advance. Returns how many.
-    pub(crate) fn take_for_transfer(&mut self, needed_tokens: u64, wanted_tokens: u64) -> u64 {
+    pub(crate) fn take_for_transfer(
+        &mut self,
+        needed_tokens: u64,
+        wanted_tokens: u64,
+        now_ms: u64,
+    ) -> u64 {
         self.record_taken(needed_tokens);
         let mut extra_tokens = wanted_tokens
             .saturating_sub(needed_tokens)
-            .min(self.unneeded_tokens().saturating_sub(needed_tokens));
+            .min(self.unneeded_tokens(now_ms).saturating_sub(needed_tokens));
         if self.is_throttled() {
             extra_tokens = extra_tokens.min(self.throttle.any_size.available_tokens());
             self.throttle.any_size.take(extra_tokens);
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -6,13 +6,15 @@
 //! transfer that was lost counts as spent and is never received.
 
 mod era_record;
+mod pace;
 mod recovery;
 mod reserve;
 
 pub use era_record::{EraRecord, era_record_key};
+pub use pace::{Pace, Termination};
 pub use reserve::{NextReserve, Reserve, Withheld};
 
-use crate::{ids, store};
+use crate::{ids, machine_clock, store};
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ensure};
 use std::collections;
@@ -94,6 +96,9 @@
     /// The store's era in which that list was read.
     #[serde(default)]
     pub listed_era: u64,
+    /// The run of the machine's steady clock by which the holder states times; `None` if it states none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock_run: Option<machine_clock::ClockRun>,
 }
 
 impl Holder {
@@ -179,23 +184,33 @@
     /// Whether the holder was idle when it last wrote: it had spent nothing for a while.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub idle: bool,
+    /// The bound on what the holder spends until it writes again; `None` if it may spend the whole grant.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<Pace>,
 }
 
 /// A [`Grant`] (tokens that a router process has taken in advance from a budget) that another router closes, that is,
-/// removes from the stored budget, because the process has terminated. The tokens that the process had not reported as
-/// consumed are written off: they count as spent, because they may have been. The router that closes the grant logs it.
+/// removes from the stored budget, because the process has terminated. The tokens that the process may have spent since it
+/// last wrote are written off: they count as spent. The router that closes the grant logs it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WrittenOffGrant {
     /// The name of the budget.
     pub budget: String,
     /// The grant as its holder last wrote it.
     pub grant: Grant,
+    /// The most tokens of the grant that the holder may have spent.
+    pub spent_tokens_max: u64,
 }
 
 impl WrittenOffGrant {
     /// The tokens that count as spent although the holder has not reported them as consumed.
     pub fn written_off_tokens(&self) -> u64 {
-        self.grant.unreported_tokens()
+        self.spent_tokens_max.saturating_sub(self.grant.consumed_tokens)
+    }
+
+    /// The tokens that the holder cannot have spent, and that return to the budget.
+    pub fn returned_tokens(&self) -> u64 {
+        self.grant.granted_tokens.saturating_sub(self.spent_tokens_max)
     }
 }
 
@@ -212,13 +227,6 @@
     pub received_tokens: u64,
 }
 
-impl Grant {
-    /// The granted tokens that the holder has not reported as consumed.
-    fn unreported_tokens(&self) -> u64 {
-        self.granted_tokens.saturating_sub(self.consumed_tokens)
-    }
-}
-
 impl Default for Shard {
     fn default() -> Self {
         Self {
@@ -331,18 +339,21 @@
         budget.closed_consumed_tokens += totals.consumed_tokens;
     }
 
-    /// Closes all grants of a terminated holder, counting them as spent in full. Returns the number of tokens that the
-    /// holder had not reported as consumed.
-    pub fn write_off(&mut self, holder: ids::Incarnation) -> u64 {
+    /// Closes all grants of a terminated holder in an era of the store, counting as spent what the holder may have spent
+    /// of them. Returns the grants.
+    pub fn write_off(
+        &mut self,
+        holder: ids::Incarnation,
+        termination: Termination,
+        era: u64,
+    ) -> Vec<WrittenOffGrant> {
         self.holders.remove(&holder);
-        self.budgets.values_mut().map(|budget| budget.write_off(holder)).sum()
-    }
-
-    /// Returns the grants of a holder in this shard.
-    pub fn grants_of(&self, holder: ids::Incarnation) -> Vec<WrittenOffGrant> {
-        let grants = self.budgets.iter().filter_map(|(name, budget)| {
-            let grant = *budget.grants.get(&holder)?;
-            Some(WrittenOffGrant { budget: name.clone(), grant })
+        let grants = self.budgets.iter_mut().filter_map(|(name, budget)| {
+            let grant = budget.grants.remove(&holder)?;
+            let spent_tokens_max = grant.spent_tokens_max(termination, era);
+            let closed = WrittenOffGrant { budget: name.clone(), grant, spent_tokens_max };
+            budget.record_written_off(&closed);
+            Some(closed)
         });
         grants.collect()
     }
@@ -386,13 +397,10 @@
         live + self.closed_consumed_tokens
     }
 
-    fn write_off(&mut self, holder: ids::Incarnation) -> u64 {
-        let Some(grant) = self.grants.remove(&holder) else { return 0 };
-        let lost = grant.unreported_tokens();
-        self.closed_spent_tokens += grant.granted_tokens;
-        self.closed_consumed_tokens += grant.consumed_tokens;
-        self.written_off_tokens += lost;
-        lost
+    fn record_written_off(&mut self, closed: &WrittenOffGrant) {
+        self.closed_spent_tokens += closed.spent_tokens_max;
+        self.closed_consumed_tokens += closed.grant.consumed_tokens;
+        self.written_off_tokens += closed.written_off_tokens();
     }
 }
 
--- a/core/src/ledger_writer.rs
+++ b/core/src/ledger_writer.rs
@@ -33,8 +33,8 @@
     pub routers: u64,
     /// Whether the router is stopping, so that grants without running requests are closed.
     pub stopping: bool,
-    /// Returns whether a holder has certainly terminated.
-    pub is_terminated: &'a dyn Fn(ids::Incarnation, &ledger::Holder) -> bool,
+    /// Returns how it is known that a holder has certainly terminated; `None` if it may still run.
+    pub termination: &'a dyn Fn(ids::Incarnation, &ledger::Holder) -> Option<ledger::Termination>,
     /// Whether other routers have had time to write their copies of the ledger back to a restored store.
     pub recovery_window_over: bool,
     /// Nothing is drawn before this time, so that after a restore of the store other routers can first write their
--- a/core/src/ledger_writer/draft.rs
+++ b/core/src/ledger_writer/draft.rs
@@ -30,18 +30,20 @@
             }
         }
         for (id, holder) in &shard.holders {
-            if *id != context.holder && (context.is_terminated)(*id, holder) {
-                let grants = draft.grants_of(*id);
-                let written_off_tokens = draft.write_off(*id);
-                let closed =
-                    Event::TerminatedHolderClosed { holder: *id, written_off_tokens, grants };
-                self.terminated_in_draft.push(closed);
+            if *id == context.holder {
+                continue;
             }
+            let Some(termination) = (context.termination)(*id, holder) else { continue };
+            let grants = draft.write_off(*id, termination, era);
+            let written_off_tokens =
+                grants.iter().map(ledger::WrittenOffGrant::written_off_tokens).sum();
+            let closed = Event::TerminatedHolderClosed { holder: *id, written_off_tokens, grants };
+            self.terminated_in_draft.push(closed);
         }
         let mut has_grant = false;
         for slot in table.in_shard(self.shard).to_vec() {
             let account = table.account_mut(slot);
-            self.draft_account(&mut draft, account, context);
+            self.draft_account(&mut draft, account, era, context);
             let budget = draft.budgets.get(&account.name);
             has_grant |= budget.is_some_and(|budget| budget.grants.contains_key(&context.holder));
         }
@@ -109,6 +111,7 @@
         &self,
         draft: &mut ledger::Shard,
         account: &mut grants::Account,
+        era: u64,
         context: &Context<'_>,
     ) {
         let name = account.name.clone();
@@ -153,10 +156,15 @@
             budget.grants.entry(context.holder).or_default();
         }
         if let Some(grant) = budget.grants.get_mut(&context.holder) {
+            let before = *grant;
             grant.consumed_tokens = account.spent_tokens();
             grant.free_tokens = account.free_tokens() + drawn;
             grant.rate_tokens_per_s = account.rate_tokens_per_s();
             grant.idle = !account.holder || account.idle();
+            // A new bound alone does not justify a write unless tokens are kept from being spent.
+            if *grant != before || drawn > 0 || account.needs_pace(context.now_ms) {
+                grant.pace = account.next_pace(grant.free_tokens, era, context.now_ms);
+            }
         }
     }
 }
--- a/core/src/ledger_writer/due.rs
+++ b/core/src/ledger_writer/due.rs
@@ -40,5 +40,6 @@
         || (account.overdrawn && account.surplus_tokens() > 0)
         || ((unreported || grant_missing) && elapsed_ms >= REPORT_INTERVAL_MS)
         || (account.should_raise_reserve() && elapsed_ms >= REFILL_INTERVAL_MS)
+        || (account.needs_pace(context.now_ms) && elapsed_ms >= REFILL_INTERVAL_MS)
         || (account.needs_draw() && elapsed_ms >= EMPTY_CHECK_INTERVAL_MS)
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod links;
 pub mod log_index;
 pub mod log_writer;
+pub mod machine_clock;
 pub mod members;
 pub mod message;
 pub mod node;
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -431,6 +431,7 @@
             address: self.settings.address.clone(),
             listed_era: self.listed_index.era,
             listed_index: self.listed_index.revision,
+            clock_run: self.settings.machine_clock.as_ref().map(|clock| clock.run.clone()),
         }
     }
 }
--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -156,7 +156,8 @@
     /// spent now.
     pub(super) fn try_reserve(&mut self, slot: ids::RequestSlot, now_ms: u64) -> bool {
         let Some(request) = self.requests.get_mut(slot) else { return true };
-        let Some(reservation) = self.grants.reserve(request.budget, request.admission.bound_tokens)
+        let Some(reservation) =
+            self.grants.reserve(request.budget, request.admission.bound_tokens, now_ms)
         else {
             return false;
         };
--- a/core/src/node/config_and_vms.rs
+++ b/core/src/node/config_and_vms.rs
@@ -24,6 +24,7 @@
             let layout = published.document.layout;
             let own = self.settings.incarnation;
             self.grants = grants::Table::new(layout.ledger_shards);
+            self.grants.set_machine_clock(self.settings.machine_clock.as_ref());
             self.grants.set_backup_age_ms(self.backup_age_ms);
             self.settled_in_shard = vec![0; layout.log_shards as usize];
             self.ledgers = (0..layout.ledger_shards).map(ledger_writer::Writer::new).collect();
--- a/core/src/node/holders.rs
+++ b/core/src/node/holders.rs
@@ -378,7 +378,7 @@
                 true => !account.has_grant,
                 false => !account.holder,
             })
-            .filter_map(|(slot, account)| Some((slot, excess_tokens(account, stopping)?)))
+            .filter_map(|(slot, account)| Some((slot, excess_tokens(account, stopping, now_ms)?)))
             .collect();
         for (budget, tokens) in returned {
             if let Some(holder) = self.next_holder(budget, &[]) {
@@ -391,7 +391,7 @@
 
 /// The tokens that a router may return to a holder; `None` if there are none, or if a restore of the store may have
 /// lost its grant.
-fn excess_tokens(account: &grants::Account, stopping: bool) -> Option<u64> {
+fn excess_tokens(account: &grants::Account, stopping: bool, now_ms: u64) -> Option<u64> {
     let kept_tokens = match stopping || account.awaited_config_version > 0 {
         true => 0,
         false => account.rate_tokens_per_s().saturating_mul(KEPT_HEADROOM_MS) / 1_000,
@@ -399,6 +399,7 @@
     // Tokens drawn from the ledger are returned to the ledger.
     let to_ledger_tokens = account.surplus_tokens();
     let excess = account.free_tokens().saturating_sub(kept_tokens).saturating_sub(to_ledger_tokens);
+    let excess = excess.min(account.spendable_tokens(now_ms));
     (excess > 0 && !account.awaits_recovery).then_some(excess)
 }
 
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -279,8 +279,9 @@
         let ready = self.lifecycle == super::Lifecycle::Ready;
         // Of two routers that both lack tokens, the one with the higher id sends its tokens to the other one.
         let peer_has_priority = requester.id < self.settings.incarnation;
-        let available_tokens =
-            slot.map_or(0, |slot| self.grants.account(slot).transferable_tokens(peer_has_priority));
+        let available_tokens = slot.map_or(0, |slot| {
+            self.grants.account(slot).transferable_tokens(peer_has_priority, now_ms)
+        });
         let sent_tokens = if ready { available_tokens.min(*wanted_tokens) } else { 0 };
         let is_member = self.members.find(requester.id).is_some();
         match slot.filter(|_| sent_tokens > 0 && is_member) {
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -117,8 +117,8 @@
     fn start_ledger_sync(&mut self, shard: usize, now_ms: u64) {
         let call = self.register_call(Purpose::Ledger(shard));
         let description = self.ledger_holder();
-        let is_terminated = self.termination_check();
-        let context = self.ledger_context(&description, &is_terminated, now_ms);
+        let termination = self.termination_check();
+        let context = self.ledger_context(&description, &termination, now_ms);
         let request = self.ledgers[shard].start(call, &mut self.grants, &context);
         if request.is_write() {
             self.write_limiter.try_take(now_ms);
@@ -126,12 +126,15 @@
         self.send_store_call(call, request);
     }
 
-    /// Returns a predicate for holders that have certainly terminated: the VM was listed and is missing from a list
-    /// that is not older, or this process has bound the holder's address. An expired lease or missing messages do not
-    /// prove it.
-    fn termination_check(&self) -> impl Fn(ids::Incarnation, &ledger::Holder) -> bool + use<> {
+    /// Returns a function that tells of holders that have certainly terminated: the VM was listed and is missing from a
+    /// list that is not older, or this process has bound the holder's address. An expired lease or missing messages do
+    /// not prove it.
+    fn termination_check(
+        &self,
+    ) -> impl Fn(ids::Incarnation, &ledger::Holder) -> Option<ledger::Termination> + use<> {
         let vms = self.vms.clone();
-        let address = self.settings.address.clone();
+        let (own_vm, address) = (self.settings.vm.clone(), self.settings.address.clone());
+        let clock = self.settings.machine_clock.clone();
         let vms_index = self.vms_index;
         move |_, holder| {
             let listed = holder.listed();
@@ -139,7 +142,17 @@
             let was_listed =
                 listed.revision > 0 && listed <= vms_index && listed.era == vms_index.era;
             let was_removed = was_listed && !vms.is_empty() && !vms.contains_key(&holder.vm);
-            holder.address == address || was_removed
+            if holder.address == address {
+                let clock = clock.as_ref().filter(|_| holder.vm == own_vm);
+                let ended_ms = clock
+                    .zip(holder.clock_run.as_ref())
+                    .and_then(|(clock, run)| clock.predecessor_ended_ms(run));
+                return Some(match ended_ms {
+                    Some(ended_ms) => ledger::Termination::OnThisMachine { ended_ms },
+                    None => ledger::Termination::AtUnknownTime,
+                });
+            }
+            was_removed.then_some(ledger::Termination::AtUnknownTime)
         }
     }
 
@@ -157,14 +170,14 @@
             return false;
         }
         let description = self.ledger_holder();
-        let context = self.ledger_context(&description, &|_, _| false, now_ms);
+        let context = self.ledger_context(&description, &|_, _| None, now_ms);
         self.ledgers[shard].due(&self.grants, &context)
     }
 
     fn ledger_context<'a>(
         &self,
         description: &'a ledger::Holder,
-        is_terminated: &'a dyn Fn(ids::Incarnation, &ledger::Holder) -> bool,
+        termination: &'a dyn Fn(ids::Incarnation, &ledger::Holder) -> Option<ledger::Termination>,
         now_ms: u64,
     ) -> ledger_writer::Context<'a> {
         ledger_writer::Context {
@@ -173,7 +186,7 @@
             description,
             routers: self.members.live_count(),
             stopping: self.stopping(),
-            is_terminated,
+            termination,
             recovery_window_over: self.recovery_window_over(now_ms),
             draw_not_before_ms: self.draw_not_before_ms(),
             prepaid_state: self.prepaid_state(),
@@ -192,8 +205,8 @@
         now_ms: u64,
     ) {
         let description = self.ledger_holder();
-        let is_terminated = self.termination_check();
-        let context = self.ledger_context(&description, &is_terminated, now_ms);
+        let termination = self.termination_check();
+        let context = self.ledger_context(&description, &termination, now_ms);
         let (write, events) = self.ledgers[shard].handle_reply(
             call,
             reply,
--- a/core/src/node/transfer_requests.rs
+++ b/core/src/node/transfer_requests.rs
@@ -99,9 +99,10 @@
             return;
         }
         let account = self.grants.account_mut(request.budget);
-        let free_tokens = account.unneeded_tokens();
+        let free_tokens = account.unneeded_tokens(now_ms);
         if free_tokens >= request.needed_tokens && self.lifecycle == Lifecycle::Ready {
-            let tokens = account.take_for_transfer(request.needed_tokens, request.wanted_tokens);
+            let tokens =
+                account.take_for_transfer(request.needed_tokens, request.wanted_tokens, now_ms);
             self.send_tokens(request.requester, request.budget, tokens, request.number, now_ms);
             return;
         }
--- a/core/src/node/types.rs
+++ b/core/src/node/types.rs
@@ -1,7 +1,7 @@
 //! Inputs and outputs of a node: settings, requests and their outcomes, answers and actions.
 
 use super::{ConfigSource, Notice, OriginFound};
-use crate::{ids, log_index, message, quarantine, servers, store, watch};
+use crate::{ids, log_index, machine_clock, message, quarantine, servers, store, watch};
 use serde::Serialize;
 
 /// The service name under which the platform lists the routers' own VMs.
@@ -26,6 +26,8 @@
     /// Wall clock at time 0 of the node, in seconds since 1970. Used for the timestamps of stored records, such as
     /// those by which request ids expire from the log.
     pub started_s: u64,
+    /// The steady clock of the machine; `None` if there is none that outlives the process.
+    pub machine_clock: Option<machine_clock::MachineClock>,
     /// Reads per second that the platform's store accepts from all callers together.
     pub platform_reads_per_s: u64,
     /// Writes per second that the platform's store accepts from all callers together.
--- a/core/tests/external_names.rs
+++ b/core/tests/external_names.rs
@@ -4,8 +4,8 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use doorswitch_core::{
-    config, ids, leaving_servers, ledger, ledger_writer, log_index, members, node, quarantine,
-    routes, servers, store, watch,
+    config, ids, leaving_servers, ledger, ledger_writer, log_index, machine_clock, members, node,
+    quarantine, routes, servers, store, watch,
 };
 use std::collections;
 
@@ -107,6 +107,7 @@
         free_tokens: 3,
         rate_tokens_per_s: 4,
         idle: true,
+        pace: Some(ledger::Pace { era: 5, at_ms: 6, limit_tokens: 7, tokens_per_s: 8 }),
     };
     let closed_before = ledger::ClosedTotals {
         spent_tokens: 1,
@@ -135,6 +136,7 @@
         address: "a:1".to_owned(),
         listed_index: 1,
         listed_era: 2,
+        clock_run: Some(machine_clock::ClockRun { boot: "b".to_owned(), epoch_ms: 3 }),
     };
     ledger::Shard {
         format: 1,
@@ -329,7 +331,7 @@
     a_service_in_publish: format!("{:?}", service()) => r#"Service { name: "notes", kind: Model, policy: "all", models: ["roast"], answer_tokens_max: 1, call_tokens: 2, unrepeatable: [Call { method: "POST", path_prefix: "/pay" }], queue_length: 3, queue_age_ms: 4, answer_time_ms: 5, connections_max: Some(6), event_tokens: 7, cold_milli_per_s: 8, cold_start_ms: 9 }"#;
     a_budget_in_publish: format!("{:?}", budget().cover()) => "Cover { cover_s: 1, minimum_grant_tokens: 2, held_percent: 4, holders: 5, loss_spread_s: 6 }";
     configuration: json(&published()) => r#"{"version":1,"operations":{"1":"operation-1"},"document":{"layout":{"ledger_shards":4,"log_shards":4,"log_epoch_segments":256},"workspaces":[{"name":"cafe","keys":[{"name":"desk","sha256":"00"}],"budgets":[{"name":"main","cover_s":1,"minimum_grant_tokens":2,"prepaid_tokens":3,"held_percent":4,"holders":5,"loss_spread_s":6}],"priority":6}],"services":[{"name":"notes","kind":"model","policy":"all","models":["roast"],"answer_tokens_max":1,"call_tokens":2,"unrepeatable":[{"method":"POST","path_prefix":"/pay"}],"queue_length":3,"queue_age_ms":4,"answer_time_ms":5,"connections_max":6,"event_tokens":7,"cold_milli_per_s":8,"cold_start_ms":9},{"name":"notes","kind":"plain","policy":"all","models":["roast"],"answer_tokens_max":1,"call_tokens":2,"unrepeatable":[{"method":"POST","path_prefix":"/pay"}],"queue_length":3,"queue_age_ms":4,"answer_time_ms":5,"connections_max":6,"event_tokens":7,"cold_milli_per_s":8,"cold_start_ms":9}],"policies":[{"name":"all","program":"deny(1)"}],"routes":[{"name":"a","host":"host","path_prefix":"/","kind":"idempotent","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false},{"name":"b","host":"host","path_prefix":"/","kind":"at_most_once","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false},{"name":"c","host":"host","path_prefix":"/","kind":"stream","timeout_ms":1,"target_ms":2,"priority":3,"targets":[{"service":"notes","weight":4}],"attempts_max":5,"public":true,"resumable":false}],"callers":{"head_bytes_max":16384,"body_bytes_max":2097152,"head_read_ms":5000,"idle_ms":60000},"evacuated":["east"]}}"#;
-    ledger_shard: String::from_utf8(shard().encode()).unwrap() => r#"{"format":1,"era":2,"writes":{"17":3},"holders":{"17":{"vm":"vm-1","address":"a:1","listed_index":1,"listed_era":2}},"budgets":{"cafe/main":{"paid_tokens":1,"paid_version":2,"payments":[{"operation":"op","tokens":3}],"grants":{"17":{"granted_tokens":1,"consumed_tokens":2,"free_tokens":3,"rate_tokens_per_s":4,"idle":true}},"closed_spent_tokens":4,"closed_received_tokens":5,"closed_consumed_tokens":6,"written_off_tokens":7,"closed_before":{"spent_tokens":1,"received_tokens":2,"consumed_tokens":3,"written_off_tokens":4},"reserve":{"tokens":8,"next":{"tokens":9,"writer":17,"write":10}},"withheld":{"unconfirmed_tokens":11,"lost_tokens":12}}},"unconfirmed_since_era":4,"silent_routers":5}"#;
+    ledger_shard: String::from_utf8(shard().encode()).unwrap() => r#"{"format":1,"era":2,"writes":{"17":3},"holders":{"17":{"vm":"vm-1","address":"a:1","listed_index":1,"listed_era":2,"clock_run":{"boot":"b","epoch_ms":3}}},"budgets":{"cafe/main":{"paid_tokens":1,"paid_version":2,"payments":[{"operation":"op","tokens":3}],"grants":{"17":{"granted_tokens":1,"consumed_tokens":2,"free_tokens":3,"rate_tokens_per_s":4,"idle":true,"pace":{"era":5,"at_ms":6,"limit_tokens":7,"tokens_per_s":8}}},"closed_spent_tokens":4,"closed_received_tokens":5,"closed_consumed_tokens":6,"written_off_tokens":7,"closed_before":{"spent_tokens":1,"received_tokens":2,"consumed_tokens":3,"written_off_tokens":4},"reserve":{"tokens":8,"next":{"tokens":9,"writer":17,"write":10}},"withheld":{"unconfirmed_tokens":11,"lost_tokens":12}}},"unconfirmed_since_era":4,"silent_routers":5}"#;
     ledger_era: String::from_utf8(ledger::EraRecord { era: 1, settled: true }.encode()).unwrap()
         => r#"{"era":1,"settled":true}"#;
     log_segment: String::from_utf8(segment().encode()).unwrap() => r#"{"writer":1,"nonce":2,"written_s":3,"entries":[{"Claim":{"key":{"high":1,"low":3},"attempt":8,"body_hash":9}},{"Claim":{"key":{"high":1,"low":4},"attempt":8,"body_hash":9}},{"Release":{"key":{"high":1,"low":3},"attempt":8}},{"Settle":{"key":{"high":1,"low":2},"attempt":3,"origin":4,"number":5,"keyed":true,"body_hash":6,"budget":"cafe/main","region":"north","consumed_tokens":7,"outcome":{"status":200,"content_type":"text/plain","body":"done"}}}]}"#;
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -81,7 +81,7 @@
 fn a_holder_that_was_written_off_draws_no_more() {
     let mut harness = Harness::new(100_000);
     harness.sync();
-    harness.shard.write_off(OWN);
+    harness.shard.write_off(OWN, ledger::Termination::AtUnknownTime, 0);
     harness.index += 1;
     let (sent, events) = harness.read();
     assert!(sent.is_none());
@@ -93,7 +93,7 @@
     let mut harness = Harness::new(100_000);
     harness.sync();
     let slot = harness.budget;
-    let reservation = harness.table.reserve(slot, 100).unwrap().dispatch();
+    let reservation = harness.table.reserve(slot, 100, harness.now_ms).unwrap().dispatch();
     harness.table.settle(reservation, 60);
     harness.stopping = true;
     harness.sync();
@@ -108,11 +108,14 @@
     let mut harness = Harness::new(100_000);
     harness.sync();
     let slot = harness.budget;
-    let running = harness.table.reserve(slot, 100).unwrap().dispatch();
+    let running = harness.table.reserve(slot, 100, harness.now_ms).unwrap().dispatch();
     harness.stopping = true;
     harness.sync();
     assert_eq!(harness.shard.budgets["w/main"].remaining_tokens(), Some(100_000 - 100));
-    assert!(harness.table.reserve(slot, 1).is_none(), "returned tokens were reserved");
+    assert!(
+        harness.table.reserve(slot, 1, harness.now_ms).is_none(),
+        "returned tokens were reserved"
+    );
     harness.table.settle(running, 60);
     harness.sync();
     let budget = &harness.shard.budgets["w/main"];
@@ -141,14 +144,20 @@
     assert_eq!(shard.budgets["w/main"].paid_tokens, 5);
 }
 
+/// Writes the grants of `OTHER` off, and returns the budgets and what was written off of each.
+fn written_off(shard: &mut ledger::Shard) -> Vec<(String, u64)> {
+    let closed = shard.write_off(OTHER, ledger::Termination::AtUnknownTime, 0);
+    closed.iter().map(|grant| (grant.budget.clone(), grant.written_off_tokens())).collect()
+}
+
 #[test]
 fn the_grant_of_a_terminated_holder_counts_as_spent() {
     let mut shard = ledger::Shard::default();
     shard.pay("w/main", "one", 1_000).unwrap();
     shard.draw("w/main", OTHER, 400);
-    assert_eq!(shard.write_off(OTHER), 400);
+    assert_eq!(written_off(&mut shard), [("w/main".to_owned(), 400)]);
     assert_eq!(shard.budgets["w/main"].remaining_tokens(), Some(600));
-    assert_eq!(shard.write_off(OTHER), 0);
+    assert_eq!(written_off(&mut shard), []);
 }
 
 #[test]
@@ -160,12 +169,11 @@
     }
     let main = shard.budgets.get_mut("w/main").unwrap().grants.get_mut(&OTHER).unwrap();
     main.consumed_tokens = 150;
-    let grants = shard.grants_of(OTHER);
-    let written_off: Vec<(&str, u64)> =
-        grants.iter().map(|grant| (grant.budget.as_str(), grant.written_off_tokens())).collect();
-    assert_eq!(written_off, [("w/main", 250), ("w/side", 400)]);
-    assert_eq!(shard.write_off(OTHER), 650);
-    assert!(shard.grants_of(OTHER).is_empty());
+    let closed = [("w/main".to_owned(), 250), ("w/side".to_owned(), 400)];
+    assert_eq!(written_off(&mut shard), closed);
+    assert_eq!(shard.budgets["w/main"].written_off_tokens, 250);
+    assert_eq!(shard.budgets["w/main"].closed_spent_tokens, 400);
+    assert_eq!(written_off(&mut shard), []);
 }
 
 quickcheck! {
@@ -179,7 +187,9 @@
             match kind % 4 {
                 0 | 1 => { shard.draw("w/main", holder, tokens); }
                 2 => { shard.return_tokens("w/main", holder, tokens); }
-                _ if tokens % 2 == 0 => { shard.write_off(holder); }
+                _ if tokens % 2 == 0 => {
+                    shard.write_off(holder, ledger::Termination::AtUnknownTime, 0);
+                }
                 _ => {
                     let granted = shard.budgets["w/main"].grants.get(&holder);
                     let consumed_tokens = granted.map_or(0, |grant| grant.granted_tokens / 2);
--- a/core/tests/ledger_harness/mod.rs
+++ b/core/tests/ledger_harness/mod.rs
@@ -31,7 +31,13 @@
 
 /// The record of the holder `OWN`.
 pub fn description() -> ledger::Holder {
-    ledger::Holder { vm: "a".to_owned(), address: "a:1".to_owned(), listed_index: 1, listed_era: 0 }
+    ledger::Holder {
+        vm: "a".to_owned(),
+        address: "a:1".to_owned(),
+        listed_index: 1,
+        listed_era: 0,
+        clock_run: None,
+    }
 }
 
 /// The writer's context for a call of `OWN`, the only router.
@@ -46,7 +52,7 @@
         description,
         routers: 1,
         stopping,
-        is_terminated: &|_, _| false,
+        termination: &|_, _| None,
         recovery_window_over: true,
         draw_not_before_ms: 0,
         prepaid_state: ledger_writer::PrepaidState::Drawable,
--- a/core/tests/ledger_sync.rs
+++ b/core/tests/ledger_sync.rs
@@ -16,7 +16,7 @@
     assert_eq!(harness.apply(&sent), store::Reply::Written { era: 0 });
     harness.reply(sent.call, store::Reply::WrittenAt { index: harness.position() });
     let slot = harness.budget;
-    let reservation = harness.table.reserve(slot, 1_000).unwrap().dispatch();
+    let reservation = harness.table.reserve(slot, 1_000, harness.now_ms).unwrap().dispatch();
     harness.table.settle(reservation, 1_000);
     harness.now_ms += 1_000;
     let call = ids::CallId(500);
@@ -93,12 +93,18 @@
     let before = harness.account().free_tokens();
     assert!(before > 1_000, "only {before} free tokens");
     harness.table.declare_prepaid("w/main", cover, prepaid(1_000, 2), 0);
-    assert!(harness.table.reserve(slot, 500).is_none(), "reserved before the ledger was read");
+    assert!(
+        harness.table.reserve(slot, 500, harness.now_ms).is_none(),
+        "reserved before the ledger was read"
+    );
     harness.sync();
     harness.sync();
     let free = harness.account().free_tokens();
     assert!(free <= 1_000, "{free} of {before} tokens are still free: {:?}", harness.shard);
-    assert!(harness.table.reserve(slot, 500).is_some() || harness.account().free_tokens() < 500);
+    assert!(
+        harness.table.reserve(slot, 500, harness.now_ms).is_some()
+            || harness.account().free_tokens() < 500
+    );
 }
 
 /// Returns the accounts of a holder of a budget that has spent 10,000 tokens in a second, while `undrawn_tokens` are
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -387,6 +387,7 @@
             region: "region".to_owned(),
             seeds: (0..self.seeds).map(|seed| format!("10.0.0.{seed}:1")).collect(),
             started_s: 0,
+            machine_clock: None,
             platform_reads_per_s: 2_000,
             platform_writes_per_s: 400,
             watch: Some(self.bounds),
--- a/core/tests/world/mod.rs
+++ b/core/tests/world/mod.rs
@@ -186,6 +186,8 @@
     pub ledger_reads: u64,
     pub written_off_tokens: u64,
     pub kills: u64,
+    /// How often each VM lost power.
+    pub boots: HashMap<String, u64>,
     pub notices: Vec<node::Notice>,
     /// The indexes in `requests` of refused requests, in the order of the refusals.
     pub refusals: Vec<usize>,
@@ -232,6 +234,7 @@
             store_calls: (0, 0),
             ledger_reads: 0,
             written_off_tokens: 0,
+            boots: HashMap::new(),
             kills: 0,
             notices: Vec::new(),
             refusals: Vec::new(),
--- a/core/tests/world/router_lifecycle.rs
+++ b/core/tests/world/router_lifecycle.rs
@@ -1,7 +1,7 @@
 //! Starts, pauses, kills and stops router processes, and delivers the platform's state to them.
 
 use super::{Event, Router, World};
-use doorswitch_core::{config, ids, node, servers};
+use doorswitch_core::{config, ids, machine_clock, node, servers};
 use rand::RngExt;
 use std::collections::BTreeSet;
 
@@ -65,6 +65,22 @@
         self.list_routers();
     }
 
+    /// The steady clock of a VM for a process that binds its address now.
+    fn machine_clock(&self, vm: &str) -> Option<machine_clock::MachineClock> {
+        let boots = self.boots.get(vm).copied().unwrap_or(0);
+        Some(machine_clock::MachineClock {
+            run: machine_clock::ClockRun { boot: format!("{vm} {boots}"), epoch_ms: 0 },
+            origin_ms: 0,
+            address_bound_ms: self.now_ms,
+        })
+    }
+
+    /// Kills a router in a loss of power of its VM, whose steady clock begins anew.
+    pub fn cut_power(&mut self, router: usize) {
+        self.kill(router);
+        *self.boots.entry(self.routers[router].vm.clone()).or_default() += 1;
+    }
+
     pub fn pause(&mut self, router: usize) {
         self.routers[router].paused = true;
     }
@@ -99,6 +115,7 @@
             region: format!("region-{}", index % self.shape.regions),
             seeds,
             started_s: 0,
+            machine_clock: self.machine_clock(&vm),
             platform_reads_per_s: 2_000,
             platform_writes_per_s: self.shape.writes_per_s,
             budget_wait_ms: 500,
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,7 +10,9 @@
     clock, feed, http_client, links, logging, peers, platform, settings, snapshot, telemetry,
 };
 use actix::prelude::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
-use doorswitch_core::{config, ids, links as core_links, members, node, servers, store, watch};
+use doorswitch_core::{
+    config, ids, links as core_links, machine_clock, members, node, servers, store, watch,
+};
 use futures_util::future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -37,6 +39,8 @@
     pub published: Arc<snapshot::Published>,
     /// The bound sockets for peers: connections and datagrams.
     pub sockets: (net::TcpListener, net::UdpSocket),
+    /// When the sockets were bound, by the steady clock of the machine; `None` if it has none.
+    pub address_bound_ms: Option<u64>,
     /// The incarnation of this router process.
     pub incarnation: ids::Incarnation,
     /// The links of this router to servers.
@@ -84,8 +88,11 @@
     pub fn new(parts: Parts) -> Self {
         let settings = parts.settings;
         let platform = stores::Store::new(&settings);
+        // Read before the start of the node's time, so that the node's times on this clock are never too late.
+        let machine_clock = clock::machine_clock(parts.address_bound_ms);
+        log_machine_clock(machine_clock.as_ref());
         Self {
-            node: new_node(&settings, parts.incarnation),
+            node: new_node(core_settings(&settings, parts.incarnation, machine_clock), &settings),
             published: parts.published,
             sockets: Some(parts.sockets),
             incarnation: parts.incarnation,
@@ -455,8 +462,22 @@
     pause.mul_f64(rand::random_range(0.5..1.5))
 }
 
-fn new_node(settings: &settings::Settings, incarnation: ids::Incarnation) -> node::Node {
-    let mut node = node::Node::new(core_settings(settings, incarnation), rand::random(), 0);
+/// Logs the clock by which a successor tells what this router cannot have spent.
+fn log_machine_clock(clock: Option<&machine_clock::MachineClock>) {
+    match clock {
+        Some(clock) => log::info!(
+            "event=machine_clock boot={} epoch_ms={} origin_ms={} address_bound_ms={}",
+            clock.run.boot,
+            clock.run.epoch_ms,
+            clock.origin_ms,
+            clock.address_bound_ms
+        ),
+        None => log::warn!("event=machine_clock_unknown"),
+    }
+}
+
+fn new_node(core_settings: node::Settings, settings: &settings::Settings) -> node::Node {
+    let mut node = node::Node::new(core_settings, rand::random(), 0);
     node.set_backup_age_ms(settings.platform.backup_age_s * 1_000);
     if settings.platform.first_start == Some(true) {
         node.set_first_start();
@@ -464,7 +485,11 @@
     node
 }
 
-fn core_settings(settings: &settings::Settings, incarnation: ids::Incarnation) -> node::Settings {
+fn core_settings(
+    settings: &settings::Settings,
+    incarnation: ids::Incarnation,
+    machine_clock: Option<machine_clock::MachineClock>,
+) -> node::Settings {
     node::Settings {
         incarnation,
         vm: settings.vm.clone(),
@@ -472,6 +497,7 @@
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
         started_s: clock::unix_time_s(),
+        machine_clock,
         seeds: settings.peers.seed_addresses(),
         watch: settings.platform.watch_bounds(),
         platform_reads_per_s: settings.platform.reads_per_s,
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,8 +1,8 @@
 //! Runs one router: binds its addresses, starts its threads, and joins them at a planned stop.
 
 use crate::{
-    answers, control, descriptors, front, gateway, links, logging, operator, reload, settings,
-    snapshot, telemetry,
+    answers, clock, control, descriptors, front, gateway, links, logging, operator, reload,
+    settings, snapshot, telemetry,
 };
 use actix::prelude::{Actor, Addr, Arbiter};
 use actix_web::{App, HttpServer, dev};
@@ -64,6 +64,8 @@
     let limits = &settings.limits;
     // All addresses are bound before anything starts, so that a second process at the same address fails here.
     let sockets = bind_peers(&settings)?;
+    // Rounded up: the address was bound by then.
+    let address_bound_ms = clock::machine_time_ms().map(|now_ms| now_ms + 1);
     let callers = settings
         .callers
         .as_ref()
@@ -85,6 +87,7 @@
         settings: settings.clone(),
         published: published.clone(),
         sockets,
+        address_bound_ms,
         incarnation,
         links: links.clone(),
     };
--- a/src/telemetry/notices.rs
+++ b/src/telemetry/notices.rs
@@ -6,10 +6,11 @@
 /// Logs a grant that was written off.
 fn log_written_off_grant(holder: ids::Incarnation, dead: &ledger::WrittenOffGrant) {
     log::warn!(
-        "event=grant_written_off holder={holder} budget={} written_off_tokens={} granted_tokens={} \
-         reported_tokens={} free_tokens={} rate_tokens_per_s={}",
+        "event=grant_written_off holder={holder} budget={} written_off_tokens={} returned_tokens={} \
+         granted_tokens={} reported_tokens={} free_tokens={} rate_tokens_per_s={}",
         dead.budget,
         dead.written_off_tokens(),
+        dead.returned_tokens(),
         dead.grant.granted_tokens,
         dead.grant.consumed_tokens,
         dead.grant.free_tokens,
