Run each call in a task that outlives its client

Cause, one for both: the handling of a request was one future, dropped with its client's connection. Dropped with an unread decision, it lost the tokens and the place that the decision granted. Dropped before the head of the answer, it closed the connection unread and charged 30 tokens, whatever waited there.

Change: a call runs in a task of its own. When the client leaves, the task takes a decision that was made by then and gives it back, tells the server, and reads what has arrived. Without a further word it charges by whether the server is reached: prompt and 30 tokens, what the stopped run made, or the most. A request that was not sent, or that the server rejects, costs nothing.

Why it works: nothing that owns tokens, a place or a connection is dropped before it was asked what became of it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,12 +4,14 @@
 //! Both sides are `hyper` connections: they end when the peer closes, and an answer that is cut short can be
 //! distinguished from a complete one (see `tests/http_ends.rs`). Everything runs on the control thread.
 
+mod abandoned;
 mod answer_memory;
 mod attempt;
 mod backends;
 mod body;
 mod clients;
 mod continuation;
+mod dispatch;
 mod event_gaps;
 mod events;
 mod exchange;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,15 +1,21 @@
 //! One attempt to have a call answered by one server.
 
 use super::{backends, refusal, stopped_runs};
-use crate::{api_error, control, fingerprint, snapshot, upstream};
+use crate::{api_error, control, fingerprint, snapshot, timer, upstream};
 use bytes::Bytes;
 use doorswitch_core::{ids, routes, servers};
 use doorswitch_platform::{answers, headers, runs};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use std::cell::Cell;
+use std::future;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+use tokio::time;
+use tokio_util::sync;
+
+/// A server that is reached sends something within this time after its client has left.
+pub const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(150);
 
 /// A client's request, read in full, with what is needed to send it to a server.
 #[derive(Debug)]
@@ -56,6 +62,17 @@
 }
 
 impl Call {
+    /// Whether an answer is forwarded as a stream of events.
+    pub fn is_streamed(&self, answer: &backends::Answer) -> bool {
+        self.route.kind == routes::RouteKind::Stream && answer.status().is_success()
+    }
+
+    /// Whether what its server has made is seen as it is made: each event of a stream is sent at once, and calls to
+    /// plain services have a price of their own.
+    pub fn shows_tokens(&self) -> bool {
+        self.route.kind == routes::RouteKind::Stream || !self.engine.is_model
+    }
+
     /// A digest of everything but the body.
     pub fn head_digest(&self) -> fingerprint::HeadDigest {
         head_digest(self.workspace.as_deref(), &self.method, &self.route, &self.uri)
@@ -108,6 +125,15 @@
     ConnectionLost,
     /// The request was sent, and the answer belongs to another request.
     Unknown,
+    /// The client left before the head of the answer, and the server ended the connection without one.
+    EndedWithClient,
+    /// The client left before the head of the answer, and nothing more was heard on this connection.
+    SilentSinceClientLeft {
+        /// The connection, which is still open.
+        connection: backends::Connection,
+        /// When the server was told.
+        closed: Instant,
+    },
 }
 
 /// The parts of the router that an attempt uses.
@@ -124,15 +150,17 @@
 /// Sends a call to the server at `placement` and returns once the head of its answer has arrived or the attempt has
 /// failed. A reused connection that turns out to be closed before anything was sent is replaced by a new one; one whose
 /// link is lost is replaced if the server stops the run, which then goes on. `sent` is set as soon as a part of the call
-/// may have been sent.
+/// may have been sent. Once `client_left` is cancelled, the server is told, and the attempt ends with what it has sent by
+/// then.
 pub async fn send(
     context: Context<'_>,
     call: &Call,
     placement: &upstream::Placement,
     mut position: Position,
     sent: &Cell<bool>,
+    client_left: &sync::CancellationToken,
 ) -> Outcome {
-    let outcome = send_from(context, call, placement, &mut position, sent).await;
+    let outcome = send_from(context, call, placement, &mut position, sent, client_left).await;
     match outcome {
         Outcome::NotSent | Outcome::NoRoute | Outcome::Rejected
             if position.stopped_run.is_some() =>
@@ -151,11 +179,18 @@
     placement: &upstream::Placement,
     position: &mut Position,
     sent: &Cell<bool>,
+    client_left: &sync::CancellationToken,
 ) -> Outcome {
     let mut new_only = false;
     let repeatable = call.route.repeatable();
     loop {
-        let mut connection = match context.backends.connect(placement, new_only, repeatable).await {
+        let connecting = context.backends.connect(placement, new_only, repeatable);
+        let connected = tokio::select! {
+            biased;
+            () = client_left.cancelled() => return Outcome::NotSent,
+            connected = connecting => connected,
+        };
+        let mut connection = match connected {
             Ok(connection) => connection,
             Err(error) => {
                 if error.refused() {
@@ -176,10 +211,27 @@
         sent.set(true);
         let handle = connection.handle();
         let mut sending = Box::pin(connection.sender.try_send_request(request));
+        let mut closed = None;
         let answer = loop {
+            let silent = async {
+                match closed {
+                    Some(closed) => heard_nothing_since(closed).await,
+                    None => future::pending().await,
+                }
+            };
             tokio::select! {
+                biased;
                 answer = &mut sending => break Some(answer),
-                () = handle.link_lost() => {}
+                () = client_left.cancelled(), if closed.is_none() => {
+                    handle.close_sending();
+                    closed = Some(Instant::now());
+                    continue;
+                }
+                () = silent => {
+                    let closed = closed.unwrap_or(sent_at);
+                    return Outcome::SilentSinceClientLeft { connection, closed };
+                }
+                () = handle.link_lost(), if closed.is_none() => {}
             }
             match stopped_runs::stop(context, call, placement).await {
                 stopped_runs::Stop::Stopped(run) => {
@@ -201,7 +253,11 @@
         // The request is returned in the error only if not a byte of it was written.
         let unsent = error.message().is_some();
         sent.set(!unsent);
+        if closed.is_some() && error.error().is_incomplete_message() {
+            return Outcome::EndedWithClient;
+        }
         match (unsent, connection.used) {
+            (true, _) if closed.is_some() => return Outcome::NotSent,
             (true, true) => new_only = true,
             (true, false) => return Outcome::NotSent,
             (false, _) => return Outcome::ConnectionLost,
@@ -209,6 +265,14 @@
     }
 }
 
+/// Returns once the time has passed in which a server that is reached sends something after its client has left. What has
+/// arrived while this process was paused is read first.
+async fn heard_nothing_since(closed: Instant) {
+    let deadline = time::Instant::from_std(closed + CLOSE_SILENCE_MAX);
+    // Only completes late, by the time that is allowed for a pause.
+    let _ = timer::timeout_at(deadline, future::pending::<()>()).await;
+}
+
 /// Evaluates the head of an answer: reports what the server states in it, and determines whether the request ran.
 async fn handle_head(
     context: Context<'_>,
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -406,6 +406,24 @@
         true
     }
 
+    /// Whether something has arrived from a server on a connection of the way `via` since `moment`.
+    pub fn has_received_since(
+        &self,
+        placement: &upstream::Placement,
+        via: Option<&str>,
+        moment: Instant,
+    ) -> bool {
+        self.open.borrow().iter().any(|open| {
+            let same = open.placement.vm == placement.vm
+                && open.placement.incarnation == placement.incarnation
+                && open.via.as_deref() == via;
+            same && open
+                .handle
+                .received_at()
+                .is_some_and(|at| at >= moment && at > open.established)
+        })
+    }
+
     /// Whether the own link to a server is lost, if the way `via` is the own link. The state of a way through another
     /// router is not known here.
     pub fn is_way_lost(&self, placement: &upstream::Placement, via: Option<&str>) -> bool {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,16 +1,15 @@
 //! Handles one client request: checks it, has it admitted, and sends it to servers until one answers.
 
 use super::{
-    attempt, backends, body, clients, continuation, listener, refusal, socket, streaming, ticket,
+    attempt, backends, body, clients, continuation, dispatch, listener, refusal, socket, ticket,
 };
-use crate::{api_error, control, fingerprint, logging, policy, probe, snapshot, timer, upstream};
+use crate::{api_error, control, fingerprint, logging, policy, probe, snapshot, upstream};
 use bytes::Bytes;
 use doorswitch_core::{config, ids, node, rendezvous, routes, servers, streams};
 use doorswitch_platform::headers;
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -40,14 +39,6 @@
     Ok(response.map(|body| clients::AnswerBody::new(body, exchange)))
 }
 
-/// Why an answer could not be read in full.
-enum Incomplete {
-    /// The connection to the server ended before the answer was complete.
-    ConnectionLost,
-    /// There is no memory for it.
-    TooLarge,
-}
-
 /// What a request's head resolves to under the configuration in force.
 pub(super) struct ResolvedHead {
     snapshot: Arc<snapshot::Snapshot>,
@@ -106,7 +97,6 @@
         let digest = || attempt::head_digest(workspace, &parts.method, &head.route, &parts.uri);
         admission_request.fingerprint = self.published.suspected(digest, &body);
         let part_fingerprints = admission_request.part_fingerprints.clone();
-        let id = head.parameters.id.clone();
         let config_version = head.snapshot.version;
         let log_fields = format!(
             "service={} budget={} bound_tokens={} priority={}{}",
@@ -116,28 +106,6 @@
             admission_request.priority,
             continuation::log_fields(&head),
         );
-        let placement = match upstream::admit(&self.control, admission_request).await {
-            upstream::Admission::Placed(placement) => placement,
-            upstream::Admission::Refused(error) => {
-                let waited_ms = started.elapsed().as_millis();
-                let parts =
-                    refusal::parts_field(&error, &head.parameters.parts, &part_fingerprints);
-                log::info!(
-                    "event=refused id={id} {log_fields} code={}{parts} waited_ms={waited_ms}",
-                    error.code
-                );
-                return Err(error);
-            }
-            upstream::Admission::Replay(_) => return Err(refusal::outcome_unknown()),
-        };
-        let ticket = ticket::Ticket::new(self.control.clone(), placement.slot, cost, id);
-        log::info!(
-            "event=placed id={} {log_fields} vm={} version={} unread_tokens={} config_version={config_version} attempt=1",
-            head.parameters.id,
-            placement.vm,
-            logging::quoted(&placement.version),
-            placement.unread_tokens,
-        );
         let call = attempt::Call {
             method: parts.method,
             uri: parts.uri,
@@ -150,7 +118,16 @@
             engine,
             deadline: head.deadline,
         };
-        self.dispatch(call, ticket, placement, open_answer).await
+        let dispatch = dispatch::Dispatch {
+            gateway: self.clone(),
+            call,
+            cost,
+            log_fields,
+            config_version,
+            started,
+            open_answer,
+        };
+        dispatch.start(admission_request).await
     }
 
     fn resolve_head(
@@ -266,118 +243,6 @@
         }
     }
 
-    /// Sends an admitted call to servers in turn until one answers or no further attempt is allowed.
-    async fn dispatch(
-        self: &Rc<Self>,
-        call: attempt::Call,
-        ticket: ticket::Ticket,
-        placement: upstream::Placement,
-        open_answer: snapshot::OpenAnswer,
-    ) -> Result<backends::Response, Error> {
-        let deadline = time::Instant::from_std(call.deadline);
-        let repeatable = call.route.repeatable();
-        let mut placement = placement;
-        let mut may_have_run = false;
-        let mut error_answer = None;
-        let mut early_retry_at = early_retry_time(&call);
-        loop {
-            let sent = Cell::new(false);
-            let sending =
-                attempt::send(self.attempts(), &call, &placement, Default::default(), &sent);
-            let outcome = timer::timeout_at(early_retry_at.unwrap_or(deadline), sending).await;
-            log_outcome(&call, &placement, &outcome);
-            let failure = match outcome {
-                Err(_) if early_retry_at.is_some() => {
-                    early_retry_at = None;
-                    match sent.get() {
-                        true => node::AttemptFailure::MayHaveRun,
-                        false => node::AttemptFailure::NotSent,
-                    }
-                }
-                Err(_) if !may_have_run && !sent.get() => {
-                    ticket.finish_not_run();
-                    return Err(refusal::not_sent_in_time());
-                }
-                Err(_) => {
-                    ticket.finish_unknown();
-                    return Err(refusal::deadline_exceeded());
-                }
-                Ok(attempt::Outcome::Answered { answer, connection }) => {
-                    let streams = call.route.kind == routes::RouteKind::Stream;
-                    if streams && answer.status().is_success() {
-                        let stream = streaming::Stream {
-                            gateway: self.clone(),
-                            call,
-                            ticket,
-                            placement,
-                            connection,
-                            _open_answer: open_answer,
-                        };
-                        return Ok(stream.start(*answer));
-                    }
-                    let server_error = answer.status().is_server_error();
-                    match timer::timeout_at(deadline, self.read_answer(*answer, connection)).await {
-                        Err(_) => {
-                            ticket.finish_unknown();
-                            return Err(refusal::deadline_exceeded());
-                        }
-                        Ok(Ok(response)) if server_error && repeatable => {
-                            error_answer = Some(response)
-                        }
-                        Ok(Ok(response)) => {
-                            if response.status().is_success() {
-                                self.report_success(&call);
-                            }
-                            ticket.finish_ran(!server_error);
-                            return Ok(response);
-                        }
-                        Ok(Err(Incomplete::ConnectionLost)) => {
-                            self.report_connection_lost(&call, &placement).await
-                        }
-                        Ok(Err(Incomplete::TooLarge)) => {}
-                    }
-                    node::AttemptFailure::MayHaveRun
-                }
-                Ok(attempt::Outcome::ConnectionLost) => {
-                    self.report_connection_lost(&call, &placement).await;
-                    node::AttemptFailure::MayHaveRun
-                }
-                Ok(attempt::Outcome::Unknown) => node::AttemptFailure::MayHaveRun,
-                Ok(attempt::Outcome::Rejected) => node::AttemptFailure::Rejected,
-                Ok(attempt::Outcome::NotSent) => node::AttemptFailure::NotSent,
-                Ok(attempt::Outcome::NoRoute) => node::AttemptFailure::NoRoute,
-            };
-            may_have_run |= failure == node::AttemptFailure::MayHaveRun;
-            if may_have_run && !repeatable {
-                ticket.finish_unknown();
-                return Err(refusal::outcome_unknown());
-            }
-            match ticket.retry(failure).await {
-                upstream::Admission::Placed(next) => {
-                    let id = &call.parameters.id;
-                    log::info!(
-                        "event=placed_again id={id} vm={} version={} after={}",
-                        next.vm,
-                        logging::quoted(&next.version),
-                        placement.vm
-                    );
-                    placement = next;
-                }
-                refused => {
-                    if let upstream::Admission::Refused(error) = &refused {
-                        log::info!(
-                            "event=retry_refused id={} code={}{}",
-                            call.parameters.id,
-                            error.code,
-                            call.parts_field(error)
-                        );
-                    }
-                    return final_response(ticket, error_answer, may_have_run, refused);
-                }
-            }
-        }
-    }
-
     /// Reports that the connection to a server ended while the server ran a request. Returns once it has been probed
     /// whether the server has crashed.
     pub async fn report_connection_lost(
@@ -404,61 +269,6 @@
             self.control.do_send(control::RunSucceeded { request, parts });
         }
     }
-
-    /// Reads an answer in full and returns the connection to the idle ones.
-    async fn read_answer(
-        &self,
-        answer: backends::Answer,
-        connection: backends::Connection,
-    ) -> Result<backends::Response, Incomplete> {
-        let (parts, mut incoming) = answer.into_parts();
-        let handle = connection.handle();
-        let mut buffer = self.answer_memory.buffer();
-        while let Some(frame) = incoming.frame().await {
-            let frame = frame.map_err(|_| Incomplete::ConnectionLost)?;
-            handle.record_progress();
-            if let Some(piece) = frame.data_ref() {
-                buffer.push(piece).map_err(|_| Incomplete::TooLarge)?;
-            }
-        }
-        self.backends.keep_idle(connection);
-        Ok(with_head(&parts, body::Body::Whole(buffer.finish())))
-    }
-}
-
-/// When a running attempt is abandoned for one at another server, which happens at most once: a server that has not
-/// answered within half of the time until the deadline may have lost the request, and the other half is left for the
-/// next server. `None` if only the deadline ends the attempt: a stream may take long until its first event, and a
-/// request that must not be repeated has one attempt.
-fn early_retry_time(call: &attempt::Call) -> Option<time::Instant> {
-    let plain = call.route.kind != routes::RouteKind::Stream;
-    let may_repeat = plain && call.route.repeatable() && call.route.attempts_max > 1;
-    let now = Instant::now();
-    let half = call.deadline.saturating_duration_since(now) / 2;
-    may_repeat.then(|| time::Instant::from_std(now + half))
-}
-
-/// The response when no further server is tried: the last error that a server answered with if there is one, otherwise
-/// an error of this router.
-fn final_response(
-    ticket: ticket::Ticket,
-    error_answer: Option<backends::Response>,
-    may_have_run: bool,
-    refused: upstream::Admission,
-) -> Result<backends::Response, Error> {
-    if let Some(response) = error_answer {
-        ticket.finish_ran(false);
-        return Ok(response);
-    }
-    if may_have_run {
-        ticket.finish_unknown();
-        return Err(refusal::outcome_unknown());
-    }
-    ticket.finish_not_run();
-    match refused {
-        upstream::Admission::Refused(error) => Err(error),
-        _ => Err(Error::closing()),
-    }
 }
 
 /// Builds the response to the client from the status and headers of a server's answer and a body.
@@ -488,25 +298,3 @@
 fn header_host(headers: &HeaderMap) -> Option<&str> {
     headers.get(header::HOST)?.to_str().ok()
 }
-
-fn log_outcome(
-    call: &attempt::Call,
-    placement: &upstream::Placement,
-    outcome: &Result<attempt::Outcome, time::error::Elapsed>,
-) {
-    let outcome_name = match outcome {
-        Err(_) => "timeout",
-        Ok(attempt::Outcome::Answered { answer, .. }) if answer.status().is_success() => return,
-        Ok(attempt::Outcome::Answered { .. }) => "failed",
-        Ok(attempt::Outcome::NotSent) => "not_sent",
-        Ok(attempt::Outcome::NoRoute) => "no_route",
-        Ok(attempt::Outcome::Rejected) => "not_run",
-        Ok(attempt::Outcome::ConnectionLost) => "broken_off",
-        Ok(attempt::Outcome::Unknown) => "unknown",
-    };
-    log::info!(
-        "event=attempt_ended id={} vm={} outcome={outcome_name}",
-        call.parameters.id,
-        placement.vm
-    );
-}
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -1,7 +1,7 @@
 //! Streamed answers: events are forwarded as they arrive. If a server fails in the middle of a stream, the stream is
 //! resumed at another server if its route is resumable.
 
-use super::{attempt, backends, body, events, exchange, listener, stopped_runs, ticket};
+use super::{abandoned, attempt, backends, body, events, exchange, listener, stopped_runs, ticket};
 use crate::{logging, snapshot, timer, upstream};
 use doorswitch_core::node;
 use http_body_util::BodyExt;
@@ -11,14 +11,17 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time;
+use tokio_util::sync;
 
 /// The number of pieces of an answer that are buffered for a slow client.
 const PIECES_BUFFERED: usize = 16;
 
-/// A server that is reached sends something within this time after its client has left.
-const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(150);
-/// What arrives this soon after that may have been on its way before.
+/// What arrives this soon after a server was told that its client has left may have been on its way before.
 const ON_ITS_WAY_MAX: Duration = Duration::from_millis(50);
+/// A pause between parts of an answer from which on no more of it waits to be read. Servers make events less often.
+const BACKLOG_PAUSE_MAX: Duration = Duration::from_millis(3);
+/// The longest time for which an answer is read after its client has left.
+const REST_TIME_MAX: Duration = Duration::from_millis(400);
 /// How long a stream whose connection has ended waits for its run to go on over another one.
 const CONTINUE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -54,6 +57,17 @@
     LinkLost,
 }
 
+/// What was heard of a run after its client had left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rest {
+    /// The whole answer.
+    Whole,
+    /// A part of it, or the end of the connection: the server is reached.
+    Reached,
+    /// Nothing that shows whether the server is reached.
+    Silent,
+}
+
 /// A run that goes on over another connection.
 struct Continued {
     incoming: Incoming,
@@ -182,50 +196,70 @@
         }
     }
 
-    /// Ends the run of a client that has left. If the server doesn't show that it is still reached, the connection's end
-    /// may not reach it either: then the run is stopped through another router, and is charged in full if that fails.
+    /// Ends the run of a client that left before the head of the answer arrived.
+    pub async fn abandon_answer(self, answer: backends::Answer) {
+        self.abandon(Part::new(answer.into_body())).await;
+    }
+
+    /// Ends the run of a client that has left, and charges what the server has made. If the server doesn't show that it is
+    /// still reached, the connection's end may not reach it either: then the run is stopped through another router, and is
+    /// charged in full if that fails.
     async fn abandon(mut self, mut part: Part) {
         self.connection.handle().close_sending();
-        if self.receives_more(&mut part).await {
-            return;
-        }
-        let Self { gateway, call, placement, connection, .. } = &self;
-        let via = connection.via.clone();
-        connection.handle().abort();
-        if gateway.backends.check_way(placement, via.as_deref()).await
-            && !gateway.backends.is_way_lost(placement, via.as_deref())
-        {
-            return;
-        }
-        let context = gateway.attempts();
-        match stopped_runs::stop(context, call, placement).await {
-            stopped_runs::Stop::Stopped(run) => {
-                stopped_runs::release(context, placement, &run).await;
-                let made_tokens = run.events.saturating_mul(call.engine.event_tokens);
-                let cost = &mut self.ticket.cost;
-                cost.answer_tokens = cost.answer_tokens.max(made_tokens);
-            }
-            stopped_runs::Stop::NotKept | stopped_runs::Stop::NoReply => {
-                self.ticket.finish_unknown();
+        let closed = time::Instant::now();
+        match self.read_rest(&mut part, closed).await {
+            Rest::Whole => self.ticket.finish_ran(true),
+            Rest::Reached => self.ticket.finish_cancelled(),
+            Rest::Silent => {
+                let Self { gateway, call, ticket, placement, connection, .. } = self;
+                let run = abandoned::Run { gateway: &gateway, call: &call, placement: &placement };
+                match run.end_silent(connection, closed.into_std()).await {
+                    abandoned::End::Reached => ticket.finish_cancelled(),
+                    abandoned::End::Stopped { answer_tokens } => {
+                        ticket.finish_stopped(answer_tokens);
+                    }
+                    abandoned::End::Unknown => ticket.finish_unknown(),
+                }
             }
         }
     }
 
-    /// Whether the server still sends something after its client has left, the end of its answer included.
-    async fn receives_more(&mut self, part: &mut Part) -> bool {
-        let closed = time::Instant::now();
-        let until = closed + CLOSE_SILENCE_MAX;
-        while let Ok(frame) = time::timeout_at(until, part.incoming.frame()).await {
-            let Some(Ok(frame)) = frame else { return true };
-            let batch = frame.data_ref().map(|bytes| part.splitter.push(bytes));
-            if let Some(Ok(Some(batch))) = batch {
-                self.ticket.cost.answer_tokens += batch.count * self.call.engine.event_tokens;
+    /// Reads what the server has sent when its client has left, at `closed`, and charges the events. More may have arrived
+    /// while this process stood still than is read in that time, so it reads on for as long as there is more at once.
+    async fn read_rest(&mut self, part: &mut Part, closed: time::Instant) -> Rest {
+        let mut rest = Rest::Silent;
+        loop {
+            let now = time::Instant::now();
+            let until = match rest {
+                Rest::Silent => (closed + attempt::CLOSE_SILENCE_MAX).max(now + BACKLOG_PAUSE_MAX),
+                _ => now + BACKLOG_PAUSE_MAX,
+            };
+            let Ok(frame) = time::timeout_at(until, part.incoming.frame()).await else {
+                return rest;
+            };
+            let bytes = match frame {
+                None if part.splitter.is_empty() => return Rest::Whole,
+                None => return Rest::Reached,
+                Some(Err(error)) if is_closed_early(&error) => return Rest::Reached,
+                Some(Err(_)) => return rest,
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            self.connection.handle().record_progress();
+            match part.splitter.push(&bytes) {
+                Ok(Some(batch)) => {
+                    let made_tokens = batch.count * self.call.engine.event_tokens;
+                    self.ticket.cost.answer_tokens += made_tokens;
+                }
+                Ok(None) => {}
+                Err(events::EventTooLarge) => return rest,
             }
             if closed.elapsed() >= ON_ITS_WAY_MAX {
-                return true;
+                rest = Rest::Reached;
+            }
+            if closed.elapsed() >= REST_TIME_MAX {
+                return rest;
             }
         }
-        false
     }
 
     fn log_broken(&self, resumable: bool) {
@@ -257,7 +291,9 @@
         let position =
             attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: Some(run) };
         let sent = Cell::new(false);
-        let sending = attempt::send(context, &self.call, &self.placement, position, &sent);
+        let client_left = sync::CancellationToken::new();
+        let sending =
+            attempt::send(context, &self.call, &self.placement, position, &sent, &client_left);
         let deadline = time::Instant::from_std(self.call.deadline);
         let outcome = timer::timeout_at(deadline, sending).await;
         let (id, vm) = (&self.call.parameters.id, &self.placement.vm);
@@ -299,8 +335,9 @@
             let sent = Cell::new(false);
             let position =
                 attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: None };
-            let sending =
-                attempt::send(gateway.attempts(), &self.call, &placement, position, &sent);
+            let client_left = sync::CancellationToken::new();
+            let (context, call) = (gateway.attempts(), &self.call);
+            let sending = attempt::send(context, call, &placement, position, &sent, &client_left);
             match timer::timeout_at(deadline, sending).await {
                 Ok(attempt::Outcome::Answered { answer, connection })
                     if answer.status().is_success() =>
@@ -328,3 +365,11 @@
         }
     }
 }
+
+/// Whether a server ended its connection before its answer was whole.
+fn is_closed_early(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    error.is_incomplete_message()
+        || io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::UnexpectedEof)
+}
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// An admitted request. Dropping it before it is finished reports it as cancelled by its client.
+/// An admitted request. Dropping it before it is finished reports that it is unknown whether it ran.
 pub struct Ticket {
     control: Addr<control::Control>,
     slot: ids::RequestSlot,
@@ -78,6 +78,19 @@
         self.finish(node::RequestOutcome::NotRun);
     }
 
+    /// Finishes a request whose client left, and whose server is known to have stopped soon after.
+    pub fn finish_cancelled(mut self) {
+        let consumed_tokens = self.cost.cancelled_tokens();
+        self.finish(node::RequestOutcome::Cancelled { consumed_tokens });
+    }
+
+    /// Finishes a request whose client left, and whose run was stopped with this many tokens of its answer made.
+    pub fn finish_stopped(mut self, answer_tokens: u64) {
+        self.cost.answer_tokens = self.cost.answer_tokens.max(answer_tokens);
+        let consumed_tokens = self.cost.tokens_so_far();
+        self.finish(node::RequestOutcome::Cancelled { consumed_tokens });
+    }
+
     /// Finishes a request that may have run in part or in full.
     pub fn finish_unknown(mut self) {
         self.finish(node::RequestOutcome::Unknown);
@@ -112,8 +125,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         if self.unfinished {
-            let consumed_tokens = self.cost.cancelled_tokens();
-            self.finish(node::RequestOutcome::Cancelled { consumed_tokens });
+            self.finish(node::RequestOutcome::Unknown);
         }
     }
 }
