Keep nothing for a waiting request of a budget whose lowered amount is spent

What callers saw: a tenant whose prepaid amount was lowered to what it had spent was served one request more (BUDGET): 110,000 of 100,000 tokens.

Cause: a holder returns what is granted beyond a lowered amount, but kept the tokens that a waiting request needed. The wait for the ledger ended with that write, and the request was served from tokens that no longer existed.

Evidence before: nothing_is_kept_for_a_waiting_request_of_a_budget_whose_ lowered_amount_is_spent (core, ledger) reserves 5,000 tokens with 10,000 of 10,000 spent.

Why it works: while more is granted than was paid in, all free tokens return, and a waiting request draws from what is left, by a further write.

--- a/core/src/grants/account.rs
+++ b/core/src/grants/account.rs
@@ -392,10 +392,13 @@
             // Unneeded tokens are sent to the holder of the budget by message, which costs no call of the store.
             return 0;
         }
-        let kept_tokens = match (self.overdrawn, self.settings.held_percent) {
-            (true, _) => 0,
-            (false, 0) => self.target_tokens().saturating_mul(3),
-            (false, _) => self.target_tokens().saturating_mul(3) / 2,
+        // Waiting requests have to draw anew, as what they need may have been spent already.
+        if self.overdrawn {
+            return self.returnable_tokens();
+        }
+        let kept_tokens = match self.settings.held_percent {
+            0 => self.target_tokens().saturating_mul(3),
+            _ => self.target_tokens().saturating_mul(3) / 2,
         };
         let kept_tokens = kept_tokens.saturating_add(self.shortage_tokens);
         self.returnable_tokens().min(self.free_tokens().saturating_sub(kept_tokens))
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -5,7 +5,7 @@
 
 mod ledger_harness;
 
-use doorswitch_core::{ids, ledger, ledger_writer, store};
+use doorswitch_core::{grants, ids, ledger, ledger_writer, store};
 use ledger_harness::{Harness, OTHER, OWN};
 use quickcheck::quickcheck;
 
@@ -176,6 +176,26 @@
     assert_eq!(written_off(&mut shard), []);
 }
 
+/// Guards against tokens that are kept for a waiting request although the lowered amount is spent.
+#[test]
+fn nothing_is_kept_for_a_waiting_request_of_a_budget_whose_lowered_amount_is_spent() {
+    let mut harness = Harness::new(0);
+    let cover = harness.account().settings;
+    let prepaid = |tokens, version| Some(grants::Prepaid { tokens, version });
+    harness.table.declare_prepaid("w/main", cover, prepaid(100_000, 1), 0);
+    harness.table.account_mut(harness.budget).shortage_tokens = 20_000;
+    harness.sync();
+    let slot = harness.budget;
+    let running = harness.table.reserve(slot, 10_000, harness.now_ms).unwrap().dispatch();
+    harness.table.settle(running, 10_000);
+    harness.table.declare_prepaid("w/main", cover, prepaid(10_000, 2), 0);
+    harness.table.account_mut(slot).shortage_tokens = 5_000;
+    harness.sync();
+    harness.sync();
+    let reserved = harness.table.reserve(slot, 5_000, harness.now_ms);
+    assert!(reserved.is_none(), "15,000 of 10,000 tokens: {:?}", harness.account());
+}
+
 quickcheck! {
     /// Random draws, returns, closings and write-offs never make the remaining tokens negative, so that the granted
     /// tokens never exceed the paid ones.
