Charge whole answers of model servers

Cause: only the forwarding of events counted tokens; an answer that is read as a whole was charged with its prompt.

Change: such an answer costs the tokens of its events if it is a whole stream of events, else the request's most, as no page tells how many tokens it has.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -3,9 +3,12 @@
 //! The task goes on when the client leaves. So a decision of the control thread is never lost with the connection of the
 //! client, and what the server may have made by then is charged.
 
-use super::{abandoned, attempt, backends, body, exchange, listener, refusal, streaming, ticket};
+use super::{
+    abandoned, attempt, backends, body, events, exchange, listener, refusal, streaming, ticket,
+};
 use crate::{api_error, logging, snapshot, timer, upstream};
 use doorswitch_core::{node, routes};
+use http::header;
 use http_body_util::BodyExt;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -18,6 +21,8 @@
 
 /// The time within which an answer is read that arrives as a whole after its client has left.
 const LEFT_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// The media type of events.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// A call that is to be admitted and sent.
 pub struct Dispatch {
@@ -167,6 +172,7 @@
                             if response.status().is_success() {
                                 self.gateway.report_success(&self.call);
                             }
+                            self.charge_whole(&response);
                             self.ticket.finish_ran(!server_error);
                             return Ok(response);
                         }
@@ -221,6 +227,19 @@
         }
     }
 
+    /// Charges the tokens of a model server's answer that arrived as a whole: those of its events, or the most if nothing
+    /// in it tells how many it has.
+    fn charge_whole(&mut self, response: &backends::Response) {
+        if !response.status().is_success() || self.call.shows_tokens() {
+            return;
+        }
+        let cost = &mut self.ticket.cost;
+        cost.answer_tokens = match count_events(response) {
+            Some(count) => count.saturating_mul(self.call.engine.event_tokens),
+            None => cost.bound_tokens,
+        };
+    }
+
     fn stream(
         self,
         placement: upstream::Placement,
@@ -238,7 +257,7 @@
 
     /// Ends a call whose client left while it was being sent, and charges what its server may have made.
     async fn end_without_client(
-        self,
+        mut self,
         placement: upstream::Placement,
         outcome: Result<attempt::Outcome, time::error::Elapsed>,
     ) {
@@ -255,6 +274,7 @@
                 let reading = read_answer(&self.gateway, *answer, connection);
                 match time::timeout(LEFT_ANSWER_TIMEOUT, reading).await {
                     Ok(Ok(response)) => {
+                        self.charge_whole(&response);
                         self.ticket.finish_ran(!response.status().is_server_error());
                     }
                     _ => self.ticket.finish_unknown(),
@@ -303,6 +323,21 @@
     Ok(exchange::with_head(&parts, body::Body::Whole(buffer.finish())))
 }
 
+/// The number of events in an answer that arrived as a whole; `None` if it has none.
+fn count_events(response: &backends::Response) -> Option<u64> {
+    let body::Body::Whole(pieces) = response.body() else { return None };
+    let content_type = response.headers().get(header::CONTENT_TYPE)?.to_str().ok()?;
+    if !content_type.starts_with(EVENT_STREAM) {
+        return None;
+    }
+    let mut splitter = events::Splitter::default();
+    let mut count = 0;
+    for piece in pieces {
+        count += splitter.push(piece).ok()?.map_or(0, |batch| batch.count);
+    }
+    Some(count).filter(|_| splitter.is_empty())
+}
+
 /// When a running attempt is abandoned for one at another server, which happens at most once: a server that has not
 /// answered within half of the time until the deadline may have lost the request, and the other half is left for the
 /// next server. `None` if only the deadline ends the attempt: a stream may take long until its first event, and a
