Let one odd record decide over no other server

What callers saw: as soon as another writer put one record with a start among those of servers that record none, every request got 503 (no_server), as long as the record stayed.

Cause: a record without a start is dropped where servers record when they started, and one record with a start, of any service, was taken for that.

Change: at least half of a service's records decide. A service with a single server and an odd record beside it is a tie, which drops the record without a start, as a_record_without_a_start_is_not_used_beside_those_with_one asks.

Also new: a start that is far too late, written once over a server's record, hides its later ones.

--- a/core/src/node/config_and_vms.rs
+++ b/core/src/node/config_and_vms.rs
@@ -157,10 +157,7 @@
         {
             vm.state = servers::VmState::Leaving;
         }
-        // Where servers record when they started, a record without a start time comes from another writer.
-        if backends.iter().any(|vm| vm.incarnation != ids::ServerIncarnation::UNKNOWN) {
-            backends.retain(|vm| vm.incarnation != ids::ServerIncarnation::UNKNOWN);
-        }
+        drop_undated(&mut backends);
         backends
     }
 
@@ -193,3 +190,18 @@
         }
     }
 }
+
+/// Drops records without a start time where servers record when they started: such a record comes from another writer.
+/// At least half of a service's records decide whether they do, so that a single one doesn't decide over all others.
+fn drop_undated(backends: &mut Vec<servers::Vm>) {
+    let is_dated = |vm: &servers::Vm| vm.incarnation != ids::ServerIncarnation::UNKNOWN;
+    let mut counts = collections::HashMap::<String, (usize, usize)>::new();
+    for vm in backends.iter() {
+        let (dated, undated) = counts.entry(vm.service.clone()).or_default();
+        *if is_dated(vm) { dated } else { undated } += 1;
+    }
+    backends.retain(|vm| {
+        let (dated, undated) = counts.get(&vm.service).copied().unwrap_or_default();
+        is_dated(vm) || dated == 0 || dated < undated
+    });
+}
