Wait for slow readers in a planned stop

Cause: an answer counted as open until the task that read it from the server ended, not until it was written.

Why it works: the response's body carries the count until it is taken to be written, and a connection counts from the closing phase on while a request is handled or something waits for the client.

--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -2,6 +2,7 @@
 //! time makes room for a new one.
 
 use super::body;
+use crate::snapshot;
 use http_body::{Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -151,12 +152,13 @@
 pub struct AnswerBody {
     body: body::Body,
     _exchange: Exchange,
+    _open_answer: snapshot::OpenAnswer,
 }
 
 impl AnswerBody {
-    /// Has the exchange end when the body has been written or is dropped.
-    pub fn new(body: body::Body, exchange: Exchange) -> Self {
-        Self { body, _exchange: exchange }
+    /// Has the exchange end, and no longer counts the answer as open, when the body was taken to be written or is dropped.
+    pub fn new(body: body::Body, exchange: Exchange, open_answer: snapshot::OpenAnswer) -> Self {
+        Self { body, _exchange: exchange, _open_answer: open_answer }
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,6 +28,7 @@
     exchange: clients::Exchange,
     request: Request<Incoming>,
 ) -> Result<http::Response<clients::AnswerBody>, Infallible> {
+    let open_answer = gateway.published.open_answer();
     let mut response = tokio::select! {
         response = gateway.clone().response_to(request, &exchange) => response,
         // The client has closed the connection, so this response is never read.
@@ -36,7 +37,7 @@
     if gateway.draining() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| clients::AnswerBody::new(body, exchange)))
+    Ok(response.map(|body| clients::AnswerBody::new(body, exchange, open_answer)))
 }
 
 /// What a request's head resolves to under the configuration in force.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -24,8 +24,8 @@
 /// How long to wait after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// How long a connection that makes room for another one may take to send the rest of its last answer.
-const EVICTION_DELAY: Duration = Duration::from_millis(100);
+/// A connection counts as unused if it was so at two moments this far apart.
+const UNUSED_TIME: Duration = Duration::from_millis(100);
 
 /// The phases from normal operation to the end of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,14 +148,24 @@
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            // The end of an answer may still wait for the client to read.
+            let open_answer = gateway.published.open_answer();
             serving.as_mut().graceful_shutdown();
-            serving.await
+            let ended = tokio::select! {
+                ended = serving.as_mut() => Some(ended),
+                () = unused_for(&connection, &client_socket, UNUSED_TIME) => None,
+            };
+            drop(open_answer);
+            match ended {
+                Some(ended) => ended,
+                None => serving.await,
+            }
         }
         () = connection.evicted() => {
             serving.as_mut().graceful_shutdown();
             tokio::select! {
                 ended = serving => ended,
-                () = unused_for(&connection, &client_socket, EVICTION_DELAY) => Ok(()),
+                () = unused_for(&connection, &client_socket, UNUSED_TIME) => Ok(()),
             }
         }
     };
