Stop reading an answer whose client has left

What callers would have seen: a server works on for a client that left in the middle of an answer that is no stream, until the request's deadline (GONE). Found by reading, which brought it: the task that outlives its client noticed a leave only while it awaited the head of an answer.

Evidence: the_server_is_released_when_its_client_disconnects_in_the_middle_of_ an_answer fails without this change (not released within 40 s), and passes with it.

Why it works: reading a whole answer ends with the client, which closes the connection; and a call whose client left is not retried.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -160,7 +160,17 @@
                     }
                     let server_error = answer.status().is_server_error();
                     let reading = read_answer(&self.gateway, *answer, connection);
-                    match timer::timeout_at(deadline, reading).await {
+                    let read = tokio::select! {
+                        biased;
+                        read = timer::timeout_at(deadline, reading) => Some(read),
+                        // Closes the connection, so that the server stops.
+                        () = self.client_left.cancelled() => None,
+                    };
+                    let Some(read) = read else {
+                        self.may_have_run = true;
+                        break;
+                    };
+                    match read {
                         Err(_) => {
                             self.ticket.finish_unknown();
                             return Err(refusal::deadline_exceeded());
@@ -197,9 +207,8 @@
                 Ok(attempt::Outcome::NoRoute) => node::AttemptFailure::NoRoute,
             };
             self.may_have_run |= failure == node::AttemptFailure::MayHaveRun;
-            if self.may_have_run && !repeatable {
-                self.ticket.finish_unknown();
-                return Err(refusal::outcome_unknown());
+            if self.may_have_run && !repeatable || self.client_left.is_cancelled() {
+                break;
             }
             match self.ticket.retry(failure).await {
                 upstream::Admission::Placed(next) => {
@@ -225,6 +234,11 @@
                 }
             }
         }
+        match self.may_have_run {
+            true => self.ticket.finish_unknown(),
+            false => self.ticket.finish_not_run(),
+        }
+        Err(refusal::outcome_unknown())
     }
 
     /// Charges the tokens of a model server's answer that arrived as a whole: those of its events, or the most if nothing
--- a/tests/http_ends.rs
+++ b/tests/http_ends.rs
@@ -130,6 +130,20 @@
     });
 }
 
+#[test]
+fn the_server_is_released_when_its_client_disconnects_in_the_middle_of_an_answer() {
+    let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Length: 9\r\n\r\npart";
+    let script = Box::new(move |_, _: &_| vec![Step::Write(head.to_owned()), Step::AwaitClose]);
+    let world = World::start("left-part", vec![script]);
+    let client = world.send(0, &long_deadline_request("/long/x", "id-1"));
+    eventually("the server has received the request", || world.backends[0].requests().len() == 1);
+    std::thread::sleep(Duration::from_millis(50));
+    drop(client);
+    eventually("the router closes the server's connection", || {
+        world.backends[0].closed_by_client() == 1
+    });
+}
+
 #[test]
 fn the_server_is_released_when_a_client_with_a_pipelined_request_disconnects() {
     let world = World::start("pipelined", vec![Box::new(|_, _| vec![Step::AwaitClose])]);
