Say once how a silent run ends, and simplify the bound's arithmetic

Cause: read as a newcomer, the diff had a match on how a silent run ended in two places, the sum of what has left a router twice, a weight of 1, a future built anew inside a loop for an optional time, and three comments that did not say what they meant. No change of behaviour is meant: the same decisions, with the mapping to what is charged in gateway/abandoned.rs only.

Ruled out: LEFT_WEIGHT kept as a named 1; it only hid that nothing is weighed.

--- a/core/src/grants/pacing.rs
+++ b/core/src/grants/pacing.rs
@@ -9,8 +9,7 @@
 const COVER_PERCENT: u64 = 80;
 /// The tokens that may be spent at once, in milliseconds of the bound on the rate.
 const BURST_MS: u64 = 500;
-/// The same, and the time for which it was spent, together for a budget that is spent only since a short time: its rate is
-/// not known well yet.
+/// The least sum of the burst and the time since spending began, in milliseconds: the rate is underestimated at first.
 const FIRST_BURST_MS: u64 = 5_000;
 /// The requests of the largest size that had to wait for tokens that may be served at once.
 const BURST_REQUESTS: u64 = 2;
@@ -67,19 +66,17 @@
 }
 
 impl account::Account {
-    /// The tokens that have left this router's grant, or may for requests that are running.
-    fn used_tokens(&self) -> u64 {
-        let used = self.consumed_tokens.saturating_add(self.sent_tokens);
-        used.saturating_add(self.reserved_tokens).saturating_sub(self.received_tokens)
+    /// The tokens that have left this router, or may for requests that are running.
+    fn outgoing_tokens(&self) -> u64 {
+        let gone = self.consumed_tokens.saturating_add(self.sent_tokens);
+        gone.saturating_add(self.reserved_tokens)
     }
 
     /// The free tokens that may be spent now: as many as the bound in the ledger allows.
     pub fn spendable_tokens(&self, now_ms: u64) -> u64 {
         let allowed = self.pacing.limit_tokens(now_ms).map(|limit| {
-            // Tokens that were received from others and are unspent can be spent beside those of the grant.
-            let used = self.consumed_tokens.saturating_add(self.sent_tokens);
-            let used = used.saturating_add(self.reserved_tokens);
-            limit.saturating_add(self.received_tokens).saturating_sub(used)
+            // Tokens that were received from others are not part of the grant.
+            limit.saturating_add(self.received_tokens).saturating_sub(self.outgoing_tokens())
         });
         self.free_tokens().min(allowed.unwrap_or(u64::MAX))
     }
@@ -97,10 +94,11 @@
         let at_ms = origin_ms.saturating_add(now_ms);
         let at_once_tokens =
             self.burst_tokens(free_tokens).saturating_add(self.shortage_tokens).min(free_tokens);
+        let used_tokens = self.outgoing_tokens().saturating_sub(self.received_tokens);
         let pace = ledger::Pace {
             era,
             at_ms,
-            limit_tokens: self.used_tokens().saturating_add(at_once_tokens),
+            limit_tokens: used_tokens.saturating_add(at_once_tokens),
             tokens_per_s: self.paced_tokens_per_s(free_tokens),
         };
         self.pacing.record_write(pace);
@@ -108,8 +106,8 @@
     }
 
     fn paced_tokens_per_s(&self, free_tokens: u64) -> u64 {
-        let cover_ms = (self.settings.cover_s * 10 * COVER_PERCENT).max(1);
-        let in_cover = u128::from(free_tokens) * 1_000 / u128::from(cover_ms);
+        let cover_ms = self.settings.cover_s.saturating_mul(1_000) / 100 * COVER_PERCENT;
+        let in_cover = u128::from(free_tokens) * 1_000 / u128::from(cover_ms.max(1));
         let measured = self.rate_tokens_per_s().saturating_mul(100) / COVER_PERCENT;
         u64::try_from(in_cover).unwrap_or(u64::MAX).max(measured)
     }
--- a/core/src/grants/throttle.rs
+++ b/core/src/grants/throttle.rs
@@ -9,8 +9,6 @@
 
 /// Losses of at most one part in this many of the paid tokens change nothing.
 const TOLERATED_LOSS_DIVISOR: u64 = 33;
-/// The weight of the tokens that are left against the lost ones, see `lasting_ms`.
-const LEFT_WEIGHT: u128 = 1;
 /// One part in this many of the rate is for requests of any size.
 const ANY_SIZE_DIVISOR: u64 = 8;
 /// The most that is saved up while little is spent, in milliseconds of the rate.
@@ -140,13 +138,13 @@
     }
 
     /// The time for which the tokens that are left must last: 0 if none were lost, otherwise
-    /// `loss_spread_s * lost / (lost + LEFT_WEIGHT * left)`, which grows to `loss_spread_s` as the budget ends.
+    /// `loss_spread_s * lost / (lost + left)`, which grows to `loss_spread_s` as the budget ends.
     fn lasting_ms(&self) -> u64 {
         if self.written_off_tokens <= self.paid_tokens / TOLERATED_LOSS_DIVISOR {
             return 0;
         }
         let lost = u128::from(self.written_off_tokens);
-        let left = LEFT_WEIGHT * u128::from(self.unspent_tokens());
+        let left = u128::from(self.unspent_tokens());
         let spread_ms = u128::from(self.settings.loss_spread_s) * 1_000;
         u64::try_from(spread_ms * lost / (lost + left).max(1)).unwrap_or(u64::MAX)
     }
--- a/src/gateway/abandoned.rs
+++ b/src/gateway/abandoned.rs
@@ -1,6 +1,6 @@
 //! Ends runs whose clients have left and that say nothing more, and finds out what they may have made.
 
-use super::{attempt, backends, listener, stopped_runs};
+use super::{attempt, backends, listener, stopped_runs, ticket};
 use crate::upstream;
 use std::time::Instant;
 
@@ -17,7 +17,7 @@
 
 /// What is known of a run that was ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+enum End {
     /// The server is reached, so it knows that the connection has ended, and what it had sent has arrived.
     Reached,
     /// The server stopped the run when it was asked to.
@@ -30,9 +30,23 @@
 }
 
 impl Run<'_> {
-    /// Ends a run on whose connection nothing was heard since the server was told, at `closed`, that the client has left.
-    /// If the server isn't reached, it is asked through another router to stop the run.
-    pub async fn end_silent(&self, connection: backends::Connection, closed: Instant) -> End {
+    /// Ends a run on whose connection nothing was heard since the server was told, at `closed`, that the client has left,
+    /// and charges what it may have made.
+    pub async fn end_silent(
+        &self,
+        connection: backends::Connection,
+        closed: Instant,
+        ticket: ticket::Ticket,
+    ) {
+        match self.stop(connection, closed).await {
+            End::Reached if self.call.shows_tokens() => ticket.finish_cancelled(),
+            End::Stopped { answer_tokens } => ticket.finish_stopped(answer_tokens),
+            End::Reached | End::Unknown => ticket.finish_unknown(),
+        }
+    }
+
+    /// Closes the connection. If the server isn't reached, it is asked through another router to stop the run.
+    async fn stop(&self, connection: backends::Connection, closed: Instant) -> End {
         let via = connection.via.clone();
         connection.handle().abort();
         drop(connection);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -213,12 +213,6 @@
         let mut sending = Box::pin(connection.sender.try_send_request(request));
         let mut closed = None;
         let answer = loop {
-            let silent = async {
-                match closed {
-                    Some(closed) => heard_nothing_since(closed).await,
-                    None => future::pending().await,
-                }
-            };
             tokio::select! {
                 biased;
                 answer = &mut sending => break Some(answer),
@@ -227,8 +221,7 @@
                     closed = Some(Instant::now());
                     continue;
                 }
-                () = silent => {
-                    let closed = closed.unwrap_or(sent_at);
+                closed = silence_after(closed) => {
                     return Outcome::SilentSinceClientLeft { connection, closed };
                 }
                 () = handle.link_lost(), if closed.is_none() => {}
@@ -265,12 +258,14 @@
     }
 }
 
-/// Returns once the time has passed in which a server that is reached sends something after its client has left. What has
-/// arrived while this process was paused is read first.
-async fn heard_nothing_since(closed: Instant) {
+/// Returns `closed` once the time has passed in which a server that is reached sends something after it was told, at
+/// `closed`, that its client has left; never if it wasn't told. A pause of this process leaves time to read what arrived.
+async fn silence_after(closed: Option<Instant>) -> Instant {
+    let Some(closed) = closed else { return future::pending().await };
     let deadline = time::Instant::from_std(closed + CLOSE_SILENCE_MAX);
-    // Only completes late, by the time that is allowed for a pause.
+    // Ends with the timeout, as the future never completes.
     let _ = timer::timeout_at(deadline, future::pending::<()>()).await;
+    closed
 }
 
 /// Evaluates the head of an answer: reports what the server states in it, and determines whether the request ran.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -302,13 +302,7 @@
             Ok(Outcome::SilentSinceClientLeft { connection, closed }) => {
                 let Self { gateway, call, ticket, .. } = self;
                 let run = abandoned::Run { gateway: &gateway, call: &call, placement: &placement };
-                match run.end_silent(connection, closed).await {
-                    abandoned::End::Reached if call.shows_tokens() => ticket.finish_cancelled(),
-                    abandoned::End::Stopped { answer_tokens } => {
-                        ticket.finish_stopped(answer_tokens);
-                    }
-                    abandoned::End::Reached | abandoned::End::Unknown => ticket.finish_unknown(),
-                }
+                run.end_silent(connection, closed, ticket).await;
             }
             Ok(Outcome::ConnectionLost | Outcome::Unknown) | Err(_) => {
                 self.ticket.finish_unknown();
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -213,13 +213,7 @@
             Rest::Silent => {
                 let Self { gateway, call, ticket, placement, connection, .. } = self;
                 let run = abandoned::Run { gateway: &gateway, call: &call, placement: &placement };
-                match run.end_silent(connection, closed.into_std()).await {
-                    abandoned::End::Reached => ticket.finish_cancelled(),
-                    abandoned::End::Stopped { answer_tokens } => {
-                        ticket.finish_stopped(answer_tokens);
-                    }
-                    abandoned::End::Unknown => ticket.finish_unknown(),
-                }
+                run.end_silent(connection, closed.into_std(), ticket).await;
             }
         }
     }
@@ -291,6 +285,7 @@
         let position =
             attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: Some(run) };
         let sent = Cell::new(false);
+        // The task of the stream notices when the client leaves.
         let client_left = sync::CancellationToken::new();
         let sending =
             attempt::send(context, &self.call, &self.placement, position, &sent, &client_left);
