--- a/core/tests/crashing_part_schedules.rs
+++ b/core/tests/crashing_part_schedules.rs
@@ -150,13 +150,21 @@
 
 #[test]
 fn no_part_is_quarantined_when_servers_crash_for_other_reasons() {
-    for seed in 600..640 {
-        let mut scenario = scenario(7, DEPLOYED_BOUNDS, 0, seed);
-        scenario.crash_interval_ms = 10_000;
-        run_with_faults(&mut scenario, |scenario| {
-            if scenario.rng.random_bool(0.2) {
-                crash_some(scenario);
-            }
-        });
-    }
+    (600..640).for_each(crashes_for_other_reasons);
+}
+
+/// The fleet asserts the staleness bounds in every step.
+#[test]
+fn gossip_does_not_keep_an_old_configuration_young() {
+    crashes_for_other_reasons(10_143);
+}
+
+fn crashes_for_other_reasons(seed: u64) {
+    let mut scenario = scenario(7, DEPLOYED_BOUNDS, 0, seed);
+    scenario.crash_interval_ms = 10_000;
+    run_with_faults(&mut scenario, |scenario| {
+        if scenario.rng.random_bool(0.2) {
+            crash_some(scenario);
+        }
+    });
 }
--- a/core/tests/unanswered_polls.rs
+++ b/core/tests/unanswered_polls.rs
@@ -100,6 +100,43 @@
     fleet.run_ms(8_000);
 }
 
+/// All connections of a router go silent at once, among them an idle one on which its next poll is sent. Datagrams still
+/// arrive, so that it hears of a later configuration.
+fn named_by_peers_only(routers: usize) {
+    /// From then on the router counts as reachable.
+    const CONTACT_MS: u64 = 3_000;
+    let at_each = |index| (0..800).step_by(100).map(move |after_ms| (index, after_ms));
+    for (index, change_after_ms) in (0..routers).flat_map(at_each) {
+        let mut fleet = up_to_date_fleet(routers, BOUNDS, 4);
+        fleet.leave_polls_unanswered(index);
+        fleet.routers[index].silent_links = true;
+        fleet.routers[index].silent_polls = 1;
+        fleet.run_ms(change_after_ms);
+        fleet.publish();
+        fleet.run_ms(CONTACT_MS - change_after_ms);
+        let node = &fleet.routers[index].node;
+        assert!(
+            fleet.is_up_to_date(node),
+            "router {index} lacks the change after {change_after_ms} ms"
+        );
+    }
+}
+
+macro_rules! named_by_peers {
+    ($($name:ident: $routers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            named_by_peers_only($routers);
+        }
+    )*};
+}
+
+named_by_peers! {
+    a_configuration_that_peers_name_is_fetched_by_two_routers: 2;
+    a_configuration_that_peers_name_is_fetched_by_seven_routers: 7;
+    a_configuration_that_peers_name_is_fetched_by_twelve_routers: 12;
+}
+
 /// Runs a random schedule of unanswered polls, outages, connections that fail, restarts and changes.
 fn random_schedule(routers: usize, seed: u64) {
     let mut fleet = Fleet::new(routers, 3, BOUNDS, seed);
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -70,6 +70,10 @@
     pub cut: bool,
     /// Whether the store rejects the calls of this router only.
     pub rejected_by_store: bool,
+    /// Whether connections to and from other routers are silent. Datagrams arrive.
+    pub silent_links: bool,
+    /// The number of next polls of the configuration that are sent on connections that have gone silent.
+    pub silent_polls: u32,
     /// The network partition of the router; routers in different partitions cannot reach each other.
     pub partition: u64,
     /// When a fault of this router last began or ended.
@@ -403,6 +407,8 @@
             frozen: false,
             cut: false,
             rejected_by_store: false,
+            silent_links: false,
+            silent_polls: 0,
             partition: 0,
             last_fault_ms: self.now_ms,
             open_polls: Vec::new(),
@@ -426,7 +432,10 @@
             match action {
                 node::Action::Poll(poll) => {
                     let router = &mut self.routers[index];
-                    let unanswered = self.store == StoreMode::Silent;
+                    let on_silent_connection =
+                        poll.topic == watch::Topic::Configuration && router.silent_polls > 0;
+                    router.silent_polls -= u32::from(on_silent_connection);
+                    let unanswered = on_silent_connection || self.store == StoreMode::Silent;
                     router.open_polls.push(OpenPoll { poll, sent_ms: self.now_ms, unanswered });
                     self.calls += u64::from(!router.cut);
                 }
@@ -436,7 +445,9 @@
                     let lost = envelope.message.by_datagram()
                         && self.message_loss_percent > 0
                         && self.value_rng.random_range(0..100) < self.message_loss_percent;
-                    if lost {
+                    let silent = !envelope.message.by_datagram()
+                        && (self.routers[index].silent_links || self.has_silent_links(&address));
+                    if lost || silent {
                         continue;
                     }
                     self.send(index, address.clone(), Event::Message { to: address, envelope });
@@ -534,6 +545,10 @@
         running && undisturbed_ms >= FAULT_RECOVERY_MS && self.reaches_store(index)
     }
 
+    fn has_silent_links(&self, address: &str) -> bool {
+        self.routers.iter().any(|router| router.address == address && router.silent_links)
+    }
+
     fn send(&mut self, from: usize, to: String, event: Event) {
         let reached = self.routers.iter().any(|router| {
             router.address == to && router.alive && router.partition == self.routers[from].partition
