Name the poll that confirmed a copy, so that gossip does not renew it

Cause: routers pass on how old their copies are, and an age says nothing of the time that its datagram takes. Each hop renews the confirmation by that time, so routers that pass on each other's never find their copies stale and none asks the store.

Change: a datagram names for each age the router that polled the store and the time on its clock. A receiver maps that to its own clock by the first datagram that told it, and a confirmation that it knows never gets younger. The names follow the extension of a datagram, which builds without them ignore; ages of such builds count as before. A copy that arrives as a message is confirmed by the datagram that announced it.

Ruled out: a threshold for the gain (seven hops of 20 ms exceed one of 100 ms), an allowance for each hop (a loaded thread takes longer than any).

--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -347,6 +347,20 @@
     /// know it ignores it.
     #[serde(skip)]
     pub extension: Option<GossipExtension>,
+    /// What follows the extension in a datagram; `None` from a build that sends no such part.
+    #[serde(skip)]
+    pub confirmations: Option<Confirmations>,
+}
+
+/// The polls of the store to which the ages in a [`Digest`] refer. A receiver recognizes by them that it knows a
+/// confirmation already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmations {
+    /// The poll that confirmed the copy of the configuration; `None` if the copy has no age or a router of an older build
+    /// stated it.
+    pub configuration: Option<watch::Confirmation>,
+    /// The same for the list of VMs.
+    pub servers: Option<watch::Confirmation>,
 }
 
 /// The part of a [`Gossip`] datagram that follows the fields which all builds of the protocol's version know. A router
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -197,7 +197,8 @@
             health: members::Health::Alive,
         };
         let members = members::Table::new(own, settings.seeds.clone());
-        let watching = settings.watch.map(watching::Watching::new);
+        let own = settings.incarnation;
+        let watching = settings.watch.map(|bounds| watching::Watching::new(own, bounds));
         let read_limiter = limiter::RateLimiter::new(settings.platform_reads_per_s, 50, now_ms);
         let write_limiter = limiter::RateLimiter::new(settings.platform_writes_per_s, 5, now_ms);
         Self {
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -128,7 +128,9 @@
             self.merge_leaving(gossip.from.id, leaving);
         }
         match self.watching {
-            Some(_) => self.merge_digest(gossip.from.id, &gossip.digest, now_ms),
+            Some(_) => {
+                self.merge_digest(gossip.from.id, &gossip.digest, gossip.confirmations, now_ms);
+            }
             None => self.request_newer_copies(gossip, now_ms),
         }
         if gossip.kind == message::GossipKind::Ping {
@@ -233,6 +235,7 @@
             limits: self.take_limit_updates(now_ms),
             brittle: self.servers.take_brittle_updates(now_ms),
             extension: Some(self.gossip_extension(now_ms)),
+            confirmations: Some(self.confirmations()),
         };
         self.counters.gossip_sent += 1;
         self.actions.push(Action::Gossip { address, gossip: Box::new(gossip) });
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -32,6 +32,39 @@
 /// by about this fraction while members join and leave.
 const MEMBERS_TOLERANCE_DIVISOR: u64 = 16;
 
+/// What shows that the age of a peer's copy is not renewed on the way.
+#[derive(Clone, Copy, Debug)]
+enum Evidence {
+    /// The poll that confirmed the copy.
+    Poll(watch::Confirmation),
+    /// Nothing: the peer does not know which poll it was.
+    Unknown,
+    /// Nothing: the peer's build does not tell. Its statement is taken as it is.
+    OlderBuild,
+}
+
+impl Evidence {
+    /// The evidence for one of the copies in a datagram.
+    fn of(
+        confirmations: Option<message::Confirmations>,
+        poll: fn(message::Confirmations) -> Option<watch::Confirmation>,
+    ) -> Self {
+        match confirmations {
+            None => Self::OlderBuild,
+            Some(confirmations) => poll(confirmations).map_or(Self::Unknown, Self::Poll),
+        }
+    }
+}
+
+/// A peer's statement on a copy that this router does not have yet.
+#[derive(Clone, Copy, Debug)]
+struct AnnouncedCopy {
+    config_version: u64,
+    copy_state: message::CopyState,
+    evidence: Evidence,
+    received_ms: u64,
+}
+
 /// State of the gossip of store updates.
 #[derive(Debug, Default)]
 pub(super) struct Relay {
@@ -48,6 +81,9 @@
     config_requested_ms: Option<u64>,
     vms_requested_ms: Option<u64>,
     members_requested_ms: Option<u64>,
+    /// The latest statements on copies that were requested.
+    announced_config: Option<AnnouncedCopy>,
+    announced_vms: Option<AnnouncedCopy>,
 }
 
 impl Relay {
@@ -110,11 +146,21 @@
         }
     }
 
+    /// The polls that confirmed the copies in [`Self::digest`].
+    pub(super) fn confirmations(&self) -> message::Confirmations {
+        let Some(watching) = &self.watching else { return Default::default() };
+        message::Confirmations {
+            configuration: watching.configuration.confirmation(),
+            servers: watching.servers.confirmation(),
+        }
+    }
+
     /// Merges the digest of a peer's copies into this router's copies, and requests what is missing.
     pub(super) fn merge_digest(
         &mut self,
         from: ids::Incarnation,
         digest: &message::Digest,
+        confirmations: Option<message::Confirmations>,
         now_ms: u64,
     ) {
         let Some(watching) = &mut self.watching else { return };
@@ -122,12 +168,21 @@
         if !self.accepts_era(digest.era.max(digest.servers.position.era)) {
             self.handle_unconfirmed_era(from, digest, now_ms);
         }
-        self.merge_servers(from, digest, now_ms);
-        self.merge_configuration(from, digest, now_ms);
+        let evidence = |poll: fn(message::Confirmations) -> Option<watch::Confirmation>| {
+            Evidence::of(confirmations, poll)
+        };
+        self.merge_servers(from, digest, evidence(|polls| polls.servers), now_ms);
+        self.merge_configuration(from, digest, evidence(|polls| polls.configuration), now_ms);
         self.request_members(from, digest.routers, now_ms);
     }
 
-    fn merge_servers(&mut self, from: ids::Incarnation, digest: &message::Digest, now_ms: u64) {
+    fn merge_servers(
+        &mut self,
+        from: ids::Incarnation,
+        digest: &message::Digest,
+        evidence: Evidence,
+        now_ms: u64,
+    ) {
         let reported = digest.servers.position;
         if !self.accepts_era(reported.era) || reported.era < self.vms_index.era {
             return;
@@ -149,19 +204,26 @@
             self.apply_changes(reported, changes, missed_updates, now_ms);
         }
         if reported > self.vms_index {
+            self.relay.announced_vms = Some(AnnouncedCopy {
+                config_version: digest.config_version,
+                copy_state: digest.servers,
+                evidence,
+                received_ms: now_ms,
+            });
             if may_request(&mut self.relay.vms_requested_ms, VMS_REQUEST_RETRY_MS, now_ms) {
                 self.send(from, message::Message::VmsRequest);
             }
             return;
         }
         let copy_state = message::CopyState { position: self.vms_index, ..digest.servers };
-        self.confirm_copy(watch::Topic::Servers, copy_state, now_ms);
+        self.confirm_copy(watch::Topic::Servers, copy_state, evidence, now_ms);
     }
 
     fn merge_configuration(
         &mut self,
         from: ids::Incarnation,
         digest: &message::Digest,
+        evidence: Evidence,
         now_ms: u64,
     ) {
         if self.accepts_era(digest.evacuations.position.era)
@@ -170,6 +232,12 @@
             self.record_peer_update(watch::Topic::Configuration, now_ms);
         }
         if digest.config_version > self.config_version() {
+            self.relay.announced_config = Some(AnnouncedCopy {
+                config_version: digest.config_version,
+                copy_state: digest.configuration,
+                evidence,
+                received_ms: now_ms,
+            });
             if may_request(&mut self.relay.config_requested_ms, CONFIG_REQUEST_RETRY_MS, now_ms) {
                 self.send(from, message::Message::ConfigRequest);
             }
@@ -185,26 +253,61 @@
         let same_version = digest.config_version == self.config_version();
         let position = if same_version { reported } else { store::Position::START };
         let copy_state = message::CopyState { position, ..digest.configuration };
-        self.confirm_copy(watch::Topic::Configuration, copy_state, now_ms);
+        self.confirm_copy(watch::Topic::Configuration, copy_state, evidence, now_ms);
     }
 
     /// Merges a peer's evidence that a copy at the same position was current into this router's subscription.
-    pub(super) fn confirm_copy(
+    fn confirm_copy(
         &mut self,
         topic: watch::Topic,
         copy_state: message::CopyState,
+        evidence: Evidence,
         now_ms: u64,
     ) {
+        let own = self.settings.incarnation;
         let gossips_store_updates = self.gossips_store_updates();
         let Some(watching) = &mut self.watching else { return };
-        let subscription = watching.topic(topic);
-        subscription.adopt(copy_state.position);
+        let position = copy_state.position;
+        watching.topic(topic).adopt(position);
         let Some(age_ms) = copy_state.age_ms else { return };
-        let gained_ms = subscription.confirm(copy_state.position, now_ms.saturating_sub(age_ms));
+        let reported_ms = now_ms.saturating_sub(age_ms);
+        let (confirmed_ms, confirmation) = match evidence {
+            Evidence::Poll(poll) if poll.router == own => (poll.at_ms, Some(poll)),
+            Evidence::Poll(poll) => (watching.peer_clocks.local_ms(poll, reported_ms), Some(poll)),
+            Evidence::OlderBuild => (reported_ms, None),
+            Evidence::Unknown => return,
+        };
+        let subscription = watching.topic(topic);
+        let gained_ms = subscription.confirm(position, confirmed_ms, confirmation);
         self.relay.push_due |=
             gossips_store_updates && gained_ms >= subscription.notable_improvement_ms();
     }
 
+    /// Records that this router has taken over a peer's copy, and whether it is the one that a datagram announced. The age
+    /// in the message itself counts only if there was no copy before, as nothing tells which poll it refers to.
+    fn record_copy_taken_over(
+        &mut self,
+        topic: watch::Topic,
+        copy_state: message::CopyState,
+        announced: Option<AnnouncedCopy>,
+        now_ms: u64,
+    ) {
+        if let Some(announced) = announced {
+            self.confirm_copy(
+                topic,
+                announced.copy_state,
+                announced.evidence,
+                announced.received_ms,
+            );
+        }
+        let Some(watching) = &mut self.watching else { return };
+        let subscription = watching.topic(topic);
+        subscription.adopt(copy_state.position);
+        if let (None, Some(age_ms)) = (subscription.age_ms(now_ms), copy_state.age_ms) {
+            subscription.confirm(copy_state.position, now_ms.saturating_sub(age_ms), None);
+        }
+    }
+
     /// Records that a peer sent an update, which supersedes this router's own poll.
     fn record_peer_update(&mut self, topic: watch::Topic, now_ms: u64) {
         self.relay.schedule_pushes(now_ms);
@@ -315,8 +418,15 @@
                 if version == self.config_version() {
                     self.relay.encoded_config = Some((version, value));
                     self.record_peer_update(watch::Topic::Configuration, now_ms);
+                    let announced = self.relay.announced_config.take();
+                    let announced = announced.filter(|known| known.config_version <= version);
                     if accepted {
-                        self.confirm_copy(watch::Topic::Configuration, copy_state, now_ms);
+                        self.record_copy_taken_over(
+                            watch::Topic::Configuration,
+                            copy_state,
+                            announced,
+                            now_ms,
+                        );
                     }
                 }
             }
@@ -347,7 +457,10 @@
         self.relay.reset_changes(copy_state.position);
         self.replace_vms(copy_state.position, vms, now_ms);
         self.record_peer_update(watch::Topic::Servers, now_ms);
-        self.confirm_copy(watch::Topic::Servers, copy_state, now_ms);
+        let announced = self.relay.announced_vms.take();
+        let position = copy_state.position;
+        let announced = announced.filter(|known| known.copy_state.position <= position);
+        self.record_copy_taken_over(watch::Topic::Servers, copy_state, announced, now_ms);
     }
 }
 
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -1,7 +1,7 @@
 //! Polls of the store for updates: which routers poll, and how the answers are applied.
 
 use super::{Action, CallOutcome, CallPurpose, Lifecycle, Node, Notice};
-use crate::{members, servers, store, watch};
+use crate::{ids, members, servers, store, watch};
 use std::collections;
 
 /// Time after its start in which a router requests its copies from peers only. A peer answers within milliseconds; in a
@@ -27,20 +27,23 @@
     announced: bool,
     /// Time at which the last gossip of a peer was received.
     pub(super) gossip_received_ms: Option<u64>,
+    /// The clocks of the routers whose polls confirmed copies.
+    pub(super) peer_clocks: watch::PeerClocks,
     /// Time until which each lapsed record is kept, by VM.
     lapsed_until_ms: collections::BTreeMap<String, u64>,
 }
 
 impl Watching {
-    pub(super) fn new(bounds: watch::Bounds) -> Self {
+    pub(super) fn new(own: ids::Incarnation, bounds: watch::Bounds) -> Self {
         let configuration = watch::Topic::Configuration;
         Self {
-            configuration: watch::Subscription::new(configuration, bounds.configuration_ms),
-            servers: watch::Subscription::new(watch::Topic::Servers, bounds.servers_ms),
+            configuration: watch::Subscription::new(own, configuration, bounds.configuration_ms),
+            servers: watch::Subscription::new(own, watch::Topic::Servers, bounds.servers_ms),
             role: watch::Role::Joining,
             role_checked_ms: 0,
             announced: false,
             gossip_received_ms: None,
+            peer_clocks: Default::default(),
             lapsed_until_ms: Default::default(),
         }
     }
@@ -333,6 +336,8 @@
         let role = self.current_role(watching, now_ms);
         let Some(watching) = &mut self.watching else { return };
         watching.role_checked_ms = now_ms;
+        let members = &self.members;
+        watching.peer_clocks.retain(|router| members.find(router).is_some());
         if watching.role != role {
             watching.role = role;
             self.actions.push(Action::Notice(Notice::WatchRole { role }));
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -4,16 +4,18 @@
 //! and the others receive updates and the age of the copy from peers. A router whose copy is stale polls the store
 //! itself after a random delay, so that the whole fleet makes a bounded number of such polls a second.
 
+mod confirmation;
 mod copy;
 mod polls;
 mod updates;
 mod watchers;
 
+pub use confirmation::{Confirmation, PeerClocks};
 pub use polls::{AbandonedPoll, Evidence, Fleet, OpenPoll, PollInFlight};
 pub use updates::{AllServers, ConfigurationUpdate, Outcome, ServerChange, ServerRecord, Update};
 pub use watchers::{WATCHERS, watchers};
 
-use crate::{backoff, store};
+use crate::{backoff, ids, store};
 use rand::RngExt;
 use rand::rngs;
 use serde::{Deserialize, Serialize};
@@ -135,12 +137,15 @@
 /// and the polls in flight. A router has one for each topic; it decides when the next poll is sent.
 #[derive(Debug)]
 pub struct Subscription {
+    router: ids::Incarnation,
     topic: Topic,
     bound_ms: u64,
     /// The position of this router's copy; [`store::Position::START`] if it has none.
     position: store::Position,
     /// The latest time at which the copy is known to have matched the store.
     confirmed_ms: Option<u64>,
+    /// The poll that showed this; `None` if it is unknown, because a router of an older build stated it.
+    confirmation: Option<Confirmation>,
     /// The store no longer has the history since the copy's revision, so the next poll requests the full state.
     needs_full_state: bool,
     /// The poll that waits for a change.
@@ -164,13 +169,15 @@
 }
 
 impl Subscription {
-    /// Returns the state of a topic without a copy.
-    pub fn new(topic: Topic, bound_ms: u64) -> Self {
+    /// Returns the state of a topic at `router`, without a copy.
+    pub fn new(router: ids::Incarnation, topic: Topic, bound_ms: u64) -> Self {
         Self {
+            router,
             topic,
             bound_ms,
             position: store::Position::START,
             confirmed_ms: None,
+            confirmation: None,
             needs_full_state: false,
             long_poll: None,
             freshness_check: None,
@@ -200,6 +207,11 @@
         self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
+    /// Returns the poll that showed the copy to be current at the time to which its age refers.
+    pub fn confirmation(&self) -> Option<Confirmation> {
+        self.confirmation
+    }
+
     /// Returns when the copy was last known to be current or a poll last failed, whichever is later; `None` if neither
     /// happened. A restore that is detected later is assumed to be later than that.
     pub fn last_current_or_failed_ms(&self) -> Option<u64> {
--- a/core/src/watch/copy.rs
+++ b/core/src/watch/copy.rs
@@ -1,6 +1,9 @@
 //! Updates the position and age of a copy from answers, failed polls and peers' reports.
 
-use super::{Evidence, PollInFlight, RETRY_DELAY_FIRST_MS, Role, STALE_POLLS_PER_S, Subscription};
+use super::{
+    Confirmation, Evidence, PollInFlight, RETRY_DELAY_FIRST_MS, Role, STALE_POLLS_PER_S,
+    Subscription,
+};
 use crate::store;
 use rand::RngExt;
 use rand::rngs;
@@ -27,6 +30,7 @@
     pub fn discard_copy(&mut self) {
         self.position = store::Position::START;
         self.confirmed_ms = None;
+        self.confirmation = None;
     }
 
     /// Handles the answer to a poll; `changed` is whether it contained changes.
@@ -55,7 +59,8 @@
         if changed && self.long_poll.is_some_and(|long_poll| long_poll.sent_ms < flight.sent_ms) {
             self.supersede(Evidence::LaterCall, now_ms);
         }
-        self.confirm(position, current_ms);
+        let confirmation = Confirmation { router: self.router, at_ms: current_ms };
+        self.confirm(position, current_ms, Some(confirmation));
         self.last_rejected_ms = None;
     }
 
@@ -94,15 +99,21 @@
         }
     }
 
-    /// Records that the copy, at `position` or a later one, matched the store at `confirmed_ms`. Returns by how many
-    /// milliseconds the copy's age decreased.
-    pub fn confirm(&mut self, position: store::Position, confirmed_ms: u64) -> u64 {
+    /// Records that the copy, at `position` or a later one, matched the store at `confirmed_ms`, as `confirmation` showed.
+    /// Returns by how many milliseconds the copy's age decreased.
+    pub fn confirm(
+        &mut self,
+        position: store::Position,
+        confirmed_ms: u64,
+        confirmation: Option<Confirmation>,
+    ) -> u64 {
         self.position = self.position.max(position);
         let before_ms = self.confirmed_ms.unwrap_or(0);
         if self.confirmed_ms.is_some() && confirmed_ms <= before_ms {
             return 0;
         }
         self.confirmed_ms = Some(confirmed_ms);
+        self.confirmation = confirmation;
         self.last_rejected_ms = self.last_rejected_ms.filter(|at_ms| confirmed_ms <= *at_ms);
         confirmed_ms.saturating_sub(before_ms)
     }
--- a/core/tests/node.rs
+++ b/core/tests/node.rs
@@ -261,6 +261,7 @@
         limits: Vec::new(),
         brittle: Vec::new(),
         extension: None,
+        confirmations: None,
     }
 }
 
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -312,6 +312,7 @@
             limits: Vec::new(),
             brittle: Vec::new(),
             extension: None,
+            confirmations: None,
         };
         let now_ms = self.now_ms;
         self.routers[index].node.handle_gossip(&gossip, now_ms);
--- a/core/tests/watching.rs
+++ b/core/tests/watching.rs
@@ -4,7 +4,7 @@
 
 mod watch_fleet;
 
-use doorswitch_core::{servers, store, watch};
+use doorswitch_core::{ids, servers, store, watch};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use watch_fleet::{BOUNDS, Fleet, StoreMode, up_to_date_fleet};
@@ -262,14 +262,14 @@
 fn an_equally_stale_peer_does_not_delay_a_poll() {
     for seed in 0..50 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut watch =
-            watch::Subscription::new(watch::Topic::Configuration, SHORT.configuration_ms);
-        watch.confirm(store::Position::new(0, 5), 0);
+        let (router, topic) = (ids::Incarnation(1), watch::Topic::Configuration);
+        let mut watch = watch::Subscription::new(router, topic, SHORT.configuration_ms);
+        watch.confirm(store::Position::new(0, 5), 0, None);
         let fleet = watch::Fleet { routers: 17, rank: 3, alone: false };
         let due = (0..3_500).step_by(20).find(|now_ms| {
             // The delay of its messages makes the reported state look slightly newer each time.
             if now_ms % 100 == 0 {
-                watch.confirm(store::Position::new(0, 5), now_ms / 50);
+                watch.confirm(store::Position::new(0, 5), now_ms / 50, None);
             }
             watch.due_poll(watch::Role::Listener, fleet, *now_ms, &mut rng).is_some()
         });
@@ -381,3 +381,20 @@
     random_schedules_of_a_larger_fleet: 24, BOUNDS, 100..130;
     random_schedules_of_a_larger_fleet_with_a_tight_bound: 24, TIGHT, 200..220;
 }
+
+/// Each hop takes 20 ms, of which the age in a datagram says nothing.
+#[test]
+fn a_confirmation_that_circulates_does_not_get_younger() {
+    let mut clocks = watch::PeerClocks::default();
+    let confirmation = watch::Confirmation { router: ids::Incarnation(1), at_ms: 5_000 };
+    assert_eq!(clocks.local_ms(confirmation, 700), 700);
+    for hop in 1..50 {
+        assert_eq!(clocks.local_ms(confirmation, 700 + hop * 20), 700);
+    }
+    // A shorter way shows that it happened earlier.
+    assert_eq!(clocks.local_ms(confirmation, 690), 690);
+    let earlier = watch::Confirmation { at_ms: 4_900, ..confirmation };
+    assert_eq!(clocks.local_ms(earlier, 900), 590);
+    let later = watch::Confirmation { at_ms: 5_500, ..confirmation };
+    assert_eq!(clocks.local_ms(later, 1_250), 1_250);
+}
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -136,6 +136,7 @@
         limits: vec![limit()],
         brittle: vec![brittle()],
         extension: None,
+        confirmations: None,
     }
 }
 
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -70,13 +70,17 @@
     Ok(frame)
 }
 
-/// Encodes a datagram. The extension of gossip follows the other fields, where builds that do not know it ignore it.
+/// Encodes a datagram. The extension of gossip and the confirmations follow the other fields, where builds that do not
+/// know them ignore them.
 pub fn encode_datagram(datagram: &message::Datagram) -> Vec<u8> {
     let frame = encode(datagram);
     match datagram {
-        message::Datagram::Gossip(gossip) => match &gossip.extension {
-            Some(extension) => postcard::to_extend(extension, frame).unwrap_or_default(),
-            None => frame,
+        message::Datagram::Gossip(gossip) => match (&gossip.extension, &gossip.confirmations) {
+            (Some(extension), Some(confirmations)) => {
+                postcard::to_extend(&(extension, confirmations), frame).unwrap_or_default()
+            }
+            (Some(extension), None) => postcard::to_extend(extension, frame).unwrap_or_default(),
+            (None, _) => frame,
         },
         message::Datagram::Message(_) => frame,
     }
@@ -90,8 +94,13 @@
     if let message::Datagram::Gossip(gossip) = &mut datagram
         && !rest.is_empty()
     {
-        let extension = postcard::from_bytes(rest).map_err(|source| Error::Decode { source })?;
+        let decoded = postcard::take_from_bytes(rest);
+        let (extension, rest) = decoded.map_err(|source| Error::Decode { source })?;
         gossip.extension = Some(extension);
+        if !rest.is_empty() {
+            let decoded = postcard::from_bytes(rest).map_err(|source| Error::Decode { source })?;
+            gossip.confirmations = Some(decoded);
+        }
     }
     Ok(datagram)
 }
--- a/tests/peer_datagrams.rs
+++ b/tests/peer_datagrams.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use doorswitch::peers;
-use doorswitch_core::{ids, members, message, store, version_record};
+use doorswitch_core::{ids, members, message, store, version_record, watch};
 
 fn gossip(extension: Option<message::GossipExtension>) -> message::Datagram {
     let from = members::Record {
@@ -25,6 +25,7 @@
         limits: Vec::new(),
         brittle: Vec::new(),
         extension,
+        confirmations: None,
     }))
 }
 
@@ -39,15 +40,32 @@
     }
 }
 
+/// Gossip with all that follows its fields.
+fn complete_gossip() -> message::Datagram {
+    let confirmation = |router| watch::Confirmation { router: ids::Incarnation(router), at_ms: 9 };
+    let message::Datagram::Gossip(mut gossip) = gossip(Some(extension())) else { unreachable!() };
+    gossip.confirmations = Some(message::Confirmations {
+        configuration: Some(confirmation(1)),
+        servers: Some(confirmation(2)),
+    });
+    message::Datagram::Gossip(gossip)
+}
+
+#[test]
+fn gossip_with_confirmations_is_read_whole() {
+    let sent = complete_gossip();
+    assert_eq!(peers::decode_datagram(&peers::encode_datagram(&sent)).unwrap(), sent);
+}
+
 #[test]
-fn gossip_with_an_extension_is_read_whole() {
+fn gossip_of_builds_without_confirmations_is_read() {
     let sent = gossip(Some(extension()));
     assert_eq!(peers::decode_datagram(&peers::encode_datagram(&sent)).unwrap(), sent);
 }
 
 #[test]
 fn gossip_with_an_extension_is_read_by_builds_that_do_not_know_it() {
-    let frame = peers::encode_datagram(&gossip(Some(extension())));
+    let frame = peers::encode_datagram(&complete_gossip());
     let read: message::Datagram = peers::decode(&frame).unwrap();
     assert_eq!(read, gossip(None));
 }
@@ -59,10 +77,10 @@
 }
 
 #[test]
-fn an_extension_that_a_later_build_continues_is_read() {
-    let mut frame = peers::encode_datagram(&gossip(Some(extension())));
+fn gossip_that_a_later_build_continues_is_read() {
+    let mut frame = peers::encode_datagram(&complete_gossip());
     frame.extend([1, 2, 3]);
-    assert_eq!(peers::decode_datagram(&frame).unwrap(), gossip(Some(extension())));
+    assert_eq!(peers::decode_datagram(&frame).unwrap(), complete_gossip());
 }
 
 #[test]
