Keep lapsed records until a time after the last rejection by the store

Callers could be sent to a server that had been removed while the store rejected calls, for more than 3.0 s after its return: a router keeps a record that disappeared meanwhile for 1.4 s from when it learns of that, and learns of it up to 1.8 s after the return, as its last retry comes then.

Change: such a record is kept for 2.6 s after the store's last rejection at most. A live server's record is back within two seconds of the return.

--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -192,10 +192,10 @@
             own_position != store::Position::START && own_position.era == reported.era;
         if reported > own_position && continues_copy && digest.changes_after <= own_position {
             let changes = digest.changes.iter().filter(|change| change.position > own_position);
-            let missed_updates = self
-                .watching
-                .as_ref()
-                .is_some_and(|watching| watching.missed_server_updates(now_ms));
+            let missed_updates = self.watching.as_mut().is_some_and(|watching| {
+                watching.rejected_ms = watching.servers.last_rejected_ms();
+                watching.missed_server_updates(now_ms)
+            });
             let changes: Vec<watch::ServerChange> = changes.cloned().collect();
             // The store's revision grows with every write, also with writes outside the subscribed keys.
             if !changes.is_empty() {
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -15,6 +15,8 @@
 /// back in its list within about two seconds. The store may have refused only this router while servers left, so
 /// this stays well below the two seconds after which such a server must not get new requests.
 const LAPSED_RETENTION_MS: u64 = 1_400;
+/// The same from when the store last rejected a poll, which may have been just before its return.
+const LAPSED_RETENTION_FROM_REJECTION_MS: u64 = 2_600;
 
 /// State of following the store.
 #[derive(Debug)]
@@ -29,6 +31,8 @@
     pub(super) gossip_received_ms: Option<u64>,
     /// The clocks of the routers whose polls confirmed copies.
     pub(super) peer_clocks: watch::PeerClocks,
+    /// When the store last rejected a poll of the list of servers before the update that is being applied.
+    pub(super) rejected_ms: Option<u64>,
     /// Time until which each lapsed record is kept, by VM.
     lapsed_until_ms: collections::BTreeMap<String, u64>,
 }
@@ -44,6 +48,7 @@
             announced: false,
             gossip_received_ms: None,
             peer_clocks: Default::default(),
+            rejected_ms: None,
             lapsed_until_ms: Default::default(),
         }
     }
@@ -132,7 +137,11 @@
                 let has_update = update.has_changes();
                 let subscription = watching.topic(topic);
                 let was_refused = subscription.was_rejected(role, now_ms);
+                let rejected_ms = subscription.last_rejected_ms();
                 subscription.handle_answer(role, poll, position, has_update, now_ms);
+                if topic == watch::Topic::Servers {
+                    watching.rejected_ms = rejected_ms;
+                }
                 match has_update {
                     true => self.relay.schedule_pushes(now_ms),
                     false => self.relay.push_due = true,
@@ -267,6 +276,12 @@
 
     fn retain_lapsed(&mut self, vm: servers::Vm, kept_ms: u64, now_ms: u64) {
         let Some(watching) = &mut self.watching else { return };
+        let until_ms = watching.rejected_ms.map(|at_ms| at_ms + LAPSED_RETENTION_FROM_REJECTION_MS);
+        let kept_ms =
+            until_ms.map_or(kept_ms, |until_ms| kept_ms.min(until_ms.saturating_sub(now_ms)));
+        if kept_ms == 0 {
+            return;
+        }
         let notice = Notice::RecordLapsed { vm: vm.vm.clone(), kept_ms };
         self.actions.push(Action::Notice(notice));
         watching.lapsed_until_ms.insert(vm.vm.clone(), now_ms + kept_ms);
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -364,6 +364,11 @@
         self.last_rejected_ms.is_some() && (role == Role::EveryRouter || self.is_stale(now_ms))
     }
 
+    /// Returns when the store last rejected a poll of this router; `None` if its state was confirmed after that.
+    pub fn last_rejected_ms(&self) -> Option<u64> {
+        self.last_rejected_ms
+    }
+
     /// Returns whether records that a peer reports as lapsed may have lapsed for this router as well. A router whose
     /// copy has stayed current has received their removals.
     pub fn may_have_missed_removals(&self, role: Role, now_ms: u64) -> bool {
