Send no request after its deadline, also where the thread is late

Cause: a router at its processor limit takes 0.25 to 0.45 s for each turn of its ready tasks, and a request takes seven to ten turns.

Change: the thread's lag is measured, and a request's time counts from the earliest moment at which it may have arrived; one that can't reach a server in time at the present lag is refused at once; a call runs in its connection's task and gets one of its own only when its client leaves; the deadline is checked before a request is handed to a connection and before its first byte, and what was not written is said not to have run; the wait in the control actor's queue counts.

Left: a request that arrives late in a single pause counts as older than it is. The kernel's time of arrival is not read, as that needs unsafe code or a message with each read.

--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -212,6 +212,7 @@
         limits: Vec::new(),
         brittle: Vec::new(),
         extension: None,
+        confirmations: None,
     }
 }
 
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -77,7 +77,9 @@
 
     fn handle(&mut self, mut admit: messages::Admit, context: &mut Self::Context) -> Self::Result {
         let now_ms = self.now_ms();
-        admit.request.deadline_ms = admit.request.deadline_ms.saturating_add(now_ms);
+        let queued_ms = admit.submitted_at.elapsed().as_millis() as u64;
+        let left_ms = admit.request.deadline_ms.saturating_sub(queued_ms);
+        admit.request.deadline_ms = left_ms.saturating_add(now_ms);
         let slot = self.node.admit(admit.request, now_ms);
         let reply = self.register_waiter(slot);
         self.perform_actions(context);
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -10,8 +10,17 @@
 #[derive(Debug, Message)]
 #[rtype(result = "(ids::RequestSlot, Reply)")]
 pub struct Admit {
-    /// The request. Its deadline counts from now, in milliseconds.
+    /// The request. Its deadline counts from `submitted_at`, in milliseconds.
     pub request: node::AdmissionRequest,
+    /// When the request was submitted.
+    pub submitted_at: Instant,
+}
+
+impl Admit {
+    /// Submits a request whose deadline counts from now.
+    pub fn new(request: node::AdmissionRequest) -> Self {
+        Self { request, submitted_at: Instant::now() }
+    }
 }
 
 /// Searches for the origin of a stream that a client continues.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,7 +15,9 @@
 mod event_gaps;
 mod events;
 mod exchange;
+mod lag;
 mod listener;
+mod outliving;
 mod refusal;
 mod silence;
 pub(crate) mod socket;
@@ -23,4 +25,4 @@
 mod streaming;
 mod ticket;
 
-pub use listener::{Gateway, Phase, serve, watch_silence};
+pub use listener::{Gateway, Phase, serve, watch_silence_and_lag};
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to have a call answered by one server.
 
-use super::{backends, refusal, stopped_runs};
+use super::{backends, clients, refusal, socket, stopped_runs};
 use crate::{api_error, control, fingerprint, snapshot, timer, upstream};
 use bytes::Bytes;
 use doorswitch_core::{ids, routes, servers};
@@ -12,7 +12,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time;
-use tokio_util::sync;
 
 /// A server that is reached sends something within this time after its client has left.
 pub const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(150);
@@ -149,18 +148,18 @@
 
 /// Sends a call to the server at `placement` and returns once the head of its answer has arrived or the attempt has
 /// failed. A reused connection that turns out to be closed before anything was sent is replaced by a new one; one whose
-/// link is lost is replaced if the server stops the run, which then goes on. `sent` is set as soon as a part of the call
-/// may have been sent. Once `client_left` is cancelled, the server is told, and the attempt ends with what it has sent by
-/// then.
+/// link is lost is replaced if the server stops the run, which then goes on. `sent` is set while a part of the call may
+/// have been sent. Nothing is sent from the call's deadline on, or once the client has left. If it leaves later, the server
+/// is told, and the attempt ends with what it has sent by then.
 pub async fn send(
     context: Context<'_>,
     call: &Call,
     placement: &upstream::Placement,
     mut position: Position,
     sent: &Cell<bool>,
-    client_left: &sync::CancellationToken,
+    client: &clients::Client,
 ) -> Outcome {
-    let outcome = send_from(context, call, placement, &mut position, sent, client_left).await;
+    let outcome = send_from(context, call, placement, &mut position, sent, client).await;
     match outcome {
         Outcome::NotSent | Outcome::NoRoute | Outcome::Rejected
             if position.stopped_run.is_some() =>
@@ -179,7 +178,7 @@
     placement: &upstream::Placement,
     position: &mut Position,
     sent: &Cell<bool>,
-    client_left: &sync::CancellationToken,
+    client: &clients::Client,
 ) -> Outcome {
     let mut new_only = false;
     let repeatable = call.route.repeatable();
@@ -187,7 +186,7 @@
         let connecting = context.backends.connect(placement, new_only, repeatable);
         let connected = tokio::select! {
             biased;
-            () = client_left.cancelled() => return Outcome::NotSent,
+            () = client.left() => return Outcome::NotSent,
             connected = connecting => connected,
         };
         let mut connection = match connected {
@@ -206,17 +205,22 @@
                 placement.vm
             );
         }
-        let request = request(call, placement, position);
         let sent_at = Instant::now();
-        sent.set(true);
+        if sent_at >= call.deadline || client.has_left() {
+            context.backends.keep_unsent(connection);
+            return Outcome::NotSent;
+        }
+        let request = request(call, placement, position);
         let handle = connection.handle();
+        handle.send_before(call.deadline);
+        let sending_mark = SendingMark::new(sent, handle.clone());
         let mut sending = Box::pin(connection.sender.try_send_request(request));
         let mut closed = None;
         let answer = loop {
             tokio::select! {
                 biased;
                 answer = &mut sending => break Some(answer),
-                () = client_left.cancelled(), if closed.is_none() => {
+                () = client.left(), if closed.is_none() => {
                     handle.close_sending();
                     closed = Some(Instant::now());
                     continue;
@@ -236,6 +240,8 @@
             }
         };
         drop(sending);
+        let request_sent = handle.request_sent();
+        drop(sending_mark);
         let error = match answer {
             None => continue,
             Some(Ok(answer)) => {
@@ -244,8 +250,7 @@
             Some(Err(error)) => error,
         };
         // The request is returned in the error only if not a byte of it was written.
-        let unsent = error.message().is_some();
-        sent.set(!unsent);
+        let unsent = error.message().is_some() || !request_sent;
         if closed.is_some() && error.error().is_incomplete_message() {
             return Outcome::EndedWithClient;
         }
@@ -258,6 +263,25 @@
     }
 }
 
+/// Marks a call as sent for as long as its connection may send it, and afterwards if it has.
+struct SendingMark<'a> {
+    sent: &'a Cell<bool>,
+    sent_before: bool,
+    handle: Rc<socket::ConnectionHandle>,
+}
+
+impl<'a> SendingMark<'a> {
+    fn new(sent: &'a Cell<bool>, handle: Rc<socket::ConnectionHandle>) -> Self {
+        Self { sent, sent_before: sent.replace(true), handle }
+    }
+}
+
+impl Drop for SendingMark<'_> {
+    fn drop(&mut self) {
+        self.sent.set(self.sent_before || self.handle.request_sent());
+    }
+}
+
 /// Returns `closed` once the time has passed in which a server that is reached sends something after it was told, at
 /// `closed`, that its client has left; never if it wasn't told. A pause of this process leaves time to read what arrived.
 async fn silence_after(closed: Option<Instant>) -> Instant {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -337,6 +337,14 @@
         self.keep_idle(connection);
     }
 
+    /// Keeps a connection on which nothing of its exchange was sent.
+    pub fn keep_unsent(&self, connection: Connection) {
+        match connection.used {
+            true => self.keep_idle(connection),
+            false => self.keep_new_idle(connection),
+        }
+    }
+
     /// Keeps a connection for reuse after its exchange ended cleanly, or closes it if it may not be idle or there are
     /// `IDLE_MAX` idle ones already.
     pub fn keep_idle(&self, mut connection: Connection) {
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -1,7 +1,7 @@
 //! The open connections of clients. If there are too many, the one that has waited for a whole request for the longest
 //! time makes room for a new one.
 
-use super::body;
+use super::{body, socket};
 use crate::snapshot;
 use http_body::{Frame, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -11,6 +11,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
+use tokio_util::sync;
 
 /// A connection is not closed for another one before it has waited this long: its request may be on the way.
 const WAIT_MIN: Duration = Duration::from_secs(1);
@@ -36,8 +37,17 @@
     waiting_since: Cell<Option<Instant>>,
     /// Wakes the connection's task when the connection has to make room.
     evicted: Notify,
+    /// No part of the next request arrived before.
+    request_not_before: Cell<Instant>,
+    /// The number of turns that the next request waits for from its arrival until it is handled.
+    turns: Cell<u32>,
 }
 
+/// The turns that a request waits for whose connection has just been accepted: its task starts, then reads.
+const TURNS_NEW: u32 = 2;
+/// The turns that a later request of a connection waits for.
+const TURNS_KEPT: u32 = 1;
+
 /// The place of one open connection, until it is dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -62,8 +72,8 @@
     }
 
     /// Admits a new connection, for which another one may have to be closed; `None` if requests are being handled or may
-    /// still arrive on all of them.
-    pub fn admit(self: &Rc<Self>) -> Option<Connection> {
+    /// still arrive on all of them. The connection may have waited for `lag` until it was accepted.
+    pub fn admit(self: &Rc<Self>, lag: Duration) -> Option<Connection> {
         let full = self.open.borrow().len() >= self.connections_max;
         if full && !self.evict(Instant::now()) {
             metrics::counter!("doorswitch_client_connections_refused_total").increment(1);
@@ -72,9 +82,12 @@
         }
         let key = self.next_key.get();
         self.next_key.set(Key(key.0 + 1));
+        let now = Instant::now();
         let state = Rc::new(State {
-            waiting_since: Cell::new(Some(Instant::now())),
+            waiting_since: Cell::new(Some(now)),
             evicted: Notify::new(),
+            request_not_before: Cell::new(now.checked_sub(lag).unwrap_or(now)),
+            turns: Cell::new(TURNS_NEW),
         });
         self.open.borrow_mut().insert(key, state.clone());
         self.report_count();
@@ -135,6 +148,14 @@
 }
 
 impl Exchange {
+    /// The earliest time at which the request may have arrived if it is handled now and each turn takes up to `lag`.
+    pub fn arrived_at(&self, lag: Duration) -> Instant {
+        let now = Instant::now();
+        let waited = lag * self.0.turns.get();
+        let earliest = now.checked_sub(waited).unwrap_or(now);
+        earliest.max(self.0.request_not_before.get())
+    }
+
     /// Records that the request has arrived as a whole.
     pub fn record_request_read(&self) {
         self.0.waiting_since.set(None);
@@ -143,7 +164,48 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        self.0.waiting_since.set(Some(Instant::now()));
+        let now = Instant::now();
+        self.0.waiting_since.set(Some(now));
+        self.0.request_not_before.set(now);
+        self.0.turns.set(TURNS_KEPT);
+    }
+}
+
+/// The client of a call.
+#[derive(Clone, Debug)]
+pub struct Client {
+    left: sync::CancellationToken,
+    connection: Option<socket::PeerWatch>,
+    request_arrived: Instant,
+}
+
+impl Client {
+    /// The client at `connection`, which has left once `left` is cancelled.
+    pub fn new(
+        left: sync::CancellationToken,
+        connection: socket::PeerWatch,
+        request_arrived: Instant,
+    ) -> Self {
+        Self { left, connection: Some(connection), request_arrived }
+    }
+
+    /// The client of a stream, whose task notices when it leaves.
+    pub fn of_stream() -> Self {
+        let left = sync::CancellationToken::new();
+        Self { left, connection: None, request_arrived: Instant::now() }
+    }
+
+    /// Whether the client has left. One that closes its sending side with its request has
+    /// [`socket::CLOSE_CHECK_INTERVAL`] for its answer.
+    pub fn has_left(&self) -> bool {
+        let closed = || self.connection.as_ref().is_some_and(socket::PeerWatch::is_closed);
+        let may_be_closed = self.request_arrived.elapsed() >= socket::CLOSE_CHECK_INTERVAL;
+        self.left.is_cancelled() || may_be_closed && closed()
+    }
+
+    /// Returns once the client is reported to have left.
+    pub async fn left(&self) {
+        self.left.cancelled().await;
     }
 }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -1,10 +1,11 @@
-//! Runs one call in a task of its own: has it admitted, and sends it to servers until one answers.
+//! Runs one call: has it admitted, and sends it to servers until one answers.
 //!
-//! The task goes on when the client leaves. So a decision of the control thread is never lost with the connection of the
+//! A call that has begun goes on when its client leaves. So a decision of the control thread is never lost with the connection of the
 //! client, and what the server may have made by then is charged.
 
 use super::{
-    abandoned, attempt, backends, body, events, exchange, listener, refusal, streaming, ticket,
+    abandoned, attempt, backends, body, clients, events, exchange, listener, outliving, refusal,
+    socket, streaming, ticket,
 };
 use crate::{api_error, logging, snapshot, timer, upstream};
 use doorswitch_core::{node, routes};
@@ -13,8 +14,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::oneshot;
-use tokio::{task, time};
+use tokio::time;
 use tokio_util::sync;
 
 type Error = api_error::ApiError;
@@ -38,6 +38,8 @@
     pub config_version: u64,
     /// When the request arrived.
     pub started: Instant,
+    /// The connection of its client.
+    pub connection: socket::PeerWatch,
     /// Counts the answer as open until it is dropped.
     pub open_answer: snapshot::OpenAnswer,
 }
@@ -48,7 +50,7 @@
     call: attempt::Call,
     ticket: ticket::Ticket,
     open_answer: snapshot::OpenAnswer,
-    client_left: sync::CancellationToken,
+    client: clients::Client,
     may_have_run: bool,
 }
 
@@ -61,31 +63,27 @@
 }
 
 impl Dispatch {
-    /// Runs the call in a task and returns the response. If the returned future is dropped, the client has left.
+    /// Runs the call and returns the response. If the returned future is dropped, the client has left.
     pub async fn start(
         self,
         admission_request: node::AdmissionRequest,
     ) -> Result<backends::Response, Error> {
         let client_left = sync::CancellationToken::new();
-        let (sender, response) = oneshot::channel();
-        let running = self.run(admission_request, client_left.clone());
-        let guard = client_left.drop_guard();
-        task::spawn_local(async move {
-            // An error means that the client has left: a stream notices that by its body.
-            let _ = sender.send(running.await);
-        });
-        let response = response.await;
-        guard.disarm();
-        response.unwrap_or_else(|_| Err(Error::closing()))
+        let client =
+            clients::Client::new(client_left.clone(), self.connection.clone(), self.started);
+        if client.has_left() {
+            return Err(refusal::outcome_unknown());
+        }
+        outliving::Outliving::new(self.run(admission_request, client), client_left).await
     }
 
     async fn run(
         self,
         admission_request: node::AdmissionRequest,
-        client_left: sync::CancellationToken,
+        client: clients::Client,
     ) -> Result<backends::Response, Error> {
         let admitting =
-            upstream::admit_unless_left(&self.gateway.control, admission_request, &client_left);
+            upstream::admit_unless_left(&self.gateway.control, admission_request, client.left());
         let id = &self.call.parameters.id;
         let log_fields = &self.log_fields;
         let placement = match admitting.await {
@@ -112,7 +110,7 @@
         let ticket = ticket::Ticket::new(control, placement.slot, self.cost, id.clone());
         let Self { gateway, call, open_answer, .. } = self;
         let may_have_run = false;
-        let admitted = Admitted { gateway, call, ticket, open_answer, client_left, may_have_run };
+        let admitted = Admitted { gateway, call, ticket, open_answer, client, may_have_run };
         admitted.send(placement).await
     }
 }
@@ -131,10 +129,10 @@
             let sent = Cell::new(false);
             let (context, position) = (self.gateway.attempts(), Default::default());
             let sending =
-                attempt::send(context, &self.call, &placement, position, &sent, &self.client_left);
+                attempt::send(context, &self.call, &placement, position, &sent, &self.client);
             let outcome = timer::timeout_at(early_retry_at.unwrap_or(deadline), sending).await;
             log_outcome(&self.call, &placement, &outcome);
-            if self.client_left.is_cancelled() {
+            if self.client.has_left() {
                 self.end_without_client(placement, outcome).await;
                 return Err(refusal::outcome_unknown());
             }
@@ -164,7 +162,7 @@
                         biased;
                         read = timer::timeout_at(deadline, reading) => Some(read),
                         // Closes the connection, so that the server stops.
-                        () = self.client_left.cancelled() => None,
+                        () = self.client.left() => None,
                     };
                     let Some(read) = read else {
                         self.may_have_run = true;
@@ -207,9 +205,12 @@
                 Ok(attempt::Outcome::NoRoute) => node::AttemptFailure::NoRoute,
             };
             self.may_have_run |= failure == node::AttemptFailure::MayHaveRun;
-            if self.may_have_run && !repeatable || self.client_left.is_cancelled() {
+            if self.may_have_run && !repeatable || self.client.has_left() {
                 break;
             }
+            if Instant::now() >= self.call.deadline {
+                return self.end_late(error_answer);
+            }
             match self.ticket.retry(failure).await {
                 upstream::Admission::Placed(next) => {
                     let id = &self.call.parameters.id;
@@ -241,6 +242,19 @@
         Err(refusal::outcome_unknown())
     }
 
+    /// The response when the deadline has passed between two attempts.
+    fn end_late(
+        self,
+        error_answer: Option<backends::Response>,
+    ) -> Result<backends::Response, Error> {
+        if error_answer.is_none() && self.may_have_run {
+            self.ticket.finish_unknown();
+            return Err(refusal::deadline_exceeded());
+        }
+        let refused = upstream::Admission::Refused(refusal::not_sent_in_time());
+        final_response(self.ticket, error_answer, self.may_have_run, refused)
+    }
+
     /// Charges the tokens of a model server's answer that arrived as a whole: those of its events, or the most if nothing
     /// in it tells how many it has.
     fn charge_whole(&mut self, response: &backends::Response) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,12 @@
 /// The time within which a request body must arrive.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The turns of the thread until a request that was read can be sent: the control actor's, that of the decision, and that
+/// of the connection.
+const TURNS_TO_SERVER: u32 = 3;
+/// The retry delay of requests that are refused because too much waits for the thread.
+const LATE_RETRY_AFTER_MS: u64 = 1_000;
+
 type Error = api_error::ApiError;
 
 /// Handles a request until the head of its answer can be sent, or until the client closes the connection.
@@ -29,8 +35,9 @@
     request: Request<Incoming>,
 ) -> Result<http::Response<clients::AnswerBody>, Infallible> {
     let open_answer = gateway.published.open_answer();
+    let connection = client.peer_watch();
     let mut response = tokio::select! {
-        response = gateway.clone().response_to(request, &exchange) => response,
+        response = gateway.clone().response_to(request, &exchange, connection) => response,
         // The client has closed the connection, so this response is never read.
         () = client.closed_by_peer() => refusal::response(&refusal::outcome_unknown()),
     };
@@ -54,10 +61,9 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         exchange: &clients::Exchange,
+        connection: socket::PeerWatch,
     ) -> backends::Response {
-        let started = Instant::now();
-        let open_answer = self.published.open_answer();
-        match self.try_response_to(request, exchange, started, open_answer).await {
+        match self.try_response_to(request, exchange, connection).await {
             Ok(response) => response,
             Err(error) => refusal::response(&error),
         }
@@ -81,9 +87,10 @@
         self: &Rc<Self>,
         request: Request<Incoming>,
         exchange: &clients::Exchange,
-        started: Instant,
-        open_answer: snapshot::OpenAnswer,
+        connection: socket::PeerWatch,
     ) -> Result<backends::Response, Error> {
+        let started = exchange.arrived_at(self.lag.current());
+        let open_answer = self.published.open_answer();
         let head = self
             .resolve_head(&request, started)
             .inspect_err(|error| self.log_refused_by_configuration(&request, error))?;
@@ -91,6 +98,7 @@
         let limit = head.snapshot.document.callers.body_bytes_max as usize;
         let body = read_body(body, limit).await?;
         exchange.record_request_read();
+        self.check_time_left(&head, started)?;
         let origin = self.find_stream_origin(&head, started).await?;
         let (mut admission_request, cost, engine) =
             self.admission_request(&head, origin, &parts.method, parts.uri.path())?;
@@ -126,11 +134,28 @@
             log_fields,
             config_version,
             started,
+            connection,
             open_answer,
         };
         dispatch.start(admission_request).await
     }
 
+    /// Refuses a request that cannot reach a server before its deadline, as too much waits for the thread.
+    fn check_time_left(&self, head: &ResolvedHead, arrived: Instant) -> Result<(), Error> {
+        let needed = self.lag.sustained() * TURNS_TO_SERVER;
+        if Instant::now() + needed < head.deadline {
+            return Ok(());
+        }
+        log::info!(
+            "event=refused_late id={} waited_ms={} needed_ms={}",
+            head.parameters.id,
+            arrived.elapsed().as_millis(),
+            needed.as_millis()
+        );
+        metrics::counter!("doorswitch_requests_refused_late_total").increment(1);
+        Err(api_error::refusal(node::Reason::DeadlineTooClose, LATE_RETRY_AFTER_MS))
+    }
+
     fn resolve_head(
         &self,
         request: &Request<Incoming>,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts client connections and serves HTTP on them.
 
-use super::{answer_memory, attempt, backends, clients, exchange, silence, socket};
+use super::{answer_memory, attempt, backends, clients, exchange, lag, silence, socket};
 use crate::{control, descriptors, links, logging, snapshot};
 use actix::prelude::Addr;
 use doorswitch_core::config;
@@ -48,6 +48,8 @@
     pub backends: Rc<backends::Backends>,
     /// The memory of answers that are read in full before they are sent to clients.
     pub answer_memory: answer_memory::AnswerMemory,
+    /// How late the gateway's thread is.
+    pub(super) lag: lag::Lag,
     clients: Rc<clients::Clients>,
     phase: watch::Sender<Phase>,
 }
@@ -71,7 +73,8 @@
         let clients = Rc::new(clients::Clients::new(shares.clients));
         let answer_memory = Default::default();
         let phase = watch::Sender::new(Phase::Serving);
-        Self { control, published, backends, answer_memory, clients, phase }
+        let lag = lag::Lag::default();
+        Self { control, published, backends, answer_memory, lag, clients, phase }
     }
 
     /// Whether a planned stop is under way.
@@ -102,7 +105,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     // Without room, the connection is closed unread, so that the client can use another router.
-                    if let Some(connection) = gateway.clients.admit() {
+                    if let Some(connection) = gateway.clients.admit(gateway.lag.current()) {
                         let socket = socket::Socket::new(stream);
                         task::spawn_local(serve_connection(socket, connection, gateway.clone()));
                     }
@@ -120,9 +123,10 @@
     Ok(())
 }
 
-/// Detects connections to servers that went silent, until it is dropped.
-pub async fn watch_silence(gateway: Rc<Gateway>) {
-    silence::watch(gateway.backends.clone()).await;
+/// Detects connections to servers that went silent, and measures the lag of the thread, until it is dropped.
+pub async fn watch_silence_and_lag(gateway: Rc<Gateway>) {
+    let silence = silence::watch(gateway.backends.clone());
+    tokio::join!(silence, gateway.lag.measure());
 }
 
 async fn serve_connection(
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP connection whose end can be detected, and which can be aborted, while another task reads from it.
 
 use crate::keep_alive;
+use futures_util::FutureExt;
 use hyper::rt;
 use std::cell::Cell;
 use std::pin::Pin;
@@ -13,7 +14,7 @@
 use tokio::sync::Notify;
 
 /// How often a client connection is checked for its end while its request is being handled.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The most bytes that are read from a server without a part of an answer in them: more than the largest head.
 const UNPRODUCTIVE_BYTES_MAX: usize = 1 << 20;
@@ -33,6 +34,21 @@
     write_blocked: Cell<bool>,
     /// The bytes received since the exchange began or made progress.
     unproductive_bytes: Cell<usize>,
+    /// The exchange's request is not sent from then on, if nothing of it was sent before.
+    send_before: Cell<Option<Instant>>,
+    /// Whether a part of the exchange's request was sent.
+    request_sent: Rc<Cell<bool>>,
+}
+
+/// Tells whether the peer of a connection, which other tasks use, has closed it.
+#[derive(Clone, Debug)]
+pub struct PeerWatch(Weak<Inner>);
+
+impl PeerWatch {
+    /// Whether the connection has ended, at least in the direction from the peer.
+    pub fn is_closed(&self) -> bool {
+        self.0.upgrade().is_none_or(|inner| inner.is_closed_by_peer())
+    }
 }
 
 /// What is known of an exchange on a connection.
@@ -48,6 +64,7 @@
 #[derive(Debug)]
 pub struct ConnectionHandle {
     inner: Weak<Inner>,
+    request_sent: Rc<Cell<bool>>,
     /// Whether the exchange was told that the link is lost.
     reported_lost: Cell<bool>,
     /// Whether the exchange has still to learn that.
@@ -75,12 +92,26 @@
     pub fn begin_exchange(&self, repeatable: bool) {
         self.link_lost.set(false);
         self.reported_lost.set(false);
+        self.request_sent.set(false);
         if let Some(inner) = self.inner.upgrade() {
+            inner.send_before.set(None);
             inner.exchange.set(Some(Exchange { began: Instant::now(), repeatable }));
         }
         self.record_progress();
     }
 
+    /// Has the exchange's request not sent from `deadline` on, if nothing of it was sent before.
+    pub fn send_before(&self, deadline: Instant) {
+        if let Some(inner) = self.inner.upgrade() {
+            inner.send_before.set(Some(deadline));
+        }
+    }
+
+    /// Whether a part of the exchange's request was sent.
+    pub fn request_sent(&self) -> bool {
+        self.request_sent.get()
+    }
+
     /// Records that a part of the answer was received.
     pub fn record_progress(&self) {
         if let Some(inner) = self.inner.upgrade() {
@@ -148,6 +179,8 @@
             received_at: Cell::new(Instant::now()),
             write_blocked: Cell::new(false),
             unproductive_bytes: Cell::new(0),
+            send_before: Cell::new(None),
+            request_sent: Rc::default(),
         }))
     }
 
@@ -155,6 +188,7 @@
     pub fn handle(&self) -> ConnectionHandle {
         ConnectionHandle {
             inner: Rc::downgrade(&self.0),
+            request_sent: self.0.request_sent.clone(),
             reported_lost: Cell::new(false),
             link_lost: Cell::new(false),
             link_lost_changed: Notify::new(),
@@ -166,16 +200,16 @@
         self.0.write_blocked.get()
     }
 
+    /// Tells whether the peer has closed the connection, without keeping it open.
+    pub fn peer_watch(&self) -> PeerWatch {
+        PeerWatch(Rc::downgrade(&self.0))
+    }
+
     /// Returns once the peer has closed the connection, even if data from it is still unread.
     pub async fn closed_by_peer(&self) {
         loop {
             tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
-            let ready = tokio::select! {
-                biased;
-                ready = self.0.stream.ready(Interest::READABLE) => ready,
-                () = std::future::ready(()) => continue,
-            };
-            if ready.is_ok_and(|ready| ready.is_read_closed() || ready.is_error()) {
+            if self.0.is_closed_by_peer() {
                 return;
             }
         }
@@ -183,6 +217,26 @@
 }
 
 impl Inner {
+    fn is_closed_by_peer(&self) -> bool {
+        match self.stream.ready(Interest::READABLE).now_or_never() {
+            Some(Ok(ready)) => ready.is_read_closed() || ready.is_error(),
+            Some(Err(_)) | None => false,
+        }
+    }
+
+    /// An error if the exchange's request is too late to be sent.
+    fn check_send_time(&self) -> io::Result<()> {
+        match self.send_before.get() {
+            Some(deadline) if Instant::now() >= deadline => Err(io::ErrorKind::TimedOut.into()),
+            _ => Ok(()),
+        }
+    }
+
+    fn record_request_sent(&self) {
+        self.send_before.set(None);
+        self.request_sent.set(true);
+    }
+
     /// Counts received bytes; an error if an exchange with a server has received too many without progress.
     fn check_progress(&self, received_bytes: usize) -> io::Result<()> {
         if self.exchange.get().is_none() {
@@ -230,6 +284,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.0.check_send_time()?;
         self.0.write_blocked.set(true);
         loop {
             std::task::ready!(self.0.stream.poll_write_ready(context))?;
@@ -237,6 +292,9 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     self.0.write_blocked.set(false);
+                    if result.is_ok() {
+                        self.0.record_request_sent();
+                    }
                     return Poll::Ready(result);
                 }
             }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -1,7 +1,9 @@
 //! Streamed answers: events are forwarded as they arrive. If a server fails in the middle of a stream, the stream is
 //! resumed at another server if its route is resumable.
 
-use super::{abandoned, attempt, backends, body, events, exchange, listener, stopped_runs, ticket};
+use super::{
+    abandoned, attempt, backends, body, clients, events, exchange, listener, stopped_runs, ticket,
+};
 use crate::{logging, snapshot, timer, upstream};
 use doorswitch_core::node;
 use http_body_util::BodyExt;
@@ -11,7 +13,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time;
-use tokio_util::sync;
 
 /// The number of pieces of an answer that are buffered for a slow client.
 const PIECES_BUFFERED: usize = 16;
@@ -286,9 +287,8 @@
             attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: Some(run) };
         let sent = Cell::new(false);
         // The task of the stream notices when the client leaves.
-        let client_left = sync::CancellationToken::new();
-        let sending =
-            attempt::send(context, &self.call, &self.placement, position, &sent, &client_left);
+        let client = clients::Client::of_stream();
+        let sending = attempt::send(context, &self.call, &self.placement, position, &sent, &client);
         let deadline = time::Instant::from_std(self.call.deadline);
         let outcome = timer::timeout_at(deadline, sending).await;
         let (id, vm) = (&self.call.parameters.id, &self.placement.vm);
@@ -330,9 +330,9 @@
             let sent = Cell::new(false);
             let position =
                 attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: None };
-            let client_left = sync::CancellationToken::new();
+            let client = clients::Client::of_stream();
             let (context, call) = (gateway.attempts(), &self.call);
-            let sending = attempt::send(context, call, &placement, position, &sent, &client_left);
+            let sending = attempt::send(context, call, &placement, position, &sent, &client);
             match timer::timeout_at(deadline, sending).await {
                 Ok(attempt::Outcome::Answered { answer, connection })
                     if answer.status().is_success() =>
--- a/src/router.rs
+++ b/src/router.rs
@@ -119,9 +119,9 @@
             actix::spawn(reload::follow(file, control.clone()));
         }
         let gateway = clients.map(|listener| start_gateway(listener, &shared, shares));
-        let watching_silence = gateway
-            .as_ref()
-            .map(|(gateway, _)| tokio::task::spawn_local(gateway::watch_silence(gateway.clone())));
+        let watching = gateway.as_ref().map(|(gateway, _)| {
+            tokio::task::spawn_local(gateway::watch_silence_and_lag(gateway.clone()))
+        });
         wait_for_stop(&stop).await;
         let stop_started = Instant::now();
         shared.published.set_draining();
@@ -131,7 +131,7 @@
         }
         drain_relayed(&shared, stop_started).await;
         watching_links.abort();
-        if let Some(watching) = watching_silence {
+        if let Some(watching) = watching {
             watching.abort();
         }
         control.do_send(control::Stop);
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -8,7 +8,6 @@
 use doorswitch_platform::answers;
 use std::sync::Arc;
 use std::time::Instant;
-use tokio_util::sync;
 
 /// The header with the id of an attempt, which servers echo in their answers.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
@@ -143,26 +142,26 @@
 
 /// Submits a request for admission and waits for the decision.
 pub async fn admit(control: &Addr<control::Control>, request: node::AdmissionRequest) -> Admission {
-    let Ok((slot, reply)) = control.send(control::Admit { request }).await else {
+    let Ok((slot, reply)) = control.send(control::Admit::new(request)).await else {
         return Admission::Refused(api_error::ApiError::closing());
     };
     admission(slot, control::await_answer(Ok(reply)).await)
 }
 
-/// Submits a request for admission and waits for the decision, or until the client has left. A decision that was made by
-/// then is returned: what it grants is not lost with the client.
+/// Submits a request for admission and waits for the decision, or until `client_left` completes. A decision that was made
+/// by then is returned: what it grants is not lost with the client.
 pub async fn admit_unless_left(
     control: &Addr<control::Control>,
     request: node::AdmissionRequest,
-    client_left: &sync::CancellationToken,
+    client_left: impl Future<Output = ()>,
 ) -> Admission {
-    let Ok((slot, mut reply)) = control.send(control::Admit { request }).await else {
+    let Ok((slot, mut reply)) = control.send(control::Admit::new(request)).await else {
         return Admission::Refused(api_error::ApiError::closing());
     };
     let answer = tokio::select! {
         biased;
         answer = &mut reply => answer.ok(),
-        () = client_left.cancelled() => {
+        () = client_left => {
             reply.close();
             reply.try_recv().ok()
         }
