Use a record with an earlier start once it has stayed

Cause: of two records of a server the one with the later start won for good, so one wrong number hid all that followed. The reason for the rule is a process that writes its record once more after its successor's.

Change: a record with an earlier start than the one in use is held back, and used when it has stood for 1.5 s: a successor that lives writes its record again within that time. Peers get the records as they are in the store.

Weighed and not built: the store's revision alone (a late last write of a process that has been replaced would win), the server's own answer (not all servers state their start).

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -11,6 +11,7 @@
 mod counters;
 mod directives;
 mod dump;
+mod earlier_starts;
 mod era_record;
 mod eras;
 mod evacuate;
@@ -159,6 +160,7 @@
     outage: outage::Outage,
     /// VMs whose records expired and may be listed again soon.
     lapsed: Vec<servers::Vm>,
+    earlier_starts: earlier_starts::EarlierStarts,
     evacuations: evacuation::Evacuations,
     eras: eras::Eras,
     era_record: era_record::EraRecordState,
@@ -231,6 +233,7 @@
             holders: Default::default(),
             outage: Default::default(),
             lapsed: Vec::new(),
+            earlier_starts: Default::default(),
             evacuations: Default::default(),
             eras: Default::default(),
             era_record: Default::default(),
@@ -325,6 +328,7 @@
         self.tick_confirmations(now_ms);
         self.tick_ledger_copies(now_ms);
         self.tick_watching(now_ms);
+        self.tick_earlier_starts(now_ms);
         self.tick_rates(now_ms);
         self.tick_waiting_budget(now_ms);
         self.tick_directives(now_ms);
--- a/core/src/node/config_and_vms.rs
+++ b/core/src/node/config_and_vms.rs
@@ -92,6 +92,7 @@
         self.lapsed = lapsed;
         // At the same index, the platform's client may have dropped an expired record that will not be written again.
         if index >= self.vms_index {
+            let vms = self.records_in_use(vms, now_ms);
             self.replace_vms(index, vms, now_ms);
         }
     }
@@ -104,11 +105,6 @@
         now_ms: u64,
     ) {
         let previous_index = std::mem::replace(&mut self.vms_index, index);
-        let vms = vms.into_iter().map(|vm| {
-            let previous = self.vms.get(&vm.vm);
-            vm.unless_superseded(previous)
-        });
-        let vms: Vec<servers::Vm> = vms.collect();
         for vm in vms.iter().filter(|vm| vm.state == servers::VmState::Leaving) {
             self.record_leaving(&vm.vm, vm.incarnation, leaving_servers::Source::Record, None);
         }
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -367,7 +367,7 @@
     }
 
     pub(super) fn send_vms(&mut self, to: ids::Incarnation, now_ms: u64) {
-        let mut vms: Vec<_> = self.vms.values().cloned().collect();
+        let mut vms = self.stored_records();
         vms.sort_by(|left, right| left.vm.cmp(&right.vm));
         let copy_state = self.digest(now_ms).servers;
         self.send(to, message::Message::Vms { copy_state, vms });
@@ -455,6 +455,7 @@
             self.prepare_era_change(&all, now_ms);
         }
         self.relay.reset_changes(copy_state.position);
+        let vms = self.records_in_use(vms, now_ms);
         self.replace_vms(copy_state.position, vms, now_ms);
         self.record_peer_update(watch::Topic::Servers, now_ms);
         let announced = self.relay.announced_vms.take();
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -197,7 +197,8 @@
                 for (vm, revision) in &all.revisions {
                     self.eras.set_record_revision(vm, *revision);
                 }
-                self.replace_vms(position, all.listed, now_ms);
+                let vms = self.records_in_use(all.listed, now_ms);
+                self.replace_vms(position, vms, now_ms);
             }
         }
     }
@@ -223,12 +224,16 @@
                 watch::ServerRecord::Listed(vm) => {
                     self.remove_lapsed(&change.vm);
                     self.eras.set_record_revision(&change.vm, change.position.revision);
-                    vms.insert(change.vm.clone(), vm.clone().unless_superseded(removed.as_ref()));
+                    let present = removed.as_ref();
+                    let in_use = self.earlier_starts.record_in_use(vm.clone(), present, now_ms);
+                    vms.insert(change.vm.clone(), in_use);
                 }
                 watch::ServerRecord::Removed | watch::ServerRecord::Unreadable => {
+                    self.earlier_starts.remove(&change.vm);
                     self.remove_lapsed(&change.vm);
                 }
                 watch::ServerRecord::Lapsed => {
+                    self.earlier_starts.remove(&change.vm);
                     if let Some(vm) = removed.filter(|_| keeps_lapsed) {
                         self.retain_lapsed(vm, LAPSED_RETENTION_MS, now_ms);
                     }
--- a/core/src/servers/restarts.rs
+++ b/core/src/servers/restarts.rs
@@ -58,6 +58,13 @@
         self.service_answer_times.entry(vm.service.clone()).or_default();
     }
 
+    /// Ends the present incarnation of a VM's server, so that one with an earlier start can follow it.
+    pub fn end_present(&mut self, vm: &str, next: ids::ServerIncarnation) {
+        if let Some(slot) = self.by_vm.remove(vm) {
+            self.end_incarnation(slot, next);
+        }
+    }
+
     /// Ends an incarnation of a server. The next one gets its own slot, because nothing that was
     /// recorded about this one applies to it.
     fn end_incarnation(&mut self, slot: ids::ServerSlot, next: ids::ServerIncarnation) {
--- a/core/src/servers/vm.rs
+++ b/core/src/servers/vm.rs
@@ -47,15 +47,6 @@
         ];
         texts.into_iter().map(String::len).sum()
     }
-
-    /// Returns the router's present record of the VM instead if that is of a later incarnation of the server, because
-    /// this one is outdated then.
-    pub fn unless_superseded(self, present: Option<&Self>) -> Self {
-        match present {
-            Some(present) if present.incarnation > self.incarnation => present.clone(),
-            _ => self,
-        }
-    }
 }
 
 /// Whether the backend server or router on a VM may get new requests or is about to stop, according to the VM's record.
