Log a newer configuration that a peer names and that doesn't arrive

With it, from reading the diff as a newcomer: the source of an age has a name of its own (it was called evidence, as is what shows that a poll gets no answer), two functions without a caller are gone, and a peer that passes on this router's own confirmation can't name a time after it was received.

--- a/core/src/node/notices.rs
+++ b/core/src/node/notices.rs
@@ -228,6 +228,21 @@
         /// The poll that was cancelled.
         call: watch::AbandonedPoll,
     },
+    /// A peer has a newer configuration, which was requested before and has not arrived from any peer or the store.
+    ConfigurationNotReceived {
+        /// The version that the peer has in force.
+        version: u64,
+        /// The version that this router has in force.
+        own_version: u64,
+        /// The peer, of which it is requested now.
+        peer: ids::Incarnation,
+        /// The time since the request before, in milliseconds.
+        waited_ms: u64,
+        /// The age of this router's copy, in milliseconds; `None` if it was never current.
+        age_ms: Option<u64>,
+        /// This router's polls of the store for it.
+        open_polls: Vec<watch::OpenPoll>,
+    },
     /// An answer of the store was ignored because its position precedes that of this router's copy.
     StaleAnswerIgnored {
         /// Topic of the poll.
--- a/core/src/node/relay.rs
+++ b/core/src/node/relay.rs
@@ -13,7 +13,7 @@
 /// the next push or by a probe.
 const FANOUT: usize = 4;
 /// Delay after which an update is pushed a second time, which reaches nearly all of the routers that the first push
-/// missed. Evidence that a copy is current is pushed only once.
+/// missed. AgeSource that a copy is current is pushed only once.
 const SECOND_PUSH_DELAY_MS: u64 = 100;
 /// Upper bound on the changes in one datagram; at about 150 bytes each they stay below its maximum size.
 const CHANGES_MAX: usize = 16;
@@ -32,19 +32,19 @@
 /// by about this fraction while members join and leave.
 const MEMBERS_TOLERANCE_DIVISOR: u64 = 16;
 
-/// What shows that the age of a peer's copy is not renewed on the way.
+/// What the age of a peer's copy refers to.
 #[derive(Clone, Copy, Debug)]
-enum Evidence {
+enum AgeSource {
     /// The poll that confirmed the copy.
     Poll(watch::Confirmation),
-    /// Nothing: the peer does not know which poll it was.
+    /// Unknown to the peer: the age may have been renewed on the way, and is not used.
     Unknown,
-    /// Nothing: the peer's build does not tell. Its statement is taken as it is.
+    /// The peer's build does not tell. The age is used as it is.
     OlderBuild,
 }
 
-impl Evidence {
-    /// The evidence for one of the copies in a datagram.
+impl AgeSource {
+    /// The source of the age of one of the copies in a datagram.
     fn of(
         confirmations: Option<message::Confirmations>,
         poll: fn(message::Confirmations) -> Option<watch::Confirmation>,
@@ -61,7 +61,7 @@
 struct AnnouncedCopy {
     config_version: u64,
     copy_state: message::CopyState,
-    evidence: Evidence,
+    source: AgeSource,
     received_ms: u64,
 }
 
@@ -168,11 +168,11 @@
         if !self.accepts_era(digest.era.max(digest.servers.position.era)) {
             self.handle_unconfirmed_era(from, digest, now_ms);
         }
-        let evidence = |poll: fn(message::Confirmations) -> Option<watch::Confirmation>| {
-            Evidence::of(confirmations, poll)
+        let source = |poll: fn(message::Confirmations) -> Option<watch::Confirmation>| {
+            AgeSource::of(confirmations, poll)
         };
-        self.merge_servers(from, digest, evidence(|polls| polls.servers), now_ms);
-        self.merge_configuration(from, digest, evidence(|polls| polls.configuration), now_ms);
+        self.merge_servers(from, digest, source(|polls| polls.servers), now_ms);
+        self.merge_configuration(from, digest, source(|polls| polls.configuration), now_ms);
         self.request_members(from, digest.routers, now_ms);
     }
 
@@ -180,7 +180,7 @@
         &mut self,
         from: ids::Incarnation,
         digest: &message::Digest,
-        evidence: Evidence,
+        source: AgeSource,
         now_ms: u64,
     ) {
         let reported = digest.servers.position;
@@ -207,7 +207,7 @@
             self.relay.announced_vms = Some(AnnouncedCopy {
                 config_version: digest.config_version,
                 copy_state: digest.servers,
-                evidence,
+                source,
                 received_ms: now_ms,
             });
             if may_request(&mut self.relay.vms_requested_ms, VMS_REQUEST_RETRY_MS, now_ms) {
@@ -216,14 +216,14 @@
             return;
         }
         let copy_state = message::CopyState { position: self.vms_index, ..digest.servers };
-        self.confirm_copy(watch::Topic::Servers, copy_state, evidence, now_ms);
+        self.confirm_copy(watch::Topic::Servers, copy_state, source, now_ms);
     }
 
     fn merge_configuration(
         &mut self,
         from: ids::Incarnation,
         digest: &message::Digest,
-        evidence: Evidence,
+        source: AgeSource,
         now_ms: u64,
     ) {
         if self.accepts_era(digest.evacuations.position.era)
@@ -235,10 +235,12 @@
             self.relay.announced_config = Some(AnnouncedCopy {
                 config_version: digest.config_version,
                 copy_state: digest.configuration,
-                evidence,
+                source,
                 received_ms: now_ms,
             });
+            let requested_before_ms = self.relay.config_requested_ms;
             if may_request(&mut self.relay.config_requested_ms, CONFIG_REQUEST_RETRY_MS, now_ms) {
+                self.report_config_not_received(from, digest, requested_before_ms, now_ms);
                 self.send(from, message::Message::ConfigRequest);
             }
             return;
@@ -253,7 +255,30 @@
         let same_version = digest.config_version == self.config_version();
         let position = if same_version { reported } else { store::Position::START };
         let copy_state = message::CopyState { position, ..digest.configuration };
-        self.confirm_copy(watch::Topic::Configuration, copy_state, evidence, now_ms);
+        self.confirm_copy(watch::Topic::Configuration, copy_state, source, now_ms);
+    }
+
+    /// Reports a newer configuration that was requested from a peer one or two retries ago and has not arrived.
+    fn report_config_not_received(
+        &mut self,
+        from: ids::Incarnation,
+        digest: &message::Digest,
+        requested_before_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        let waited_ms = requested_before_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
+        let Some(waited_ms) = waited_ms.filter(|ms| *ms <= 2 * CONFIG_REQUEST_RETRY_MS) else {
+            return;
+        };
+        let notice = Notice::ConfigurationNotReceived {
+            version: digest.config_version,
+            own_version: self.config_version(),
+            peer: from,
+            waited_ms,
+            age_ms: self.age_ms(watch::Topic::Configuration, now_ms),
+            open_polls: self.open_polls(watch::Topic::Configuration, now_ms),
+        };
+        self.actions.push(Action::Notice(notice));
     }
 
     /// Merges a peer's evidence that a copy at the same position was current into this router's subscription.
@@ -261,7 +286,7 @@
         &mut self,
         topic: watch::Topic,
         copy_state: message::CopyState,
-        evidence: Evidence,
+        source: AgeSource,
         now_ms: u64,
     ) {
         let own = self.settings.incarnation;
@@ -271,11 +296,13 @@
         watching.topic(topic).adopt(position);
         let Some(age_ms) = copy_state.age_ms else { return };
         let reported_ms = now_ms.saturating_sub(age_ms);
-        let (confirmed_ms, confirmation) = match evidence {
-            Evidence::Poll(poll) if poll.router == own => (poll.at_ms, Some(poll)),
-            Evidence::Poll(poll) => (watching.peer_clocks.local_ms(poll, reported_ms), Some(poll)),
-            Evidence::OlderBuild => (reported_ms, None),
-            Evidence::Unknown => return,
+        let (confirmed_ms, confirmation) = match source {
+            AgeSource::Poll(poll) if poll.router == own => {
+                (poll.at_ms.min(reported_ms), Some(poll))
+            }
+            AgeSource::Poll(poll) => (watching.peer_clocks.local_ms(poll, reported_ms), Some(poll)),
+            AgeSource::OlderBuild => (reported_ms, None),
+            AgeSource::Unknown => return,
         };
         let subscription = watching.topic(topic);
         let gained_ms = subscription.confirm(position, confirmed_ms, confirmation);
@@ -293,12 +320,7 @@
         now_ms: u64,
     ) {
         if let Some(announced) = announced {
-            self.confirm_copy(
-                topic,
-                announced.copy_state,
-                announced.evidence,
-                announced.received_ms,
-            );
+            self.confirm_copy(topic, announced.copy_state, announced.source, announced.received_ms);
         }
         let Some(watching) = &mut self.watching else { return };
         let subscription = watching.topic(topic);
--- a/core/src/watch/confirmation.rs
+++ b/core/src/watch/confirmation.rs
@@ -52,14 +52,4 @@
     pub fn retain(&mut self, is_live: impl Fn(ids::Incarnation) -> bool) {
         self.latest.retain(|router, _| is_live(*router));
     }
-
-    /// Returns the number of routers whose confirmations were received.
-    pub fn len(&self) -> usize {
-        self.latest.len()
-    }
-
-    /// Returns whether no router's confirmation was received.
-    pub fn is_empty(&self) -> bool {
-        self.latest.is_empty()
-    }
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -264,13 +264,18 @@
         "event=config_in_force version={version} source={source} age_ms={} open_calls={} \
          prepaid_tokens={prepaid_tokens}",
         logging::ms_or_never(age_ms),
-        logging::quoted(logging::joined(polls.iter().map(|poll| format!(
-            "{}:wait_ms={}:sent_ms_ago={}",
-            poll.number, poll.wait_ms, poll.sent_ms_ago
-        )))),
+        open_calls(&polls),
     );
 }
 
+/// The value of the key `open_calls`: each poll in flight, when it was sent, and how long the store may wait.
+fn open_calls(polls: &[watch::OpenPoll]) -> String {
+    logging::quoted(logging::joined(polls.iter().map(|poll| {
+        let watch::OpenPoll { number, wait_ms, sent_ms_ago } = poll;
+        format!("{number}:wait_ms={wait_ms}:sent_ms_ago={sent_ms_ago}")
+    })))
+}
+
 /// Logs each budget of which this router has a grant or consumed tokens.
 fn log_balances(node: &node::Node, now_ms: u64) {
     let used = |account: &&grants::Account| account.consumed_tokens > 0 || account.has_grant;
--- a/src/telemetry/notices.rs
+++ b/src/telemetry/notices.rs
@@ -76,6 +76,19 @@
             call.evidence.as_str(),
             call.waited_ms,
         ),
+        node::Notice::ConfigurationNotReceived {
+            version,
+            own_version,
+            peer,
+            waited_ms,
+            age_ms,
+            open_polls,
+        } => log::warn!(
+            "event=config_not_received version={version} own_version={own_version} peer={peer} \
+             waited_ms={waited_ms} age_ms={} open_calls={}",
+            logging::ms_or_never(*age_ms),
+            super::open_calls(open_polls),
+        ),
         node::Notice::StaleAnswerIgnored { topic, position, own_position } => log::info!(
             "event=stale_answer_ignored topic={} era={} revision={} known_era={} known_revision={}",
             topic.as_str(),
