Refuse late requests with 503, as they did not run

Cause: the reason deadline_too_close of the control state, which has that status in the callers' API, was taken for the refusal.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -153,7 +153,7 @@
             needed.as_millis()
         );
         metrics::counter!("doorswitch_requests_refused_late_total").increment(1);
-        Err(api_error::refusal(node::Reason::DeadlineTooClose, LATE_RETRY_AFTER_MS))
+        Err(refusal::too_late(LATE_RETRY_AFTER_MS))
     }
 
     fn resolve_head(
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -88,6 +88,13 @@
     not_run(status, "not_sent", "no server was reached before the deadline")
 }
 
+/// The error if a request could not reach a server before its deadline. It did not run.
+pub fn too_late(retry_after_ms: u64) -> api_error::ApiError {
+    let mut error = not_sent_in_time();
+    error.retry_after_ms = Some(retry_after_ms);
+    error
+}
+
 fn not_run(
     status: actix_web::http::StatusCode,
     code: &'static str,
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -70,7 +70,8 @@
             let answers = send_in_pause(&replying.world, $path, $kept);
             let log = replying.world.log(0);
             for (answer, after) in &answers {
-                assert!(matches!(answer.status, 503 | 504), "status {}\n{log}", answer.status);
+                assert_eq!(answer.status, 503, "not said to be unsent\n{log}");
+                assert!(answer.header("retry-after").is_some(), "{}", answer.head);
                 assert!(*after <= REFUSAL_TIME, "refused after {after:?}\n{log}");
             }
             for server in 0..SERVERS {
