--- a/src/gateway/lag.rs
+++ b/src/gateway/lag.rs
@@ -1,5 +1,5 @@
 //! Measures how late the gateway's thread handles what is due, because other tasks are ready before it or the process does
-//! not run.
+//! not run. A turn of the thread runs each task that is ready once; what becomes ready in it waits for the next turn.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
