Log on which connection a server refused, and answers that come after a refusal

What could not be told: the log of a refused request named neither the connection over which the refusal came nor whether the id had been there before, and an answer that arrived after a refusal ended its connection without a line, as the error of the connection's task was dropped.

Now outcome=not_run carries the connection's age, its number of requests and how often it has carried the id. A connection remembers the ids that it carried and which of them were refused. An answer that arrives while no request is under way is logged (event=surplus_answer), and one that contradicts an earlier refusal too (event=refusal_contradicted, doorswitch_contradicted_refusals_total), also where another request met it. No decision depends on any of it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 mod event_gaps;
 mod events;
 mod exchange;
+mod history;
 mod lag;
 mod listener;
 mod outliving;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to have a call answered by one server.
 
 use super::{backends, clients, refusal, socket, stopped_runs};
-use crate::{api_error, control, fingerprint, snapshot, timer, upstream};
+use crate::{api_error, control, fingerprint, logging, snapshot, timer, upstream};
 use bytes::Bytes;
 use doorswitch_core::{ids, routes, servers};
 use doorswitch_platform::{answers, headers, runs};
@@ -118,8 +118,8 @@
     NotSent,
     /// Nothing was sent: neither this router nor another one that it asked reaches the server.
     NoRoute,
-    /// The server stated that it did not run the request.
-    Rejected,
+    /// The server stated that it did not run the request, on a connection that had been used like this.
+    Rejected(backends::Usage),
     /// The request was sent, and the connection ended before the head of an answer.
     ConnectionLost,
     /// The request was sent, and the answer belongs to another request.
@@ -161,7 +161,7 @@
 ) -> Outcome {
     let outcome = send_from(context, call, placement, &mut position, sent, client).await;
     match outcome {
-        Outcome::NotSent | Outcome::NoRoute | Outcome::Rejected
+        Outcome::NotSent | Outcome::NoRoute | Outcome::Rejected(_)
             if position.stopped_run.is_some() =>
         {
             // The part of the run before it was stopped has run.
@@ -211,6 +211,7 @@
             return Outcome::NotSent;
         }
         let request = request(call, placement, position);
+        connection.record_sent(&call.parameters.id);
         let handle = connection.handle();
         handle.send_before(call.deadline);
         let sending_mark = SendingMark::new(sent, handle.clone());
@@ -306,15 +307,21 @@
     if !head.id_matches {
         // An answer to another request states nothing about this one, which may have run. The connection is closed with
         // it: the answer to this request may still arrive there.
+        let answered = answers::id(answer.headers()).unwrap_or_default();
+        let refused_here = connection.was_refused(answered);
         log::info!(
-            "event=answer_to_another_request id={} vm={} status={} states_not_run={} reused={}",
+            "event=answer_to_another_request id={} vm={} status={} states_not_run={} answered={} refused_here={refused_here} {}",
             call.parameters.id,
             placement.vm,
             answer.status().as_u16(),
             head.not_run,
-            connection.used,
+            logging::quoted(answered),
+            connection.usage(&call.parameters.id),
         );
         metrics::counter!("doorswitch_answers_to_other_requests_total").increment(1);
+        if refused_here && !head.not_run && answer.status() != StatusCode::MISDIRECTED_REQUEST {
+            backends::log_contradiction(answered, &placement.vm, answer.status().as_u16());
+        }
         return Outcome::Unknown;
     }
     connection.record_keep_alive(answer.headers());
@@ -329,8 +336,10 @@
         }
     }
     if head.not_run || misdirected {
+        connection.record_refused();
+        let usage = connection.usage(&call.parameters.id);
         discard_body(context.backends, answer, connection).await;
-        return Outcome::Rejected;
+        return Outcome::Rejected(usage);
     }
     Outcome::Answered { answer: Box::new(answer), connection }
 }
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -1,16 +1,18 @@
 //! Connections to backend servers. Idle connections are kept for reuse, a limited number for each server; a connection
 //! whose exchange did not end cleanly is closed.
 
-use super::{body, socket};
-use crate::{control, links, probe, snapshot, upstream};
+use super::{body, history, socket};
+use crate::{control, links, logging, probe, snapshot, upstream};
 use actix::prelude::Addr;
 use bytes::Bytes;
 use doorswitch_core::ids;
+use doorswitch_platform::answers;
 use http::{HeaderMap, header};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -70,12 +72,34 @@
     pub via: Option<Rc<str>>,
     established: Instant,
     handle: Rc<socket::ConnectionHandle>,
+    /// The requests that it has carried.
+    history: Rc<RefCell<history::History>>,
     /// Whether an earlier exchange used this connection.
     pub used: bool,
     /// How long it may be idle after the exchange; `None` closes it.
     idle_max: Option<Duration>,
 }
 
+/// How a connection has been used, as the fields of a log line.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    age: Duration,
+    requests: usize,
+    /// How often it has carried the id of the present request.
+    sends_of_id: usize,
+}
+
+impl fmt::Display for Usage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { age, requests, sends_of_id } = self;
+        write!(
+            formatter,
+            "connection_age_ms={} connection_requests={requests} sends_of_id={sends_of_id}",
+            age.as_millis()
+        )
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -88,6 +112,31 @@
         self.handle.clone()
     }
 
+    /// Records that a request with this id is sent next.
+    pub fn record_sent(&self, id: &str) {
+        self.history.borrow_mut().record_sent(id);
+    }
+
+    /// Records that the server refused the request that was sent last.
+    pub fn record_refused(&self) {
+        self.history.borrow_mut().record_refused();
+    }
+
+    /// Whether the server refused a request with this id on this connection.
+    pub fn was_refused(&self, id: &str) -> bool {
+        self.history.borrow().was_refused(id)
+    }
+
+    /// How it has been used by the time that it carries a request with this id.
+    pub fn usage(&self, id: &str) -> Usage {
+        let history = self.history.borrow();
+        Usage {
+            age: self.established.elapsed(),
+            requests: history.len(),
+            sends_of_id: history.sends_of(id),
+        }
+    }
+
     /// Closes the connection when its exchange ends.
     pub fn close_after_exchange(&mut self) {
         self.idle_max = None;
@@ -117,6 +166,46 @@
     }
 }
 
+/// What is logged when a connection fails.
+struct Watched {
+    vm: String,
+    established: Instant,
+    handle: Rc<socket::ConnectionHandle>,
+    history: Rc<RefCell<history::History>>,
+}
+
+impl Watched {
+    /// Logs an answer that arrived while no request was under way, if that is why the connection failed.
+    fn log_failure(&self, error: &hyper::Error) {
+        let surplus = self.handle.take_surplus();
+        let Some(answer) = answers::decode_surplus(&surplus) else {
+            log::debug!("event=server_connection_failed vm={} cause={error}", self.vm);
+            return;
+        };
+        let refused_here = self.history.borrow().was_refused(&answer.id);
+        log::info!(
+            "event=surplus_answer id={} vm={} status={} states_not_run={} refused_here={refused_here} connection_age_ms={} \
+             connection_requests={}",
+            logging::quoted(&answer.id),
+            self.vm,
+            answer.status,
+            answer.not_run,
+            self.established.elapsed().as_millis(),
+            self.history.borrow().len(),
+        );
+        metrics::counter!("doorswitch_surplus_answers_total").increment(1);
+        if refused_here && !answer.not_run {
+            log_contradiction(&answer.id, &self.vm, answer.status);
+        }
+    }
+}
+
+/// Logs that a server answered a request after it had stated that the request was not run.
+pub fn log_contradiction(id: &str, vm: &str, status: u16) {
+    log::warn!("event=refusal_contradicted id={} vm={vm} status={status}", logging::quoted(id));
+    metrics::counter!("doorswitch_contradicted_refusals_total").increment(1);
+}
+
 /// The server incarnation that a connection leads to.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Upstream {
@@ -262,8 +351,17 @@
             handle: handle.clone(),
         });
         let (sender, driver) = http1::handshake::<_, RequestBody>(socket).await?;
+        let history = Rc::<RefCell<history::History>>::default();
+        let watched = Watched {
+            vm: placement.vm.clone(),
+            established,
+            handle: handle.clone(),
+            history: history.clone(),
+        };
         let driver = task::spawn_local(async move {
-            let _ = driver.await;
+            if let Err(error) = driver.await {
+                watched.log_failure(&error);
+            }
         });
         Ok(Connection {
             sender,
@@ -272,6 +370,7 @@
             via,
             established,
             handle,
+            history,
             used: false,
             idle_max: None,
         })
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -200,7 +200,7 @@
                     | attempt::Outcome::EndedWithClient
                     | attempt::Outcome::SilentSinceClientLeft { .. },
                 ) => node::AttemptFailure::MayHaveRun,
-                Ok(attempt::Outcome::Rejected) => node::AttemptFailure::Rejected,
+                Ok(attempt::Outcome::Rejected(_)) => node::AttemptFailure::Rejected,
                 Ok(attempt::Outcome::NotSent) => node::AttemptFailure::NotSent,
                 Ok(attempt::Outcome::NoRoute) => node::AttemptFailure::NoRoute,
             };
@@ -295,7 +295,7 @@
                 self.stream(placement, connection).abandon_answer(*answer).await;
             }
             _ if self.may_have_run => self.ticket.finish_unknown(),
-            Ok(Outcome::NotSent | Outcome::NoRoute | Outcome::Rejected) => {
+            Ok(Outcome::NotSent | Outcome::NoRoute | Outcome::Rejected(_)) => {
                 self.ticket.finish_not_run();
             }
             Ok(Outcome::Answered { answer, connection }) => {
@@ -406,14 +406,18 @@
         Ok(attempt::Outcome::Answered { .. }) => "failed",
         Ok(attempt::Outcome::NotSent) => "not_sent",
         Ok(attempt::Outcome::NoRoute) => "no_route",
-        Ok(attempt::Outcome::Rejected) => "not_run",
+        Ok(attempt::Outcome::Rejected(_)) => "not_run",
         Ok(attempt::Outcome::ConnectionLost) => "broken_off",
         Ok(attempt::Outcome::Unknown) => "unknown",
         Ok(attempt::Outcome::EndedWithClient) => "ended_with_client",
         Ok(attempt::Outcome::SilentSinceClientLeft { .. }) => "silent_since_client_left",
     };
+    let usage = match outcome {
+        Ok(attempt::Outcome::Rejected(usage)) => format!(" {usage}"),
+        _ => String::new(),
+    };
     log::info!(
-        "event=attempt_ended id={} vm={} outcome={outcome_name}",
+        "event=attempt_ended id={} vm={} outcome={outcome_name}{usage}",
         call.parameters.id,
         placement.vm
     );
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -3,7 +3,7 @@
 use crate::keep_alive;
 use futures_util::FutureExt;
 use hyper::rt;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
@@ -19,6 +19,9 @@
 /// The most bytes that are read from a server without a part of an answer in them: more than the largest head.
 const UNPRODUCTIVE_BYTES_MAX: usize = 1 << 20;
 
+/// The most bytes that are kept of what a server sends while no request is under way: enough for a short head.
+const SURPLUS_BYTES_MAX: usize = 2 << 10;
+
 /// This side of a TCP connection. Clones share the connection.
 #[derive(Clone, Debug)]
 pub struct Socket(Rc<Inner>);
@@ -38,6 +41,8 @@
     send_before: Cell<Option<Instant>>,
     /// Whether a part of the exchange's request was sent.
     request_sent: Rc<Cell<bool>>,
+    /// The first bytes that were received while no exchange used the connection.
+    surplus: Rc<RefCell<Vec<u8>>>,
 }
 
 /// Tells whether the peer of a connection, which other tasks use, has closed it.
@@ -65,6 +70,7 @@
 pub struct ConnectionHandle {
     inner: Weak<Inner>,
     request_sent: Rc<Cell<bool>>,
+    surplus: Rc<RefCell<Vec<u8>>>,
     /// Whether the exchange was told that the link is lost.
     reported_lost: Cell<bool>,
     /// Whether the exchange has still to learn that.
@@ -112,6 +118,11 @@
         self.request_sent.get()
     }
 
+    /// Returns the first bytes that were received while no exchange used the connection.
+    pub fn take_surplus(&self) -> Vec<u8> {
+        self.surplus.take()
+    }
+
     /// Records that a part of the answer was received.
     pub fn record_progress(&self) {
         if let Some(inner) = self.inner.upgrade() {
@@ -181,6 +192,7 @@
             unproductive_bytes: Cell::new(0),
             send_before: Cell::new(None),
             request_sent: Rc::default(),
+            surplus: Rc::default(),
         }))
     }
 
@@ -189,6 +201,7 @@
         ConnectionHandle {
             inner: Rc::downgrade(&self.0),
             request_sent: self.0.request_sent.clone(),
+            surplus: self.0.surplus.clone(),
             reported_lost: Cell::new(false),
             link_lost: Cell::new(false),
             link_lost_changed: Notify::new(),
@@ -237,12 +250,16 @@
         self.request_sent.set(true);
     }
 
-    /// Counts received bytes; an error if an exchange with a server has received too many without progress.
-    fn check_progress(&self, received_bytes: usize) -> io::Result<()> {
+    /// Counts received bytes, or keeps them if no exchange is under way; an error if an exchange with a server has received
+    /// too many without progress.
+    fn check_progress(&self, received: &[u8]) -> io::Result<()> {
         if self.exchange.get().is_none() {
+            let mut surplus = self.surplus.borrow_mut();
+            let room = SURPLUS_BYTES_MAX - surplus.len();
+            surplus.extend_from_slice(&received[..received.len().min(room)]);
             return Ok(());
         }
-        let unproductive_bytes = self.unproductive_bytes.get() + received_bytes;
+        let unproductive_bytes = self.unproductive_bytes.get() + received.len();
         self.unproductive_bytes.set(unproductive_bytes);
         match unproductive_bytes > UNPRODUCTIVE_BYTES_MAX {
             true => Err(io::ErrorKind::InvalidData.into()),
@@ -267,7 +284,7 @@
             match self.0.stream.try_read(&mut chunk[..length_max]) {
                 Ok(length) => {
                     self.0.received_at.set(Instant::now());
-                    self.0.check_progress(length)?;
+                    self.0.check_progress(&chunk[..length])?;
                     buffer.put_slice(&chunk[..length]);
                     return Poll::Ready(Ok(()));
                 }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -349,7 +349,7 @@
                 }
                 Ok(attempt::Outcome::NotSent) => failure = node::AttemptFailure::NotSent,
                 Ok(attempt::Outcome::NoRoute) => failure = node::AttemptFailure::NoRoute,
-                Ok(attempt::Outcome::Rejected) => failure = node::AttemptFailure::Rejected,
+                Ok(attempt::Outcome::Rejected(_)) => failure = node::AttemptFailure::Rejected,
                 Ok(attempt::Outcome::ConnectionLost) => {
                     failure = node::AttemptFailure::MayHaveRun;
                     gateway.report_connection_lost(&self.call, &placement).await;
