Failing tests: copies of a refusal with the request's own id, and promises that no server made

What callers see, by real processes: an id that comes again on the connection that refused it is refused by the copy of that refusal although it runs (503, 429, 421; calls, streams, resumable streams), and behind two servers it runs at both. A run that goes on over the connection on which it was stopped takes a copy of that reply for its stream. A server's 503, 429 or 408 without the statement that the request was not run reaches the client, to whom that status is the promise; the request ran.

--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -6,14 +6,37 @@
 mod fleet;
 mod routes;
 
-use doorswitch_standins::backend::{self, ReceivedRequest, Step};
+use doorswitch_standins::backend::{self, ReceivedRequest, Script, Step};
 use fleet::eventually;
 use routes::{World, request};
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const REJECTION: &str = "503 Busy\r\nNot-Executed: full";
+const TOO_MANY: &str = "429 Too Many Requests\r\nNot-Executed: limit";
+const MISDIRECTED: &str = "421 Misdirected Request";
+/// The statuses by which a client is told that its request was not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+const REQUESTS: usize = 8;
+/// The time between a copy of a refusal and the answer.
 const PAUSE: Duration = Duration::from_millis(30);
 
+/// The ids of the requests that servers ran, in their order.
+#[derive(Clone, Debug, Default)]
+struct Ran(Arc<Mutex<Vec<String>>>);
+
+impl Ran {
+    fn record(&self, received: &ReceivedRequest) -> Step {
+        self.0.lock().unwrap().push(received.id().unwrap_or_default().to_owned());
+        backend::response("200 OK", "id: 1\ndata: ran\n\n")
+    }
+
+    fn count(&self, id: &str) -> usize {
+        self.0.lock().unwrap().iter().filter(|ran| *ran == id).count()
+    }
+}
+
 /// An answer without a body; `head` is its status and further header lines.
 fn empty_answer(head: &str) -> Step {
     Step::Write(format!(
@@ -21,6 +44,55 @@
     ))
 }
 
+/// Refuses the first request with each id. On a connection that carries an id again it first writes a copy of the refusal,
+/// and then runs the request.
+fn copies_refusals(head: &'static str, ran: &Ran) -> Script {
+    let (ran, mut refused) = (ran.clone(), HashSet::new());
+    Box::new(move |_, received| {
+        let id = received.id().unwrap_or_default().to_owned();
+        if refused.insert((None, id.clone())) {
+            refused.insert((Some(received.connection), id));
+            return vec![empty_answer(head)];
+        }
+        let run = ran.record(received);
+        match refused.contains(&(Some(received.connection), id)) {
+            true => vec![empty_answer(head), Step::Pause(PAUSE), run],
+            false => vec![run],
+        }
+    })
+}
+
+macro_rules! a_copy_of_its_refusal_does_not_answer_a_repeated_request {
+    ($($name:ident: $path:expr, $head:expr, $servers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let ran = Ran::default();
+            let scripts = (0..$servers).map(|_| copies_refusals($head, &ran)).collect();
+            let world = World::start(stringify!($name), scripts);
+            for number in 0..REQUESTS {
+                let id = format!("request-{number}");
+                let sends: Vec<u16> =
+                    (0..3).map(|_| world.call(0, &request($path, &id)).status).collect();
+                std::thread::sleep(2 * PAUSE);
+                let answered = sends.iter().filter(|status| **status == 200).count();
+                let log = world.log(0);
+                assert!(PROMISES.contains(&sends[0]), "{sends:?}: {log}");
+                assert_eq!(ran.count(&id), answered, "{id} ran and was refused {sends:?}: {log}");
+            }
+        }
+    )*};
+}
+
+a_copy_of_its_refusal_does_not_answer_a_repeated_request! {
+    a_repeated_call_is_not_refused_by_a_copy_of_its_rejection: "/pay/x", REJECTION, 1;
+    a_repeated_call_is_not_refused_by_a_copy_of_its_limit: "/pay/x", TOO_MANY, 1;
+    a_repeated_call_is_not_refused_by_a_copy_of_its_misdirection: "/pay/x", MISDIRECTED, 1;
+    a_repeated_call_does_not_run_twice_after_a_copy_of_its_rejection: "/pay/x", REJECTION, 2;
+    a_repeated_stream_is_not_refused_by_a_copy_of_its_rejection: "/stream/x", REJECTION, 1;
+    a_repeated_stream_does_not_run_twice_after_a_copy_of_its_limit: "/stream/x", TOO_MANY, 2;
+    a_repeated_resumable_stream_is_not_refused_by_a_copy_of_its_rejection: "/resume/x", REJECTION, 1;
+}
+
 #[test]
 fn an_answer_after_a_refusal_is_reported() {
     let script = |_, _: &ReceivedRequest| {
@@ -39,3 +111,38 @@
     assert!(metrics.contains("doorswitch_contradicted_refusals_total 1"), "{metrics}");
     assert!(metrics.contains("doorswitch_surplus_answers_total 1"), "{metrics}");
 }
+
+/// A server that answers with `head` without stating that it did not run the request, which it ran.
+fn refuses_without_a_statement(head: &'static str, ran: &Ran) -> Script {
+    let ran = ran.clone();
+    Box::new(move |_, received| {
+        ran.record(received);
+        vec![empty_answer(head)]
+    })
+}
+
+macro_rules! a_status_without_a_statement_is_no_promise {
+    ($($name:ident: $path:expr, $head:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let ran = Ran::default();
+            let world = World::start(
+                stringify!($name),
+                vec![refuses_without_a_statement($head, &ran), refuses_without_a_statement($head, &ran)],
+            );
+            let answer = world.call(0, &request($path, "first"));
+            assert_ne!(ran.count("first"), 0, "{answer:?}");
+            assert_eq!(answer.status, 502, "it ran and was refused: {answer:?} {}", world.log(0));
+            assert_eq!(answer.header("server-seal"), None, "{answer:?}");
+        }
+    )*};
+}
+
+a_status_without_a_statement_is_no_promise! {
+    a_call_that_may_have_run_is_not_answered_with_503: "/pay/x", "503 Busy";
+    a_call_that_may_have_run_is_not_answered_with_429: "/pay/x", "429 Too Many Requests";
+    a_call_that_may_have_run_is_not_answered_with_408: "/pay/x", "408 Request Timeout";
+    a_stream_that_may_have_run_is_not_answered_with_503: "/stream/x", "503 Busy";
+    a_repeatable_call_that_may_have_run_is_not_answered_with_503: "/read/x", "503 Busy";
+    a_repeatable_call_that_may_have_run_is_not_answered_with_429: "/read/x", "429 Too Many Requests";
+}
--- a/tests/runs_over_lost_links.rs
+++ b/tests/runs_over_lost_links.rs
@@ -6,12 +6,19 @@
 mod fleet;
 mod routes;
 
+use doorswitch_standins::backend;
 use doorswitch_standins::network::{Faults, OpenConnections};
 use doorswitch_standins::runs::Runs;
 use routes::{World, long_deadline_request};
+use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+/// Whether a copy was written.
+type Copied = Arc<AtomicBool>;
+
 const EVENTS: u64 = 60;
 const INTERVAL: Duration = Duration::from_millis(50);
 /// The time that a run takes that nothing disturbs.
@@ -118,6 +125,47 @@
     assert_eq!(continued, 1, "{}", world.log(0));
 }
 
+/// Before it continues a run, writes a copy of its answer to what the connection carried last, if that named the run.
+fn copies_answers(mut server: backend::Script, copied: &Copied) -> backend::Script {
+    let (copied, mut replies) = (copied.clone(), HashMap::new());
+    Box::new(move |number, received| {
+        let mut steps = server(number, received);
+        if received.line.contains("/kv-move") {
+            let reply = steps.iter().find_map(|step| match step {
+                backend::Step::Write(reply) => Some(reply.replace("{id}", "id")),
+                _ => None,
+            });
+            replies.insert(received.connection, reply);
+        } else if received.header("kv-from").is_some()
+            && let Some(Some(reply)) = replies.remove(&received.connection)
+        {
+            copied.store(true, Ordering::Relaxed);
+            steps.insert(0, backend::Step::Write(reply));
+        }
+        steps
+    })
+}
+
+/// Guards against a run that goes on over the connection on which it was stopped: a late copy of that reply names it too.
+#[test]
+fn a_run_that_goes_on_is_not_answered_by_a_copy_of_the_reply_that_stopped_it() {
+    let (runs, copied) = ([Runs::default(), Runs::default()], Copied::default());
+    let scripts =
+        runs.iter().map(|runs| copies_answers(runs.script(EVENTS, INTERVAL, true), &copied));
+    let mut world = World::unready("copied-reply", scripts.collect());
+    world.put_proxies_before_servers();
+    world.publish(&[routes::KEY], routes::PREPAID);
+    world.add_fleet((0..2).map(address));
+    let mut client = send(&world, &runs, "/long-stream/x");
+    cut(&world, &dropped(OpenConnections::Silent));
+    assert_whole(&routes::read_answer(&mut client), &world.log(0));
+    assert!(
+        !copied.load(Ordering::Relaxed),
+        "the run went on where it was stopped: {}",
+        world.log(0)
+    );
+}
+
 #[test]
 fn a_stream_that_goes_on_is_billed_once() {
     const PROMPT_TOKENS: u64 = 100;
