Send no id twice over one connection

Callers were told 503, 429 or 421, which promise that a request was not run, for requests that ran; behind two servers they ran at both. Cause: a connection that refused a request is the first to be reused.

A connection now remembers digests of the ids that it carried and is not used for one of them again; after 1,000 requests it is closed, so that nothing is forgotten. So an answer with the request's id can only be about this send: copies of earlier answers to it arrive on other connections. Weighed against closing each connection that refuses: that costs a new connection for each refusal, in waves just when servers are full; this one costs one for an id that comes again and one in a thousand requests. A collision of digests only costs a new connection.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -181,9 +181,10 @@
     client: &clients::Client,
 ) -> Outcome {
     let mut new_only = false;
-    let repeatable = call.route.repeatable();
+    let id = call.parameters.id.as_str();
+    let to_send = backends::Sending { id, repeatable: call.route.repeatable() };
     loop {
-        let connecting = context.backends.connect(placement, new_only, repeatable);
+        let connecting = context.backends.connect(placement, new_only, to_send);
         let connected = tokio::select! {
             biased;
             () = client.left() => return Outcome::NotSent,
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -80,6 +80,15 @@
     idle_max: Option<Duration>,
 }
 
+/// A request that is to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// Whether it may be repeated at another server.
+    pub repeatable: bool,
+}
+
 /// How a connection has been used, as the fields of a log line.
 #[derive(Clone, Copy, Debug)]
 pub struct Usage {
@@ -291,24 +300,37 @@
         }
     }
 
-    /// Returns a connection to a server for one exchange: an idle one if there is one and `new_only` is not set,
-    /// otherwise a new one. `repeatable` is whether the request may be repeated at another server.
+    /// Returns a connection to a server for one exchange: an idle one if there is one that the request may use and
+    /// `new_only` is not set, otherwise a new one.
     pub async fn connect(
         &self,
         placement: &upstream::Placement,
         new_only: bool,
-        repeatable: bool,
+        request: Sending<'_>,
     ) -> Result<Connection, Error> {
+        let Sending { id, repeatable } = request;
         let address = &placement.address;
         let upstream = Upstream { address: address.clone(), incarnation: placement.incarnation };
-        while let Some(mut connection) = (!new_only).then(|| self.take_idle(&upstream)).flatten() {
+        while let Some(mut connection) =
+            (!new_only).then(|| self.take_idle(&upstream, id)).flatten()
+        {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 connection.handle.begin_exchange(repeatable);
                 return Ok(connection);
             }
         }
-        let established = self.links.connect(address).await?;
+        self.connect_anew(placement, repeatable).await
+    }
+
+    /// Returns a new connection to a server for one exchange. `repeatable` is whether the request may be repeated at another
+    /// server.
+    pub async fn connect_anew(
+        &self,
+        placement: &upstream::Placement,
+        repeatable: bool,
+    ) -> Result<Connection, Error> {
+        let established = self.links.connect(&placement.address).await?;
         let connection = self.start_http(established, placement).await?;
         connection.handle.begin_exchange(repeatable);
         Ok(connection)
@@ -449,7 +471,7 @@
     pub fn keep_idle(&self, mut connection: Connection) {
         connection.handle.end_exchange();
         let Some(idle_max) = connection.idle_max else { return };
-        if self.is_full() {
+        if connection.history.borrow().is_full() || self.is_full() {
             return;
         }
         connection.used = true;
@@ -578,13 +600,15 @@
         }
     }
 
-    fn take_idle(&self, upstream: &Upstream) -> Option<Connection> {
+    fn take_idle(&self, upstream: &Upstream, id: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.get_mut(upstream)?;
         let now = Instant::now();
         idle_connections.retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
         // The server is the least likely to have closed the connection that was used last.
-        let last = idle_connections.iter().rposition(|idle| self.may_reuse(&idle.connection))?;
+        let last = idle_connections.iter().rposition(|idle| {
+            idle.connection.history.borrow().allows(id) && self.may_reuse(&idle.connection)
+        })?;
         Some(idle_connections.remove(last).connection)
     }
 
--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -1,10 +1,12 @@
 //! The requests that one connection to a server has carried, and which of them the server refused.
 //!
-//! A copy of a refusal may arrive late. It has the id of the request that was refused, so on a connection that carries the
-//! same id again it can't be told from the answer.
+//! A connection never carries an id twice: a copy of the first answer may still arrive, and can't be told from the second.
 
 use std::hash::{BuildHasher, RandomState};
 
+/// The most requests that one connection carries, so that few bytes are kept of each.
+const REQUESTS_MAX: usize = 1_000;
+
 thread_local! {
     /// Ids come from clients, so they are hashed with a key that these don't know.
     static HASHER: RandomState = RandomState::new();
@@ -36,6 +38,16 @@
         }
     }
 
+    /// Whether a request with this id may be sent.
+    pub fn allows(&self, id: &str) -> bool {
+        !self.is_full() && self.sends_of(id) == 0
+    }
+
+    /// Whether no more requests may be sent.
+    pub fn is_full(&self) -> bool {
+        self.sent.len() >= REQUESTS_MAX
+    }
+
     /// The number of requests that were sent.
     pub fn len(&self) -> usize {
         self.sent.len()
--- a/src/gateway/stopped_runs.rs
+++ b/src/gateway/stopped_runs.rs
@@ -107,7 +107,7 @@
         if let Some(reply) = exchange_over(backends, connection, request.clone()).await {
             return Some(reply);
         }
-        let connection = backends.connect(placement, true, false).await.ok()?;
+        let connection = backends.connect_anew(placement, false).await.ok()?;
         exchange_over(backends, connection, request).await
     };
     time::timeout(REPLY_TIMEOUT, exchange).await.ok().flatten()
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -146,3 +146,21 @@
     a_repeatable_call_that_may_have_run_is_not_answered_with_503: "/read/x", "503 Busy";
     a_repeatable_call_that_may_have_run_is_not_answered_with_429: "/read/x", "429 Too Many Requests";
 }
+
+/// Guards against a connection that forgets the first ids that it carried.
+#[test]
+fn a_connection_carries_a_bounded_number_of_requests() {
+    const REQUESTS_PER_CONNECTION_MAX: usize = 1_000;
+    let world = World::start("bounded", vec![routes::answers("done")]);
+    for number in 0..=REQUESTS_PER_CONNECTION_MAX {
+        let id = format!("request-{number}");
+        assert_eq!(world.call(0, &request("/read/x", &id)).status, 200, "{}", world.log(0));
+    }
+    let requests = world.backends[0].requests();
+    let carried = |number| requests.iter().filter(|one| one.connection == number).count();
+    let connections: HashSet<usize> = requests.iter().map(|one| one.connection).collect();
+    for number in &connections {
+        assert!(carried(*number) <= REQUESTS_PER_CONNECTION_MAX, "{number}: {}", carried(*number));
+    }
+    assert_eq!(connections.len(), 2);
+}
