Continue a run on another connection than the one that stopped it

A stream that goes on at its server after its link was lost could end broken: the call that stops the run names its id, its connection was kept, and the continued run was sent over that very one. A late copy of the reply then stands where the stream is due, bears the run's id and was taken for the stream.

The connection of such a call is closed, and a run goes on over a new connection around the link, as the call that stopped it did. Closing alone broke two tests (streams that go on while new connections close at once): the new connection was made over the own link, which fails any new one.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -184,7 +184,7 @@
     let id = call.parameters.id.as_str();
     let to_send = backends::Sending { id, repeatable: call.route.repeatable() };
     loop {
-        let connecting = context.backends.connect(placement, new_only, to_send);
+        let connecting = connect(context.backends, placement, position, new_only, to_send);
         let connected = tokio::select! {
             biased;
             () = client.left() => return Outcome::NotSent,
@@ -265,6 +265,20 @@
     }
 }
 
+/// Connects to a server; around the own link for a run that goes on, as that link may fail any new connection.
+async fn connect(
+    backends: &backends::Backends,
+    placement: &upstream::Placement,
+    position: &Position,
+    new_only: bool,
+    to_send: backends::Sending<'_>,
+) -> Result<backends::Connection, backends::Error> {
+    match position.stopped_run {
+        Some(_) => backends.connect_around_link(placement, to_send.repeatable).await,
+        None => backends.connect(placement, new_only, to_send).await,
+    }
+}
+
 /// Marks a call as sent for as long as its connection may send it, and afterwards if it has.
 struct SendingMark<'a> {
     sent: &'a Cell<bool>,
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -341,6 +341,7 @@
     pub async fn connect_around_link(
         &self,
         placement: &upstream::Placement,
+        repeatable: bool,
     ) -> Result<Connection, Error> {
         let address = &placement.address;
         let established = match self.links.connect_through_peers(address).await {
@@ -348,7 +349,7 @@
             Err(_) => self.links.connect(address).await?,
         };
         let connection = self.start_http(established, placement).await?;
-        connection.handle.begin_exchange(false);
+        connection.handle.begin_exchange(repeatable);
         Ok(connection)
     }
 
--- a/src/gateway/stopped_runs.rs
+++ b/src/gateway/stopped_runs.rs
@@ -103,26 +103,24 @@
 ) -> Option<(u16, Bytes)> {
     let exchange = async {
         // The own link may be about to fail: a server that stops the run when its reply is lost has none to stop later.
-        let connection = backends.connect_around_link(placement).await.ok()?;
-        if let Some(reply) = exchange_over(backends, connection, request.clone()).await {
+        let connection = backends.connect_around_link(placement, false).await.ok()?;
+        if let Some(reply) = exchange_over(connection, request.clone()).await {
             return Some(reply);
         }
         let connection = backends.connect_anew(placement, false).await.ok()?;
-        exchange_over(backends, connection, request).await
+        exchange_over(connection, request).await
     };
     time::timeout(REPLY_TIMEOUT, exchange).await.ok().flatten()
 }
 
-/// Sends a request over a connection, which is kept afterwards; `None` if the connection is lost.
+/// Sends a request over a connection, which is closed afterwards: a copy of the reply may name the run that goes on. `None`
+/// if the connection is lost.
 async fn exchange_over(
-    backends: &backends::Backends,
     mut connection: backends::Connection,
     request: Request<Bytes>,
 ) -> Option<(u16, Bytes)> {
     let answer = connection.sender.send_request(request.map(Full::new)).await.ok()?;
     let (parts, body) = answer.into_parts();
     let body = Limited::new(body, REPLY_BYTES_MAX).collect().await.ok()?.to_bytes();
-    connection.record_keep_alive(&parts.headers);
-    backends.keep_idle(connection);
     Some((parts.status.as_u16(), body))
 }
