Forward no 408, 429 or 503 by which a server does not state that it did not run the request

Callers were told that a request was not run although it had: to them the status alone is that promise, while a server makes it only by an explicit statement. A server's 503, 429 or 408 without the statement was forwarded as it came.

Such an answer now leaves the outcome unknown: a request that may not be repeated gets 502 without the server's seal, a repeatable one goes to another server and gets 502 if there is none left. event=unstated_refusal and doorswitch_unstated_refusals_total tell of it; the server's backoff and load still count.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -334,7 +334,7 @@
             connection.usage(&call.parameters.id),
         );
         metrics::counter!("doorswitch_answers_to_other_requests_total").increment(1);
-        if refused_here && !head.not_run && answer.status() != StatusCode::MISDIRECTED_REQUEST {
+        if refused_here && !head.not_run {
             backends::log_contradiction(answered, &placement.vm, answer.status().as_u16());
         }
         return Outcome::Unknown;
@@ -350,12 +350,22 @@
             context.backends.close_idle(placement);
         }
     }
-    if head.not_run || misdirected {
+    if head.not_run {
         connection.record_refused();
         let usage = connection.usage(&call.parameters.id);
         discard_body(context.backends, answer, connection).await;
         return Outcome::Rejected(usage);
     }
+    if head.seems_not_run {
+        log::info!(
+            "event=unstated_refusal id={} vm={} status={}",
+            call.parameters.id,
+            placement.vm,
+            answer.status().as_u16()
+        );
+        metrics::counter!("doorswitch_unstated_refusals_total").increment(1);
+        return Outcome::Unknown;
+    }
     Outcome::Answered { answer: Box::new(answer), connection }
 }
 
