Give calls connections of their own at servers that do not name the call

By the callers' interface a call that ran could be answered as not run: a server that doesn't copy x-attempt-id to its answers was believed whatever it said, so a late copy of an earlier rejection on a pooled connection counted for the call that came next there.

An answer now belongs to a call only if it names the call, or if nothing else was sent over its connection. Connections are shared only with servers whose last answer named the call; the address of one that leaves it out gets a new connection for each call. The engine and service stand-ins copy the id now; the scripted servers of the tests do not.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -3,9 +3,14 @@
 use crate::{keep_alive, links};
 use actix_service::ServiceExt;
 use actix_tls::connect;
-use std::net;
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::{collections, net};
+
+/// The most addresses that are remembered; those of servers that have gone are among them.
+const NAMING_MAX: usize = 8_192;
 
 /// Clients for backend servers, whose connections are made over the router's links.
 #[derive(Clone)]
@@ -16,6 +21,16 @@
     relayed: awc::Client,
     /// For calls that close their connections, so that none is shared with an earlier call.
     unshared: awc::Client,
+    /// The addresses of the servers that named the call in their last answer.
+    naming: Rc<RefCell<collections::HashSet<String>>>,
+}
+
+/// A call that is ready to be completed and sent.
+pub struct Started {
+    /// The call.
+    pub request: awc::ClientRequest,
+    /// Whether its connection may have carried another call, so that only an answer that names this one belongs to it.
+    pub shared: bool,
 }
 
 impl ServerClients {
@@ -50,12 +65,36 @@
         let direct = build(connector());
         let relayed = build(connector().conn_lifetime(links::RELAYED_AGE_MAX));
         let unshared = build(connector());
-        Self { links, direct, relayed, unshared }
+        Self { links, direct, relayed, unshared, naming: Rc::default() }
     }
 
-    /// Starts a call on a connection of its own, on which no answer to another call can arrive.
-    pub fn request_alone(&self, method: awc::http::Method, url: String) -> awc::ClientRequest {
-        self.unshared.request(method, url).force_close()
+    /// Starts a call to the server at an address. It has a connection of its own, on which no answer to another call can
+    /// arrive, unless it `may_share` one and the server names the call in its answers.
+    pub fn start(
+        &self,
+        address: &str,
+        method: awc::http::Method,
+        path: &str,
+        may_share: bool,
+    ) -> Started {
+        let url = format!("http://{address}{path}");
+        if may_share && self.naming.borrow().contains(address) {
+            return Started { request: self.client(address).request(method, url), shared: true };
+        }
+        Started { request: self.unshared.request(method, url).force_close(), shared: false }
+    }
+
+    /// Records whether the server at an address has named the call in its answer.
+    pub fn record_naming(&self, address: &str, named: bool) {
+        let mut naming = self.naming.borrow_mut();
+        if !named {
+            naming.remove(address);
+        } else if !naming.contains(address) {
+            if naming.len() >= NAMING_MAX {
+                naming.clear();
+            }
+            naming.insert(address.to_owned());
+        }
     }
 
     /// The client for the server at an address.
--- a/src/model.rs
+++ b/src/model.rs
@@ -6,7 +6,7 @@
 
 use crate::{answers, api_error, completion, control, http_client, logging, upstream};
 use actix::prelude::Addr;
-use actix_web::http::StatusCode;
+use actix_web::http::{Method, StatusCode};
 use doorswitch_core::{ids, node};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
@@ -194,12 +194,10 @@
     ) -> AttemptEnd {
         let resume_from = progress.delivered_tokens;
         let body = self.request.upstream_body(self.answer_tokens, self.priority, resume_from);
-        let url = format!("http://{}{}", placement.address, self.request.endpoint.path());
-        let request = self
-            .http
-            .client(&placement.address)
-            .post(url)
-            .insert_header((upstream::ATTEMPT_ID, placement.attempt.0));
+        let path = self.request.endpoint.path();
+        let http_client::Started { request, shared } =
+            self.http.start(&placement.address, Method::POST, path, true);
+        let request = request.insert_header((upstream::ATTEMPT_ID, placement.attempt.0));
         let sent = Instant::now();
         let mut response = match request.send_json(&body).await {
             Ok(response) => response,
@@ -211,7 +209,7 @@
             Err(_) => return AttemptEnd::Failed,
         };
         let status = response.status();
-        if upstream::answers_another_call(placement, response.headers()) {
+        if !upstream::answers_call(&self.http, placement, response.headers(), shared) {
             return AttemptEnd::Failed;
         }
         self.reports.report_answer(placement, status, response.headers(), sent);
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -121,13 +121,11 @@
     /// Makes one attempt at the server.
     async fn attempt_server(&self, placement: &upstream::Placement) -> AttemptEnd {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let url = format!("http://{}{}", placement.address, self.path);
-        let method = self.method.clone();
         // On a pooled connection, which the server may be closing, the outcome could remain unknown.
-        let mut request = match self.unrepeatable {
-            true => self.http.request_alone(method, url),
-            false => self.http.client(&placement.address).request(method, url),
-        };
+        let may_share = !self.unrepeatable;
+        let method = self.method.clone();
+        let http_client::Started { mut request, shared } =
+            self.http.start(&placement.address, method, &self.path, may_share);
         request = request
             .insert_header(("Idempotency-Key", self.id.as_str()))
             .insert_header((upstream::ATTEMPT_ID, placement.attempt.0))
@@ -146,7 +144,7 @@
             Err(_) => return AttemptEnd::Unknown,
         };
         let status = response.status();
-        if upstream::answers_another_call(placement, response.headers()) {
+        if !upstream::answers_call(&self.http, placement, response.headers(), shared) {
             return AttemptEnd::Unknown;
         }
         self.reports.report_answer(placement, status, response.headers(), sent);
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Functions shared by all calls to backend servers: admission, retries, and reports to the control thread.
 
-use crate::{api_error, control, fingerprint, links, probe, snapshot};
+use crate::{api_error, control, fingerprint, http_client, links, logging, probe, snapshot};
 use actix::prelude::Addr;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderValue};
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-/// The header with the id of an attempt, which servers echo in their answers.
+/// The header with the id of an attempt, by which servers name the call in their answers.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
 
 /// Reports to the control thread how the runs of one request ended, if that may affect other requests.
@@ -230,20 +230,27 @@
     error.kind() == std::io::ErrorKind::NetworkUnreachable
 }
 
-/// Whether an answer carries the id of another call, and so states nothing about this one, which may have run. An answer
-/// without an id is taken for the call's own.
-pub fn answers_another_call(placement: &Placement, headers: &HeaderMap) -> bool {
-    let echoed = headers.get(ATTEMPT_ID).and_then(|value| value.to_str().ok());
-    let is_other = echoed.is_some_and(|id| id.parse() != Ok(placement.attempt.0));
-    if is_other {
+/// Whether the head of an answer shows that it is to this call: it names the call, or it names none and the connection
+/// has carried no other (`shared` is `false`). Any other answer states nothing about the call, which may have run.
+pub fn answers_call(
+    http: &http_client::ServerClients,
+    placement: &Placement,
+    headers: &HeaderMap,
+    shared: bool,
+) -> bool {
+    let named = headers.get(ATTEMPT_ID).and_then(|value| value.to_str().ok());
+    http.record_naming(&placement.address, named.is_some());
+    let answers = named.map_or(!shared, |id| id.parse() == Ok(placement.attempt.0));
+    if !answers {
         log::info!(
-            "event=answer_to_another_request id={} vm={}",
+            "event=answer_to_another_request id={} vm={} answered={}",
             placement.attempt.0,
-            placement.vm
+            placement.vm,
+            logging::quoted(named.unwrap_or_default())
         );
         metrics::counter!("doorswitch_answers_to_other_requests_total").increment(1);
     }
-    is_other
+    answers
 }
 
 /// Whether a server's answer states that it rejected the request without running it.
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -1,9 +1,12 @@
 //! An actix-web server on a thread of its own, which is stopped and joined when dropped.
 
-use actix_web::{App, HttpServer, dev, web};
+use actix_web::http::header::HeaderName;
+use actix_web::{App, HttpServer, body, dev, middleware, web};
 use std::sync::mpsc;
 use std::{io, net, thread};
 
+const ATTEMPT_ID: &str = "x-attempt-id";
+
 /// A server that runs until it is dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -29,6 +32,7 @@
                         .app_data(web::PayloadConfig::new(64 << 20))
                         .app_data(web::JsonConfig::default().limit(64 << 20))
                         .configure(|config| routes(config))
+                        .wrap(middleware::from_fn(name_call))
                 })
                 .workers(2)
                 .tcp_nodelay(true)
@@ -56,6 +60,19 @@
     }
 }
 
+/// Copies the id of an attempt from a call to its answer.
+async fn name_call<B: body::MessageBody>(
+    request: dev::ServiceRequest,
+    next: middleware::Next<B>,
+) -> Result<dev::ServiceResponse<B>, actix_web::Error> {
+    let id = request.headers().get(ATTEMPT_ID).cloned();
+    let mut response = next.call(request).await?;
+    if let Some(id) = id {
+        response.headers_mut().insert(HeaderName::from_static(ATTEMPT_ID), id);
+    }
+    Ok(response)
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         if let Some(handle) = self.handle.take() {
--- a/tests/answers_to_other_calls.rs
+++ b/tests/answers_to_other_calls.rs
@@ -71,17 +71,29 @@
     }
 }
 
-#[test]
-fn a_call_is_not_refused_as_not_run_after_the_rejection_of_another_attempt() {
-    let (fleet, _servers) = callers_fleet("callers-repeatable", true);
-    assert_eq!(lookup(&fleet, "first").ran(), "not_run");
+/// Sends a call that is rejected, and then another one, which meets copies of the rejection on the connections that were
+/// kept; returns the answer to the latter.
+fn call_after_a_copy(name: &str, echoes_attempts: bool, path: &str, body: &str) -> fleet::Answer {
+    let (fleet, _servers) = callers_fleet(name, echoes_attempts);
+    assert_ne!(lookup(&fleet, "first").status, 200);
     let headers = [("Idempotency-Key", "second")];
-    let path = "/services/payments/balance";
-    let answer =
-        fleet::call(fleet.routers[0].callers, "POST", path, "kitchen-key", &headers, "x").unwrap();
-    assert_ne!(
-        answer.ran(),
-        "not_run",
-        "a call that may have run was refused as not run: {answer:?}"
-    );
+    fleet::call(fleet.routers[0].callers, "POST", path, "kitchen-key", &headers, body).unwrap()
+}
+
+macro_rules! a_copy_of_a_rejection_does_not_answer_another_call {
+    ($($name:ident: $echoes:expr, $path:expr, $body:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let answer = call_after_a_copy(stringify!($name), $echoes, $path, $body);
+            let ran = answer.ran();
+            assert_ne!(ran, "not_run", "a call that may have run was refused: {answer:?}");
+        }
+    )*};
+}
+
+a_copy_of_a_rejection_does_not_answer_another_call! {
+    a_call_is_not_refused_as_not_run_after_the_rejection_of_another_attempt:
+        true, "/services/payments/balance", "x";
+    a_call_is_not_refused_as_not_run_after_a_rejection_that_names_no_attempt:
+        false, "/services/payments/balance", "x";
 }
