Failing tests: streams without a length that were stopped or crashed, and streams joined from two runs

What callers see, by real processes:

- a stream without a length, of a run that this router asked its server to stop, ends as complete with a part of its events if the reply to that call was lost; so does a whole answer (empty, status 200) whose run was stopped before its head;
- a stream without a length of a server that crashed between two events ends as complete, and isn't resumed where it may be;
- a stream that is resumed at a server that doesn't go on after the last event has events twice (1, 2, 1, 2, 3), also when its client continues it by a request of its own.

--- a/standins/src/runs.rs
+++ b/standins/src/runs.rs
@@ -16,6 +16,16 @@
     runs: Arc<Mutex<HashMap<String, Run>>>,
     /// How many replies to requests to stop a run are still to be lost.
     replies_to_lose: Arc<AtomicUsize>,
+    framing: Framing,
+}
+
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Framing {
+    #[default]
+    Chunks,
+    /// The answer ends with its connection.
+    Connection,
 }
 
 impl PartialEq for Runs {
@@ -57,6 +67,11 @@
 }
 
 impl Runs {
+    /// Runs whose answers have neither a length nor chunks and end with their connections.
+    pub fn unframed() -> Self {
+        Self { framing: Framing::Connection, ..Self::default() }
+    }
+
     /// The script of a server whose answers are streams of this many events, one at each interval. It keeps stopped runs
     /// if `keeps` is set.
     pub fn script(&self, events: u64, interval: Duration, keeps: bool) -> backend::Script {
@@ -137,7 +152,11 @@
             runs.insert(id.clone(), Run::default());
         }
         let part = Part { runs: self.clone(), id, continued, after, events, interval };
-        vec![Step::Write(wire::STREAM_HEAD.to_owned()), Step::Run(part)]
+        let head = match self.framing {
+            Framing::Chunks => wire::STREAM_HEAD,
+            Framing::Connection => wire::UNFRAMED_STREAM_HEAD,
+        };
+        vec![Step::Write(head.to_owned()), Step::Run(part)]
     }
 
     /// Records that an event of a part is made; `None` if the run was stopped since the part began.
@@ -168,9 +187,15 @@
             }
             let event = format!("id: {number}\ndata: piece {number}\n\n");
             // The run goes on if its connection has ended: this server does not notice that.
-            let _ = write!(writer, "{:x}\r\n{event}\r\n", event.len());
+            let _ = match self.runs.framing {
+                Framing::Chunks => write!(writer, "{:x}\r\n{event}\r\n", event.len()),
+                Framing::Connection => writer.write_all(event.as_bytes()),
+            };
         }
         self.runs.end(&self.id);
+        if self.runs.framing == Framing::Connection {
+            return Ok(false);
+        }
         writer.write_all(b"0\r\n\r\n")?;
         Ok(true)
     }
--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -135,6 +135,10 @@
 pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n\
     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// The head of an answer with events that ends with its connection.
+pub const UNFRAMED_STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n\
+    Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+
 /// An event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
