Do not take an answer without a length for whole when its run may have been stopped on request

Clients read streams as complete that lacked events: an answer without a length and without chunks ends with its connection, and a server that is asked to stop a run ends it just so. The router knew of the stop only by the reply. If that was lost, or came after the end, the end counted as the stream's own; a call whose run was stopped before its head was answered with 200 and nothing.

The connection that carries the run's answer now remembers that the server was asked to stop it. Only a reply that the server has no such run takes it for certain that nothing was stopped, unless an earlier reply to the same request was lost. If such a connection ends an answer without a length, the answer is incomplete: a stream goes on from the stopped run, or is resumed, or ends truncated; a call is of unknown outcome. Answers with a length or chunks tell their end themselves and are not affected.

--- a/src/gateway/abandoned.rs
+++ b/src/gateway/abandoned.rs
@@ -60,7 +60,9 @@
                 let answer_tokens = run.events.saturating_mul(self.call.engine.event_tokens);
                 End::Stopped { answer_tokens }
             }
-            stopped_runs::Stop::NotKept | stopped_runs::Stop::NoReply => End::Unknown,
+            stopped_runs::Stop::NoRun
+            | stopped_runs::Stop::NotKept
+            | stopped_runs::Stop::NoReply => End::Unknown,
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -232,13 +232,11 @@
                 }
                 () = handle.link_lost(), if closed.is_none() => {}
             }
-            match stopped_runs::stop(context, call, placement).await {
-                stopped_runs::Stop::Stopped(run) => {
-                    position.stopped_run = Some(run);
-                    break None;
-                }
-                stopped_runs::Stop::NotKept => {}
-                stopped_runs::Stop::NoReply => handle.forget_link_lost(),
+            let stop = stopped_runs::stop(context, call, placement).await;
+            stop.record_at(&handle);
+            if let stopped_runs::Stop::Stopped(run) = stop {
+                position.stopped_run = Some(run);
+                break None;
             }
         };
         drop(sending);
@@ -339,7 +337,7 @@
         }
         return Outcome::Unknown;
     }
-    connection.record_keep_alive(answer.headers());
+    connection.record_answer(&answer);
     // A misdirected request was answered by another server incarnation, whose load and directives are not those of this
     // one.
     let misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -8,6 +8,7 @@
 use doorswitch_core::ids;
 use doorswitch_platform::answers;
 use http::{HeaderMap, header};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use std::cell::RefCell;
@@ -78,6 +79,8 @@
     pub used: bool,
     /// How long it may be idle after the exchange; `None` closes it.
     idle_max: Option<Duration>,
+    /// Whether the answer has neither a length nor chunks, so that it ends with the connection.
+    ends_answer: bool,
 }
 
 /// A request that is to be sent.
@@ -156,8 +159,19 @@
         self.via.is_some() && self.established.elapsed() >= links::RELAYED_AGE_MAX
     }
 
-    /// Reads from the headers of an answer how long the server keeps the connection open.
-    pub fn record_keep_alive(&mut self, headers: &HeaderMap) {
+    /// Whether the answer may be incomplete although the connection ended without an error: a server ends an answer
+    /// without a length in the same way when it stops the run.
+    pub fn may_end_early(&self) -> bool {
+        self.ends_answer && self.handle.stop_asked()
+    }
+
+    /// Reads from an answer how its end is told, and how long the server keeps the connection open.
+    pub fn record_answer(&mut self, answer: &Answer) {
+        self.ends_answer = answer.body().size_hint().exact().is_none() && !is_chunked(answer);
+        self.record_keep_alive(answer.headers());
+    }
+
+    fn record_keep_alive(&mut self, headers: &HeaderMap) {
         let closes = headers
             .get(header::CONNECTION)
             .and_then(|value| value.to_str().ok())
@@ -175,6 +189,13 @@
     }
 }
 
+fn is_chunked(answer: &Answer) -> bool {
+    let codings = answer.headers().get_all(header::TRANSFER_ENCODING);
+    let last = codings.iter().next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// What is logged when a connection fails.
 struct Watched {
     vm: String,
@@ -396,6 +417,7 @@
             history,
             used: false,
             idle_max: None,
+            ends_answer: false,
         })
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -341,6 +341,9 @@
             buffer.push(piece).map_err(|_| Incomplete::TooLarge)?;
         }
     }
+    if connection.may_end_early() {
+        return Err(Incomplete::ConnectionLost);
+    }
     gateway.backends.keep_idle(connection);
     Ok(exchange::with_head(&parts, body::Body::Whole(buffer.finish())))
 }
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -75,6 +75,8 @@
     reported_lost: Cell<bool>,
     /// Whether the exchange has still to learn that.
     link_lost: Cell<bool>,
+    /// Whether the server was asked to stop the exchange's run, without a reply that it was not stopped.
+    stop_asked: Cell<bool>,
     link_lost_changed: Notify,
 }
 
@@ -98,6 +100,7 @@
     pub fn begin_exchange(&self, repeatable: bool) {
         self.link_lost.set(false);
         self.reported_lost.set(false);
+        self.stop_asked.set(false);
         self.request_sent.set(false);
         if let Some(inner) = self.inner.upgrade() {
             inner.send_before.set(None);
@@ -154,6 +157,16 @@
         self.reported_lost.set(false);
     }
 
+    /// Records that the server was asked to stop the exchange's run and may have done so.
+    pub fn record_stop_asked(&self) {
+        self.stop_asked.set(true);
+    }
+
+    /// Whether the server may have stopped the exchange's run because it was asked to.
+    pub fn stop_asked(&self) -> bool {
+        self.stop_asked.get()
+    }
+
     /// Returns once the link of the exchange is reported as lost.
     pub async fn link_lost(&self) {
         while !self.link_lost.take() {
@@ -204,6 +217,7 @@
             surplus: self.0.surplus.clone(),
             reported_lost: Cell::new(false),
             link_lost: Cell::new(false),
+            stop_asked: Cell::new(false),
             link_lost_changed: Notify::new(),
         }
     }
--- a/src/gateway/stopped_runs.rs
+++ b/src/gateway/stopped_runs.rs
@@ -4,7 +4,7 @@
 //! The server is asked over such a connection. It keeps the state of a run that it stops, and the same request goes on
 //! from there: the run is neither repeated nor does it go on twice.
 
-use super::{attempt, backends};
+use super::{attempt, backends, socket};
 use crate::upstream;
 use bytes::Bytes;
 use doorswitch_platform::runs;
@@ -25,9 +25,11 @@
 pub enum Stop {
     /// It is stopped, and its state is kept.
     Stopped(runs::StoppedRun),
-    /// The server has no such run or keeps no runs; asking it again is of no use.
+    /// The server has no such run or keeps no runs: it has stopped nothing, and asking it again is of no use.
+    NoRun,
+    /// The server may have stopped it but names no state that it keeps; asking it again is of no use.
     NotKept,
-    /// The server did not reply.
+    /// The server did not reply and may have stopped it.
     NoReply,
 }
 
@@ -35,10 +37,20 @@
     fn as_str(&self) -> &'static str {
         match self {
             Self::Stopped(_) => "stopped",
-            Self::NotKept => "not_kept",
+            Self::NoRun | Self::NotKept => "not_kept",
             Self::NoReply => "no_reply",
         }
     }
+
+    /// Tells the connection that carries the answer of the run what its end will mean, and whether to ask again.
+    pub fn record_at(&self, handle: &socket::ConnectionHandle) {
+        if matches!(self, Self::NotKept | Self::NoReply) {
+            handle.record_stop_asked();
+        }
+        if matches!(self, Self::NoReply) {
+            handle.forget_link_lost();
+        }
+    }
 }
 
 /// Stops the run of a call at its server, if that keeps stopped runs: a model server that does not refuses the call.
@@ -48,13 +60,13 @@
     placement: &upstream::Placement,
 ) -> Stop {
     if !call.engine.is_model {
-        return Stop::NotKept;
+        return Stop::NoRun;
     }
     let stop = ask_to_stop(context.backends, &call.parameters.id, placement).await;
     let (id, vm) = (&call.parameters.id, &placement.vm);
     match &stop {
         Stop::Stopped(run) => log::info!("event=run_stopped id={id} vm={vm} events={}", run.events),
-        Stop::NotKept | Stop::NoReply => {
+        Stop::NoRun | Stop::NotKept | Stop::NoReply => {
             log::info!("event=run_not_stopped id={id} vm={vm} cause={}", stop.as_str());
         }
     }
@@ -68,20 +80,23 @@
     placement: &upstream::Placement,
 ) -> Stop {
     let server = &placement.address;
+    let mut stop = Stop::NoRun;
     for _ in 0..TARGETS_MAX {
         let Some(target) = backends.links().another_of_service(server) else { break };
         let request = runs::stop_request(server, id, &target);
-        let Some((status, body)) = exchange(backends, placement, request).await else {
+        let Some(reply) = exchange(backends, placement, request).await else {
             return Stop::NoReply;
         };
-        match runs::decode_stop_reply(server, status, &body) {
+        match runs::decode_stop_reply(server, reply.status, &reply.body) {
             runs::StopReply::Stopped(run) => return Stop::Stopped(run),
+            // The run may be unknown because the request whose reply was lost has stopped it.
+            runs::StopReply::NoRun if reply.earlier_lost => return Stop::NotKept,
             runs::StopReply::NoRun => break,
             // Another target may have room.
-            runs::StopReply::Refused => {}
+            runs::StopReply::Refused => stop = Stop::NotKept,
         }
     }
-    Stop::NotKept
+    stop
 }
 
 /// Has a server discard the state of a stopped run.
@@ -94,21 +109,29 @@
     let _ = exchange(context.backends, placement, run.release_request()).await;
 }
 
-/// Sends a request to a server, and once more if its connection is lost; returns the status and body of the reply, or
-/// `None` if there is none in time.
+/// A server's reply.
+struct Reply {
+    status: u16,
+    body: Bytes,
+    /// Whether the reply to the same request on an earlier connection was lost.
+    earlier_lost: bool,
+}
+
+/// Sends a request to a server, and once more if its connection is lost; `None` if there is no reply in time.
 async fn exchange(
     backends: &backends::Backends,
     placement: &upstream::Placement,
     request: Request<Bytes>,
-) -> Option<(u16, Bytes)> {
+) -> Option<Reply> {
     let exchange = async {
         // The own link may be about to fail: a server that stops the run when its reply is lost has none to stop later.
         let connection = backends.connect_around_link(placement, false).await.ok()?;
-        if let Some(reply) = exchange_over(connection, request.clone()).await {
-            return Some(reply);
+        if let Some((status, body)) = exchange_over(connection, request.clone()).await {
+            return Some(Reply { status, body, earlier_lost: false });
         }
         let connection = backends.connect_anew(placement, false).await.ok()?;
-        exchange_over(connection, request).await
+        let (status, body) = exchange_over(connection, request).await?;
+        Some(Reply { status, body, earlier_lost: true })
     };
     time::timeout(REPLY_TIMEOUT, exchange).await.ok().flatten()
 }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -172,7 +172,7 @@
                 () = time::sleep_until(deadline) => return StreamEnd::DeadlineExceeded,
             };
             let bytes = match frame {
-                None if part.splitter.is_empty() => return StreamEnd::Complete,
+                None if self.is_whole(part) => return StreamEnd::Complete,
                 None | Some(Err(_)) => return StreamEnd::ConnectionLost,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Whether a part whose connection has ended without an error is the rest of the stream.
+    fn is_whole(&self, part: &Part) -> bool {
+        part.splitter.is_empty() && !self.connection.may_end_early()
+    }
+
     /// Ends the run of a client that left before the head of the answer arrived.
     pub async fn abandon_answer(self, answer: backends::Answer) {
         self.abandon(Part::new(answer.into_body())).await;
@@ -233,7 +238,7 @@
                 return rest;
             };
             let bytes = match frame {
-                None if part.splitter.is_empty() => return Rest::Whole,
+                None if self.is_whole(part) => return Rest::Whole,
                 None => return Rest::Reached,
                 Some(Err(error)) if is_closed_early(&error) => return Rest::Reached,
                 Some(Err(_)) => return rest,
@@ -275,14 +280,9 @@
     /// if it may still go on over the present one.
     async fn continue_run(&self, last_id: Option<&str>) -> Option<Continued> {
         let context = self.gateway.attempts();
-        let run = match stopped_runs::stop(context, &self.call, &self.placement).await {
-            stopped_runs::Stop::Stopped(run) => run,
-            stopped_runs::Stop::NotKept => return None,
-            stopped_runs::Stop::NoReply => {
-                self.connection.handle().forget_link_lost();
-                return None;
-            }
-        };
+        let stop = stopped_runs::stop(context, &self.call, &self.placement).await;
+        stop.record_at(&self.connection.handle());
+        let stopped_runs::Stop::Stopped(run) = stop else { return None };
         let position =
             attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: Some(run) };
         let sent = Cell::new(false);
