Join a stream only with events after the last one that was forwarded

Clients got events twice and pieces of two runs in one stream: when a stream was resumed, or continued by its client, the router took any success of the next server for the rest. One that doesn't go on after the last event id begins again, so clients read 1, 2, 1, 2, 3.

Ids rise within a stream. A part that is to go on after an event is checked: the first event whose id isn't after the one before ends that part, nothing of the batch is forwarded, its connection is closed, and the stream is resumed at another server while its route and attempts allow it, or ends truncated (event=stream_out_of_order). The first answer of a stream is passed on as its server wrote it: there is nothing to join it with. Ids that aren't numbers are not compared, and steps of more than one are allowed, as an event may hold several tokens: a gap can't be told from a step.

Compared: to drop the events up to the last id and forward the rest keeps more streams whole, but the rest is of another run from its first event on, and joins two runs. Only a run that goes on at the last id may follow.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -5,10 +5,15 @@
 /// The largest event. A server that sends more without an end of the event is faulty.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
-/// The error for an event of more than [`EVENT_BYTES_MAX`].
+/// Why events can't be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
-#[snafu(display("an event has more than {EVENT_BYTES_MAX} bytes"))]
-pub struct EventTooLarge;
+#[allow(missing_docs)]
+pub enum Error {
+    #[snafu(display("an event has more than {EVENT_BYTES_MAX} bytes"))]
+    TooLarge,
+    #[snafu(display("the id of an event is not after that of the event before"))]
+    OutOfOrder,
+}
 
 /// Complete events, as the server sent them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,14 +31,22 @@
 pub struct Splitter {
     buffer: BytesMut,
     searched_bytes: usize,
+    /// The number of the event after which those to come must be; `None` if it is not known.
+    after: Option<u64>,
 }
 
 impl Splitter {
-    /// Adds bytes, and returns the events that they complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Batch>, EventTooLarge> {
+    /// A splitter of events that go on after the one with this id.
+    pub fn after(last_id: &str) -> Self {
+        Self { after: number(last_id), ..Self::default() }
+    }
+
+    /// Adds bytes, and returns the events that they complete, if any. No event of a batch can be forwarded if one of them
+    /// is out of order.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Batch>, Error> {
         self.buffer.extend_from_slice(bytes);
         let Some(end) = self.end_of_last_event() else {
-            snafu::ensure!(self.buffer.len() <= EVENT_BYTES_MAX, EventTooLargeSnafu);
+            snafu::ensure!(self.buffer.len() <= EVENT_BYTES_MAX, TooLargeSnafu);
             return Ok(None);
         };
         let complete = self.buffer.split_to(end).freeze();
@@ -46,11 +59,20 @@
             if let Some(id) = line.strip_prefix(b"id:") {
                 count += 1;
                 last_id = std::str::from_utf8(id).ok().map(|id| id.trim().to_owned());
+                self.check_order(last_id.as_deref())?;
             }
         }
         Ok(Some(Batch { bytes: complete, count, last_id }))
     }
 
+    /// Checks that an event is after the one before. Ids that are no numbers can't be compared.
+    fn check_order(&mut self, id: Option<&str>) -> Result<(), Error> {
+        let (Some(after), Some(number)) = (self.after, id.and_then(number)) else { return Ok(()) };
+        snafu::ensure!(number > after, OutOfOrderSnafu);
+        self.after = Some(number);
+        Ok(())
+    }
+
     /// Whether the buffer contains no part of an incomplete event.
     pub fn is_empty(&self) -> bool {
         self.buffer.iter().all(|byte| matches!(byte, b'\n' | b'\r'))
@@ -68,6 +90,10 @@
     }
 }
 
+fn number(id: &str) -> Option<u64> {
+    id.parse().ok()
+}
+
 fn trim_cr(line: &[u8]) -> &[u8] {
     line.strip_suffix(b"\r").unwrap_or(line)
 }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -54,6 +54,8 @@
     DeadlineExceeded,
     /// The server sent an event that is too large.
     EventTooLarge,
+    /// The server, which was to continue the stream, sent an event that is not after the last one.
+    OutOfOrder,
     /// The link to the server is lost; the connection is still open.
     LinkLost,
 }
@@ -83,8 +85,10 @@
 }
 
 impl Part {
-    fn new(incoming: Incoming) -> Self {
-        Self { incoming, splitter: events::Splitter::default(), answer_started: false }
+    /// A part that begins with the first event of a stream, or goes on after the one with the id `last_id`.
+    fn new(incoming: Incoming, last_id: Option<&str>) -> Self {
+        let splitter = last_id.map(events::Splitter::after).unwrap_or_default();
+        Self { incoming, splitter, answer_started: false }
     }
 }
 
@@ -98,8 +102,9 @@
     }
 
     async fn run(mut self, incoming: Incoming, sender: mpsc::Sender<body::Piece>) {
-        let mut part = Part::new(incoming);
         let mut last_id = self.call.parameters.last_event_id.clone();
+        let continues = last_id.as_deref().filter(|_| self.call.route.resumable);
+        let mut part = Part::new(incoming, continues);
         loop {
             let end = self.forward(&mut part, &sender, &mut last_id).await;
             let id = &self.call.parameters.id;
@@ -111,7 +116,7 @@
                         () = sender.closed() => None,
                     };
                     if let Some(continued) = continued {
-                        part = self.switch_to(continued);
+                        part = self.switch_to(continued, last_id.as_deref());
                     }
                     continue;
                 }
@@ -132,19 +137,26 @@
                     self.connection.handle().abort();
                 }
                 StreamEnd::ConnectionLost => {
-                    let resumable = self.call.route.resumable;
-                    self.log_broken(resumable);
+                    self.log_broken();
                     // The server may not have seen a reset that a failed link caused.
                     let ((), continued) = tokio::join!(
                         self.gateway.report_connection_lost(&self.call, &self.placement),
                         time::timeout(CONTINUE_TIMEOUT, self.continue_run(last_id.as_deref())),
                     );
                     if let Ok(Some(continued)) = continued {
-                        part = self.switch_to(continued);
+                        part = self.switch_to(continued, last_id.as_deref());
                         continue;
                     }
-                    if resumable && let Some(incoming) = self.resume(last_id.as_deref()).await {
-                        part = Part::new(incoming);
+                    if let Some(resumed) = self.resume(last_id.as_deref()).await {
+                        part = resumed;
+                        continue;
+                    }
+                }
+                StreamEnd::OutOfOrder => {
+                    log::warn!("event=stream_out_of_order id={id} vm={}", self.placement.vm);
+                    self.connection.handle().abort();
+                    if let Some(resumed) = self.resume(last_id.as_deref()).await {
+                        part = resumed;
                         continue;
                     }
                 }
@@ -178,7 +190,8 @@
             };
             handle.record_progress();
             let batch = match part.splitter.push(&bytes) {
-                Err(events::EventTooLarge) => return StreamEnd::EventTooLarge,
+                Err(events::Error::TooLarge) => return StreamEnd::EventTooLarge,
+                Err(events::Error::OutOfOrder) => return StreamEnd::OutOfOrder,
                 Ok(None) => continue,
                 Ok(Some(batch)) => batch,
             };
@@ -204,7 +217,7 @@
 
     /// Ends the run of a client that left before the head of the answer arrived.
     pub async fn abandon_answer(self, answer: backends::Answer) {
-        self.abandon(Part::new(answer.into_body())).await;
+        self.abandon(Part::new(answer.into_body(), None)).await;
     }
 
     /// Ends the run of a client that has left, and charges what the server has made. If the server doesn't show that it is
@@ -251,7 +264,7 @@
                     self.ticket.cost.answer_tokens += made_tokens;
                 }
                 Ok(None) => {}
-                Err(events::EventTooLarge) => return rest,
+                Err(events::Error::TooLarge | events::Error::OutOfOrder) => return rest,
             }
             if closed.elapsed() >= ON_ITS_WAY_MAX {
                 rest = Rest::Reached;
@@ -262,18 +275,19 @@
         }
     }
 
-    fn log_broken(&self, resumable: bool) {
+    fn log_broken(&self) {
         log::info!(
-            "event=stream_broken id={} vm={} version={} resumable={resumable}",
+            "event=stream_broken id={} vm={} version={} resumable={}",
             self.call.parameters.id,
             self.placement.vm,
             logging::quoted(&self.placement.version),
+            self.call.route.resumable,
         );
     }
 
-    fn switch_to(&mut self, continued: Continued) -> Part {
+    fn switch_to(&mut self, continued: Continued, last_id: Option<&str>) -> Part {
         self.connection = continued.connection;
-        Part::new(continued.incoming)
+        Part::new(continued.incoming, last_id)
     }
 
     /// Has the run go on at its server over another connection, after the last event that was forwarded. Returns `None`
@@ -307,9 +321,12 @@
         }
     }
 
-    /// Resumes the stream at another server after the last event that was forwarded. Returns `None` if no server
-    /// resumes it before the deadline.
-    async fn resume(&mut self, last_id: Option<&str>) -> Option<Incoming> {
+    /// Resumes the stream at another server after the last event that was forwarded. Returns `None` if its route does
+    /// not allow it, or if no server resumes it before the deadline.
+    async fn resume(&mut self, last_id: Option<&str>) -> Option<Part> {
+        if !self.call.route.resumable {
+            return None;
+        }
         let deadline = time::Instant::from_std(self.call.deadline);
         let mut failure = node::AttemptFailure::MayHaveRun;
         loop {
@@ -345,7 +362,7 @@
                     );
                     self.connection = connection;
                     self.placement = placement;
-                    return Some(answer.into_body());
+                    return Some(Part::new(answer.into_body(), last_id));
                 }
                 Ok(attempt::Outcome::NotSent) => failure = node::AttemptFailure::NotSent,
                 Ok(attempt::Outcome::NoRoute) => failure = node::AttemptFailure::NoRoute,
