Do not take a stream without a length for complete when its server has crashed

A server process that crashes closes its connections like one that has written all: a stream without a length and without chunks that was cut between two events reached its client as complete, and was not resumed where its route allows it.

When a stream ends with its connection, the router now finds out whether the server still accepts connections, as it does for a connection that was lost. If it is refused, the connection counts as lost: the stream is resumed, or ends truncated. Streams with chunks or a length tell their end themselves and are not probed.

Compared: to believe each close shows cut streams as complete; to believe none loses all streams without a length.

--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -79,7 +79,7 @@
     pub used: bool,
     /// How long it may be idle after the exchange; `None` closes it.
     idle_max: Option<Duration>,
-    /// Whether the answer has neither a length nor chunks, so that it ends with the connection.
+    /// Whether the answer ends with it.
     ends_answer: bool,
 }
 
@@ -159,6 +159,11 @@
         self.via.is_some() && self.established.elapsed() >= links::RELAYED_AGE_MAX
     }
 
+    /// Whether the answer has neither a length nor chunks, so that it ends with the connection.
+    pub fn ends_answer(&self) -> bool {
+        self.ends_answer
+    }
+
     /// Whether the answer may be incomplete although the connection ended without an error: a server ends an answer
     /// without a length in the same way when it stops the run.
     pub fn may_end_early(&self) -> bool {
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -4,7 +4,7 @@
 use super::{
     abandoned, attempt, backends, body, clients, events, exchange, listener, stopped_runs, ticket,
 };
-use crate::{logging, snapshot, timer, upstream};
+use crate::{logging, probe, snapshot, timer, upstream};
 use doorswitch_core::node;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -106,7 +106,10 @@
         let continues = last_id.as_deref().filter(|_| self.call.route.resumable);
         let mut part = Part::new(incoming, continues);
         loop {
-            let end = self.forward(&mut part, &sender, &mut last_id).await;
+            let end = match self.forward(&mut part, &sender, &mut last_id).await {
+                StreamEnd::Complete if self.has_server_crashed().await => StreamEnd::ConnectionLost,
+                end => end,
+            };
             let id = &self.call.parameters.id;
             match end {
                 StreamEnd::LinkLost => {
@@ -210,6 +213,16 @@
         }
     }
 
+    /// Whether the server ended the stream because it crashed, which closes the connection of an answer without a length
+    /// just as the end of the answer does.
+    async fn has_server_crashed(&self) -> bool {
+        if !self.connection.ends_answer() {
+            return false;
+        }
+        let listener::Gateway { backends, control, .. } = &*self.gateway;
+        backends.probe(&self.placement, control).await == probe::ProbeResult::Refuses
+    }
+
     /// Whether a part whose connection has ended without an error is the rest of the stream.
     fn is_whole(&self, part: &Part) -> bool {
         part.splitter.is_empty() && !self.connection.may_end_early()
