Failing tests: streams without a length whose link closed the connection

A link that fails by closing its connections, and each new one at once, ends a stream without a length as its server would: clients read it as complete with 4 of 20 events (one run each, resumable or not), while the server makes the rest and another router reaches it.

--- a/tests/stream_order.rs
+++ b/tests/stream_order.rs
@@ -155,6 +155,33 @@
     assert_eq!(ids(&answer), [1, 2]);
 }
 
+macro_rules! closed_links_do_not_end_streams {
+    ($($name:ident: $path:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let runs = [Runs::unframed(), Runs::unframed()];
+            let scripts = runs.iter().map(|runs| runs.script(EVENTS, INTERVAL, true)).collect();
+            let world = start_behind_proxies(stringify!($name), scripts);
+            let mut client = world.send(0, &long_deadline_request($path, "id"));
+            fleet::eventually("the run has begun", || runs.iter().any(|runs| runs.begun() > 0));
+            std::thread::sleep(4 * INTERVAL);
+            set_faults(&world, &Faults { cut: [address(0)].into(), ..Faults::default() });
+            let answer = routes::read_answer(&mut client);
+            assert!(answer.whole, "{}\n{}", answer.text(), world.log(0));
+            assert_in_order(&answer, EVENTS, &world.log(0));
+            let begun: usize = runs.iter().map(Runs::begun).sum();
+            assert_eq!(begun, 1, "the run began again: {}", world.log(0));
+        }
+    )*};
+}
+
+// The link closes the connection as a server does at the end, and each new one at once.
+closed_links_do_not_end_streams! {
+    a_stream_without_length_goes_on_after_its_link_closed_the_connection: "/long-stream/x";
+    a_stream_without_length_that_may_be_resumed_goes_on_after_its_link_closed_the_connection:
+        "/resume/x";
+}
+
 /// A server that breaks off its first stream after the second event, and continues streams with these events.
 fn continues_with(numbers: &'static [u64]) -> Script {
     Box::new(move |_, received| {
