Ask the server whether a stream without a length has ended when new connections close at once

A link that fails by closing its connections ends a stream without a length just as its server does: clients read it as complete with 4 of 20 events, although the server made the rest.

The probe at the end of such a stream tells three cases apart now. A connection that stays open shows that the server and the way to it work, and the close was the server's. A refusal is a crash. If each connection is accepted and ends at once (`Closes`, until now logged as `Accepts`), neither is shown: the server is asked to stop the run, around the own link first. If it did, the run was still going and goes on from there; if it has no such run, the stream has ended; without an answer the stream counts as broken. Servers of plain services are not asked: there the clean close stays the end.

Compared: to take every end without a connection that stays open for broken would cut the whole streams of servers that are at the limit of their connections. A server that drops its run when the link closes has no run left when it is asked: such a stream still looks complete, and nothing tells it from a whole one.

--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -6,6 +6,7 @@
 };
 use crate::{logging, probe, snapshot, timer, upstream};
 use doorswitch_core::node;
+use doorswitch_platform::runs;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::cell::Cell;
@@ -48,6 +49,8 @@
     Complete,
     /// The connection ended early; nothing of an incomplete event was forwarded.
     ConnectionLost,
+    /// The connection ended while the server ran the request, and the server has stopped the run.
+    RunStopped(runs::StoppedRun),
     /// The client closed its connection.
     ClientLeft,
     /// The deadline of the request has passed.
@@ -107,19 +110,18 @@
         let mut part = Part::new(incoming, continues);
         loop {
             let end = match self.forward(&mut part, &sender, &mut last_id).await {
-                StreamEnd::Complete if self.has_server_crashed().await => StreamEnd::ConnectionLost,
+                StreamEnd::Complete => self.confirm_end().await,
                 end => end,
             };
-            let id = &self.call.parameters.id;
-            match end {
+            let (id, last_id) = (&self.call.parameters.id, last_id.as_deref());
+            let next = match end {
                 StreamEnd::LinkLost => {
-                    let continuing = self.continue_run(last_id.as_deref());
                     let continued = tokio::select! {
-                        continued = continuing => continued,
+                        continued = self.continue_run(last_id) => continued,
                         () = sender.closed() => None,
                     };
                     if let Some(continued) = continued {
-                        part = self.switch_to(continued, last_id.as_deref());
+                        part = self.switch_to(continued, last_id);
                     }
                     continue;
                 }
@@ -134,39 +136,41 @@
                     self.abandon(part).await;
                     return;
                 }
-                StreamEnd::DeadlineExceeded => log::info!("event=stream_late id={id}"),
+                StreamEnd::DeadlineExceeded => {
+                    log::info!("event=stream_late id={id}");
+                    None
+                }
                 StreamEnd::EventTooLarge => {
                     log::warn!("event=event_too_large id={id} vm={}", self.placement.vm);
                     self.connection.handle().abort();
+                    None
                 }
                 StreamEnd::ConnectionLost => {
                     self.log_broken();
                     // The server may not have seen a reset that a failed link caused.
                     let ((), continued) = tokio::join!(
                         self.gateway.report_connection_lost(&self.call, &self.placement),
-                        time::timeout(CONTINUE_TIMEOUT, self.continue_run(last_id.as_deref())),
+                        time::timeout(CONTINUE_TIMEOUT, self.continue_run(last_id)),
                     );
-                    if let Ok(Some(continued)) = continued {
-                        part = self.switch_to(continued, last_id.as_deref());
-                        continue;
-                    }
-                    if let Some(resumed) = self.resume(last_id.as_deref()).await {
-                        part = resumed;
-                        continue;
-                    }
+                    self.switch_or_resume(continued.ok().flatten(), last_id).await
+                }
+                StreamEnd::RunStopped(run) => {
+                    self.log_broken();
+                    let continued = self.go_on(run, last_id).await;
+                    self.switch_or_resume(continued, last_id).await
                 }
                 StreamEnd::OutOfOrder => {
                     log::warn!("event=stream_out_of_order id={id} vm={}", self.placement.vm);
                     self.connection.handle().abort();
-                    if let Some(resumed) = self.resume(last_id.as_deref()).await {
-                        part = resumed;
-                        continue;
-                    }
+                    self.resume(last_id).await
                 }
-            }
-            self.ticket.finish_unknown();
-            let _ = sender.send(Err(body::Truncated)).await;
-            return;
+            };
+            let Some(next) = next else {
+                self.ticket.finish_unknown();
+                let _ = sender.send(Err(body::Truncated)).await;
+                return;
+            };
+            part = next;
         }
     }
 
@@ -213,14 +217,28 @@
         }
     }
 
-    /// Whether the server ended the stream because it crashed, which closes the connection of an answer without a length
-    /// just as the end of the answer does.
-    async fn has_server_crashed(&self) -> bool {
+    /// How a stream ended that is whole unless its connection ended early: a server that crashes or a link that fails may
+    /// close the connection of an answer without a length just as the server does at the end.
+    async fn confirm_end(&self) -> StreamEnd {
         if !self.connection.ends_answer() {
-            return false;
+            return StreamEnd::Complete;
         }
         let listener::Gateway { backends, control, .. } = &*self.gateway;
-        backends.probe(&self.placement, control).await == probe::ProbeResult::Refuses
+        match backends.probe(&self.placement, control).await {
+            probe::ProbeResult::Refuses => StreamEnd::ConnectionLost,
+            probe::ProbeResult::Accepts | probe::ProbeResult::Silent => StreamEnd::Complete,
+            probe::ProbeResult::Closes => self.stop_if_running().await,
+        }
+    }
+
+    /// How a stream ended, by what its server replies to the request to stop the run.
+    async fn stop_if_running(&self) -> StreamEnd {
+        let context = self.gateway.attempts();
+        match stopped_runs::stop(context, &self.call, &self.placement).await {
+            stopped_runs::Stop::Stopped(run) => StreamEnd::RunStopped(run),
+            stopped_runs::Stop::NoRun => StreamEnd::Complete,
+            stopped_runs::Stop::NotKept | stopped_runs::Stop::NoReply => StreamEnd::ConnectionLost,
+        }
     }
 
     /// Whether a part whose connection has ended without an error is the rest of the stream.
@@ -298,6 +316,18 @@
         );
     }
 
+    /// The part with which the stream goes on: that of the run that was continued, or else of one that resumes it.
+    async fn switch_or_resume(
+        &mut self,
+        continued: Option<Continued>,
+        last_id: Option<&str>,
+    ) -> Option<Part> {
+        match continued {
+            Some(continued) => Some(self.switch_to(continued, last_id)),
+            None => self.resume(last_id).await,
+        }
+    }
+
     fn switch_to(&mut self, continued: Continued, last_id: Option<&str>) -> Part {
         self.connection = continued.connection;
         Part::new(continued.incoming, last_id)
@@ -310,6 +340,12 @@
         let stop = stopped_runs::stop(context, &self.call, &self.placement).await;
         stop.record_at(&self.connection.handle());
         let stopped_runs::Stop::Stopped(run) = stop else { return None };
+        self.go_on(run, last_id).await
+    }
+
+    /// Has a stopped run go on after the last event that was forwarded. Returns `None` if it doesn't.
+    async fn go_on(&self, run: runs::StoppedRun, last_id: Option<&str>) -> Option<Continued> {
+        let context = self.gateway.attempts();
         let position =
             attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: Some(run) };
         let sent = Cell::new(false);
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -29,8 +29,10 @@
 /// How a server's address reacts to a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
-    /// The connection was accepted.
+    /// The connection was accepted and stayed open.
     Accepts,
+    /// Each connection was accepted and ended at once: the server has no room for it, or the link closes it.
+    Closes,
     /// The connection was refused: nothing listens there, so the server process has ended.
     Refuses,
     /// Nothing was received in time, or connecting failed in another way.
@@ -42,6 +44,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Accepts => "Accepts",
+            Self::Closes => "Closes",
             Self::Refuses => "Refuses",
             Self::Silent => "Silent",
         }
@@ -70,7 +73,7 @@
             return (ProbeResult::Accepts, Some(established));
         }
     }
-    (ProbeResult::Accepts, None)
+    (ProbeResult::Closes, None)
 }
 
 /// Whether a connection that no other task reads from ends within `time`.
@@ -144,7 +147,9 @@
             control.do_send(control::ServerRefused(server));
             tokio::time::sleep(UPDATE_LEAD_TIME).await;
         }
-        ProbeResult::Accepts => control.do_send(control::ServerAccepted(server)),
+        ProbeResult::Accepts | ProbeResult::Closes => {
+            control.do_send(control::ServerAccepted(server))
+        }
         ProbeResult::Silent => {}
     }
 }
--- a/tests/external_names.rs
+++ b/tests/external_names.rs
@@ -9,9 +9,9 @@
 
 #[test]
 fn results_of_probes() {
-    let results =
-        [probe::ProbeResult::Accepts, probe::ProbeResult::Refuses, probe::ProbeResult::Silent];
-    assert_eq!(results.map(probe::ProbeResult::as_str), ["Accepts", "Refuses", "Silent"]);
+    use probe::ProbeResult::{Accepts, Closes, Refuses, Silent};
+    let results = [Accepts, Closes, Refuses, Silent];
+    assert_eq!(results.map(probe::ProbeResult::as_str), ["Accepts", "Closes", "Refuses", "Silent"]);
 }
 
 const SETTINGS: &str = "{vm: a, region: b, failure_domain: c, operators: {listen: '127.0.0.1:1'}, \
