Failing test: a call's answer without a length of a server that crashed looks complete

A probe at the end, as for streams, would tell; it costs a connection for each such answer, which may hold a place at the server, and is not decided.

--- a/tests/stream_order.rs
+++ b/tests/stream_order.rs
@@ -143,6 +143,18 @@
     assert_in_order(&answer, 4, &world.log(0));
 }
 
+#[test]
+fn an_answer_without_length_of_a_server_that_crashed_does_not_look_complete() {
+    let script = Box::new(|_, _: &_| {
+        let head = Step::Write(wire::UNFRAMED_STREAM_HEAD.to_owned());
+        let pause = Step::Pause(Duration::from_millis(20));
+        vec![head, Step::Write("part".to_owned()), pause, Step::Crash(DOWN)]
+    });
+    let world = World::start("crashed-unframed-call", vec![script]);
+    let answer = world.call(0, &request("/pay/x", "id"));
+    assert_ne!(answer.status, 200, "{}\n{}", answer.text(), world.log(0));
+}
+
 #[test]
 fn a_stream_without_length_of_a_server_that_runs_is_complete() {
     let script = Box::new(|_, _: &_| {
