Failing test: a stream without a length whose run is stopped again by a late request

A router asks a server to stop a run, the reply is lost, it asks again, and the run goes on over another connection.

--- a/tests/stream_order.rs
+++ b/tests/stream_order.rs
@@ -194,6 +194,46 @@
         "/resume/x";
 }
 
+/// A server whose answers have no length. It loses its first reply to a request that stops the run, which it carries out
+/// late: two events after the run goes on. The third part of the run is the last one.
+fn stops_again_late() -> Script {
+    let (mut stops, mut parts) = (0, 0);
+    Box::new(move |_, received| {
+        if is_stop(received) {
+            stops += 1;
+            return match (stops, parts) {
+                (1, _) => vec![Step::Reset],
+                (_, 3) => vec![backend::response("404 Not Found", "{}")],
+                _ => {
+                    let body = serde_json::json!({ "handle": "kept", "made": 2 * parts });
+                    vec![backend::response("200 OK", &body.to_string())]
+                }
+            };
+        }
+        parts += 1;
+        let after: u64 =
+            received.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let head = Step::Write(wire::UNFRAMED_STREAM_HEAD.to_owned());
+        let end = if parts == 1 { Step::AwaitClose } else { Step::Close };
+        vec![head, Step::Write(events(after + 1..=after + 2)), end]
+    })
+}
+
+#[test]
+fn a_stream_without_length_whose_run_is_stopped_again_late_has_all_events() {
+    let scripts = (0..2).map(|_| stops_again_late()).collect();
+    let world = start_behind_proxies("stopped-again", scripts);
+    let mut client = world.send(0, &long_deadline_request("/long-stream/x", "id"));
+    fleet::eventually("the run has begun", || {
+        world.backends.iter().any(|backend| !backend.requests().is_empty())
+    });
+    std::thread::sleep(2 * INTERVAL);
+    silence_links(&world);
+    let answer = routes::read_answer(&mut client);
+    assert!(answer.whole, "{}\n{}", answer.text(), world.log(0));
+    assert_eq!(ids(&answer), [1, 2, 3, 4, 5, 6], "{}", world.log(0));
+}
+
 /// A server that breaks off its first stream after the second event, and continues streams with these events.
 fn continues_with(numbers: &'static [u64]) -> Script {
     Box::new(move |_, received| {
