--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -4,8 +4,9 @@
 use super::{
     abandoned, attempt, backends, body, clients, events, exchange, listener, stopped_runs, ticket,
 };
-use crate::{logging, snapshot, timer, upstream};
+use crate::{logging, probe, snapshot, timer, upstream};
 use doorswitch_core::node;
+use doorswitch_platform::runs;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::cell::Cell;
@@ -48,12 +49,16 @@
     Complete,
     /// The connection ended early; nothing of an incomplete event was forwarded.
     ConnectionLost,
+    /// The connection ended while the server ran the request, and the server has stopped the run.
+    RunStopped(runs::StoppedRun),
     /// The client closed its connection.
     ClientLeft,
     /// The deadline of the request has passed.
     DeadlineExceeded,
     /// The server sent an event that is too large.
     EventTooLarge,
+    /// The server, which was to continue the stream, sent an event that is not after the last one.
+    OutOfOrder,
     /// The link to the server is lost; the connection is still open.
     LinkLost,
 }
@@ -83,8 +88,10 @@
 }
 
 impl Part {
-    fn new(incoming: Incoming) -> Self {
-        Self { incoming, splitter: events::Splitter::default(), answer_started: false }
+    /// A part that begins with the first event of a stream, or goes on after the one with the id `last_id`.
+    fn new(incoming: Incoming, last_id: Option<&str>) -> Self {
+        let splitter = last_id.map(events::Splitter::after).unwrap_or_default();
+        Self { incoming, splitter, answer_started: false }
     }
 }
 
@@ -98,20 +105,23 @@
     }
 
     async fn run(mut self, incoming: Incoming, sender: mpsc::Sender<body::Piece>) {
-        let mut part = Part::new(incoming);
         let mut last_id = self.call.parameters.last_event_id.clone();
+        let continues = last_id.as_deref().filter(|_| self.call.route.resumable);
+        let mut part = Part::new(incoming, continues);
         loop {
-            let end = self.forward(&mut part, &sender, &mut last_id).await;
-            let id = &self.call.parameters.id;
-            match end {
+            let end = match self.forward(&mut part, &sender, &mut last_id).await {
+                StreamEnd::Complete => self.confirm_end().await,
+                end => end,
+            };
+            let (id, last_id) = (&self.call.parameters.id, last_id.as_deref());
+            let next = match end {
                 StreamEnd::LinkLost => {
-                    let continuing = self.continue_run(last_id.as_deref());
                     let continued = tokio::select! {
-                        continued = continuing => continued,
+                        continued = self.continue_run(last_id) => continued,
                         () = sender.closed() => None,
                     };
                     if let Some(continued) = continued {
-                        part = self.switch_to(continued);
+                        part = self.switch_to(continued, last_id);
                     }
                     continue;
                 }
@@ -126,32 +136,41 @@
                     self.abandon(part).await;
                     return;
                 }
-                StreamEnd::DeadlineExceeded => log::info!("event=stream_late id={id}"),
+                StreamEnd::DeadlineExceeded => {
+                    log::info!("event=stream_late id={id}");
+                    None
+                }
                 StreamEnd::EventTooLarge => {
                     log::warn!("event=event_too_large id={id} vm={}", self.placement.vm);
                     self.connection.handle().abort();
+                    None
                 }
                 StreamEnd::ConnectionLost => {
-                    let resumable = self.call.route.resumable;
-                    self.log_broken(resumable);
+                    self.log_broken();
                     // The server may not have seen a reset that a failed link caused.
                     let ((), continued) = tokio::join!(
                         self.gateway.report_connection_lost(&self.call, &self.placement),
-                        time::timeout(CONTINUE_TIMEOUT, self.continue_run(last_id.as_deref())),
+                        time::timeout(CONTINUE_TIMEOUT, self.continue_run(last_id)),
                     );
-                    if let Ok(Some(continued)) = continued {
-                        part = self.switch_to(continued);
-                        continue;
-                    }
-                    if resumable && let Some(incoming) = self.resume(last_id.as_deref()).await {
-                        part = Part::new(incoming);
-                        continue;
-                    }
+                    self.switch_or_resume(continued.ok().flatten(), last_id).await
                 }
-            }
-            self.ticket.finish_unknown();
-            let _ = sender.send(Err(body::Truncated)).await;
-            return;
+                StreamEnd::RunStopped(run) => {
+                    self.log_broken();
+                    let continued = self.go_on(run, last_id).await;
+                    self.switch_or_resume(continued, last_id).await
+                }
+                StreamEnd::OutOfOrder => {
+                    log::warn!("event=stream_out_of_order id={id} vm={}", self.placement.vm);
+                    self.connection.handle().abort();
+                    self.resume(last_id).await
+                }
+            };
+            let Some(next) = next else {
+                self.ticket.finish_unknown();
+                let _ = sender.send(Err(body::Truncated)).await;
+                return;
+            };
+            part = next;
         }
     }
 
@@ -172,13 +191,14 @@
                 () = time::sleep_until(deadline) => return StreamEnd::DeadlineExceeded,
             };
             let bytes = match frame {
-                None if part.splitter.is_empty() => return StreamEnd::Complete,
+                None if self.is_whole(part) => return StreamEnd::Complete,
                 None | Some(Err(_)) => return StreamEnd::ConnectionLost,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             handle.record_progress();
             let batch = match part.splitter.push(&bytes) {
-                Err(events::EventTooLarge) => return StreamEnd::EventTooLarge,
+                Err(events::Error::TooLarge) => return StreamEnd::EventTooLarge,
+                Err(events::Error::OutOfOrder) => return StreamEnd::OutOfOrder,
                 Ok(None) => continue,
                 Ok(Some(batch)) => batch,
             };
@@ -197,9 +217,38 @@
         }
     }
 
+    /// How a stream ended that is whole unless its connection ended early: a server that crashes or a link that fails may
+    /// close the connection of an answer without a length just as the server does at the end.
+    async fn confirm_end(&self) -> StreamEnd {
+        if !self.connection.ends_answer() {
+            return StreamEnd::Complete;
+        }
+        let listener::Gateway { backends, control, .. } = &*self.gateway;
+        match backends.probe(&self.placement, control).await {
+            probe::ProbeResult::Refuses => StreamEnd::ConnectionLost,
+            probe::ProbeResult::Accepts | probe::ProbeResult::Silent => StreamEnd::Complete,
+            probe::ProbeResult::Closes => self.stop_if_running().await,
+        }
+    }
+
+    /// How a stream ended, by what its server replies to the request to stop the run.
+    async fn stop_if_running(&self) -> StreamEnd {
+        let context = self.gateway.attempts();
+        match stopped_runs::stop(context, &self.call, &self.placement).await {
+            stopped_runs::Stop::Stopped(run) => StreamEnd::RunStopped(run),
+            stopped_runs::Stop::NoRun => StreamEnd::Complete,
+            stopped_runs::Stop::NotKept | stopped_runs::Stop::NoReply => StreamEnd::ConnectionLost,
+        }
+    }
+
+    /// Whether a part whose connection has ended without an error is the rest of the stream.
+    fn is_whole(&self, part: &Part) -> bool {
+        part.splitter.is_empty() && !self.connection.may_end_early()
+    }
+
     /// Ends the run of a client that left before the head of the answer arrived.
     pub async fn abandon_answer(self, answer: backends::Answer) {
-        self.abandon(Part::new(answer.into_body())).await;
+        self.abandon(Part::new(answer.into_body(), None)).await;
     }
 
     /// Ends the run of a client that has left, and charges what the server has made. If the server doesn't show that it is
@@ -233,7 +282,7 @@
                 return rest;
             };
             let bytes = match frame {
-                None if part.splitter.is_empty() => return Rest::Whole,
+                None if self.is_whole(part) => return Rest::Whole,
                 None => return Rest::Reached,
                 Some(Err(error)) if is_closed_early(&error) => return Rest::Reached,
                 Some(Err(_)) => return rest,
@@ -246,7 +295,7 @@
                     self.ticket.cost.answer_tokens += made_tokens;
                 }
                 Ok(None) => {}
-                Err(events::EventTooLarge) => return rest,
+                Err(events::Error::TooLarge | events::Error::OutOfOrder) => return rest,
             }
             if closed.elapsed() >= ON_ITS_WAY_MAX {
                 rest = Rest::Reached;
@@ -257,32 +306,46 @@
         }
     }
 
-    fn log_broken(&self, resumable: bool) {
+    fn log_broken(&self) {
         log::info!(
-            "event=stream_broken id={} vm={} version={} resumable={resumable}",
+            "event=stream_broken id={} vm={} version={} resumable={}",
             self.call.parameters.id,
             self.placement.vm,
             logging::quoted(&self.placement.version),
+            self.call.route.resumable,
         );
     }
 
-    fn switch_to(&mut self, continued: Continued) -> Part {
+    /// The part with which the stream goes on: that of the run that was continued, or else of one that resumes it.
+    async fn switch_or_resume(
+        &mut self,
+        continued: Option<Continued>,
+        last_id: Option<&str>,
+    ) -> Option<Part> {
+        match continued {
+            Some(continued) => Some(self.switch_to(continued, last_id)),
+            None => self.resume(last_id).await,
+        }
+    }
+
+    fn switch_to(&mut self, continued: Continued, last_id: Option<&str>) -> Part {
         self.connection = continued.connection;
-        Part::new(continued.incoming)
+        Part::new(continued.incoming, last_id)
     }
 
     /// Has the run go on at its server over another connection, after the last event that was forwarded. Returns `None`
     /// if it may still go on over the present one.
     async fn continue_run(&self, last_id: Option<&str>) -> Option<Continued> {
         let context = self.gateway.attempts();
-        let run = match stopped_runs::stop(context, &self.call, &self.placement).await {
-            stopped_runs::Stop::Stopped(run) => run,
-            stopped_runs::Stop::NotKept => return None,
-            stopped_runs::Stop::NoReply => {
-                self.connection.handle().forget_link_lost();
-                return None;
-            }
-        };
+        let stop = stopped_runs::stop(context, &self.call, &self.placement).await;
+        stop.record_at(&self.connection.handle());
+        let stopped_runs::Stop::Stopped(run) = stop else { return None };
+        self.go_on(run, last_id).await
+    }
+
+    /// Has a stopped run go on after the last event that was forwarded. Returns `None` if it doesn't.
+    async fn go_on(&self, run: runs::StoppedRun, last_id: Option<&str>) -> Option<Continued> {
+        let context = self.gateway.attempts();
         let position =
             attempt::Position { last_event_id: last_id.map(str::to_owned), stopped_run: Some(run) };
         let sent = Cell::new(false);
@@ -307,9 +370,12 @@
         }
     }
 
-    /// Resumes the stream at another server after the last event that was forwarded. Returns `None` if no server
-    /// resumes it before the deadline.
-    async fn resume(&mut self, last_id: Option<&str>) -> Option<Incoming> {
+    /// Resumes the stream at another server after the last event that was forwarded. Returns `None` if its route does
+    /// not allow it, or if no server resumes it before the deadline.
+    async fn resume(&mut self, last_id: Option<&str>) -> Option<Part> {
+        if !self.call.route.resumable {
+            return None;
+        }
         let deadline = time::Instant::from_std(self.call.deadline);
         let mut failure = node::AttemptFailure::MayHaveRun;
         loop {
@@ -345,7 +411,7 @@
                     );
                     self.connection = connection;
                     self.placement = placement;
-                    return Some(answer.into_body());
+                    return Some(Part::new(answer.into_body(), last_id));
                 }
                 Ok(attempt::Outcome::NotSent) => failure = node::AttemptFailure::NotSent,
                 Ok(attempt::Outcome::NoRoute) => failure = node::AttemptFailure::NoRoute,
