Play late copies of answers and repeated ids in the soak

What callers saw: requests that ran were refused, or ran twice. A copy of a refusal came over the connection that carried the same id again, or another one. Neither the stand-ins nor the soak sent such copies beside other faults.

`standins::late_copies` holds servers that remember the answers of each connection and send copies of them: before the answer that is due, some milliseconds after an answer, or, if the connection carries an id again, of the earlier answer to this id. They refuse 40 in 100 requests and count by id what they ran. What they do with a request depends on the seed, the id and how often it came, not on the order of arrivals. `soak::late_copies` sends calls and streams that must run at most once, and calls that may be repeated, through all routers, and sends a quarter of the refused ids again over the same router. At the end of the run it checks that what was refused at last has not run at all, that what must run at most once did so, and that each answer with 2xx holds what a server answered to this id. All sends but the last of an id are refusals, so none of them allows a run.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -36,6 +36,14 @@
 pub const VERSIONS_SERVICE: &str = "released";
 /// The path of the route to [`VERSIONS_SERVICE`].
 pub const VERSIONS_PATH: &str = "/released/";
+/// The service whose servers send late copies of their answers.
+pub const LATE_COPIES_SERVICE: &str = "copying";
+/// The path of its calls that must run at most once.
+pub const LATE_COPIES_CALLS_PATH: &str = "/copying-calls/";
+/// The path of its calls that may be repeated.
+pub const LATE_COPIES_REPEATABLE_PATH: &str = "/copying-repeatable/";
+/// The path of its streams that must run at most once.
+pub const LATE_COPIES_STREAMS_PATH: &str = "/copying-streams/";
 /// The number of failure domains among which the routers are spread.
 const FAILURE_DOMAINS: usize = 3;
 /// The number of other routers that each router has as seeds.
@@ -229,13 +237,11 @@
         ];
         let plain_routes =
             added_routes.chain(fixed_routes.map(|(path, service)| (path.to_owned(), service)));
-        let route = |(path, service)| wire::Route { path, service, streams: false };
-        let streams = wire::Route {
-            path: VERSIONS_PATH.to_owned(),
-            service: VERSIONS_SERVICE,
-            streams: true,
+        let route = |(path, service)| {
+            let kind = wire::RouteKind::Repeatable;
+            wire::Route { path, service, kind, attempts_max: 1 }
         };
-        let routes = plain_routes.map(route).chain([streams]);
+        let routes = plain_routes.map(route).chain(routes_with_several_attempts());
         let services = [
             SERVICE,
             FRAGILE_SERVICE,
@@ -243,6 +249,7 @@
             LIMITED_SERVICE,
             DIRECTIVES_SERVICE,
             VERSIONS_SERVICE,
+            LATE_COPIES_SERVICE,
         ];
         self.store.publish(&wire::configuration(self.version, HOST, &services, routes));
         self.version
@@ -365,6 +372,23 @@
     }
 }
 
+/// The routes whose requests may be sent to two servers.
+fn routes_with_several_attempts() -> impl Iterator<Item = wire::Route<'static>> {
+    use wire::RouteKind;
+    let routes = [
+        (VERSIONS_PATH, VERSIONS_SERVICE, RouteKind::ResumableStream),
+        (LATE_COPIES_CALLS_PATH, LATE_COPIES_SERVICE, RouteKind::Unrepeatable),
+        (LATE_COPIES_REPEATABLE_PATH, LATE_COPIES_SERVICE, RouteKind::Repeatable),
+        (LATE_COPIES_STREAMS_PATH, LATE_COPIES_SERVICE, RouteKind::Stream),
+    ];
+    routes.into_iter().map(|(path, service, kind)| wire::Route {
+        path: path.to_owned(),
+        service,
+        kind,
+        attempts_max: 2,
+    })
+}
+
 /// The path of the route that a configuration version adds.
 pub fn added_path(version: u64) -> String {
     format!("/added-{version}/")
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod directives;
 pub mod fleet;
+pub mod late_copies;
 pub mod limited;
 pub mod observe;
 pub mod poison;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -139,7 +139,7 @@
     let sound = report.violations.is_empty() && report.ended.is_empty();
     let verdict = if sound { "sound" } else { "broken" };
     let mut lines = vec![format!(
-        "event=soak_seed seed={seed} verdict={verdict} violations={} ended={:?} answers={:?} {} parts: {} {} {} {}",
+        "event=soak_seed seed={seed} verdict={verdict} violations={} ended={:?} answers={:?} {} parts: {} {} {} {} {}",
         report.violations.len(),
         report.ended,
         report.statuses,
@@ -148,6 +148,7 @@
         report.limited,
         report.directives,
         report.versions,
+        report.late_copies,
     )];
     if !sound {
         lines.extend(schedule.steps.iter().map(ToString::to_string));
--- a/soak/src/observe.rs
+++ b/soak/src/observe.rs
@@ -53,6 +53,12 @@
     SentDuringBackoff,
     /// A stream holds events of servers of two software versions.
     StreamOfTwoVersions,
+    /// A request ran although its client was told that it had not.
+    RefusedButExecuted,
+    /// A request that must run at most once ran more often.
+    ExecutedTwice,
+    /// A complete answer holds something else than what a server answered to this request.
+    WrongAnswer,
 }
 
 impl ViolationKind {
@@ -70,6 +76,9 @@
             Self::SentToLeavingServer => "SentToLeaving",
             Self::SentDuringBackoff => "SentInBackoff",
             Self::StreamOfTwoVersions => "StreamOfTwoVersions",
+            Self::RefusedButExecuted => "RefusedButExecuted",
+            Self::ExecutedTwice => "ExecutedTwice",
+            Self::WrongAnswer => "WrongAnswer",
         }
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs a schedule against a fleet and reports the results.
 
-use crate::{directives, fleet, limited, observe, poison, prober, schedule, versions};
+use crate::{directives, fleet, late_copies, limited, observe, poison, prober, schedule, versions};
 use doorswitch_standins::{network, store};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -49,6 +49,8 @@
     pub directives: directives::Summary,
     /// Results of the streams of servers of several software versions.
     pub versions: versions::Summary,
+    /// Results of the servers that send late copies of their answers.
+    pub late_copies: late_copies::Summary,
 }
 
 /// A timed event of a run.
@@ -95,6 +97,7 @@
     let limited = limited::start(&store, clients.clone(), run.shared.clone(), *seed)?;
     let directives = directives::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
     let versions = versions::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
+    let late_copies = late_copies::start(&store, clients.clone(), run.shared.clone(), *seed)?;
     let poison_parts = poison::Poison::Part;
     let poison_parts =
         poison::start(poison_parts, store.clone(), clients.clone(), run.shared.clone())?;
@@ -110,6 +113,7 @@
     let limited = limited.join().unwrap_or_default();
     let directives = directives.join().unwrap_or_default();
     let versions = versions.join().unwrap_or_default();
+    let late_copies = late_copies.join().unwrap_or_default();
     let ended = run.fleet.unexpectedly_ended().into_iter().collect();
     executed?;
     let observations = run.shared.observations();
@@ -123,6 +127,7 @@
         limited,
         directives,
         versions,
+        late_copies,
     })
 }
 
--- a/soak/tests/printed_texts.rs
+++ b/soak/tests/printed_texts.rs
@@ -90,6 +90,9 @@
         (ViolationKind::SentToLeavingServer, "SentToLeaving"),
         (ViolationKind::SentDuringBackoff, "SentInBackoff"),
         (ViolationKind::StreamOfTwoVersions, "StreamOfTwoVersions"),
+        (ViolationKind::RefusedButExecuted, "RefusedButExecuted"),
+        (ViolationKind::ExecutedTwice, "ExecutedTwice"),
+        (ViolationKind::WrongAnswer, "WrongAnswer"),
     ];
     assert!(texts.is_sorted_by_key(|(kind, _)| *kind));
     for (kind, text) in texts {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 pub mod cli;
 pub mod engine;
+pub mod late_copies;
 pub mod network;
 pub mod platform;
 pub mod ports;
--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -34,6 +34,19 @@
     }
 }
 
+/// The kind of the requests of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// Calls that may be repeated at another server.
+    Repeatable,
+    /// Calls that must run at most once.
+    Unrepeatable,
+    /// Streams that may be continued at another server.
+    ResumableStream,
+    /// Streams that must run at most once.
+    Stream,
+}
+
 /// A public route of a configuration.
 #[derive(Clone, Debug)]
 pub struct Route<'a> {
@@ -41,8 +54,10 @@
     pub path: String,
     /// The name of the service.
     pub service: &'a str,
-    /// Whether the answers are streams that may be continued at another server.
-    pub streams: bool,
+    /// The kind of its requests.
+    pub kind: RouteKind,
+    /// The number of servers to which a request may be sent.
+    pub attempts_max: u32,
 }
 
 /// A configuration with public routes.
@@ -53,15 +68,16 @@
     routes: impl Iterator<Item = Route<'a>>,
 ) -> Vec<u8> {
     let route = |route: Route<'a>| {
-        let (kind, attempts, timeout_ms) = match route.streams {
-            true => ("streaming", 2, 4_000),
-            false => ("idempotent", 1, 1_000),
+        let (kind, timeout_ms) = match route.kind {
+            RouteKind::Repeatable => ("idempotent", 1_000),
+            RouteKind::Unrepeatable => ("non_idempotent", 1_000),
+            RouteKind::ResumableStream | RouteKind::Stream => ("streaming", 4_000),
         };
         json!({
             "name": route.path.trim_matches('/'), "host": host, "pathPrefix": route.path,
             "routeType": kind, "timeoutMs": timeout_ms, "targetLatencyMs": 200, "priority": 1,
-            "service": route.service, "maxAttempts": attempts, "public": true,
-            "streamResume": route.streams,
+            "service": route.service, "maxAttempts": route.attempts_max, "public": true,
+            "streamResume": route.kind == RouteKind::ResumableStream,
         })
     };
     let service =
@@ -161,8 +177,8 @@
     }
 }
 
-/// Sends one GET request for a stream on a new connection, and reads the answer until the connection ends or nothing
-/// arrives for `timeout`. Returns what arrived by then.
+/// Sends one GET request, usually for a stream, on a new connection, and reads the answer until the connection ends or
+/// nothing arrives for `timeout`. Returns what arrived by then.
 pub fn get_stream(
     address: SocketAddr,
     host: &str,
