Read little of an answer that makes no progress, and let other connections go first

Cause: the driver of a connection read up to 1 MiB without a part of an answer before the server was given up, in one turn of the one thread, and `hyper` parses a chunk line byte by byte.

Change: after a read that shows no progress, the connection yields to the other tasks of the thread before it reads on. Up to the end of the head 128 KiB are read, as many as awc reads behind the callers' interface. Between two parts of a body 24 KiB are read: hyper allows 16 KiB of chunk extensions and of trailers, and a read has 8 KiB.

New tests hold that a large head, a long chunk extension and 50,000 chunks of one byte still arrive whole, and that bytes without end on an idle connection take little memory (it closes at the first read; this held before).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -247,6 +247,7 @@
         let error = match answer {
             None => continue,
             Some(Ok(answer)) => {
+                handle.record_progress();
                 return handle_head(context, call, placement, sent_at, answer, connection).await;
             }
             Some(Err(error)) => error,
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -16,8 +16,14 @@
 /// How often a client connection is checked for its end while its request is being handled.
 pub const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The most bytes that are read from a server without a part of an answer in them: more than the largest head.
-const UNPRODUCTIVE_BYTES_MAX: usize = 1 << 20;
+/// The most bytes that are read at once.
+const READ_BYTES_MAX: usize = 8 << 10;
+/// The most bytes that are read from a server before the end of a head: as many as `awc` reads behind the callers'
+/// interface.
+const HEAD_BYTES_MAX: usize = 128 << 10;
+/// The most bytes that are read between two parts of a body: as many as `hyper` allows for the extensions of chunks or
+/// for trailers, and what was read with their end. One thread parses them for all connections.
+const BETWEEN_PARTS_BYTES_MAX: usize = (16 << 10) + READ_BYTES_MAX;
 
 /// The most bytes that are kept of what a server sends while no request is under way: enough for a short head.
 const SURPLUS_BYTES_MAX: usize = 2 << 10;
@@ -35,8 +41,11 @@
     received_at: Cell<Instant>,
     /// Whether data that was to be written still waits for the peer.
     write_blocked: Cell<bool>,
-    /// The bytes received since the exchange began or made progress.
+    /// The bytes received since the exchange began or made progress, and the most that are allowed.
     unproductive_bytes: Cell<usize>,
+    unproductive_bytes_max: Cell<usize>,
+    /// Whether other tasks run before more is read: nothing shows that the last bytes were a part of an answer.
+    yield_due: Cell<bool>,
     /// The exchange's request is not sent from then on, if nothing of it was sent before.
     send_before: Cell<Option<Instant>>,
     /// Whether a part of the exchange's request was sent.
@@ -102,8 +111,8 @@
         if let Some(inner) = self.inner.upgrade() {
             inner.send_before.set(None);
             inner.exchange.set(Some(Exchange { began: Instant::now(), repeatable }));
+            inner.restart_count(HEAD_BYTES_MAX);
         }
-        self.record_progress();
     }
 
     /// Has the exchange's request not sent from `deadline` on, if nothing of it was sent before.
@@ -123,10 +132,10 @@
         self.surplus.take()
     }
 
-    /// Records that a part of the answer was received.
+    /// Records that the head of the answer or a part of its body was received.
     pub fn record_progress(&self) {
         if let Some(inner) = self.inner.upgrade() {
-            inner.unproductive_bytes.set(0);
+            inner.restart_count(BETWEEN_PARTS_BYTES_MAX);
         }
     }
 
@@ -190,6 +199,8 @@
             received_at: Cell::new(Instant::now()),
             write_blocked: Cell::new(false),
             unproductive_bytes: Cell::new(0),
+            unproductive_bytes_max: Cell::new(HEAD_BYTES_MAX),
+            yield_due: Cell::new(false),
             send_before: Cell::new(None),
             request_sent: Rc::default(),
             surplus: Rc::default(),
@@ -250,6 +261,12 @@
         self.request_sent.set(true);
     }
 
+    fn restart_count(&self, bytes_max: usize) {
+        self.unproductive_bytes.set(0);
+        self.unproductive_bytes_max.set(bytes_max);
+        self.yield_due.set(false);
+    }
+
     /// Counts received bytes, or keeps them if no exchange is under way; an error if an exchange with a server has received
     /// too many without progress.
     fn check_progress(&self, received: &[u8]) -> io::Result<()> {
@@ -261,7 +278,8 @@
         }
         let unproductive_bytes = self.unproductive_bytes.get() + received.len();
         self.unproductive_bytes.set(unproductive_bytes);
-        match unproductive_bytes > UNPRODUCTIVE_BYTES_MAX {
+        self.yield_due.set(true);
+        match unproductive_bytes > self.unproductive_bytes_max.get() {
             true => Err(io::ErrorKind::InvalidData.into()),
             false => Ok(()),
         }
@@ -274,7 +292,11 @@
         context: &mut Context<'_>,
         mut buffer: rt::ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; 8 << 10];
+        if self.0.yield_due.take() {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut chunk = [0; READ_BYTES_MAX];
         let length_max = chunk.len().min(buffer.remaining());
         loop {
             std::task::ready!(self.0.stream.poll_read_ready(context))?;
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -23,8 +23,12 @@
 const HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n";
 
 /// A server that writes the start of an answer and then a text without end.
-fn endless(start: &str, text: &str) -> Script {
-    let steps = vec![Step::Write(start.to_owned()), Step::WriteWithoutEnd(text.to_owned())];
+fn endless(start: &str, pause: Duration, text: &str) -> Script {
+    let steps = vec![
+        Step::Write(start.to_owned()),
+        Step::Pause(pause),
+        Step::WriteWithoutEnd(text.to_owned()),
+    ];
     Box::new(move |_, received| match received.line.contains("sound") {
         true => vec![doorswitch_standins::backend::response("200 OK", "answer")],
         false => steps.clone(),
@@ -33,8 +37,8 @@
 
 /// Sends several requests at once to endless answers, and sound ones meanwhile; checks the router's memory, that all
 /// requests end in time and none looks complete, and that the sound ones are served.
-fn check(name: &str, path: &str, start: &str, text: &str) {
-    let scripts = (0..4).map(|_| endless(start, text)).collect();
+fn check(name: &str, path: &str, start: &str, pause: Duration, text: &str) {
+    let scripts = (0..4).map(|_| endless(start, pause, text)).collect();
     let world = World::start(name, scripts);
     std::thread::scope(|scope| {
         let calls: Vec<_> = (0..REQUESTS)
@@ -90,7 +94,7 @@
     ($($name:ident: $path:literal, $start:expr, $text:expr;)*) => { $(
         #[test]
         fn $name() {
-            check(stringify!($name), $path, &$start, $text);
+            check(stringify!($name), $path, &$start, Duration::ZERO, $text);
         }
     )* };
 }
@@ -114,6 +118,28 @@
     endless_events_without_chunks_take_little_memory: "/stream/x", format!("{HEAD}\r\n"), "data: a";
 }
 
+#[test]
+fn bytes_without_end_on_idle_connections_take_little_memory() {
+    let name = "bytes_without_end_on_idle_connections_take_little_memory";
+    let start = format!("{HEAD}Content-Length: 1\r\n\r\na");
+    check(name, "/read/x", &start, Duration::from_millis(200), "a");
+}
+
+/// Guards against bounds on faulty answers that refuse sound ones.
+#[test]
+fn large_heads_and_chunk_extensions_and_many_small_chunks_are_forwarded() {
+    let (field, extension) = ("f".repeat(100_000), "e".repeat(15_000));
+    let chunks = "1\r\na\r\n".repeat(50_000);
+    let start = format!("{HEAD}Field: {field}\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let text = format!("{start}1;{extension}\r\nb\r\n{chunks}0\r\n\r\n");
+    let script: Script = Box::new(move |_, _| vec![Step::Write(text.clone())]);
+    let world = World::start("bounded-sound", vec![script]);
+    let answer = world.call(0, &request("/read/x", "id-1"));
+    assert_eq!((answer.status, answer.whole), (200, true), "{}", world.log(0));
+    assert_eq!(answer.header("field").map(|field| field.len()), Some(100_000));
+    assert_eq!(answer.text().len(), 50_001);
+}
+
 /// A stream may come with neither a length nor chunks and end with its connection.
 #[test]
 fn a_stream_without_chunks_is_whole_if_it_ends_after_an_event() {
