Poll a server's load again after an answer that does not end

What callers saw: nothing at first; the router placed requests by a load that it no longer asked for.

Cause: the timeout of an awc request ends with the head of the answer. A server whose /load answer stopped after its head, or went on without end in chunk lines, held the poll forever, and while one is under way no other is started.

The rest of the answer now has the same timeout of 1 s.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,8 @@
 const LINKS_INTERVAL: Duration = Duration::from_millis(500);
 /// The mean delay before a watch that failed is repeated; jitter is added.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// How long a poll of a server's load waits for the head of the answer, and then for the rest of it.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// The minimum time between two log lines for unreadable eras, in milliseconds.
 const ERA_UNREADABLE_LOG_INTERVAL_MS: u64 = 60_000;
 /// Receives the core's answer for a request; the actor keeps the sender.
@@ -447,14 +449,16 @@
 
 async fn fetch_load(http: &http_client::ServerClients, address: &str) -> Option<servers::Load> {
     let client = http.client(address);
-    let request = client.get(format!("http://{address}/load")).timeout(Duration::from_secs(1));
-    let Ok(mut response) = request.send().await else {
+    let request = client.get(format!("http://{address}/load")).timeout(LOAD_TIMEOUT);
+    let Ok(response) = request.send().await else {
         http.links().check_after_poll(address).await;
         return None;
     };
     if !response.status().is_success() {
         return None;
     }
+    // The timeout of the request ends with the head of the answer.
+    let mut response = response.timeout(LOAD_TIMEOUT);
     response.json::<servers::Load>().await.ok()
 }
 
--- a/tests/fleet/observe.rs
+++ b/tests/fleet/observe.rs
@@ -105,4 +105,12 @@
     pub fn log_text(&self, router: usize) -> String {
         fs::read_to_string(self.folder.join(format!("router-{router}.log"))).unwrap_or_default()
     }
+
+    /// The most memory that a router's process has used.
+    pub fn peak_memory_bytes(&self, index: usize) -> u64 {
+        let id = self.routers[index].child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() << 10
+    }
 }
