End calls to plain services at their deadline also while the body arrives

What callers saw: behind the callers' interface a call to a plain service whose answer went on without end, in chunk lines or in chunks of one byte, was not answered at its deadline of 3 s; the caller gave up after 60 s.

Cause: the timeout of an awc request ends with the head of the answer, so the body had none.

The body is now read until the deadline of the call; after it the call counts as one that may have run, as with a head that is late.

--- a/src/plain.rs
+++ b/src/plain.rs
@@ -11,6 +11,7 @@
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use doorswitch_core::{log_index, node};
 use std::time::{Duration, Instant};
+use tokio::time;
 
 /// The largest answer that is recorded for repeated requests.
 const RECORDED_BYTES_MAX: usize = 4 << 10;
@@ -151,11 +152,13 @@
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
         let content_type = content_type.to_owned();
-        match response.body().limit(ANSWER_BYTES_MAX).await {
-            Ok(body) if upstream::is_rejection(status, &body) => AttemptEnd::Rejected,
-            Ok(body) => AttemptEnd::Answered { status, content_type, body },
-            Err(PayloadError::Overflow) => AttemptEnd::Unknown,
-            Err(_) => AttemptEnd::ConnectionLost,
+        // The timeout of the request ends with the head of the answer.
+        let deadline = time::Instant::from_std(self.deadline);
+        match time::timeout_at(deadline, response.body().limit(ANSWER_BYTES_MAX)).await {
+            Ok(Ok(body)) if upstream::is_rejection(status, &body) => AttemptEnd::Rejected,
+            Ok(Ok(body)) => AttemptEnd::Answered { status, content_type, body },
+            Ok(Err(PayloadError::Overflow)) | Err(_) => AttemptEnd::Unknown,
+            Ok(Err(_)) => AttemptEnd::ConnectionLost,
         }
     }
 }
