Buffer answers of plain services within the memory of all answers

What callers saw: with 12 calls at once to plain services whose bodies never ended, the router used 259 MiB; the smallest VMs have 110 MB, and there the process and all requests on it would have ended.

Cause: each answer behind the callers' interface had a bound of its own, 32 MiB, and no bound with the others; a growing buffer takes up to twice that.

The users' interface already has one bound for all buffered answers (32 MiB together, and 1 MiB each beyond that), in pieces that are not copied. Both interfaces now share it, over all threads. Answers keep their Content-Length.

endless_bodies_of_services_take_little_memory failed before at 259 MiB and passes at 57 MiB (debug build, 12 requests at once, sound calls meanwhile).

--- a/src/gateway/answer_memory.rs
+++ b/src/answer_memory.rs
@@ -1,8 +1,9 @@
 //! Bounds the memory of answers that are buffered before they are sent to clients.
 
 use bytes::{Bytes, BytesMut};
-use std::cell::Cell;
 use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// The most bytes of all buffered answers together, and thereby of one.
 const TOTAL_BYTES_MAX: usize = 32 << 20;
@@ -13,10 +14,10 @@
 /// The size of the pieces of a buffered answer. A single buffer would be copied, and take twice the memory, as it grows.
 const PIECE_BYTES: usize = 64 << 10;
 
-/// The number of bytes of all buffered answers.
-#[derive(Debug, Default)]
+/// The number of bytes of all buffered answers. Clones share it.
+#[derive(Clone, Debug, Default)]
 pub struct AnswerMemory {
-    buffered_bytes: Cell<usize>,
+    buffered_bytes: Arc<AtomicUsize>,
 }
 
 /// The error for an answer that exceeds its share of the memory.
@@ -44,12 +45,12 @@
 impl Buffer<'_> {
     /// Adds a piece of the answer, if there is memory for it.
     pub fn push(&mut self, piece: &Bytes) -> Result<(), TooLarge> {
-        let total_bytes = self.memory.buffered_bytes.get() + piece.len();
-        if total_bytes > TOTAL_BYTES_MAX && self.bytes + piece.len() > SMALL_BYTES_MAX {
+        let buffered_bytes = &self.memory.buffered_bytes;
+        let total_bytes = buffered_bytes.fetch_add(piece.len(), Ordering::Relaxed) + piece.len();
+        self.bytes += piece.len();
+        if total_bytes > TOTAL_BYTES_MAX && self.bytes > SMALL_BYTES_MAX {
             return Err(TooLarge);
         }
-        self.memory.buffered_bytes.set(total_bytes);
-        self.bytes += piece.len();
         if self.last_piece.len() + piece.len() > PIECE_BYTES {
             self.end_piece();
         }
@@ -71,7 +72,6 @@
 
 impl Drop for Buffer<'_> {
     fn drop(&mut self) {
-        let buffered_bytes = &self.memory.buffered_bytes;
-        buffered_bytes.set(buffered_bytes.get() - self.bytes);
+        self.memory.buffered_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,8 +1,8 @@
 //! The HTTP interface for callers: checks each request, has it admitted by the control thread, and runs it.
 
 use crate::{
-    answers, api_error, auth, clock, completion, control, fingerprint, http_client, links, model,
-    plain, policy, reply, settings, snapshot, telemetry, upstream,
+    answer_memory, answers, api_error, auth, clock, completion, control, fingerprint, http_client,
+    links, model, plain, policy, reply, settings, snapshot, telemetry, upstream,
 };
 use actix::prelude::Addr;
 use actix_web::http::{Method, StatusCode, header};
@@ -35,6 +35,8 @@
     pub links: Arc<links::Links>,
     /// Running and recently completed model requests.
     pub answers: answers::Table,
+    /// The memory of answers that are read in full before they are sent to clients.
+    pub answer_memory: answer_memory::AnswerMemory,
 }
 
 /// The state of the handlers on one worker thread.
@@ -298,6 +300,7 @@
             call_tokens: service.call_tokens,
             deadline: model::deadline(service.answer_time_ms, deadline_ms),
             reports,
+            answer_memory: self.shared.answer_memory.clone(),
         };
         // The call runs in a task of its own, so that it is not cancelled if its caller closes the connection: an
         // unrepeatable call that was sent must not be sent again.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,6 @@
 //! distinguished from a complete one (see `tests/http_ends.rs`). Everything runs on the control thread.
 
 mod abandoned;
-mod answer_memory;
 mod attempt;
 mod backends;
 mod body;
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts client connections and serves HTTP on them.
 
-use super::{answer_memory, attempt, backends, clients, exchange, lag, silence, socket};
-use crate::{control, descriptors, links, logging, snapshot};
+use super::{attempt, backends, clients, exchange, lag, silence, socket};
+use crate::{answer_memory, control, descriptors, links, logging, snapshot};
 use actix::prelude::Addr;
 use doorswitch_core::config;
 use hyper::server::conn::http1;
@@ -67,11 +67,11 @@
         control: Addr<control::Control>,
         published: Arc<snapshot::Published>,
         links: Arc<links::Links>,
+        answer_memory: answer_memory::AnswerMemory,
         shares: descriptors::Shares,
     ) -> Self {
         let backends = Rc::new(backends::Backends::new(links, shares.servers));
         let clients = Rc::new(clients::Clients::new(shares.clients));
-        let answer_memory = Default::default();
         let phase = watch::Sender::new(Phase::Serving);
         let lag = lag::Lag::default();
         Self { control, published, backends, answer_memory, lag, clients, phase }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are made in `doorswitch-core`, without any input or output. This crate runs it: one thread owns the
 //! control state and exchanges messages with the platform and with other routers, other threads serve callers.
 
+pub mod answer_memory;
 pub mod answers;
 pub mod api_error;
 pub mod auth;
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -4,19 +4,23 @@
 //! was sent and no answer is received, the caller gets the error that the outcome is unknown, never that the call did
 //! not run.
 
-use crate::{api_error, control, http_client, upstream};
+use crate::{answer_memory, api_error, control, http_client, upstream};
 use actix::prelude::Addr;
+use actix_web::body;
 use actix_web::error::PayloadError;
 use actix_web::http::{Method, StatusCode, header};
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use doorswitch_core::{log_index, node};
+use futures_util::{Stream, StreamExt, stream};
+use std::collections;
+use std::convert::Infallible;
 use std::time::{Duration, Instant};
-use tokio::time;
+use tokio::{task, time};
 
 /// The largest answer that is recorded for repeated requests.
 const RECORDED_BYTES_MAX: usize = 4 << 10;
-/// The largest answer that is accepted from a plain service.
-const ANSWER_BYTES_MAX: usize = 32 << 20;
+/// The largest body that is searched for the statement that a server rejected a call.
+const REJECTION_BYTES_MAX: usize = 64 << 10;
 
 /// One admitted call to a plain service.
 pub struct Call {
@@ -42,12 +46,25 @@
     pub deadline: Instant,
     /// Reports how the runs of the call ended.
     pub reports: upstream::RunReports,
+    /// The memory of answers that are read in full.
+    pub answer_memory: answer_memory::AnswerMemory,
+}
+
+/// The body of an answer, in pieces.
+type Pieces = collections::VecDeque<bytes::Bytes>;
+
+/// Why the body of an answer could not be read in full.
+enum Incomplete {
+    /// The connection to the server ended before the answer was complete.
+    ConnectionLost,
+    /// There is no memory for it.
+    TooLarge,
 }
 
 /// How an attempt at one server ended.
 enum AttemptEnd {
     /// The server answered, and its answer was read in full.
-    Answered { status: StatusCode, content_type: String, body: bytes::Bytes },
+    Answered { status: StatusCode, content_type: String, body: Pieces },
     /// Nothing was sent to the server.
     NotSent,
     /// Nothing was sent: neither this router nor another one that it asked reaches the server.
@@ -84,7 +101,10 @@
                         node::RequestOutcome::Ran { consumed_tokens, outcome, healthy };
                     upstream::finish(&self.control, slot, request_outcome).await;
                     let mut response = HttpResponseBuilder::new(status);
-                    return response.insert_header(("Content-Type", content_type)).body(body);
+                    response.insert_header(("Content-Type", content_type));
+                    let body_bytes = body.iter().map(|piece| piece.len() as u64).sum();
+                    let pieces = stream::iter(body.into_iter().map(Ok::<_, Infallible>));
+                    return response.body(body::SizedStream::new(body_bytes, pieces));
                 }
                 AttemptEnd::NotSent => node::AttemptFailure::NotSent,
                 AttemptEnd::NoRoute => node::AttemptFailure::NoRoute,
@@ -154,13 +174,39 @@
         let content_type = content_type.to_owned();
         // The timeout of the request ends with the head of the answer.
         let deadline = time::Instant::from_std(self.deadline);
-        match time::timeout_at(deadline, response.body().limit(ANSWER_BYTES_MAX)).await {
-            Ok(Ok(body)) if upstream::is_rejection(status, &body) => AttemptEnd::Rejected,
+        match time::timeout_at(deadline, self.read_body(&mut response)).await {
+            Ok(Ok(body)) if is_rejection(status, &body) => AttemptEnd::Rejected,
             Ok(Ok(body)) => AttemptEnd::Answered { status, content_type, body },
-            Ok(Err(PayloadError::Overflow)) | Err(_) => AttemptEnd::Unknown,
-            Ok(Err(_)) => AttemptEnd::ConnectionLost,
+            Ok(Err(Incomplete::ConnectionLost)) => AttemptEnd::ConnectionLost,
+            Ok(Err(Incomplete::TooLarge)) | Err(_) => AttemptEnd::Unknown,
         }
     }
+
+    async fn read_body(
+        &self,
+        chunks: &mut (impl Stream<Item = Result<bytes::Bytes, PayloadError>> + Unpin),
+    ) -> Result<Pieces, Incomplete> {
+        let mut buffer = self.answer_memory.buffer();
+        while let Some(chunk) = chunks.next().await {
+            let chunk = chunk.map_err(|_| Incomplete::ConnectionLost)?;
+            buffer.push(&chunk).map_err(|_| Incomplete::TooLarge)?;
+            // Many small chunks that have arrived would delay the other calls of the thread.
+            task::consume_budget().await;
+        }
+        Ok(buffer.finish())
+    }
+}
+
+/// Whether a server's answer states that it rejected the call.
+fn is_rejection(status: StatusCode, body: &Pieces) -> bool {
+    small_body(body, REJECTION_BYTES_MAX).is_some_and(|body| upstream::is_rejection(status, &body))
+}
+
+/// A body in one piece; `None` if it has more than `bytes_max`.
+fn small_body(body: &Pieces, bytes_max: usize) -> Option<Vec<u8>> {
+    let pieces: Vec<&[u8]> = body.iter().map(AsRef::as_ref).collect();
+    let small = pieces.iter().map(|piece| piece.len()).sum::<usize>() <= bytes_max;
+    small.then(|| pieces.concat())
 }
 
 /// Builds the response for a repeated request from the outcome that was recorded when the request ran.
@@ -179,16 +225,12 @@
         .body(body)
 }
 
-fn recorded_outcome(
-    status: StatusCode,
-    content_type: &str,
-    body: &bytes::Bytes,
-) -> log_index::Outcome {
-    let text = std::str::from_utf8(body).ok().filter(|text| text.len() <= RECORDED_BYTES_MAX);
+fn recorded_outcome(status: StatusCode, content_type: &str, body: &Pieces) -> log_index::Outcome {
+    let text = small_body(body, RECORDED_BYTES_MAX).and_then(|body| String::from_utf8(body).ok());
     log_index::Outcome {
         status: status.as_u16(),
         content_type: content_type.to_owned(),
-        body: text.map(str::to_owned),
+        body: text,
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -108,6 +108,7 @@
             published,
             settings: settings.clone(),
             answers: answers::Table::default(),
+            answer_memory: Default::default(),
         };
         let mut running = vec![serve_operators(operators, shared.clone()).context(StartSnafu)?];
         if let Some(callers) = callers {
@@ -198,6 +199,7 @@
         shared.control.clone(),
         shared.published.clone(),
         shared.links.clone(),
+        shared.answer_memory.clone(),
         shares,
     ));
     let serving = tokio::task::spawn_local(gateway::serve(listener, gateway.clone()));
--- a/tests/endless_callers_answers.rs
+++ b/tests/endless_callers_answers.rs
@@ -165,6 +165,7 @@
         Stream, "HTTP/1.0 503 Service Unavailable\r\nAttempt-Id: {id}\r\n\r\n", "a";
     endless_status_lines_of_services_take_little_memory: Call, "HTTP/1.1 200 ", "a";
     endless_headers_of_services_take_little_memory: Call, "HTTP/1.1 200 OK\r\n", "A: b\r\n";
+    endless_bodies_of_services_take_little_memory: Call, format!("{HEAD}\r\n"), "a";
     endless_chunks_of_services_take_little_memory: Call, CHUNKED, "1\r\na\r\n";
     endless_chunk_lines_of_services_take_little_memory: Call, CHUNKED, "0";
 }
