Bound the events and the text of an engine's answer

What callers saw: while engines sent large pieces of text without end to 12 requests of up to 4,000 tokens, the router used 288 MiB (streams), 612 MiB (whole answers) and 224 MiB (streams that are not read); the smallest VMs have 110 MB, and there the process and the requests of all others would have ended. One event without end was kept until the deadline; that it took only 44 MiB in 3 s was due to the parser, which searched all of it again with each read.

Cause: nothing bounded the text of an answer but the number of its tokens, and nothing the size of an event.

Now an event has at most 256 KiB and is passed to the parser once it is whole, by the splitter that the users' interface has (src/events.rs, moved). A larger one counts as a failed attempt. The text of an answer has at most 1 MiB; an answer with more ends with the error answer_too_large. Between two events the requests of other callers run.

--- a/src/gateway/events.rs
+++ b/src/events.rs
@@ -5,10 +5,13 @@
 /// The largest event. A server that sends more without an end of the event is faulty.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
-/// The error for an event of more than [`EVENT_BYTES_MAX`].
+/// The error for an event that is larger than allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
-#[snafu(display("an event has more than {EVENT_BYTES_MAX} bytes"))]
-pub struct EventTooLarge;
+#[snafu(display("an event has more than {bytes_max} bytes"))]
+pub struct EventTooLarge {
+    /// The largest event that is allowed.
+    pub bytes_max: usize,
+}
 
 /// Complete events, as the server sent them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,18 +25,31 @@
 }
 
 /// Buffers bytes until at least one event is complete.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
+    event_bytes_max: usize,
     buffer: BytesMut,
     searched_bytes: usize,
 }
 
+impl Default for Splitter {
+    fn default() -> Self {
+        Self::new(EVENT_BYTES_MAX)
+    }
+}
+
 impl Splitter {
+    /// Allows events of up to `event_bytes_max`.
+    pub fn new(event_bytes_max: usize) -> Self {
+        Self { event_bytes_max, buffer: BytesMut::new(), searched_bytes: 0 }
+    }
+
     /// Adds bytes, and returns the events that they complete, if any.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Batch>, EventTooLarge> {
         self.buffer.extend_from_slice(bytes);
         let Some(end) = self.end_of_last_event() else {
-            snafu::ensure!(self.buffer.len() <= EVENT_BYTES_MAX, EventTooLargeSnafu);
+            let bytes_max = self.event_bytes_max;
+            snafu::ensure!(self.buffer.len() <= bytes_max, EventTooLargeSnafu { bytes_max });
             return Ok(None);
         };
         let complete = self.buffer.split_to(end).freeze();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,7 +12,6 @@
 mod continuation;
 mod dispatch;
 mod event_gaps;
-mod events;
 mod exchange;
 mod history;
 mod lag;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -4,10 +4,10 @@
 //! client, and what the server may have made by then is charged.
 
 use super::{
-    abandoned, attempt, backends, body, clients, events, exchange, listener, outliving, refusal,
-    socket, streaming, ticket,
+    abandoned, attempt, backends, body, clients, exchange, listener, outliving, refusal, socket,
+    streaming, ticket,
 };
-use crate::{api_error, logging, snapshot, timer, upstream};
+use crate::{api_error, events, logging, snapshot, timer, upstream};
 use doorswitch_core::{node, routes};
 use http::header;
 use http_body_util::BodyExt;
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -2,9 +2,9 @@
 //! resumed at another server if its route is resumable.
 
 use super::{
-    abandoned, attempt, backends, body, clients, events, exchange, listener, stopped_runs, ticket,
+    abandoned, attempt, backends, body, clients, exchange, listener, stopped_runs, ticket,
 };
-use crate::{logging, snapshot, timer, upstream};
+use crate::{events, logging, snapshot, timer, upstream};
 use doorswitch_core::node;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -178,7 +178,7 @@
             };
             handle.record_progress();
             let batch = match part.splitter.push(&bytes) {
-                Err(events::EventTooLarge) => return StreamEnd::EventTooLarge,
+                Err(events::EventTooLarge { .. }) => return StreamEnd::EventTooLarge,
                 Ok(None) => continue,
                 Ok(Some(batch)) => batch,
             };
@@ -246,7 +246,7 @@
                     self.ticket.cost.answer_tokens += made_tokens;
                 }
                 Ok(None) => {}
-                Err(events::EventTooLarge) => return rest,
+                Err(events::EventTooLarge { .. }) => return rest,
             }
             if closed.elapsed() >= ON_ITS_WAY_MAX {
                 rest = Rest::Reached;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod control;
 pub mod descriptors;
 pub mod document;
+pub mod events;
 pub mod feed;
 pub mod fingerprint;
 pub mod front;
--- a/src/model.rs
+++ b/src/model.rs
@@ -4,18 +4,27 @@
 //! Requests to engines are always for a stream, so that the router can count the tokens that the caller has received and
 //! resume after them. The caller gets one complete answer without repeated tokens.
 
-use crate::{answers, api_error, completion, control, http_client, logging, upstream};
+use crate::{answers, api_error, completion, control, events, http_client, logging, upstream};
 use actix::prelude::Addr;
+use actix_web::error::PayloadError;
 use actix_web::http::{Method, StatusCode};
+use bytes::Bytes;
 use doorswitch_core::{ids, node};
-use eventsource_stream::Eventsource;
-use futures_util::StreamExt;
+use eventsource_stream::{EventStreamError, Eventsource};
+use futures_util::{Stream, StreamExt};
+use std::future;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
+use tokio::task;
 
 /// The largest body of an engine's error that is read.
 const ERROR_BYTES_MAX: usize = 64 << 10;
 
+/// The largest event of an engine, which contains a token or a few with their probabilities.
+const EVENT_BYTES_MAX: usize = 256 << 10;
+/// The largest text of an answer: 256 Ki tokens of four bytes.
+const TEXT_BYTES_MAX: usize = 1 << 20;
+
 /// A piece of the answer for the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
@@ -74,6 +83,8 @@
     Failed,
     /// The connection to the engine ended before the answer was complete.
     ConnectionLost,
+    /// The text of the answer is larger than any answer of an engine.
+    TooLarge,
     /// The engine answered that the request is invalid.
     Invalid(StatusCode, String),
 }
@@ -135,6 +146,10 @@
                 AttemptEnd::DeadlineExceeded => {
                     return self.fail(slot, &progress, deadline_error()).await;
                 }
+                AttemptEnd::TooLarge => {
+                    log::warn!("event=text_too_large id={} vm={}", self.id, placement.vm);
+                    return self.fail(slot, &progress, too_large_error()).await;
+                }
                 AttemptEnd::Invalid(status, message) => {
                     let error = engine_rejection(status, message);
                     upstream::finish(&self.control, slot, node::RequestOutcome::NotRun).await;
@@ -218,9 +233,22 @@
             return error_status_end(status, &body);
         }
         progress.may_have_run = true;
-        let mut events = response.eventsource();
+        let mut events = std::pin::pin!(complete_events(response).eventsource());
         while let Some(event) = events.next().await {
-            let Ok(event) = event else { return AttemptEnd::ConnectionLost };
+            let event = match event {
+                Ok(event) => event,
+                Err(EventStreamError::Transport(ReadError::EventTooLarge { source })) => {
+                    log::warn!(
+                        "event=event_too_large id={} vm={}: {source}",
+                        self.id,
+                        placement.vm
+                    );
+                    return AttemptEnd::Failed;
+                }
+                Err(_) => return AttemptEnd::ConnectionLost,
+            };
+            // Many small events that have arrived would delay the other requests of the thread.
+            task::consume_budget().await;
             if event.data == "[DONE]" {
                 return AttemptEnd::Complete;
             }
@@ -258,6 +286,9 @@
         }
         let last = finish_reason.is_some() || progress.delivered_tokens >= self.answer_tokens;
         let finish_reason = finish_reason.or(last.then(|| "length".to_owned()));
+        if progress.text.len() + text.len() > TEXT_BYTES_MAX {
+            return Some(AttemptEnd::TooLarge);
+        }
         progress.text.push_str(&text);
         if let Some(reason) = &finish_reason {
             progress.finish_reason.clone_from(reason);
@@ -318,6 +349,32 @@
     api_error::ApiError::not_run(status, "engine_rejected", message)
 }
 
+/// Why no more events can be read.
+#[derive(Debug, snafu::Snafu)]
+enum ReadError {
+    #[snafu(display("the answer is incomplete: {source}"), context(false))]
+    Connection { source: PayloadError },
+    #[snafu(display("{source}"), context(false))]
+    EventTooLarge { source: events::EventTooLarge },
+}
+
+/// The complete events of an answer, as the engine sent them. None is larger than [`EVENT_BYTES_MAX`], and each part of
+/// a large one is searched once.
+fn complete_events(
+    chunks: impl Stream<Item = Result<Bytes, PayloadError>>,
+) -> impl Stream<Item = Result<Bytes, ReadError>> {
+    let mut splitter = events::Splitter::new(EVENT_BYTES_MAX);
+    chunks.filter_map(move |chunk| {
+        let batch = chunk.map_err(ReadError::from).and_then(|chunk| Ok(splitter.push(&chunk)?));
+        future::ready(batch.map(|batch| batch.map(|batch| batch.bytes)).transpose())
+    })
+}
+
+fn too_large_error() -> api_error::ApiError {
+    let message = format!("the answer of the engine has more than {TEXT_BYTES_MAX} bytes of text");
+    api_error::ApiError::not_run(StatusCode::BAD_GATEWAY, "answer_too_large", message)
+}
+
 fn deadline_error() -> api_error::ApiError {
     let message = "the answer was not complete before the deadline";
     api_error::ApiError::not_run(StatusCode::GATEWAY_TIMEOUT, "deadline", message)
--- a/tests/endless_callers_answers.rs
+++ b/tests/endless_callers_answers.rs
@@ -30,12 +30,23 @@
 /// What the callers request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
+    /// Completions whose whole text is returned at the end.
+    Whole,
     /// Completions that are streamed.
     Stream,
+    /// Completions that are streamed to callers that do not read.
+    UnreadStream,
     /// Calls to a plain service.
     Call,
 }
 
+/// A piece of an answer of a model with this many bytes of text.
+fn text_event(bytes: usize) -> String {
+    let text = "a".repeat(bytes);
+    let data = serde_json::json!({ "choices": [{ "index": 0, "delta": { "content": text } }] });
+    format!("data: {data}\n\n")
+}
+
 /// The answer to a sound request.
 fn sound(received: &ReceivedRequest) -> Step {
     if !received.line.contains("/v1/") {
@@ -70,7 +81,7 @@
 fn send(fleet: &Fleet, kind: Kind, prompt: &str) -> (u16, bool) {
     let deadline = DEADLINE_MS.to_string();
     let headers = [("X-Deadline-Ms", deadline.as_str())];
-    let body = completion_body(prompt, 4_000, true);
+    let body = completion_body(prompt, 4_000, kind != Kind::Whole);
     let address = fleet.routers[0].callers;
     let stream = match kind {
         Kind::Call => {
@@ -83,6 +94,9 @@
         }
     };
     let mut stream = stream.unwrap();
+    if kind == Kind::UnreadStream && prompt != "sound" {
+        thread::sleep(Duration::from_millis(DEADLINE_MS));
+    }
     let (mut received, mut start, mut tail) = (vec![0; 64 << 10], Vec::new(), Vec::new());
     while let Ok(length @ 1..) = stream.read(&mut received) {
         let room = (16_usize << 10).saturating_sub(start.len());
@@ -92,7 +106,10 @@
     }
     let status = fleet::parse(&start).map_or(0, |answer| answer.status);
     let tail = String::from_utf8_lossy(&tail).into_owned();
-    (status, status == 200 && (kind == Kind::Call || tail.contains("[DONE]")))
+    (
+        status,
+        status == 200 && (kind == Kind::Whole || kind == Kind::Call || tail.contains("[DONE]")),
+    )
 }
 
 /// Sends several requests at once to endless answers, and sound ones meanwhile; checks the router's memory, that all
@@ -160,6 +177,11 @@
     endless_event_comments_take_little_memory: Stream, format!("{HEAD}\r\n:"), "a";
     endless_events_without_text_take_little_memory:
         Stream, format!("{HEAD}\r\n"), "data: {\"choices\":[]}\n\n";
+    endless_large_texts_take_little_memory: Stream, format!("{HEAD}\r\n"), text_event(100_000);
+    endless_large_texts_of_whole_answers_take_little_memory:
+        Whole, format!("{HEAD}\r\n"), text_event(100_000);
+    endless_large_texts_that_callers_do_not_read_take_little_memory:
+        UnreadStream, format!("{HEAD}\r\n"), text_event(100_000);
     endless_chunk_lines_of_engines_take_little_memory: Stream, CHUNKED, "0";
     endless_errors_of_engines_take_little_memory:
         Stream, "HTTP/1.0 503 Service Unavailable\r\nAttempt-Id: {id}\r\n\r\n", "a";
