Read no more than 8 MiB of an answer of a Consul store

What operators would have seen: a store whose answers went on without end took a router that was starting to 136 MiB within 6 s; the smallest VMs have 110 MB.

Cause: each answer could have 64 MiB, and several are read at once. Only the lists of `doorswitch budget` are that large.

A router's reads now end at 8 MiB (a value has up to a megabyte, 1.4 in base64; the list of the VMs of the largest fleet some 1.5); commands read lists of 64 MiB as before.

endless_bodies_of_a_consul_store_take_little_memory failed before at 136 MiB and passes at 38 MiB; the router becomes ready once the store works.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -15,8 +15,10 @@
 
 /// How long a watch waits for a change, in seconds.
 pub const WATCH_S: u64 = 10;
-/// The largest answer: a value has up to a megabyte, and base64 and JSON make it larger.
-const ANSWER_BYTES_MAX: usize = 64 << 20;
+/// The largest answer to a router: a value has up to a megabyte, and base64 and JSON make it larger.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// The largest list of values, which only commands read.
+const LIST_BYTES_MAX: usize = 64 << 20;
 
 /// Why a call failed.
 #[derive(Debug, snafu::Snafu)]
@@ -104,19 +106,22 @@
 
     /// Reads the value of one key; `None` if the key is absent.
     pub async fn read(&self, key: &str) -> Result<Option<Entry>, Error> {
-        let rows = self.get_rows(&format!("/v1/kv/{key}"), self.inner.timeout).await?;
+        let path = format!("/v1/kv/{key}");
+        let rows = self.get_rows(&path, self.inner.timeout, ANSWER_BYTES_MAX).await?;
         Ok(rows.into_iter().next())
     }
 
     /// Reads all keys under a prefix, in order.
     pub async fn list(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
-        self.get_rows(&format!("/v1/kv/{prefix}?recurse"), self.inner.timeout * 10).await
+        let path = format!("/v1/kv/{prefix}?recurse");
+        self.get_rows(&path, self.inner.timeout * 10, LIST_BYTES_MAX).await
     }
 
     /// Reads a key once its index is above `index`, or after [`WATCH_S`] seconds.
     pub async fn watch(&self, key: &str, index: u64) -> Result<Option<Entry>, Error> {
         let path = format!("/v1/kv/{key}?index={index}&wait={WATCH_S}s");
-        let rows = self.get_rows(&path, Duration::from_secs(WATCH_S) + self.inner.timeout).await?;
+        let timeout = Duration::from_secs(WATCH_S) + self.inner.timeout;
+        let rows = self.get_rows(&path, timeout, ANSWER_BYTES_MAX).await?;
         Ok(rows.into_iter().next())
     }
 
@@ -130,7 +135,7 @@
         let url = format!("{}/v1/kv/{key}?cas={expected_index}", self.inner.url);
         let request = self.inner.http.put(url).timeout(self.inner.timeout);
         let response = request.send_body(value).await.map_err(unreachable)?;
-        self.json(response).await
+        self.json(response, ANSWER_BYTES_MAX).await
     }
 
     /// Deletes all keys under a prefix.
@@ -138,7 +143,7 @@
         let url = format!("{}/v1/kv/{prefix}?recurse", self.inner.url);
         let request = self.inner.http.delete(url).timeout(self.inner.timeout);
         let response = request.send().await.map_err(unreachable)?;
-        let _: bool = self.json(response).await?;
+        let _: bool = self.json(response, ANSWER_BYTES_MAX).await?;
         Ok(())
     }
 
@@ -148,21 +153,30 @@
         let timeout = Duration::from_secs(WATCH_S) + self.inner.timeout;
         let response =
             self.inner.http.get(url).timeout(timeout).send().await.map_err(unreachable)?;
-        self.json(response).await
+        self.json(response, ANSWER_BYTES_MAX).await
     }
 
-    async fn get_rows(&self, path: &str, timeout: Duration) -> Result<Vec<Entry>, Error> {
+    async fn get_rows(
+        &self,
+        path: &str,
+        timeout: Duration,
+        bytes_max: usize,
+    ) -> Result<Vec<Entry>, Error> {
         let url = format!("{}{path}", self.inner.url);
         let response =
             self.inner.http.get(url).timeout(timeout).send().await.map_err(unreachable)?;
         if response.status() == http::StatusCode::NOT_FOUND {
             return Ok(Vec::new());
         }
-        let rows: Vec<Row> = self.json(response).await?;
+        let rows: Vec<Row> = self.json(response, bytes_max).await?;
         rows.into_iter().map(Row::decode).collect()
     }
 
-    async fn json<S, T>(&self, response: awc::ClientResponse<S>) -> Result<T, Error>
+    async fn json<S, T>(
+        &self,
+        response: awc::ClientResponse<S>,
+        bytes_max: usize,
+    ) -> Result<T, Error>
     where
         S: Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>,
         T: serde::de::DeserializeOwned,
@@ -172,7 +186,7 @@
             return StatusSnafu { status: status.as_u16() }.fail();
         }
         let mut response = response.timeout(self.inner.timeout * 10);
-        let body = response.body().limit(ANSWER_BYTES_MAX);
+        let body = response.body().limit(bytes_max);
         let body = body.await.map_err(|error| Error::Unreachable { fault: error.to_string() })?;
         serde_json::from_slice(&body).map_err(unreadable)
     }
--- a/tests/endless_store_answers.rs
+++ b/tests/endless_store_answers.rs
@@ -98,4 +98,6 @@
     endless_pages_of_the_store_take_little_memory: check_revisions, Box::new(endless_pages);
     endless_heads_of_a_consul_store_take_little_memory:
         check_consul, endless("HTTP/1.1 200 OK\r\nA: ", "a");
+    endless_bodies_of_a_consul_store_take_little_memory:
+        check_consul, endless(&format!("{HEAD}\r\n[\""), "a");
 }
