--- a/src/gateway/events.rs
+++ b/src/events.rs
@@ -9,8 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
 #[allow(missing_docs)]
 pub enum Error {
-    #[snafu(display("an event has more than {EVENT_BYTES_MAX} bytes"))]
-    TooLarge,
+    #[snafu(display("an event has more than {bytes_max} bytes"))]
+    TooLarge { bytes_max: usize },
     #[snafu(display("the id of an event is not after that of the event before"))]
     OutOfOrder,
 }
@@ -27,15 +27,27 @@
 }
 
 /// Buffers bytes until at least one event is complete.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
+    event_bytes_max: usize,
     buffer: BytesMut,
     searched_bytes: usize,
     /// The number of the event after which those to come must be; `None` if it is not known.
     after: Option<u64>,
 }
 
+impl Default for Splitter {
+    fn default() -> Self {
+        Self::new(EVENT_BYTES_MAX)
+    }
+}
+
 impl Splitter {
+    /// Allows events of up to `event_bytes_max`.
+    pub fn new(event_bytes_max: usize) -> Self {
+        Self { event_bytes_max, buffer: BytesMut::new(), searched_bytes: 0, after: None }
+    }
+
     /// A splitter of events that go on after the one with this id.
     pub fn after(last_id: &str) -> Self {
         Self { after: number(last_id), ..Self::default() }
@@ -46,7 +58,8 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Batch>, Error> {
         self.buffer.extend_from_slice(bytes);
         let Some(end) = self.end_of_last_event() else {
-            snafu::ensure!(self.buffer.len() <= EVENT_BYTES_MAX, TooLargeSnafu);
+            let bytes_max = self.event_bytes_max;
+            snafu::ensure!(self.buffer.len() <= bytes_max, TooLargeSnafu { bytes_max });
             return Ok(None);
         };
         let complete = self.buffer.split_to(end).freeze();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,6 @@
 //! distinguished from a complete one (see `tests/http_ends.rs`). Everything runs on the control thread.
 
 mod abandoned;
-mod answer_memory;
 mod attempt;
 mod backends;
 mod body;
@@ -13,7 +12,6 @@
 mod continuation;
 mod dispatch;
 mod event_gaps;
-mod events;
 mod exchange;
 mod history;
 mod lag;
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -2,9 +2,9 @@
 //! resumed at another server if its route is resumable.
 
 use super::{
-    abandoned, attempt, backends, body, clients, events, exchange, listener, stopped_runs, ticket,
+    abandoned, attempt, backends, body, clients, exchange, listener, stopped_runs, ticket,
 };
-use crate::{logging, probe, snapshot, timer, upstream};
+use crate::{events, logging, probe, snapshot, timer, upstream};
 use doorswitch_core::node;
 use doorswitch_platform::runs;
 use http_body_util::BodyExt;
@@ -197,7 +197,7 @@
             };
             handle.record_progress();
             let batch = match part.splitter.push(&bytes) {
-                Err(events::Error::TooLarge) => return StreamEnd::EventTooLarge,
+                Err(events::Error::TooLarge { .. }) => return StreamEnd::EventTooLarge,
                 Err(events::Error::OutOfOrder) => return StreamEnd::OutOfOrder,
                 Ok(None) => continue,
                 Ok(Some(batch)) => batch,
@@ -295,7 +295,7 @@
                     self.ticket.cost.answer_tokens += made_tokens;
                 }
                 Ok(None) => {}
-                Err(events::Error::TooLarge | events::Error::OutOfOrder) => return rest,
+                Err(events::Error::TooLarge { .. } | events::Error::OutOfOrder) => return rest,
             }
             if closed.elapsed() >= ON_ITS_WAY_MAX {
                 rest = Rest::Reached;
