Keep sends of suspected prompt parts apart in the whole fleet

Cause: a request with a suspected part was sent while another one with it was still running, and the crash of the first was not known yet. Each router kept its own sends 0.2 s apart and knew nothing of those of the others. Read from the log of one of three failing cases at a load average of 40 (R2, R0: routers; times in ms):

3761 R2 placed crashing-35 at i-0-2 three crashes are known to all 3821 R2 its connection ends 3866 R0 placed crashing-36 at i-5-2 nothing at R0 tells of it 3911 R2 i-0-2 has crashed, quarantined 3947 R0 hears of it 4036 R0 i-5-2 ends too the sixth crash

The others show the same: three routers with a send each and one of them with a second after 0.25 s; two sends of one router and one of another within 0.5 s. Ruled out: stand-ins that did not run (each server crashed within 0.2 s of its request), and gossip that was lost (36 ms from the detection to the last router in this case).

Now a router tells the others with its next tick that it has sent such a request, and all wait until 0.5 s after that: the distance from which crashes count separately, so that of servers that take equally long to crash each one counts. A request that did not reach its server is withdrawn in the same way and holds nobody back; a good end lifts everything as before. A retry of a request that was not run now obeys the sends of others too. The sends follow the other fields of a datagram; older builds ignore them, and the protocol's version stays. Parts that ended well before are not held back, as before.

--- a/core/src/node/admit.rs
+++ b/core/src/node/admit.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, AdmissionRequest, Answer, Node, Reason, Request, Stage};
 use crate::node::types::Lifecycle;
-use crate::{config, ids, log_index, log_writer, message, rendezvous, servers};
+use crate::{config, ids, log_index, log_writer, message, quarantine, rendezvous, servers};
 use rand::RngExt;
 
 /// Time after which this router appends a claim itself if the claim's home, the router that appends the claims of its
@@ -313,7 +313,8 @@
     ) {
         self.record_stream_origin(slot, server, now_ms);
         let Some(request) = self.requests.get(slot) else { return };
-        self.quarantine.table.record_send(request.admission.subjects(), now_ms);
+        let id = quarantine::SendId { router: self.settings.incarnation, sent_ms: now_ms };
+        self.quarantine.table.record_send(request.admission.subjects(), id);
         let (attempt, unread_tokens) = (request.attempt, request.unread_tokens);
         let Some(server) = self.servers.get(server) else { return };
         let servers::Vm { address, vm, incarnation, version, .. } = server.vm.clone();
--- a/core/src/node/quarantine.rs
+++ b/core/src/node/quarantine.rs
@@ -152,7 +152,15 @@
 
     /// Records that a request is sent to a server without having been admitted here; [`Node::admit`] records its own.
     pub fn record_send(&mut self, request: quarantine::Subjects<'_>, now_ms: u64) {
-        self.quarantine.table.record_send(request, now_ms);
+        let id = quarantine::SendId { router: self.settings.incarnation, sent_ms: now_ms };
+        self.quarantine.table.record_send(request, id);
+    }
+
+    /// Records that a request that was sent to a server at `sent_ms` did not reach it or was rejected by it.
+    pub(super) fn withdraw_send(&mut self, slot: ids::RequestSlot, sent_ms: u64) {
+        let Some(request) = self.requests.get(slot) else { return };
+        let id = quarantine::SendId { router: self.settings.incarnation, sent_ms };
+        self.quarantine.table.withdraw_send(request.admission.subjects(), id);
     }
 
     /// Why a request whose attempt failed is not sent to another server; `None` if it may be.
@@ -171,8 +179,7 @@
         // The crash under a request that has run is its own, which may be repeated once.
         let has_run = failure == AttemptFailure::MayHaveRun;
         let table = &self.quarantine.table;
-        let is_paused =
-            |subject: ids::Fingerprint| table.crash_pause_ms(&subject, now_ms).is_some();
+        let is_paused = |subject: ids::Fingerprint| table.suspended_ms(&subject, now_ms).is_some();
         (!has_run && request.iter().any(is_paused)).then_some(Reason::Suspended)
     }
 
@@ -312,6 +319,9 @@
             }
             self.report_change(*subject, change, QuarantineSource::Peer, now_ms);
         }
+        for send in &updates.sends {
+            self.quarantine.table.merge_send(send, now_ms);
+        }
         updates.summary != self.quarantine.table.summary()
     }
 
--- a/core/src/node/retries.rs
+++ b/core/src/node/retries.rs
@@ -36,6 +36,9 @@
             // The server did not fail.
             AttemptFailure::NoRoute => {}
         }
+        if failure != AttemptFailure::MayHaveRun {
+            self.withdraw_send(slot, sent_ms);
+        }
         let exhausted = attempts >= attempts_max
             || sends > attempts_max.saturating_add(REJECTIONS_MAX) as usize;
         let subjects = self.requests.get(slot).map(|request| request.admission.subjects());
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -14,11 +14,13 @@
 mod record;
 mod record_sync;
 mod runs;
+mod sends;
 mod sound_parts;
 
 pub use record::{Error, KEY, Record};
 pub use record_sync::{RecordSync, Reply};
 pub use runs::{Runs, ServerInstance};
+pub use sends::{SendId, SendReport};
 
 use crate::{ids, rendezvous};
 use entry::Entry;
@@ -52,9 +54,6 @@
 /// Minimum distance between crashes that are counted separately. Before updates on the first crash
 /// have reached all routers, a successful run of the same request elsewhere goes unnoticed.
 const CRASH_DISTANCE_MIN_MS: i64 = 500;
-/// Minimum time between two sends of a suspected request by one router. If the first one crashes its
-/// server, that is usually known by then.
-const SUSPECTED_SEND_INTERVAL_MS: i64 = 200;
 /// Maximum number of crashes stored per request; more of them within [`CRASH_DISTANCE_MIN_MS`] carry no
 /// information.
 const CRASHES_STORED_MAX: usize = 8;
@@ -62,7 +61,7 @@
 const SAME_CRASH_WINDOW_MS: u64 = 1_000;
 /// Maximum number of stored requests and prompt parts, at about 200 bytes each.
 const ENTRIES_MAX: usize = 2_048;
-/// Maximum number of reports in one datagram, at about 65 bytes each.
+/// Maximum number of reports in one datagram, at about 65 bytes each, and of sends, at about 45.
 const REPORTS_MAX: usize = 16;
 
 /// The backend server that crashed in a [`Crash`], as a hash. By it, routers count a crash only once that several of
@@ -126,6 +125,10 @@
     pub summary: u64,
     /// A part of the sender's reports.
     pub reports: Vec<Report>,
+    /// Recent sends of the requests that the reports name. They follow the other fields of a datagram; empty from a build
+    /// that does not send them.
+    #[serde(skip)]
+    pub sends: Vec<SendReport>,
 }
 
 impl Updates {
@@ -138,6 +141,9 @@
             let cleared_age_ms = report.cleared_age_ms;
             report.cleared_age_ms = cleared_age_ms.map(|age_ms| age_ms.saturating_add(queued_ms));
         }
+        for send in &mut self.sends {
+            send.age_ms = send.age_ms.saturating_add(queued_ms);
+        }
     }
 }
 
@@ -403,14 +409,10 @@
     }
 
     /// Remaining time for which a request is delayed in milliseconds, so that updates on its last
-    /// crash reach all routers and runs elsewhere can succeed, and so that those that have waited
-    /// together do not crash several servers at once; `None` if the request has no recent crash.
+    /// crash reach all routers and runs elsewhere can succeed, and so that those that arrive while
+    /// one of them runs do not crash several servers at once; `None` if the request is not delayed.
     pub fn suspended_ms(&self, request: &ids::Fingerprint, now_ms: u64) -> Option<u64> {
-        let after_crash_ms = self.crash_pause_ms(request, now_ms);
-        let entry = self.entries.get(request).filter(|entry| !entry.is_proven())?;
-        entry.latest_crash_ms()?;
-        let until_ms = entry.sent_ms.map(|sent_ms| sent_ms + SUSPECTED_SEND_INTERVAL_MS);
-        after_crash_ms.max(until_ms.and_then(|until_ms| left_ms(until_ms, now_ms)))
+        self.crash_pause_ms(request, now_ms).max(self.send_pause_ms(request, now_ms))
     }
 
     /// Remaining time for which a request is delayed after its last crash in milliseconds; `None` if
@@ -422,15 +424,6 @@
         left_ms(entry.latest_crash_ms()? + CRASH_DISTANCE_MIN_MS, now_ms)
     }
 
-    /// Records that this router sends a request to a server.
-    pub fn record_send(&mut self, request: Subjects<'_>, now_ms: u64) {
-        for subject in request.iter() {
-            if let Some(entry) = self.entries.get_mut(&subject) {
-                entry.sent_ms = Some(signed(now_ms));
-            }
-        }
-    }
-
     /// Quarantined requests and prompt parts with the remaining time in milliseconds.
     pub fn quarantined(&self, now_ms: u64) -> Vec<(ids::Fingerprint, u64)> {
         let requests = self.entries.keys();
@@ -472,7 +465,8 @@
     /// Urgency of the queued updates; `None` if there are none.
     pub fn urgency(&self) -> Option<Urgency> {
         let queued = self.entries.values().filter(|entry| entry.sends_left > 0);
-        match queued.map(Entry::urgent).max()? {
+        let at_once = |entry: &Entry| entry.urgent() || entry.sends.next_ms().is_some();
+        match queued.map(at_once).max()? {
             true => Some(Urgency::AtOnce),
             false => Some(Urgency::Soon),
         }
@@ -497,7 +491,8 @@
             selected.extend(self.next_reply(REPORTS_MAX - selected.len(), &selected));
         }
         let reports = selected.iter().filter_map(|request| self.report(request, now_ms)).collect();
-        Updates { summary: self.summary(), reports }
+        let sends = selected.iter().flat_map(|request| self.send_reports(*request, now_ms));
+        Updates { summary: self.summary(), reports, sends: sends.take(REPORTS_MAX).collect() }
     }
 
     /// Reports of the requests and prompt parts that the record in the store contains, those with the
--- a/core/src/quarantine/entry.rs
+++ b/core/src/quarantine/entry.rs
@@ -3,7 +3,7 @@
 use super::{
     CRASH_DISTANCE_MIN_MS, CRASHES_STORED_MAX, CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE_PART,
     CRASHES_TO_QUARANTINE_PROVEN_PART, CRASHES_TO_STOP_RETRIES, PROVEN_PART_QUARANTINE_MS,
-    QUARANTINE_MS, Server,
+    QUARANTINE_MS, Server, sends,
 };
 use crate::ids;
 
@@ -33,8 +33,8 @@
     /// Whether this router observed a crash, rather than learning of it.
     pub(super) observed: bool,
     pub(super) sends_left: u32,
-    /// When this router last sent such a request to a server while it was suspected.
-    pub(super) sent_ms: Option<i64>,
+    /// The recent sends to servers while it was suspected, by this router and others.
+    pub(super) sends: sends::Sends,
 }
 
 impl Entry {
@@ -127,6 +127,11 @@
         self.cleared_ms.is_some()
     }
 
+    /// Whether the sends of such requests are kept apart.
+    pub(super) fn is_paced(&self) -> bool {
+        !self.is_proven() && !self.crashes.is_empty()
+    }
+
     /// Number of crashes after which the subject of this entry is quarantined.
     pub(super) fn crashes_to_quarantine(&self, subject: &ids::Fingerprint) -> usize {
         match (subject.is_part(), self.is_proven()) {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -70,14 +70,15 @@
     Ok(frame)
 }
 
-/// Encodes a datagram. The extension of gossip and the confirmations follow the other fields, where builds that do not
-/// know them ignore them.
+/// Encodes a datagram. The extension of gossip, the confirmations and the sends of suspected requests follow the other
+/// fields, where builds that do not know them ignore them.
 pub fn encode_datagram(datagram: &message::Datagram) -> Vec<u8> {
     let frame = encode(datagram);
     match datagram {
         message::Datagram::Gossip(gossip) => match (&gossip.extension, &gossip.confirmations) {
             (Some(extension), Some(confirmations)) => {
-                postcard::to_extend(&(extension, confirmations), frame).unwrap_or_default()
+                let parts = (extension, confirmations, &gossip.quarantine.sends);
+                postcard::to_extend(&parts, frame).unwrap_or_default()
             }
             (Some(extension), None) => postcard::to_extend(extension, frame).unwrap_or_default(),
             (None, _) => frame,
@@ -98,8 +99,13 @@
         let (extension, rest) = decoded.map_err(|source| Error::Decode { source })?;
         gossip.extension = Some(extension);
         if !rest.is_empty() {
-            let decoded = postcard::from_bytes(rest).map_err(|source| Error::Decode { source })?;
-            gossip.confirmations = Some(decoded);
+            let decoded = postcard::take_from_bytes(rest);
+            let (confirmations, rest) = decoded.map_err(|source| Error::Decode { source })?;
+            gossip.confirmations = Some(confirmations);
+            if !rest.is_empty() {
+                let decoded = postcard::from_bytes(rest);
+                gossip.quarantine.sends = decoded.map_err(|source| Error::Decode { source })?;
+            }
         }
     }
     Ok(datagram)
--- a/tests/peer_datagrams.rs
+++ b/tests/peer_datagrams.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use doorswitch::peers;
-use doorswitch_core::{ids, members, message, store, version_record, watch};
+use doorswitch_core::{ids, members, message, quarantine, store, version_record, watch};
 
 fn gossip(extension: Option<message::GossipExtension>) -> message::Datagram {
     let from = members::Record {
@@ -48,9 +48,25 @@
         configuration: Some(confirmation(1)),
         servers: Some(confirmation(2)),
     });
+    gossip.quarantine.sends = vec![quarantine::SendReport {
+        subject: ids::Fingerprint { head: 1, whole: [2; 16] },
+        id: quarantine::SendId { router: ids::Incarnation(3), sent_ms: 4 },
+        age_ms: 5,
+        withdrawn: false,
+    }];
     message::Datagram::Gossip(gossip)
 }
 
+#[test]
+fn gossip_of_builds_without_sends_is_read() {
+    let message::Datagram::Gossip(mut sent) = complete_gossip() else { unreachable!() };
+    sent.quarantine.sends.clear();
+    let sent = message::Datagram::Gossip(sent);
+    let frame = peers::encode_datagram(&sent);
+    // An empty list takes one byte.
+    assert_eq!(peers::decode_datagram(&frame[..frame.len() - 1]).unwrap(), sent);
+}
+
 #[test]
 fn gossip_with_confirmations_is_read_whole() {
     let sent = complete_gossip();
