Find streams while routers end in series

Callers saw 503 for streams that they continued after the router had ended, although a server of the stream's version had room.

- Copies went to routers that had just ended.
Their end is noticed after up to 5 s, and a copy that nobody acknowledged was sent to another router only then.
- Whoever asked a router that had just started was refused, though the copies were there: at once with 1 s to wait if it was not ready, or after one round trip because it knew two or three routers and asked no more.
By the next try the copies were gone as well.

Now a router that has not acknowledged a copy within 0.1 s is silent until it does: another one gets its copies, six live ones for a stream at most. A stream that is placed anew is sent to all that have its origin, so that none is left with the earlier one. A search begins when the router is ready, within 0.15 s, and for the first 3 s asks those that the router learns of, and neither refuses nor takes a single copy before its time is over. All ends within 0.2 s as before; messages are the same. Calm fleets send what they sent: a copy that is acknowledged is sent once.

Ruled out: handing copies on when the placing router ends.

Both new tests in stream_origins fail without the change.

--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -188,6 +188,11 @@
         self.records().filter(|record| record.health <= Health::Suspect)
     }
 
+    /// Whether a member is alive or suspected.
+    pub fn is_live(&self, id: ids::Incarnation) -> bool {
+        self.find(id).is_some_and(|record| record.health <= Health::Suspect)
+    }
+
     /// Returns the number of live routers, including this one.
     pub fn live_count(&self) -> u64 {
         self.live().count() as u64 + 1
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -90,7 +90,7 @@
                 self.handle_stream_origins(from, number, &origin, &streams, now_ms);
             }
             message::Message::StreamOriginsStored { number } => {
-                self.handle_stream_origins_stored(number);
+                self.handle_stream_origins_stored(from, number);
             }
             message::Message::StreamOriginRequest { number, stream, services } => {
                 self.handle_origin_request(from, number, stream, &services, now_ms);
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -5,17 +5,21 @@
 //! those that may have been named, so that the origin is found after the router that placed the stream has ended.
 //! Nothing is sent while a service has one version.
 
-use super::{Action, Lifecycle, Node, Reason, admit};
+use super::{Action, Lifecycle, Node, Reason, admit, watching};
 use crate::{ids, members, message, rendezvous, streams};
 use std::collections;
 
 /// Number of other routers to which the origin of a stream is sent.
 const COPIES: usize = 2;
+/// Number of live routers to which the origin of a stream is sent while some do not acknowledge it.
+const COPIES_SENT_MAX: usize = 6;
 /// Number of routers that are asked for an origin. More than [`COPIES`], as views of the membership differ and copies
 /// are kept in different failure domains.
 const ROUTERS_ASKED_MAX: usize = 8;
 /// Time after which a router that has not replied is not waited for.
 const SEARCH_TIMEOUT_MS: u64 = 200;
+/// Time for which a search waits until this router is ready.
+const READY_TIMEOUT_MS: u64 = SEARCH_TIMEOUT_MS - SECOND_COPY_TIMEOUT_MS;
 /// Time after which a single copy of an origin is used.
 const SECOND_COPY_TIMEOUT_MS: u64 = 50;
 /// Time after which an unanswered request for an origin is repeated.
@@ -99,6 +103,8 @@
 struct RunningSearch {
     search: OriginSearch,
     number: u64,
+    /// The routers that were asked.
+    asked: collections::BTreeSet<ids::Incarnation>,
     unanswered: collections::BTreeSet<ids::Incarnation>,
     /// The origins that the stream may have according to the replies.
     candidates: collections::BTreeSet<streams::Origin>,
@@ -107,6 +113,8 @@
     /// Whether a router that replied has seen all versions at which the stream can have begun.
     complete: bool,
     started_ms: u64,
+    /// When this router, which was ready then, looked for the origin; `None` before that.
+    begun_ms: Option<u64>,
     sent_ms: u64,
 }
 
@@ -116,9 +124,13 @@
     table: streams::Table,
     /// Streams whose origin is to be sent now.
     unsent: collections::BTreeSet<ids::StreamId>,
+    /// Streams of which a router that was sent a copy may have ended.
+    lacking: collections::BTreeSet<ids::StreamId>,
     /// The routers to which the origins of streams were sent.
     copies: collections::HashMap<ids::StreamId, Vec<ids::Incarnation>>,
     copies_checked_ms: u64,
+    /// Routers that have not acknowledged a copy in time, and none since.
+    silent: collections::BTreeSet<ids::Incarnation>,
     unacknowledged: collections::BTreeMap<u64, UnacknowledgedCopies>,
     searches: slotmap::SlotMap<ids::OriginSearchSlot, RunningSearch>,
     /// The number of the last message that is repeated until it is answered.
@@ -127,10 +139,20 @@
     mixed_services: collections::BTreeSet<String>,
 }
 
+impl RunningSearch {
+    /// Whether routers that have not replied are not waited for any longer.
+    fn is_expired(&self, now_ms: u64) -> bool {
+        match (&self.copy, self.begun_ms) {
+            (Some(_), Some(begun_ms)) => now_ms >= begun_ms + SECOND_COPY_TIMEOUT_MS,
+            _ => now_ms >= self.started_ms + SEARCH_TIMEOUT_MS,
+        }
+    }
+}
+
 impl StreamOrigins {
     /// Whether all origins that are to be sent have been acknowledged or abandoned.
     pub(super) fn is_settled(&self) -> bool {
-        self.unsent.is_empty() && self.unacknowledged.is_empty()
+        self.unsent.is_empty() && self.lacking.is_empty() && self.unacknowledged.is_empty()
     }
 
     fn next_number(&mut self) -> u64 {
@@ -147,45 +169,61 @@
         now_ms: u64,
     ) -> ids::OriginSearchSlot {
         let number = self.stream_origins.next_number();
-        let unanswered: collections::BTreeSet<ids::Incarnation> = match search.stream {
-            // Without the stream's id nobody can know its origin.
-            None => collections::BTreeSet::new(),
-            Some(stream) => self.routers_to_ask(stream).collect(),
-        };
         let slot = self.stream_origins.searches.insert(RunningSearch {
             search,
             number,
-            unanswered,
+            asked: Default::default(),
+            unanswered: Default::default(),
             candidates: Default::default(),
             copy: None,
             complete: false,
             started_ms: now_ms,
+            begun_ms: None,
             sent_ms: now_ms,
         });
-        let refusal = match self.lifecycle {
-            Lifecycle::Ready => None,
-            Lifecycle::Starting => Some(Reason::NotReady),
-            Lifecycle::Fenced => Some(Reason::Fenced),
-            Lifecycle::Stopping | Lifecycle::Stopped => Some(Reason::Stopping),
-        };
-        if let Some(reason) = refusal {
-            self.refuse_continuation(slot, reason);
-            return slot;
+        match self.lifecycle {
+            Lifecycle::Ready => self.begin_search(slot, now_ms),
+            // It begins when this router is ready.
+            Lifecycle::Starting => {}
+            Lifecycle::Fenced => self.refuse_continuation(slot, Reason::Fenced),
+            Lifecycle::Stopping | Lifecycle::Stopped => {
+                self.refuse_continuation(slot, Reason::Stopping);
+            }
         }
+        slot
+    }
+
+    fn begin_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let own = self.settings.incarnation;
-        let state = &self.stream_origins;
-        let stream = state.searches[slot].search.stream;
+        let state = &mut self.stream_origins;
+        let search = &mut state.searches[slot];
+        (search.begun_ms, search.sent_ms) = (Some(now_ms), now_ms);
+        let stream = search.search.stream;
         let placement = stream.and_then(|stream| state.table.placement(stream, own));
         if let Some(placement) = placement
             && self.handle_placement(slot, placement, OriginSource::Own)
         {
-            return slot;
+            return;
         }
-        match self.stream_origins.searches[slot].unanswered.is_empty() {
-            true => self.conclude_search(slot, now_ms),
-            false => self.send_origin_requests(slot, now_ms),
+        self.ask_new_routers(slot);
+        if self.stream_origins.searches[slot].unanswered.is_empty() {
+            self.conclude_search(slot, now_ms);
+        }
+    }
+
+    /// Asks the routers that may have a copy and were not asked yet: a router that has just started learns of the others
+    /// while it searches.
+    fn ask_new_routers(&mut self, slot: ids::OriginSearchSlot) {
+        let Some(running) = self.stream_origins.searches.get(slot) else { return };
+        // Without the stream's id nobody can know its origin.
+        let Some(stream) = running.search.stream else { return };
+        let new: Vec<ids::Incarnation> =
+            self.routers_to_ask(stream).filter(|router| !running.asked.contains(router)).collect();
+        self.send_origin_requests(slot, &new);
+        if let Some(running) = self.stream_origins.searches.get_mut(slot) {
+            running.asked.extend(&new);
+            running.unanswered.extend(&new);
         }
-        slot
     }
 
     /// Records the version at which a stream is placed, if its client may continue it.
@@ -251,8 +289,9 @@
     }
 
     /// Records that another router has stored the origins of message `number`.
-    pub(super) fn handle_stream_origins_stored(&mut self, number: u64) {
+    pub(super) fn handle_stream_origins_stored(&mut self, from: ids::Incarnation, number: u64) {
         self.stream_origins.unacknowledged.remove(&number);
+        self.stream_origins.silent.remove(&from);
     }
 
     /// Answers another router that asks for the origin of a stream.
@@ -356,7 +395,8 @@
     /// Concludes the searches that waited for the store's record of versions.
     pub(super) fn conclude_answered_searches(&mut self, now_ms: u64) {
         let searches = self.stream_origins.searches.iter();
-        let answered = searches.filter(|(_, search)| search.unanswered.is_empty());
+        let answered = searches
+            .filter(|(_, search)| search.begun_ms.is_some() && search.unanswered.is_empty());
         let answered: Vec<ids::OriginSearchSlot> = answered.map(|(slot, _)| slot).collect();
         answered.into_iter().for_each(|slot| self.conclude_search(slot, now_ms));
     }
@@ -365,8 +405,13 @@
     /// The search goes on while the store's record of versions is read.
     fn conclude_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let Some(running) = self.stream_origins.searches.get(slot) else { return };
+        // A router that has just started may not know of all others that have copies.
+        let knows_routers = running.search.stream.is_none()
+            || now_ms >= self.started_ms + watching::MEMBERSHIP_SETTLE_MS;
         if let Some((copy, source)) = running.copy.clone() {
-            self.accept_origin(slot, copy.origin, source);
+            if knows_routers || running.is_expired(now_ms) {
+                self.accept_origin(slot, copy.origin, source);
+            }
             return;
         }
         let mut candidates = running.candidates.clone();
@@ -377,7 +422,7 @@
         // A router that no other one answers may have missed what these have seen.
         let alone = !running.complete && !running.unanswered.is_empty();
         let complete = running.complete || self.knows_recent_versions(now_ms);
-        let expired = now_ms >= running.started_ms + SEARCH_TIMEOUT_MS;
+        let expired = running.is_expired(now_ms);
         match (candidates.pop_first(), candidates.is_empty()) {
             (None, _) => self.refuse_continuation(slot, Reason::NoServer),
             (Some(_), true) if !complete && !expired && !self.version_record.is_read() => {
@@ -386,6 +431,7 @@
             (Some(origin), true) if complete && (!alone || list_is_recent) => {
                 self.accept_origin(slot, origin, OriginSource::OnlyVersion);
             }
+            (Some(_), _) if !expired && !knows_routers => {}
             (Some(_), _) => self.refuse_continuation(slot, Reason::StreamOriginUnknown),
         }
     }
@@ -418,31 +464,43 @@
     }
 
     fn tick_searches(&mut self, now_ms: u64) {
-        let mut expired = Vec::new();
-        let mut unanswered = Vec::new();
-        for (slot, search) in &self.stream_origins.searches {
-            let timeout_ms = match search.copy {
-                None => SEARCH_TIMEOUT_MS,
-                Some(_) => SECOND_COPY_TIMEOUT_MS,
-            };
-            if now_ms >= search.started_ms + timeout_ms {
-                expired.push(slot);
-            } else if now_ms >= search.sent_ms + REQUEST_REPEAT_MS {
-                unanswered.push(slot);
+        let slots: Vec<ids::OriginSearchSlot> = self.stream_origins.searches.keys().collect();
+        for slot in slots {
+            self.tick_search(slot, now_ms);
+        }
+    }
+
+    fn tick_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
+        let Some(search) = self.stream_origins.searches.get_mut(slot) else { return };
+        if search.begun_ms.is_none() {
+            if self.lifecycle == Lifecycle::Ready {
+                self.begin_search(slot, now_ms);
+            } else if now_ms >= search.started_ms + READY_TIMEOUT_MS {
+                self.refuse_continuation(slot, Reason::NotReady);
             }
+            return;
+        }
+        if search.is_expired(now_ms) {
+            self.conclude_search(slot, now_ms);
+            return;
+        }
+        if now_ms >= search.sent_ms + REQUEST_REPEAT_MS {
+            search.sent_ms = now_ms;
+            let unanswered: Vec<ids::Incarnation> = search.unanswered.iter().copied().collect();
+            self.send_origin_requests(slot, &unanswered);
+        }
+        if now_ms < self.started_ms + watching::MEMBERSHIP_SETTLE_MS {
+            self.ask_new_routers(slot);
         }
-        expired.into_iter().for_each(|slot| self.conclude_search(slot, now_ms));
-        unanswered.into_iter().for_each(|slot| self.send_origin_requests(slot, now_ms));
     }
 
-    fn send_origin_requests(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
-        let Some(running) = self.stream_origins.searches.get_mut(slot) else { return };
+    fn send_origin_requests(&mut self, slot: ids::OriginSearchSlot, routers: &[ids::Incarnation]) {
+        let Some(running) = self.stream_origins.searches.get(slot) else { return };
         let Some(stream) = running.search.stream else { return };
-        running.sent_ms = now_ms;
         let (number, services) = (running.number, running.search.services.clone());
-        for router in running.unanswered.clone() {
+        for router in routers {
             let services = services.clone();
-            self.send(router, message::Message::StreamOriginRequest { number, stream, services });
+            self.send(*router, message::Message::StreamOriginRequest { number, stream, services });
         }
     }
 
@@ -456,17 +514,27 @@
         ranked.into_iter().take(ROUTERS_ASKED_MAX)
     }
 
-    /// The routers that are to keep copies of a stream's origin: in other failure domains than this one and each other,
-    /// where there are such.
-    fn routers_for_copies(&self, stream: ids::StreamId) -> Vec<ids::Incarnation> {
-        let mut domains = vec![self.settings.failure_domain.as_str()];
+    /// The routers that are to keep copies of a stream's origin, beside those that `kept` names: routers that acknowledge
+    /// copies, in other failure domains than this one and each other, where there are such.
+    fn routers_for_copies(
+        &self,
+        stream: ids::StreamId,
+        kept: &[ids::Incarnation],
+    ) -> Vec<ids::Incarnation> {
+        let kept_domains = self.members.live().filter(|record| kept.contains(&record.id));
+        let mut domains: Vec<&str> =
+            kept_domains.map(|record| record.failure_domain.as_str()).collect();
+        domains.push(&self.settings.failure_domain);
         let mut chosen: Vec<ids::Incarnation> = Vec::new();
-        for _ in 0..COPIES {
+        for _ in kept.len()..COPIES {
             let rank = |record: &&members::Record| {
                 let in_other_domain = !domains.contains(&record.failure_domain.as_str());
-                (in_other_domain, rendezvous::weight(stream.subject(), record.id.0))
+                let answers = !self.stream_origins.silent.contains(&record.id);
+                (answers, in_other_domain, rendezvous::weight(stream.subject(), record.id.0))
             };
-            let others = self.members.live().filter(|record| !chosen.contains(&record.id));
+            let others = self.members.live();
+            let others =
+                others.filter(|record| !chosen.contains(&record.id) && !kept.contains(&record.id));
             let Some(best) = others.max_by_key(rank) else { break };
             chosen.push(best.id);
             domains.push(&best.failure_domain);
@@ -503,26 +571,46 @@
         state.copies.retain(|stream, _| table.origin(*stream).is_some());
         let live: collections::HashSet<ids::Incarnation> =
             self.members.live().map(|record| record.id).collect();
+        state.silent.retain(|router| live.contains(router));
         let wanted = COPIES.min(live.len());
         let lacks_copies = |routers: &Vec<ids::Incarnation>| {
             routers.iter().filter(|router| live.contains(router)).count() < wanted
         };
         let lacking = state.copies.iter().filter(|(_, routers)| lacks_copies(routers));
         let lacking: Vec<ids::StreamId> = lacking.map(|(stream, _)| *stream).collect();
-        state.unsent.extend(lacking);
+        state.lacking.extend(lacking);
         self.send_unsent_origins(now_ms);
     }
 
+    /// Sends the origins of new placements to all routers that have, or are to have, copies, and the others to routers in
+    /// place of those that do not answer.
     fn send_unsent_origins(&mut self, now_ms: u64) {
         let unsent = std::mem::take(&mut self.stream_origins.unsent);
+        let lacking = std::mem::take(&mut self.stream_origins.lacking);
         let mut messages = collections::BTreeMap::<_, Vec<ids::StreamId>>::new();
-        for stream in unsent {
-            let Some(origin) = self.stream_origins.table.origin(stream).cloned() else { continue };
-            let routers = self.routers_for_copies(stream);
-            for router in &routers {
-                messages.entry((*router, origin.clone())).or_default().push(stream);
+        for stream in unsent.union(&lacking).copied() {
+            let state = &self.stream_origins;
+            let Some(origin) = state.table.origin(stream).cloned() else { continue };
+            let sent = state.copies.get(&stream).into_iter().flatten().copied();
+            let sent: Vec<ids::Incarnation> =
+                sent.filter(|router| self.members.is_live(*router)).collect();
+            let is_new = unsent.contains(&stream);
+            if !is_new && sent.len() >= COPIES_SENT_MAX {
+                continue;
             }
-            self.stream_origins.copies.insert(stream, routers);
+            let answering = sent.iter().copied().filter(|router| !state.silent.contains(router));
+            let answering: Vec<ids::Incarnation> = answering.collect();
+            let mut routers = self.routers_for_copies(stream, &answering);
+            let copies: collections::BTreeSet<ids::Incarnation> =
+                sent.iter().chain(&routers).copied().collect();
+            if is_new {
+                // A router that has an earlier placement must not be left with it.
+                routers = copies.iter().copied().collect();
+            }
+            for router in routers {
+                messages.entry((router, origin.clone())).or_default().push(stream);
+            }
+            self.stream_origins.copies.insert(stream, copies.into_iter().collect());
         }
         for ((router, origin), streams) in messages {
             for streams in streams.chunks(STREAMS_PER_MESSAGE) {
@@ -553,10 +641,15 @@
             .map(|(number, copies)| {
                 copies.sent_ms = now_ms;
                 copies.sends += 1;
+                if copies.sends == 2 {
+                    state.silent.insert(copies.router);
+                    state.lacking.extend(&copies.streams);
+                }
                 *number
             })
             .collect();
         due.into_iter().for_each(|number| self.send_origins(number, now_ms));
+        self.send_unsent_origins(now_ms);
     }
 
     /// Sends message `number`, with the streams that still have its origin.
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -271,6 +271,55 @@
     }
 }
 
+/// Places streams at a router, with these numbers.
+fn place(traffic: &mut Traffic, router: usize, numbers: std::ops::Range<u8>) {
+    for number in numbers {
+        let mut request = traffic.next_request();
+        request.stream =
+            Some(node::StreamRequest { id: stream(number), version: None, kept_ms: KEPT_MS });
+        let now_ms = traffic.fleet.now_ms;
+        traffic.fleet.routers[router].node.admit(request, now_ms);
+        traffic.fleet.perform_actions(router);
+    }
+}
+
+/// Guards against streams that are lost with two routers because a third one, whose end the first had not noticed, was
+/// to keep one of two copies.
+#[test]
+fn copies_that_an_ended_router_does_not_acknowledge_are_kept_by_another_one() {
+    for ended in 1..5 {
+        let mut traffic = fleet(6, &[("vm-1", "v1"), ("vm-2", "v2")], 60);
+        traffic.fleet.kill(ended);
+        place(&mut traffic, 0, 0..10);
+        traffic.fleet.run_ms(300);
+        traffic.fleet.kill(0);
+        traffic.fleet.kill(ended % 4 + 1);
+        for number in 0..10 {
+            let found = search(&mut traffic, 5, number);
+            let known = matches!(found, node::OriginFound::Origin { .. });
+            assert!(known, "router {ended}, stream {number}: {found:?}");
+        }
+    }
+}
+
+/// Guards against streams that a router refuses because it has just started: it was not ready yet, or did not know of
+/// the routers with copies.
+#[test]
+fn a_router_that_has_just_started_finds_streams() {
+    for started_ms in [0, 20, 40, 60, 100, 200, 500] {
+        for number in 0..10 {
+            let mut traffic = fleet(6, &[("vm-1", "v1"), ("vm-2", "v2")], 60);
+            place(&mut traffic, 0, number..number + 1);
+            traffic.fleet.run_ms(300);
+            traffic.fleet.restart(0);
+            traffic.fleet.run_ms(started_ms);
+            let found = search(&mut traffic, 0, number);
+            let known = matches!(found, node::OriginFound::Origin { .. });
+            assert!(known, "after {started_ms} ms, stream {number}: {found:?}");
+        }
+    }
+}
+
 /// The store's record of versions.
 fn record(traffic: &Traffic) -> version_record::Record {
     let (_, value) = &traffic.fleet.values[version_record::KEY];
