Let other tasks run between two reads of a client's connection

What callers saw: while 12 connections sent a chunk line without end in the body of their requests, requests of other clients were answered 503 not_sent.

Cause: as on the connections to servers, hyper parses a chunk line byte by byte, and a connection was read in one turn of the thread for as long as there was more, up to the budget of the runtime (1 MiB).

A client's connection now yields after each read of 8 KiB. Its memory was bounded before: the head by the configured limit, the body by the configured limit and by the time for it.

--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -270,6 +270,7 @@
     /// Counts received bytes, or keeps them if no exchange is under way; an error if an exchange with a server has received
     /// too many without progress.
     fn check_progress(&self, received: &[u8]) -> io::Result<()> {
+        self.yield_due.set(true);
         if self.exchange.get().is_none() {
             let mut surplus = self.surplus.borrow_mut();
             let room = SURPLUS_BYTES_MAX - surplus.len();
@@ -278,7 +279,6 @@
         }
         let unproductive_bytes = self.unproductive_bytes.get() + received.len();
         self.unproductive_bytes.set(unproductive_bytes);
-        self.yield_due.set(true);
         match unproductive_bytes > self.unproductive_bytes_max.get() {
             true => Err(io::ErrorKind::InvalidData.into()),
             false => Ok(()),
