Keep what peers tell of servers until the first list of them

Cause: the first datagrams of peers name the brittle servers, and arrive before the list of servers. What names an unlisted server is dropped, the next datagram comes half a second later, and the router sends meanwhile. The same held for limited servers.

It is kept until the first list, of 16 datagrams at most, and merged then with its age. Nothing is sent for it, and no start waits.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -12,6 +12,7 @@
 mod directives;
 mod dump;
 mod earlier_starts;
+mod early_statements;
 mod era_record;
 mod eras;
 mod evacuate;
@@ -173,6 +174,8 @@
     quarantine: quarantine::Quarantine,
     limits: limits::PermitState,
     seats: seats::SeatState,
+    /// What peers told of servers before the first list of them.
+    early_statements: Vec<early_statements::EarlyStatements>,
     stream_origins: stream_origins::StreamOrigins,
     version_record: version_record::VersionRecord,
     /// The subscriptions to the store's topics; `None` where the shell follows the store.
@@ -244,6 +247,7 @@
             quarantine: Default::default(),
             limits: Default::default(),
             seats: Default::default(),
+            early_statements: Default::default(),
             stream_origins: Default::default(),
             version_record: Default::default(),
             watching,
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -121,8 +121,7 @@
     fn merge_gossip(&mut self, gossip: &message::Gossip, now_ms: u64) {
         self.members.handle_gossip(gossip, now_ms);
         let table_differs = self.merge_quarantine(&gossip.quarantine, now_ms);
-        self.merge_limits(&gossip.limits, now_ms);
-        self.merge_brittle(gossip.from.id, &gossip.brittle, now_ms);
+        self.merge_statements(gossip, now_ms);
         self.merge_version_record(gossip.from.id, gossip.extension.as_ref(), now_ms);
         for leaving in &gossip.leaving {
             self.merge_leaving(gossip.from.id, leaving);
--- a/core/tests/brittle_schedules.rs
+++ b/core/tests/brittle_schedules.rs
@@ -392,6 +392,26 @@
     run(301, 60, &NOT_NONE, &[Fault::Restart, Fault::Kill, Fault::Loss], seeds.parse().unwrap());
 }
 
+/// Guards against a router that sends to full servers as it has not heard yet that they are brittle.
+#[test]
+fn routers_that_have_just_started_overload_no_brittle_server() {
+    for seed in 0..4 {
+        let mut scenario = Scenario::new(8, 8, &NONE, seed);
+        scenario.run_ms(6_000);
+        scenario.set_load(CALM_PERCENT);
+        scenario.run_ms(2_000);
+        scenario.stated_ms = Some(scenario.now_ms());
+        scenario.run_ms(CONTACT_MS);
+        scenario.set_load(BURST_PERCENT);
+        scenario.run_ms(1_000);
+        for router in 0..8 {
+            scenario.end_router(router, true);
+            scenario.run_ms(1_000);
+        }
+        assert_eq!(scenario.counts.rejected, 0, "seed {seed}: {:?}", scenario.counts);
+    }
+}
+
 /// Guards against a server without requests that stays brittle because the others, which are not any more, have room.
 #[test]
 fn every_server_is_found_to_be_no_longer_brittle() {
