Take an engine's 408 or 429 for no statement that the completion was not run

By the callers' API a completion that an engine had answered with 408 or 429 was told ran=not_run and cost nothing, although the engine didn't say that it had not run: any 4xx was taken for an invalid request.

Such an attempt now counts as one that may have run; the completion goes to another engine, and its outcome is unknown if there is none. Other 4xx say that the request is invalid, as before.

Evidence: two of the three new cases of refusals failed before (one run, ran=not_run) and pass; 503 held.

--- a/src/model.rs
+++ b/src/model.rs
@@ -339,7 +339,9 @@
     if upstream::is_rejection(status, body) {
         return AttemptEnd::NotRun;
     }
-    if status.is_client_error() {
+    let may_have_run =
+        matches!(status, StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS);
+    if status.is_client_error() && !may_have_run {
         return AttemptEnd::Invalid(status, String::from_utf8_lossy(body).into_owned());
     }
     AttemptEnd::Failed
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -7,7 +7,7 @@
 mod routes;
 
 use doorswitch_standins::backend::{self, ReceivedRequest, Script, Step};
-use fleet::eventually;
+use fleet::{Fleet, Options, eventually};
 use routes::{World, request};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
@@ -164,3 +164,24 @@
     }
     assert_eq!(connections.len(), 2);
 }
+
+macro_rules! an_engine_s_status_without_a_statement_is_no_promise {
+    ($($name:ident: $status:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let options = Options { routers: 1, engines: 0, services: 0, ..Options::default() };
+            let fleet = Fleet::start(stringify!($name), options);
+            let script: Script = Box::new(|_, _| vec![backend::response($status, "busy")]);
+            let engines = [backend::Backend::start(script).unwrap()];
+            fleet.add_scripted_servers(&engines, |_| "roast");
+            let answer = fleet.complete(0, "prompt", 4, false).unwrap();
+            assert_ne!(answer.ran(), "not_run", "it may have run: {answer:?} {}", fleet.log_text(0));
+        }
+    )*};
+}
+
+an_engine_s_status_without_a_statement_is_no_promise! {
+    a_completion_that_may_have_run_is_not_answered_as_not_run_after_429: "429 Too Many Requests";
+    a_completion_that_may_have_run_is_not_answered_as_not_run_after_408: "408 Request Timeout";
+    a_completion_that_may_have_run_is_not_answered_as_not_run_after_503: "503 Service Unavailable";
+}
