Buffer few bytes of large events for clients that read slowly

What operators would have seen: servers that sent events of 900 KB without end to 12 clients that did not read took the router to 159 MiB within 8 s; the smallest VMs have 110 MB.

Cause: the number of pieces that wait for a slow client was bounded (16), their bytes were not: a piece was all events of a read, each up to 1 MiB.

A piece now has at most 64 KiB, so that 1 MiB waits for a client at most. Events are still forwarded whole: no other event is read in between.

--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -16,6 +16,8 @@
 
 /// The number of pieces of an answer that are buffered for a slow client.
 const PIECES_BUFFERED: usize = 16;
+/// The largest piece, so that few bytes of large events are buffered.
+const PIECE_BYTES_MAX: usize = 64 << 10;
 
 /// What arrives this soon after a server was told that its client has left may have been on its way before.
 const ON_ITS_WAY_MAX: Duration = Duration::from_millis(50);
@@ -191,8 +193,12 @@
             if batch.last_id.is_some() {
                 *last_id = batch.last_id;
             }
-            if sender.send(Ok(batch.bytes)).await.is_err() {
-                return StreamEnd::ClientLeft;
+            let mut rest = batch.bytes;
+            while !rest.is_empty() {
+                let piece = rest.split_to(rest.len().min(PIECE_BYTES_MAX));
+                if sender.send(Ok(piece)).await.is_err() {
+                    return StreamEnd::ClientLeft;
+                }
             }
         }
     }
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -18,6 +18,8 @@
 const REQUESTS: usize = 12;
 /// A request ends at its deadline at the latest.
 const DEADLINE_MS: u64 = 3_000;
+/// Long enough for a server to send more than the memory.
+const LONG_DEADLINE_MS: u64 = 8_000;
 
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 const HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n";
@@ -37,7 +39,7 @@
 
 /// Sends several requests at once to endless answers, and sound ones meanwhile; checks the router's memory, that all
 /// requests end in time and none looks complete, and that the sound ones are served.
-fn check(name: &str, path: &str, start: &str, pause: Duration, text: &str) {
+fn check(name: &str, path: &str, start: &str, pause: Duration, text: &str, deadline_ms: u64) {
     let scripts = (0..4).map(|_| endless(start, pause, text)).collect();
     let world = World::start(name, scripts);
     std::thread::scope(|scope| {
@@ -46,8 +48,11 @@
                 let world = &world;
                 scope.spawn(move || {
                     let (sent, id) = (Instant::now(), format!("endless-{number}"));
-                    let request = Request { deadline_ms: DEADLINE_MS, ..request(path, &id) };
+                    let request = Request { deadline_ms, ..request(path, &id) };
                     let mut stream = world.send(0, &request);
+                    if path.contains("unread") {
+                        std::thread::sleep(Duration::from_millis(deadline_ms));
+                    }
                     let complete = match path.contains("stream") {
                         true => ends_complete(&mut stream),
                         false => {
@@ -67,7 +72,7 @@
         }
         for call in calls {
             let (took, complete) = call.join().unwrap();
-            assert!(took < Duration::from_millis(DEADLINE_MS + 1_500), "took {took:?}");
+            assert!(took < Duration::from_millis(deadline_ms + 1_500), "took {took:?}");
             // One byte is the whole answer before the bytes that follow it.
             assert!(!complete || start.contains("Content-Length: 1"), "it looks complete");
         }
@@ -94,7 +99,7 @@
     ($($name:ident: $path:literal, $start:expr, $text:expr;)*) => { $(
         #[test]
         fn $name() {
-            check(stringify!($name), $path, &$start, Duration::ZERO, $text);
+            check(stringify!($name), $path, &$start, Duration::ZERO, $text, DEADLINE_MS);
         }
     )* };
 }
@@ -118,11 +123,20 @@
     endless_events_without_chunks_take_little_memory: "/stream/x", format!("{HEAD}\r\n"), "data: a";
 }
 
+/// Guards against a bound on the number of events that wait for a client, and none on their bytes.
+#[test]
+fn endless_large_events_that_clients_do_not_read_take_little_memory() {
+    let name = "endless_large_events_that_clients_do_not_read_take_little_memory";
+    let event = format!("id: 1\ndata: {}\n\n", "a".repeat(900_000));
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    check(name, "/stream/unread", STREAM_HEAD, Duration::ZERO, &chunk, LONG_DEADLINE_MS);
+}
+
 #[test]
 fn bytes_without_end_on_idle_connections_take_little_memory() {
     let name = "bytes_without_end_on_idle_connections_take_little_memory";
     let start = format!("{HEAD}Content-Length: 1\r\n\r\na");
-    check(name, "/read/x", &start, Duration::from_millis(200), "a");
+    check(name, "/read/x", &start, Duration::from_millis(200), "a", DEADLINE_MS);
 }
 
 /// Guards against bounds on faulty answers that refuse sound ones.
