--- a/soak/src/late_copies.rs
+++ b/soak/src/late_copies.rs
@@ -21,7 +21,7 @@
     copies_after_answer: 0.05,
 };
 /// The time between two requests of the client of one router.
-const SEND_INTERVAL: Duration = Duration::from_millis(50);
+const SEND_INTERVAL: Duration = Duration::from_millis(100);
 /// The time after which a request counts as unanswered if nothing arrives.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The probability that a client sends an id that was refused again.
