Do not take a call's answer without a length for an empty one

By the callers' API a plain service's answer with neither a length nor chunks, whose body ends with its connection, arrived as a whole, empty answer with its status: awc reads no body there. For an unrepeatable call the empty body was recorded for replays too.

Such an answer now leaves the outcome unknown (event=answer_without_length); a repeatable call goes to another server. The body itself can't be had from the library; what is lost is an empty answer of a server that gives none a length.

--- a/src/plain.rs
+++ b/src/plain.rs
@@ -169,6 +169,10 @@
             return AttemptEnd::Unknown;
         }
         self.reports.report_answer(placement, status, response.headers(), sent);
+        if !has_framing(status, response.headers()) {
+            log::info!("event=answer_without_length id={} vm={}", self.id, placement.vm);
+            return AttemptEnd::Unknown;
+        }
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
         let content_type = content_type.to_owned();
@@ -197,6 +201,15 @@
     }
 }
 
+/// Whether the end of an answer's body is told by its head. `awc` does not read a body that ends with its connection, and
+/// takes it for empty.
+fn has_framing(status: StatusCode, headers: &header::HeaderMap) -> bool {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_no_body
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Whether a server's answer states that it rejected the call.
 fn is_rejection(status: StatusCode, body: &Pieces) -> bool {
     small_body(body, REJECTION_BYTES_MAX).is_some_and(|body| upstream::is_rejection(status, &body))
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -5,7 +5,7 @@
 
 mod fleet;
 
-use doorswitch_standins::engine;
+use doorswitch_standins::{backend, engine};
 use fleet::{Fleet, Options, completion_body, eventually};
 use std::thread;
 use std::time::Duration;
@@ -34,6 +34,22 @@
     assert_eq!(fleet.totals("kitchen").billed_tokens, 9 * (20 + 5));
 }
 
+/// Guards against an answer that ends with its connection and arrives as a whole, empty one.
+#[test]
+fn an_answer_without_a_length_of_a_plain_service_is_not_taken_for_empty() {
+    let options = Options { routers: 1, engines: 0, services: 0, ..Options::default() };
+    let fleet = Fleet::start("answers-unframed", options);
+    let unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe body";
+    let script: backend::Script =
+        Box::new(move |_, _| vec![backend::Step::Write(unframed.to_owned()), backend::Step::Close]);
+    let servers = [backend::Backend::start(script).unwrap()];
+    fleet.add_scripted_servers(&servers, |_| "payments");
+    let answer = fleet.release(0, "release-1", "{}").unwrap();
+    let received = (answer.status, answer.body.as_str());
+    assert!(received.0 == 502 || received == (200, "the body"), "{answer:?}");
+    assert_ne!(answer.ran(), "not_run", "{answer:?}");
+}
+
 #[test]
 fn concurrent_callers_each_receive_their_own_answer() {
     let fleet = Fleet::start("answers-own", Options::default());
