Tell no caller that a completion was not run after it was sent

By the callers' API a completion was told ran=not_run, and cost nothing, although it may have run or had delivered tokens: when its deadline passed before the head of the answer (what may have run was noted only with the head), and when a second engine called it invalid or misdirected (the first attempt was forgotten). The class of the incident: not run was concluded from what one server said, or from nothing.

An attempt counts as sent from its send on; what ends it by the deadline leaves the outcome unknown. A 4xx of a later engine no longer erases an earlier attempt. A 421 goes to another engine.

--- a/src/model.rs
+++ b/src/model.rs
@@ -95,6 +95,8 @@
     delivered_tokens: u64,
     prompt_tokens: u64,
     may_have_run: bool,
+    /// Whether the present attempt may have been sent.
+    attempt_sent: bool,
     text: String,
     finish_reason: String,
 }
@@ -144,6 +146,7 @@
                     return Ok(());
                 }
                 AttemptEnd::DeadlineExceeded => {
+                    progress.may_have_run |= progress.attempt_sent;
                     return self.fail(slot, &progress, deadline_error()).await;
                 }
                 AttemptEnd::TooLarge => {
@@ -151,9 +154,8 @@
                     return self.fail(slot, &progress, too_large_error()).await;
                 }
                 AttemptEnd::Invalid(status, message) => {
-                    let error = engine_rejection(status, message);
-                    upstream::finish(&self.control, slot, node::RequestOutcome::NotRun).await;
-                    return Err(Failure { error });
+                    // An earlier attempt may have run.
+                    return self.fail(slot, &progress, engine_rejection(status, message)).await;
                 }
                 AttemptEnd::Failed => node::AttemptFailure::MayHaveRun,
                 AttemptEnd::ConnectionLost => {
@@ -192,6 +194,7 @@
         pieces: &mpsc::Sender<Piece>,
     ) -> AttemptEnd {
         let left = self.deadline.saturating_duration_since(Instant::now());
+        progress.attempt_sent = false;
         let streaming = self.stream_from(placement, progress, pieces);
         tokio::select! {
             end = streaming => end,
@@ -214,6 +217,7 @@
             self.http.start(&placement.address, Method::POST, path, true);
         let request = request.insert_header((upstream::ATTEMPT_ID, placement.attempt.0));
         let sent = Instant::now();
+        progress.attempt_sent = true;
         let mut response = match request.send_json(&body).await {
             Ok(response) => response,
             Err(error) if upstream::is_no_route(&error) => return AttemptEnd::NoRoute,
@@ -339,9 +343,14 @@
     if upstream::is_rejection(status, body) {
         return AttemptEnd::NotRun;
     }
-    let may_have_run =
-        matches!(status, StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS);
-    if status.is_client_error() && !may_have_run {
+    let is_invalid = status.is_client_error()
+        && !matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+                | StatusCode::TOO_MANY_REQUESTS
+        );
+    if is_invalid {
         return AttemptEnd::Invalid(status, String::from_utf8_lossy(body).into_owned());
     }
     AttemptEnd::Failed
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -10,6 +10,7 @@
 use fleet::{Fleet, Options, eventually};
 use routes::{World, request};
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -185,3 +186,70 @@
     a_completion_that_may_have_run_is_not_answered_as_not_run_after_408: "408 Request Timeout";
     a_completion_that_may_have_run_is_not_answered_as_not_run_after_503: "503 Service Unavailable";
 }
+
+/// Engines that follow one script; it gets the number of the completion, counted over all of them.
+fn engines_fleet(
+    name: &str,
+    engines: usize,
+    steps: impl Fn(usize) -> Vec<Step> + Clone + Send + 'static,
+) -> (Fleet, Vec<backend::Backend>) {
+    let options = Options { routers: 1, engines: 0, services: 0, ..Options::default() };
+    let fleet = Fleet::start(name, options);
+    let completions = Arc::new(AtomicUsize::new(0));
+    let start = |_| {
+        let (steps, completions) = (steps.clone(), completions.clone());
+        let script: Script = Box::new(move |_, received| match received.line.contains("/v1/") {
+            true => steps(completions.fetch_add(1, Ordering::Relaxed)),
+            false => vec![backend::response("404 Not Found", "")],
+        });
+        backend::Backend::start(script).unwrap()
+    };
+    let backends: Vec<backend::Backend> = (0..engines).map(start).collect();
+    fleet.add_scripted_servers(&backends, |_| "roast");
+    (fleet, backends)
+}
+
+#[test]
+fn a_completion_that_was_sent_is_not_told_not_run_at_its_deadline() {
+    let steps = |_| vec![Step::Pause(Duration::from_secs(4)), backend::response("200 OK", "late")];
+    let (fleet, _engines) = engines_fleet("deadline-before-head", 1, steps);
+    let body = fleet::completion_body("prompt", 4, false);
+    let address = fleet.routers[0].callers;
+    let headers = [("X-Deadline-Ms", "1500")];
+    let path = "/v1/chat/completions";
+    let answer = fleet::call(address, "POST", path, "kitchen-key", &headers, &body).unwrap();
+    assert_eq!((answer.status, answer.ran().as_str()), (504, "unknown"), "{answer:?}");
+}
+
+#[test]
+fn a_completion_that_may_have_run_is_not_told_not_run_by_a_second_engine() {
+    let steps = |number| match number {
+        0 => vec![backend::response("500 Internal Server Error", "failed while it ran")],
+        _ => vec![backend::response("400 Bad Request", "no")],
+    };
+    let (fleet, _engines) = engines_fleet("second-engine", 2, steps);
+    let answer = fleet.complete(0, "prompt", 4, false).unwrap();
+    assert_eq!((answer.status, answer.ran().as_str()), (400, "unknown"), "{answer:?}");
+}
+
+#[test]
+fn a_completion_whose_tokens_were_delivered_is_not_told_not_run() {
+    let steps = |number| {
+        if number > 0 {
+            return vec![backend::response("400 Bad Request", "no")];
+        }
+        let chunk = serde_json::json!({
+            "choices": [{ "index": 0, "delta": { "content": "a" }, "finish_reason": null }],
+            "usage": { "prompt_tokens": 1, "completion_tokens": 1, "total_tokens": 2 },
+        });
+        let event = format!("data: {chunk}\n\n");
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        let text = format!("{head}{:x}\r\n{event}\r\n", event.len());
+        vec![Step::Write(text), Step::Pause(Duration::from_millis(300)), Step::Reset]
+    };
+    let (fleet, _engines) = engines_fleet("delivered", 2, steps);
+    let answer = fleet.complete(0, "prompt", 4, true).unwrap();
+    assert!(answer.body.contains("\"content\":\"a\""), "{answer:?}");
+    assert!(!answer.body.contains("not_run"), "{answer:?}");
+}
