Do not take a server that was not asked for one that has no such run

The call that stops a run names another server; without one nothing was asked, and that counted as the reply that the run had ended.

Not asked is an outcome of its own now (cause=not_asked); the stream counts as broken. A server that has no such run is logged as no_run, apart from not_kept.

--- a/src/gateway/abandoned.rs
+++ b/src/gateway/abandoned.rs
@@ -60,7 +60,8 @@
                 let answer_tokens = run.events.saturating_mul(self.call.engine.event_tokens);
                 End::Stopped { answer_tokens }
             }
-            stopped_runs::Stop::NoRun
+            stopped_runs::Stop::NotAsked
+            | stopped_runs::Stop::NoRun
             | stopped_runs::Stop::NotKept
             | stopped_runs::Stop::NoReply => End::Unknown,
         }
--- a/src/gateway/stopped_runs.rs
+++ b/src/gateway/stopped_runs.rs
@@ -30,6 +30,8 @@
         /// Whether the reply to an earlier request was lost, which may stop the run once more after it went on.
         earlier_lost: bool,
     },
+    /// It was not asked, as the call names another server of the service and none is known.
+    NotAsked,
     /// The server has no such run or keeps no runs: it has stopped nothing, and asking it again is of no use.
     NoRun,
     /// The server may have stopped it but names no state that it keeps; asking it again is of no use.
@@ -42,7 +44,9 @@
     fn as_str(&self) -> &'static str {
         match self {
             Self::Stopped { .. } => "stopped",
-            Self::NoRun | Self::NotKept => "not_kept",
+            Self::NotAsked => "not_asked",
+            Self::NoRun => "no_run",
+            Self::NotKept => "not_kept",
             Self::NoReply => "no_reply",
         }
     }
@@ -74,7 +78,7 @@
         Stop::Stopped { run, .. } => {
             log::info!("event=run_stopped id={id} vm={vm} events={}", run.events)
         }
-        Stop::NoRun | Stop::NotKept | Stop::NoReply => {
+        Stop::NotAsked | Stop::NoRun | Stop::NotKept | Stop::NoReply => {
             log::info!("event=run_not_stopped id={id} vm={vm} cause={}", stop.as_str());
         }
     }
@@ -88,7 +92,7 @@
     placement: &upstream::Placement,
 ) -> Stop {
     let server = &placement.address;
-    let mut stop = Stop::NoRun;
+    let mut stop = Stop::NotAsked;
     for _ in 0..TARGETS_MAX {
         let Some(target) = backends.links().another_of_service(server) else { break };
         let request = runs::stop_request(server, id, &target);
@@ -101,7 +105,7 @@
             }
             // The run may be unknown because the request whose reply was lost has stopped it.
             runs::StopReply::NoRun if reply.earlier_lost => return Stop::NotKept,
-            runs::StopReply::NoRun => break,
+            runs::StopReply::NoRun => return Stop::NoRun,
             // Another target may have room.
             runs::StopReply::Refused => stop = Stop::NotKept,
         }
--- a/src/gateway/streaming.rs
+++ b/src/gateway/streaming.rs
@@ -248,7 +248,9 @@
         match stop {
             stopped_runs::Stop::Stopped { run, .. } => StreamEnd::RunStopped(run),
             stopped_runs::Stop::NoRun => StreamEnd::Complete,
-            stopped_runs::Stop::NotKept | stopped_runs::Stop::NoReply => StreamEnd::ConnectionLost,
+            stopped_runs::Stop::NotAsked
+            | stopped_runs::Stop::NotKept
+            | stopped_runs::Stop::NoReply => StreamEnd::ConnectionLost,
         }
     }
 
--- a/tests/stream_order.rs
+++ b/tests/stream_order.rs
@@ -374,3 +374,15 @@
         world.backends.iter().map(backend::Backend::closed_by_client).sum::<usize>() == 2
     });
 }
+
+#[test]
+fn a_stream_without_length_of_the_only_server_is_not_complete_when_its_link_closes() {
+    let runs = Runs::unframed();
+    let world = start_behind_proxies("only-server", vec![runs.script(EVENTS, INTERVAL, true)]);
+    let mut client = world.send(0, &long_deadline_request("/long-stream/x", "id"));
+    fleet::eventually("the run has begun", || runs.begun() > 0);
+    std::thread::sleep(4 * INTERVAL);
+    set_faults(&world, &Faults { cut: [address(0)].into(), ..Faults::default() });
+    let answer = routes::read_answer(&mut client);
+    assert_in_order(&answer, EVENTS, &world.log(0));
+}
