Keep no bytes of clients' connections for the log of surplus answers

Found by the review, by reading: connections of clients have no exchange, so the first 2 KiB that each client sent, keys included, were kept until its connection ended, for nothing. Bytes are kept only on connections that have carried an exchange with a server. History::allows stops at the first match instead of counting.

--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -40,7 +40,8 @@
 
     /// Whether a request with this id may be sent.
     pub fn allows(&self, id: &str) -> bool {
-        !self.is_full() && self.sends_of(id) == 0
+        let id_digest = digest(id);
+        !self.sent.iter().any(|sent| sent.id_digest == id_digest)
     }
 
     /// Whether no more requests may be sent.
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -50,8 +50,9 @@
     send_before: Cell<Option<Instant>>,
     /// Whether a part of the exchange's request was sent.
     request_sent: Rc<Cell<bool>>,
-    /// The first bytes that were received while no exchange used the connection.
+    /// The first bytes that were received while no exchange used the connection, which had carried one before.
     surplus: Rc<RefCell<Vec<u8>>>,
+    has_carried: Cell<bool>,
 }
 
 /// Tells whether the peer of a connection, which other tasks use, has closed it.
@@ -113,6 +114,7 @@
         self.request_sent.set(false);
         if let Some(inner) = self.inner.upgrade() {
             inner.send_before.set(None);
+            inner.has_carried.set(true);
             inner.exchange.set(Some(Exchange { began: Instant::now(), repeatable }));
             inner.restart_count(HEAD_BYTES_MAX);
         }
@@ -217,6 +219,7 @@
             send_before: Cell::new(None),
             request_sent: Rc::default(),
             surplus: Rc::default(),
+            has_carried: Cell::new(false),
         }))
     }
 
@@ -281,14 +284,21 @@
         self.yield_due.set(false);
     }
 
+    /// Keeps bytes that a server sent after an exchange. Connections of clients have no exchange.
+    fn keep_surplus(&self, received: &[u8]) {
+        if self.has_carried.get() {
+            let mut surplus = self.surplus.borrow_mut();
+            let room = SURPLUS_BYTES_MAX - surplus.len();
+            surplus.extend_from_slice(&received[..received.len().min(room)]);
+        }
+    }
+
     /// Counts received bytes, or keeps them if no exchange is under way; an error if an exchange with a server has received
     /// too many without progress.
     fn check_progress(&self, received: &[u8]) -> io::Result<()> {
         self.yield_due.set(true);
         if self.exchange.get().is_none() {
-            let mut surplus = self.surplus.borrow_mut();
-            let room = SURPLUS_BYTES_MAX - surplus.len();
-            surplus.extend_from_slice(&received[..received.len().min(room)]);
+            self.keep_surplus(received);
             return Ok(());
         }
         let unproductive_bytes = self.unproductive_bytes.get() + received.len();
