Do not take a call's answer without a length for whole when its server has crashed

A call's answer that ends with its connection is believed if the server still takes a connection. That connection is kept for the next request, for which a new one would have been made anyway, as the one before has ended; the cost is one connection's round trip on such answers only. A refusal means that the process has ended: the outcome is unknown.

--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -486,6 +486,18 @@
         self.keep_idle(connection);
     }
 
+    /// Connects to a server anew after a connection ended, for the next request. Returns `false` if the server refuses it,
+    /// which means that its process has ended.
+    pub async fn replace_ended(&self, placement: &upstream::Placement) -> bool {
+        match self.connect_anew(placement, false).await {
+            Ok(connection) => {
+                self.keep_new_idle(connection);
+                true
+            }
+            Err(error) => !error.refused(),
+        }
+    }
+
     /// Keeps a connection on which nothing of its exchange was sent.
     pub fn keep_unsent(&self, connection: Connection) {
         match connection.used {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -157,7 +157,7 @@
                         return Ok(self.stream(placement, connection).start(*answer));
                     }
                     let server_error = answer.status().is_server_error();
-                    let reading = read_answer(&self.gateway, *answer, connection);
+                    let reading = read_answer(&self.gateway, &placement, *answer, connection);
                     let read = tokio::select! {
                         biased;
                         read = timer::timeout_at(deadline, reading) => Some(read),
@@ -299,7 +299,7 @@
                 self.ticket.finish_not_run();
             }
             Ok(Outcome::Answered { answer, connection }) => {
-                let reading = read_answer(&self.gateway, *answer, connection);
+                let reading = read_answer(&self.gateway, &placement, *answer, connection);
                 match time::timeout(LEFT_ANSWER_TIMEOUT, reading).await {
                     Ok(Ok(response)) => {
                         self.charge_whole(&response);
@@ -328,6 +328,7 @@
 /// Reads an answer in full and returns the connection to the idle ones.
 async fn read_answer(
     gateway: &listener::Gateway,
+    placement: &upstream::Placement,
     answer: backends::Answer,
     connection: backends::Connection,
 ) -> Result<backends::Response, Incomplete> {
@@ -341,7 +342,10 @@
             buffer.push(piece).map_err(|_| Incomplete::TooLarge)?;
         }
     }
-    if connection.may_end_early() {
+    // A server that crashes may close the connection just as one does that has written all.
+    if connection.may_end_early()
+        || connection.ends_answer() && !gateway.backends.replace_ended(placement).await
+    {
         return Err(Incomplete::ConnectionLost);
     }
     gateway.backends.keep_idle(connection);
