--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -48,6 +48,18 @@
     check_no_violations("soak_with_server_cuts_of_seed_6001", 6001, &schedule);
 }
 
+/// Checks only what copies of answers may break, which holds however late routers and servers are.
+#[test]
+fn late_copies_of_answers_are_not_believed_beside_faults() {
+    const SEED: u64 = 3004;
+    let schedule = schedule::Schedule::generate(SEED, ROUTERS, FAULTS_BEGIN_WITHIN_MS);
+    let late_copies = soaks::run("late_copies", SEED, &schedule).late_copies;
+    assert_eq!(late_copies.violations, (0, 0, 0), "{late_copies}");
+    let copies = late_copies.copies;
+    assert!(copies.before_answer > 0 && copies.after_answer > 0, "{late_copies}");
+    assert!(late_copies.requests.1 > 0, "no id was sent again: {late_copies}");
+}
+
 seeds! {
     soak_of_seed_3002: 3002;
     soak_of_seed_3003: 3003;
