--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -184,9 +184,9 @@
 ) -> Outcome {
     let mut new_only = false;
     let id = call.parameters.id.as_str();
-    let to_send = backends::Sending { id, repeatable: call.route.repeatable() };
+    let outgoing = backends::Outgoing { id, repeatable: call.route.repeatable() };
     loop {
-        let connecting = connect(context.backends, placement, position, new_only, to_send);
+        let connecting = connect(context.backends, placement, position, new_only, outgoing);
         let connected = tokio::select! {
             biased;
             () = client.left() => return Outcome::NotSent,
@@ -276,11 +276,11 @@
     placement: &upstream::Placement,
     position: &Position,
     new_only: bool,
-    to_send: backends::Sending<'_>,
+    outgoing: backends::Outgoing<'_>,
 ) -> Result<backends::Connection, backends::Error> {
     match position.stopped_run {
-        Some(_) => backends.connect_around_link(placement, to_send.repeatable).await,
-        None => backends.connect(placement, new_only, to_send).await,
+        Some(_) => backends.connect_around_link(placement, outgoing.repeatable).await,
+        None => backends.connect(placement, new_only, outgoing).await,
     }
 }
 
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -85,7 +85,7 @@
 
 /// A request that is to be sent.
 #[derive(Clone, Copy, Debug)]
-pub struct Sending<'a> {
+pub struct Outgoing<'a> {
     /// Its id.
     pub id: &'a str,
     /// Whether it may be repeated at another server.
@@ -202,16 +202,16 @@
 }
 
 /// What is logged when a connection fails.
-struct Watched {
+struct ConnectionLog {
     vm: String,
     established: Instant,
     handle: Rc<socket::ConnectionHandle>,
     history: Rc<RefCell<history::History>>,
 }
 
-impl Watched {
+impl ConnectionLog {
     /// Logs an answer that arrived while no request was under way, if that is why the connection failed.
-    fn log_failure(&self, error: &hyper::Error) {
+    fn record_failure(&self, error: &hyper::Error) {
         let surplus = self.handle.take_surplus();
         let Some(answer) = answers::decode_surplus(&surplus) else {
             log::debug!("event=server_connection_failed vm={} cause={error}", self.vm);
@@ -332,9 +332,9 @@
         &self,
         placement: &upstream::Placement,
         new_only: bool,
-        request: Sending<'_>,
+        request: Outgoing<'_>,
     ) -> Result<Connection, Error> {
-        let Sending { id, repeatable } = request;
+        let Outgoing { id, repeatable } = request;
         let address = &placement.address;
         let upstream = Upstream { address: address.clone(), incarnation: placement.incarnation };
         while let Some(mut connection) =
@@ -401,7 +401,7 @@
         });
         let (sender, driver) = http1::handshake::<_, RequestBody>(socket).await?;
         let history = Rc::<RefCell<history::History>>::default();
-        let watched = Watched {
+        let connection_log = ConnectionLog {
             vm: placement.vm.clone(),
             established,
             handle: handle.clone(),
@@ -409,7 +409,7 @@
         };
         let driver = task::spawn_local(async move {
             if let Err(error) = driver.await {
-                watched.log_failure(&error);
+                connection_log.record_failure(&error);
             }
         });
         Ok(Connection {
--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -4,7 +4,7 @@
 
 use std::hash::{BuildHasher, RandomState};
 
-/// The most requests that one connection carries, so that few bytes are kept of each.
+/// The most requests that one connection carries, which bounds the memory for their ids (16 KB).
 const REQUESTS_MAX: usize = 1_000;
 
 thread_local! {
