Log what a router knew when it ended the search for an unknown stream

The log told source=only_version or a refusal, not on what either rested: whether the routers that were asked replied, how old the list and the record were, and how many routers counted as live. The hypotheses of the incident differ in just these. No behaviour changes.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -39,7 +39,7 @@
 mod watching;
 
 pub use counters::{CallOutcome, CallPurpose, Counters};
-pub use notices::{ConfigSource, LimitSource, Notice, QuarantineSource};
+pub use notices::{ConfigSource, LimitSource, Notice, QuarantineSource, UnknownOrigin};
 pub use quarantine::BrokenRun;
 pub use stream_origins::{OriginFound, OriginSearch, OriginSource};
 pub use types::*;
--- a/core/src/node/notices.rs
+++ b/core/src/node/notices.rs
@@ -123,6 +123,8 @@
         /// Why it cannot be read.
         fault: String,
     },
+    /// No router has the origin of a stream that a client continues.
+    StreamOriginUnknown(UnknownOrigin),
     /// This router's grants were written off by another router.
     Fenced,
     /// A value in the store is unusable.
@@ -297,3 +299,22 @@
         tokens: u64,
     },
 }
+
+/// What this router knew when it ended the search for the origin of an unknown stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownOrigin {
+    /// Whether the stream goes on, as one version only can have written it.
+    pub continued: bool,
+    /// The number of origins that the stream can have, as far as this router knows.
+    pub candidates: usize,
+    /// The number of routers that were asked.
+    pub asked: usize,
+    /// The number of those that did not reply.
+    pub unanswered: usize,
+    /// The number of routers that are live according to this one, including itself.
+    pub live_routers: u64,
+    /// The age of the list of servers, in milliseconds; `None` if it was never confirmed.
+    pub list_age_ms: Option<u64>,
+    /// Time since the store last answered a read of the record of versions, in milliseconds; `None` if it never did.
+    pub record_age_ms: Option<u64>,
+}
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -5,7 +5,7 @@
 //! those that may have been named, so that the origin is found after the router that placed the stream has ended.
 //! Nothing is sent while a service has one version.
 
-use super::{Action, Lifecycle, Node, Reason, admit, watching};
+use super::{Action, Lifecycle, Node, Notice, Reason, UnknownOrigin, admit, watching};
 use crate::{ids, members, message, rendezvous, streams};
 use std::collections;
 
@@ -423,16 +423,30 @@
         let alone = !running.complete && !running.unanswered.is_empty();
         let complete = running.complete || self.knows_recent_versions(now_ms);
         let expired = running.is_expired(now_ms);
+        let mut unknown = UnknownOrigin {
+            continued: false,
+            candidates: candidates.len(),
+            asked: running.asked.len(),
+            unanswered: running.unanswered.len(),
+            live_routers: self.members.live_count(),
+            list_age_ms,
+            record_age_ms: self.version_record.age_ms(now_ms),
+        };
         match (candidates.pop_first(), candidates.is_empty()) {
             (None, _) => self.refuse_continuation(slot, Reason::NoServer),
             (Some(_), true) if !complete && !expired && !self.version_record.is_read() => {
                 self.request_version_record(now_ms);
             }
             (Some(origin), true) if complete && (!alone || list_is_recent) => {
+                unknown.continued = true;
+                self.actions.push(Action::Notice(Notice::StreamOriginUnknown(unknown)));
                 self.accept_origin(slot, origin, OriginSource::OnlyVersion);
             }
             (Some(_), _) if !expired && !knows_routers => {}
-            (Some(_), _) => self.refuse_continuation(slot, Reason::StreamOriginUnknown),
+            (Some(_), _) => {
+                self.actions.push(Action::Notice(Notice::StreamOriginUnknown(unknown)));
+                self.refuse_continuation(slot, Reason::StreamOriginUnknown);
+            }
         }
     }
 
--- a/core/src/node/version_record.rs
+++ b/core/src/node/version_record.rs
@@ -103,6 +103,11 @@
         self.read_ms.is_some()
     }
 
+    /// Time since the store last answered a read of the record, in milliseconds; `None` if it never did.
+    pub(super) fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.read_ms.map(|read_ms| now_ms.saturating_sub(read_ms))
+    }
+
     pub(super) fn peer_lacks_record(&self) -> bool {
         self.peer_lacks_record
     }
--- a/src/telemetry/notices.rs
+++ b/src/telemetry/notices.rs
@@ -18,6 +18,22 @@
     );
 }
 
+/// Logs how the search for an unknown stream ended, with what the router knew.
+fn log_unknown_origin(unknown: &node::UnknownOrigin) {
+    let age = |age_ms: Option<u64>| age_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
+    log::info!(
+        "event=stream_origin_unknown continued={} candidates={} asked={} unanswered={} live_routers={} \
+         list_age_ms={} record_age_ms={}",
+        unknown.continued,
+        unknown.candidates,
+        unknown.asked,
+        unknown.unanswered,
+        unknown.live_routers,
+        age(unknown.list_age_ms),
+        age(unknown.record_age_ms),
+    );
+}
+
 /// Logs a notice of the core.
 pub fn log_notice(notice: &node::Notice) {
     match notice {
@@ -148,6 +164,7 @@
         node::Notice::RecordUnreadable { key, fault } => {
             log::error!("event=record_unreadable key={key} fault={}", logging::quoted(fault));
         }
+        node::Notice::StreamOriginUnknown(unknown) => log_unknown_origin(unknown),
         node::Notice::Fenced => log::error!("event=fenced cause=written_off_by_another_router"),
         node::Notice::UnusableValue(fault) => {
             log::error!("event=ledger_unusable fault={}", logging::quoted(fault));
