--- /dev/null
+++ b/core/tests/streams_taken_up_out_of_touch.rs
@@ -0,0 +1,209 @@
+//! Guards against streams that go on at another version because the router at which a client takes them up was cut off
+//! from the store and from other routers when that version joined, and concluded from what it knew before.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod watch_fleet;
+
+use doorswitch_core::{ids, node, servers, streams};
+use watch_fleet::traffic::Traffic;
+
+const STREAMS: u8 = 40;
+const SLOTS: u64 = 64;
+const KEPT_MS: u64 = 60_000;
+/// How long routers of a new fleet run before the cut, and those of one that has seen all versions itself.
+const NEW_FLEET_MS: u64 = 6_000;
+const OLD_FLEET_MS: u64 = streams::KEPT_MAX_MS + 6_000;
+/// The least share of the streams that go on at routers that were not cut off, in percent.
+const CONTINUED_PERCENT_MIN: usize = 95;
+/// The time within which a search ends.
+const SEARCH_MAX_MS: u64 = 450;
+
+/// The routers that are cut off, and from what.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    routers: usize,
+    /// The number of routers that are cut off together.
+    together: usize,
+    /// Whether they are cut off from the store, and from the other routers.
+    store: bool,
+    others: bool,
+    /// Whether the cut ends just before clients take their streams up.
+    healed: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Counts {
+    continued: usize,
+    refused: usize,
+    mixed: usize,
+}
+
+struct World {
+    traffic: Traffic,
+    /// The version at which each stream began.
+    begun: Vec<(ids::StreamId, String)>,
+}
+
+fn put(traffic: &mut Traffic, name: &str, version: &str) {
+    traffic.fleet.server_versions.insert(name.to_owned(), version.to_owned());
+    traffic.fleet.put_server_with_slots(name, servers::VmState::Live, SLOTS);
+}
+
+/// A fleet that has run for a while in front of servers of one version.
+fn fleet(routers: usize, age_ms: u64, seed: u64) -> World {
+    let mut traffic = Traffic::new(routers, seed, 7);
+    traffic.fleet.loss_percent = 0;
+    (0..2).for_each(|index| put(&mut traffic, &format!("old-{index}"), "v1"));
+    traffic.fleet.run_ms(age_ms);
+    World { traffic, begun: Vec::new() }
+}
+
+impl World {
+    fn set_cut(&mut self, cut: &Cut, active: bool) {
+        for router in 0..cut.together {
+            if cut.store {
+                self.traffic.fleet.set_cut(router, active);
+            }
+            if cut.others {
+                self.traffic.set_partition(router, u64::from(active));
+            }
+        }
+    }
+
+    /// Begins streams at the routers that are not cut off.
+    fn begin(&mut self, cut: &Cut) {
+        for number in 0..STREAMS {
+            let router = cut.together + usize::from(number) % (cut.routers - cut.together);
+            let stream = ids::StreamId([number; 16]);
+            let mut request = self.traffic.next_request();
+            request.parts = Vec::new();
+            request.stream =
+                Some(node::StreamRequest { id: stream, version: None, kept_ms: KEPT_MS });
+            let fleet = &mut self.traffic.fleet;
+            let slot = fleet.routers[router].node.admit(request, fleet.now_ms);
+            fleet.perform_actions(router);
+            let dispatched = fleet.answers.iter().rev().find_map(|(_, _, other, answer)| {
+                let node::Answer::Dispatch { vm, .. } = answer else { return None };
+                (*other == slot).then_some(vm.clone())
+            });
+            let version = dispatched.map(|vm| fleet.server_versions[&vm].clone());
+            self.begun.extend(version.map(|version| (stream, version)));
+        }
+        assert!(self.begun.len() * 2 > usize::from(STREAMS), "{} streams began", self.begun.len());
+    }
+
+    /// Takes all streams up at routers, one after the other.
+    fn take_up(&mut self, routers: std::ops::Range<usize>) -> Counts {
+        let mut counts = Counts::default();
+        let fleet = &mut self.traffic.fleet;
+        let mut waiting = Vec::new();
+        for (number, (stream, version)) in self.begun.iter().enumerate() {
+            let router = routers.start + number % routers.len();
+            let services = vec!["service".to_owned()];
+            let search = node::OriginSearch { stream: Some(*stream), services };
+            let slot = fleet.routers[router].node.find_stream_origin(search, fleet.now_ms);
+            fleet.perform_actions(router);
+            waiting.push((router, slot, version));
+        }
+        fleet.run_ms(SEARCH_MAX_MS);
+        for (router, slot, version) in waiting {
+            let found = fleet
+                .origins_found
+                .iter()
+                .find(|(at, _, other, _)| (*at, *other) == (router, slot));
+            let (_, _, _, found) = found.expect("the search has ended");
+            match found {
+                node::OriginFound::Origin { origin, .. } if origin.version == *version => {
+                    counts.continued += 1
+                }
+                node::OriginFound::Origin { .. } => counts.mixed += 1,
+                node::OriginFound::Refused { .. } => counts.refused += 1,
+            }
+        }
+        counts
+    }
+}
+
+/// Servers of a second version join while routers are cut off, and streams begin at the others. Clients take them up at
+/// the routers that were cut off, and then at the others.
+fn play(cut: Cut, cut_ms: u64, old_leave: bool, age_ms: u64, seed: u64) -> (Counts, Counts) {
+    let mut world = fleet(cut.routers, age_ms, seed);
+    world.set_cut(&cut, true);
+    let cut_from_ms = world.traffic.fleet.now_ms;
+    (0..2).for_each(|index| put(&mut world.traffic, &format!("new-{index}"), "v2"));
+    let in_touch = cut.together..cut.routers;
+    world.traffic.fleet.run_until("routers in touch list the new version", 3_000, |fleet| {
+        in_touch.clone().all(|router| {
+            fleet.routers[router].node.servers().iter().any(|(_, server)| server.vm.version == "v2")
+        })
+    });
+    world.traffic.fleet.run_ms(100);
+    world.begin(&cut);
+    if old_leave {
+        (0..2).for_each(|index| world.traffic.fleet.remove_server(&format!("old-{index}")));
+    }
+    let passed_ms = world.traffic.fleet.now_ms - cut_from_ms;
+    world.traffic.fleet.run_ms(cut_ms.saturating_sub(passed_ms));
+    if cut.healed {
+        world.set_cut(&cut, false);
+    }
+    let out_of_touch = world.take_up(0..cut.together);
+    let in_touch = world.take_up(cut.together..cut.routers);
+    (out_of_touch, in_touch)
+}
+
+fn check(cut: Cut) {
+    let mut failed = Vec::new();
+    let mut seed = 0;
+    for age_ms in [NEW_FLEET_MS, OLD_FLEET_MS] {
+        for cut_ms in [300, 1_000, 2_000, 4_500, 9_000] {
+            for old_leave in [false, true] {
+                seed += 1;
+                let (out_of_touch, in_touch) = play(cut, cut_ms, old_leave, age_ms, seed);
+                let all = in_touch.continued + in_touch.refused + in_touch.mixed;
+                let is_whole = in_touch.continued * 100 >= all * CONTINUED_PERCENT_MIN;
+                if out_of_touch.mixed + in_touch.mixed > 0 || !is_whole {
+                    failed.push(format!(
+                        "{cut_ms} ms, old servers leave: {old_leave}, fleet of {age_ms} ms: \
+                         {out_of_touch:?}, in touch {in_touch:?}"
+                    ));
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{cut:?}:\n{}", failed.join("\n"));
+}
+
+macro_rules! streams_taken_up_at_a_router_hold_one_version {
+    ($($name:ident: $routers:expr, $together:expr, $store:expr, $others:expr, $healed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check(Cut {
+                routers: $routers,
+                together: $together,
+                store: $store,
+                others: $others,
+                healed: $healed,
+            });
+        }
+    )*};
+}
+
+streams_taken_up_at_a_router_hold_one_version! {
+    one_of_two_cut_off_from_all: 2, 1, true, true, false;
+    one_of_three_cut_off_from_all: 3, 1, true, true, false;
+    two_of_three_cut_off_from_all: 3, 2, true, true, false;
+    two_of_five_cut_off_from_all: 5, 2, true, true, false;
+    one_of_seven_cut_off_from_all: 7, 1, true, true, false;
+    half_of_seven_cut_off_from_all: 7, 3, true, true, false;
+    all_but_one_of_seven_cut_off_from_all: 7, 6, true, true, false;
+    two_of_thirty_cut_off_from_all: 30, 2, true, true, false;
+    one_of_three_cut_off_from_the_store: 3, 1, true, false, false;
+    one_of_three_cut_off_from_others: 3, 1, false, true, false;
+    two_of_five_cut_off_from_others: 5, 2, false, true, false;
+    one_of_three_whose_cut_has_healed: 3, 1, true, true, true;
+    two_of_three_whose_cut_has_healed: 3, 2, true, true, true;
+    two_of_five_whose_cut_has_healed: 5, 2, true, true, true;
+    two_of_thirty_whose_cut_has_healed: 30, 2, true, true, true;
+}
