Continue an unknown stream only after a read of the record of versions

Callers saw streams that hold events of two versions: begun at routers in touch after a version joined, broken, and taken up at a router that was cut off from the store and others, or had just been healed.

Cause: the router concluded from its own copies. A list up to 3 s old counted as now, a record that was complete once as complete for ever, a fleet whose other members are held for dead as a fleet of one, and another router's word as proof though it may be cut off too. Class: what was true when last heard is believed as true now.

Change: a version is in the record before a stream begins at it. Reads are shared; peers read for a router that does not reach the store. As nobody can read during an outage for all, routers then send origins to others as if services had several versions, and searches ask more routers.

Ruled out: a lease (new versions idle, rests on clocks), a majority (nobody knows the size of the fleet).

--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -270,6 +270,18 @@
         /// The seats of the requester.
         dealt: servers::SeatsDealt,
     },
+    /// Asks the receiver to read the store's record of versions for the sender, which does not reach the store.
+    VersionRecordRequest {
+        /// The requester's number for the request; a retransmission has the same number.
+        number: u64,
+    },
+    /// The reply to a [`Message::VersionRecordRequest`].
+    VersionRecordReply {
+        /// The number of the request.
+        number: u64,
+        /// What a read that began after the request arrived has shown; `None` if there was none.
+        copy: Option<version_record::Copy>,
+    },
 }
 
 impl Message {
@@ -292,6 +304,8 @@
                 | Self::StreamOriginsStored { .. }
                 | Self::StreamOriginRequest { .. }
                 | Self::StreamOriginReply { .. }
+                | Self::VersionRecordRequest { .. }
+                | Self::VersionRecordReply { .. }
         )
     }
 }
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -27,6 +27,7 @@
 mod process_pauses;
 mod quarantine;
 mod queue;
+mod record_reads;
 mod relay;
 mod retries;
 mod seats;
@@ -178,6 +179,7 @@
     early_statements: Vec<early_statements::EarlyStatements>,
     stream_origins: stream_origins::StreamOrigins,
     version_record: version_record::VersionRecord,
+    record_reads: record_reads::RecordReads,
     /// The subscriptions to the store's topics; `None` where the shell follows the store.
     watching: Option<watching::Watching>,
     relay: relay::Relay,
@@ -250,6 +252,7 @@
             early_statements: Default::default(),
             stream_origins: Default::default(),
             version_record: Default::default(),
+            record_reads: Default::default(),
             watching,
             relay: relay::Relay::default(),
             started_ms: now_ms,
@@ -338,6 +341,7 @@
         self.tick_directives(now_ms);
         self.tick_limits(now_ms);
         self.tick_seats(now_ms);
+        self.tick_record_reads(now_ms);
         self.tick_stream_origins(now_ms);
         self.tick_version_record(now_ms);
         self.tick_waiting_servers(now_ms);
--- a/core/src/node/peers.rs
+++ b/core/src/node/peers.rs
@@ -98,6 +98,12 @@
             message::Message::StreamOriginReply { number, reply } => {
                 self.handle_origin_reply(from, number, reply, now_ms);
             }
+            message::Message::VersionRecordRequest { number } => {
+                self.handle_record_request(from, number, now_ms);
+            }
+            message::Message::VersionRecordReply { number, copy } => {
+                self.handle_record_reply_of_peer(from, number, copy, now_ms);
+            }
             message::Message::StaleHolder { shard } => {
                 if let Some(ledger) = self.ledgers.get_mut(shard as usize) {
                     ledger.request_sync();
--- a/core/src/node/platform.rs
+++ b/core/src/node/platform.rs
@@ -15,6 +15,8 @@
     EraRecord,
     /// The record of the software versions at which streams may begin.
     VersionRecord,
+    /// The same, for streams of unknown origin.
+    RecordRead,
 }
 
 /// A call to the store that has no reply yet.
@@ -32,8 +34,8 @@
             (Purpose::Ledger(_) | Purpose::EraRecord, true) => CallPurpose::LedgerWrite,
             (Purpose::Log(_), false) => CallPurpose::LogRead,
             (Purpose::Log(_), true) => CallPurpose::LogWrite,
-            (Purpose::VersionRecord, false) => CallPurpose::VersionsRead,
-            (Purpose::VersionRecord, true) => CallPurpose::VersionsWrite,
+            (Purpose::VersionRecord | Purpose::RecordRead, false) => CallPurpose::VersionsRead,
+            (Purpose::VersionRecord | Purpose::RecordRead, true) => CallPurpose::VersionsWrite,
             (Purpose::Quarantine, false) => CallPurpose::QuarantineRead,
             (Purpose::Quarantine, true) => CallPurpose::QuarantineWrite,
         }
@@ -62,6 +64,7 @@
             Purpose::Quarantine => self.handle_record_reply(reply, now_ms),
             Purpose::EraRecord => self.handle_era_record_reply(reply, now_ms),
             Purpose::VersionRecord => self.handle_version_record_reply(reply, now_ms),
+            Purpose::RecordRead => self.handle_record_read_reply(call, reply, now_ms),
         }
         self.tick_platform(now_ms);
     }
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -5,7 +5,9 @@
 //! those that may have been named, so that the origin is found after the router that placed the stream has ended.
 //! Nothing is sent while a service has one version.
 
-use super::{Action, Lifecycle, Node, Notice, Reason, UnknownOrigin, admit, watching};
+use super::{
+    Action, Lifecycle, Node, Notice, Reason, UnknownOrigin, admit, record_reads, watching,
+};
 use crate::{ids, members, message, rendezvous, streams};
 use std::collections;
 
@@ -16,6 +18,10 @@
 /// Number of routers that are asked for an origin. More than [`COPIES`], as views of the membership differ and copies
 /// are kept in different failure domains.
 const ROUTERS_ASKED_MAX: usize = 8;
+/// Number of routers that are asked for an origin while the store does not answer.
+const ROUTERS_ASKED_WITHOUT_STORE_MAX: usize = 128;
+/// Time after which a read of the record of versions makes a search ask more routers.
+const SLOW_READ_MS: u64 = 80;
 /// Time after which a router that has not replied is not waited for.
 const SEARCH_TIMEOUT_MS: u64 = 200;
 /// Time for which a search waits until this router is ready.
@@ -34,8 +40,8 @@
 const CANDIDATES_MAX: usize = 2;
 /// Interval between checks whether the routers that keep copies are still live.
 const COPIES_CHECK_INTERVAL_MS: u64 = 500;
-/// Age of the list of servers up to which a router without any reply from others relies on it alone.
-const LIST_AGE_MAX_MS: u64 = 3_000;
+/// Time after which a search that waits for a read of the record of versions is refused.
+const RECORD_TIMEOUT_MS: u64 = record_reads::READ_TIMEOUT_MS;
 
 /// A search for the origin of a stream that a client continues.
 #[derive(Clone, Debug)]
@@ -112,6 +118,11 @@
     copy: Option<(streams::Placement, OriginSource)>,
     /// Whether a router that replied has seen all versions at which the stream can have begun.
     complete: bool,
+    /// The last read of the record of versions that had begun when the client took the stream up. Only a later one shows
+    /// each version that can have written the stream.
+    last_read: record_reads::ReadNumber,
+    /// When this search first needed a later one.
+    read_wanted_ms: Option<u64>,
     started_ms: u64,
     /// When this router, which was ready then, looked for the origin; `None` before that.
     begun_ms: Option<u64>,
@@ -135,7 +146,7 @@
     searches: slotmap::SlotMap<ids::OriginSearchSlot, RunningSearch>,
     /// The number of the last message that is repeated until it is answered.
     last_number: u64,
-    /// The services with several recent versions.
+    /// The services with several recent versions, and all others while the store may be out of reach.
     mixed_services: collections::BTreeSet<String>,
 }
 
@@ -155,7 +166,7 @@
         self.unsent.is_empty() && self.lacking.is_empty() && self.unacknowledged.is_empty()
     }
 
-    fn next_number(&mut self) -> u64 {
+    pub(super) fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
     }
@@ -169,6 +180,7 @@
         now_ms: u64,
     ) -> ids::OriginSearchSlot {
         let number = self.stream_origins.next_number();
+        let last_read = self.record_reads.last_begun();
         let slot = self.stream_origins.searches.insert(RunningSearch {
             search,
             number,
@@ -177,6 +189,8 @@
             candidates: Default::default(),
             copy: None,
             complete: false,
+            last_read,
+            read_wanted_ms: None,
             started_ms: now_ms,
             begun_ms: None,
             sent_ms: now_ms,
@@ -205,7 +219,7 @@
         {
             return;
         }
-        self.ask_new_routers(slot);
+        self.ask_new_routers(slot, now_ms);
         if self.stream_origins.searches[slot].unanswered.is_empty() {
             self.conclude_search(slot, now_ms);
         }
@@ -213,12 +227,22 @@
 
     /// Asks the routers that may have a copy and were not asked yet: a router that has just started learns of the others
     /// while it searches.
-    fn ask_new_routers(&mut self, slot: ids::OriginSearchSlot) {
+    fn ask_new_routers(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let Some(running) = self.stream_origins.searches.get(slot) else { return };
         // Without the stream's id nobody can know its origin.
         let Some(stream) = running.search.stream else { return };
-        let new: Vec<ids::Incarnation> =
-            self.routers_to_ask(stream).filter(|router| !running.asked.contains(router)).collect();
+        let limit = match self.store_may_be_out_of_reach(now_ms)
+            || running.read_wanted_ms.is_some_and(|at_ms| now_ms >= at_ms + SLOW_READ_MS)
+        {
+            // The stream can have begun at routers that have sent no copies yet.
+            true => ROUTERS_ASKED_WITHOUT_STORE_MAX,
+            false => ROUTERS_ASKED_MAX,
+        };
+        let new: Vec<ids::Incarnation> = self
+            .routers_to_ask(stream)
+            .take(limit)
+            .filter(|router| !running.asked.contains(router))
+            .collect();
         self.send_origin_requests(slot, &new);
         if let Some(running) = self.stream_origins.searches.get_mut(slot) {
             running.asked.extend(&new);
@@ -401,8 +425,13 @@
         answered.into_iter().for_each(|slot| self.conclude_search(slot, now_ms));
     }
 
-    /// Ends a search for a stream whose origin no router knows: it can go on if only one version can have written it.
-    /// The search goes on while the store's record of versions is read.
+    /// Whether a search waits for a read of the record of versions.
+    pub(super) fn awaits_record_read(&self, number: record_reads::ReadNumber) -> bool {
+        self.stream_origins.searches.values().any(|search| search.last_read < number)
+    }
+
+    /// Ends a search for a stream whose origin no router knows. The stream can go on if only one version can have written
+    /// it, according to a read of the store's record that began after the client took the stream up.
     fn conclude_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let Some(running) = self.stream_origins.searches.get(slot) else { return };
         // A router that has just started may not know of all others that have copies.
@@ -418,10 +447,12 @@
         candidates.extend(self.possible_origins(&running.search.services, now_ms));
         let list_age_ms =
             self.watching.as_ref().and_then(|watching| watching.servers.age_ms(now_ms));
-        let list_is_recent = list_age_ms.is_none_or(|age_ms| age_ms <= LIST_AGE_MAX_MS);
-        // A router that no other one answers may have missed what these have seen.
-        let alone = !running.complete && !running.unanswered.is_empty();
         let complete = running.complete || self.knows_recent_versions(now_ms);
+        let is_read = self.record_reads.has_succeeded_after(running.last_read);
+        let last_read = running.last_read;
+        let awaits_read = !is_read
+            && !self.record_reads.has_failed_after(last_read)
+            && now_ms < running.started_ms + RECORD_TIMEOUT_MS;
         let expired = running.is_expired(now_ms);
         let mut unknown = UnknownOrigin {
             continued: false,
@@ -434,10 +465,8 @@
         };
         match (candidates.pop_first(), candidates.is_empty()) {
             (None, _) => self.refuse_continuation(slot, Reason::NoServer),
-            (Some(_), true) if !complete && !expired && !self.version_record.is_read() => {
-                self.request_version_record(now_ms);
-            }
-            (Some(origin), true) if complete && (!alone || list_is_recent) => {
+            (Some(_), true) if awaits_read => self.await_record_read(slot, now_ms),
+            (Some(origin), true) if complete && is_read => {
                 unknown.continued = true;
                 self.actions.push(Action::Notice(Notice::StreamOriginUnknown(unknown)));
                 self.accept_origin(slot, origin, OriginSource::OnlyVersion);
@@ -450,6 +479,30 @@
         }
     }
 
+    /// Reads the record while routers have not replied, if the search will need it unless they do.
+    fn read_record_early(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
+        let Some(running) = self.stream_origins.searches.get(slot) else { return };
+        let last_read = running.last_read;
+        let possible = self.possible_origins(&running.search.services, now_ms);
+        let candidates: collections::BTreeSet<streams::Origin> =
+            possible.chain(running.candidates.iter().cloned()).collect();
+        if running.copy.is_none()
+            && candidates.len() == 1
+            && !self.record_reads.has_succeeded_after(last_read)
+        {
+            self.await_record_read(slot, now_ms);
+        }
+    }
+
+    /// Has the record read for a search, and asks more routers for the origin if that takes long.
+    fn await_record_read(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
+        let Some(running) = self.stream_origins.searches.get_mut(slot) else { return };
+        running.read_wanted_ms.get_or_insert(now_ms);
+        let last_read = running.last_read;
+        self.read_record_after(last_read, now_ms);
+        self.ask_new_routers(slot, now_ms);
+    }
+
     fn accept_origin(
         &mut self,
         slot: ids::OriginSearchSlot,
@@ -494,7 +547,7 @@
             }
             return;
         }
-        if search.is_expired(now_ms) {
+        if search.is_expired(now_ms) || search.unanswered.is_empty() {
             self.conclude_search(slot, now_ms);
             return;
         }
@@ -502,9 +555,10 @@
             search.sent_ms = now_ms;
             let unanswered: Vec<ids::Incarnation> = search.unanswered.iter().copied().collect();
             self.send_origin_requests(slot, &unanswered);
+            self.read_record_early(slot, now_ms);
         }
         if now_ms < self.started_ms + watching::MEMBERSHIP_SETTLE_MS {
-            self.ask_new_routers(slot);
+            self.ask_new_routers(slot, now_ms);
         }
     }
 
@@ -518,14 +572,14 @@
         }
     }
 
-    /// The routers that may have a copy of a stream's origin, those ranked highest for it.
+    /// The live routers, those first that are ranked highest for a stream and so may have copies of its origin.
     fn routers_to_ask(&self, stream: ids::StreamId) -> impl Iterator<Item = ids::Incarnation> {
         let mut ranked: Vec<ids::Incarnation> =
             self.members.live().map(|record| record.id).collect();
         ranked.sort_by_key(|router| {
             std::cmp::Reverse(rendezvous::weight(stream.subject(), router.0))
         });
-        ranked.into_iter().take(ROUTERS_ASKED_MAX)
+        ranked.into_iter()
     }
 
     /// The routers that are to keep copies of a stream's origin, beside those that `kept` names: routers that acknowledge
@@ -556,11 +610,23 @@
         chosen
     }
 
-    /// Sends the origins of all streams of a service as soon as it has several versions.
+    /// Whether the store may be out of this router's reach, according to its polls and reads.
+    fn store_may_be_out_of_reach(&self, now_ms: u64) -> bool {
+        let watching = self.watching.as_ref();
+        self.record_reads.is_out_of_reach()
+            || watching.is_some_and(|watching| watching.may_be_out_of_reach(now_ms))
+    }
+
+    /// Sends the origins of all streams of a service as soon as it has several versions, or the store may be out of reach.
     pub(super) fn update_mixed_services(&mut self, now_ms: u64) {
+        let several = self.servers.services_of_several_versions(now_ms).map(str::to_owned);
+        let mut mixed: collections::BTreeSet<String> = several.collect();
+        if self.store_may_be_out_of_reach(now_ms) {
+            // Without a read of the record, other routers need the origin to continue a stream of any service.
+            let services = self.config.iter().flat_map(|config| &config.document.services);
+            mixed.extend(services.map(|service| service.name.clone()));
+        }
         let state = &mut self.stream_origins;
-        let services = self.servers.services_of_several_versions(now_ms);
-        let mixed: collections::BTreeSet<String> = services.map(str::to_owned).collect();
         if mixed == state.mixed_services {
             return;
         }
--- a/core/src/node/version_record.rs
+++ b/core/src/node/version_record.rs
@@ -5,7 +5,7 @@
 //! earlier era or of a fleet with routers that do not write it proves nothing: what a router has not seen itself is then
 //! unknown for as long as streams may be continued.
 
-use super::{Lifecycle, Node, Notice, platform, watching};
+use super::{Lifecycle, Node, Notice, platform, record_reads, watching};
 use crate::{ids, ledger, message, routes, store, streams, version_record};
 use rand::RngExt;
 use std::collections;
@@ -32,7 +32,7 @@
 /// A call to the store that this router has made for the record.
 #[derive(Debug)]
 enum Call {
-    Read,
+    Read(record_reads::ReadNumber),
     Write(version_record::Record),
     /// Looks for a trace of earlier routers, as there is no record.
     ReadTrace,
@@ -68,6 +68,8 @@
     turn_ms: Option<u64>,
     /// Whether this router has read or written a complete record in the era that it ran in.
     was_complete: bool,
+    /// Whether the record that was last read could be decoded.
+    is_readable: bool,
     /// Whether a later build writes the record, in a format that this one does not know.
     is_of_later_format: bool,
     /// The index of the unreadable record that was reported.
@@ -98,11 +100,6 @@
         self.checked_next_ms = 0;
     }
 
-    /// Whether the store has answered a read of the record.
-    pub(super) fn is_read(&self) -> bool {
-        self.read_ms.is_some()
-    }
-
     /// Time since the store last answered a read of the record, in milliseconds; `None` if it never did.
     pub(super) fn age_ms(&self, now_ms: u64) -> Option<u64> {
         self.read_ms.map(|read_ms| now_ms.saturating_sub(read_ms))
@@ -152,7 +149,7 @@
         let state = &self.version_record;
         let found_nothing =
             state.was_missing == Some(true) && state.traces_read == self.traces().len();
-        let first_of_store = found_nothing || (self.had_no_ledger() && state.is_read());
+        let first_of_store = found_nothing || (self.had_no_ledger() && state.read_ms.is_some());
         self.is_first_start || (first_of_store && !state.trace_found && self.store_era() == 0)
     }
 
@@ -175,11 +172,33 @@
         ledger.into_iter().chain([version_record::MARKER_KEY.to_owned()]).collect()
     }
 
-    /// Reads the record, which a search for the origin of a stream needs.
-    pub(super) fn request_version_record(&mut self, now_ms: u64) {
+    /// Applies the store's reply to a read of the record for streams of unknown origin. Returns whether it contained a record.
+    pub(super) fn apply_record_reply(
+        &mut self,
+        reply: store::Reply,
+        read: record_reads::ReadNumber,
+        now_ms: u64,
+    ) -> bool {
+        let store::Reply::Found { index, value } = reply else { return false };
+        if index >= self.version_record.index {
+            self.handle_version_record(index, &value, Some(read), now_ms);
+        }
+        self.version_record.is_readable
+    }
+
+    /// This router's copy of the record.
+    pub(super) fn version_record_copy(&self) -> Option<version_record::Copy> {
         let state = &self.version_record;
-        if state.read_ms.is_none() && state.call.is_none() && now_ms >= state.not_before_ms {
-            self.read_version_record(now_ms);
+        let record = state.stored.clone()?;
+        Some(version_record::Copy { position: state.index, record })
+    }
+
+    /// Applies a peer's copy of the record of this era, if it is later than this router's.
+    pub(super) fn adopt_version_record(&mut self, copy: version_record::Copy, now_ms: u64) {
+        if copy.position > self.version_record.index {
+            self.version_record.index = copy.position;
+            self.version_record.is_current = true;
+            self.apply_version_record(copy.record, now_ms);
         }
     }
 
@@ -293,7 +312,8 @@
 
     fn read_version_record(&mut self, now_ms: u64) {
         let key = version_record::KEY.to_owned();
-        self.call_store(Call::Read, store::Request::Read { key }, now_ms);
+        let read = self.record_reads.begin();
+        self.call_store(Call::Read(read), store::Request::Read { key }, now_ms);
     }
 
     fn write_version_record(&mut self, record: version_record::Record, now_ms: u64) {
@@ -350,16 +370,18 @@
             (store::Reply::Written { .. }, Call::Write(written)) => {
                 self.apply_version_record(written, now_ms);
             }
-            (store::Reply::Found { index, value }, Call::Read)
-            | (store::Reply::ConflictWith { index, value }, Call::Write(_))
+            (store::Reply::Found { index, value }, Call::Read(read)) if index >= state.index => {
+                self.handle_version_record(index, &value, Some(read), now_ms);
+            }
+            (store::Reply::ConflictWith { index, value }, Call::Write(_))
                 if index >= state.index =>
             {
-                self.handle_version_record(index, &value, now_ms);
+                self.handle_version_record(index, &value, None, now_ms);
             }
             (store::Reply::Undecodable { index }, _) if index >= state.index => {
-                self.handle_version_record(index, &[], now_ms);
+                self.handle_version_record(index, &[], None, now_ms);
             }
-            (store::Reply::Missing { era }, Call::Read) => {
+            (store::Reply::Missing { era }, Call::Read(_)) => {
                 state.index = store::Position::new(era, 0);
                 state.is_current = true;
                 state.read_ms = Some(now_ms);
@@ -399,7 +421,14 @@
         state.not_before_ms = state.not_before_ms.max(now_ms + wait_ms);
     }
 
-    fn handle_version_record(&mut self, index: store::Position, value: &[u8], now_ms: u64) {
+    /// Handles a record in the store, which `read` has shown.
+    fn handle_version_record(
+        &mut self,
+        index: store::Position,
+        value: &[u8],
+        read: Option<record_reads::ReadNumber>,
+        now_ms: u64,
+    ) {
         let state = &mut self.version_record;
         state.index = index;
         state.is_current = true;
@@ -407,10 +436,13 @@
         state.was_missing.get_or_insert(false);
         let record = match version_record::Record::decode(value) {
             Ok(record) => {
+                state.is_readable = true;
+                self.record_reads.record_success(read);
                 state.is_of_later_format = false;
                 record
             }
             Err(error) => {
+                state.is_readable = false;
                 state.is_of_later_format =
                     matches!(error, version_record::DecodeError::LaterFormat { .. });
                 if state.reported_index.replace(index) != Some(index) {
@@ -525,9 +557,7 @@
         }
         state.peer_lacks_record = position < state.index && state.stored.is_some();
         let is_later = position > state.index && position.era == self.store_era();
-        let Some(record) = extension.versions.as_ref().filter(|_| is_later) else { return };
-        self.version_record.index = position;
-        self.version_record.is_current = true;
-        self.apply_version_record(record.clone(), now_ms);
+        let Some(record) = extension.versions.clone().filter(|_| is_later) else { return };
+        self.adopt_version_record(version_record::Copy { position, record }, now_ms);
     }
 }
--- a/core/src/node/watching.rs
+++ b/core/src/node/watching.rs
@@ -71,6 +71,13 @@
             .map(|subscription| (subscription.topic(), subscription.age_ms(now_ms)))
     }
 
+    /// Whether the store may be out of this router's reach.
+    pub(super) fn may_be_out_of_reach(&self, now_ms: u64) -> bool {
+        [&self.configuration, &self.servers]
+            .iter()
+            .any(|subscription| subscription.may_be_out_of_reach(now_ms))
+    }
+
     fn has_all_copies(&self) -> bool {
         let start = store::Position::START;
         self.configuration.position() > start && self.servers.position() > start
--- a/core/src/version_record.rs
+++ b/core/src/version_record.rs
@@ -4,7 +4,7 @@
 //! may be continued. A router that starts after a loss of all routers therefore finds each version that can have written
 //! the events of a stream which its client continues.
 
-use crate::ids;
+use crate::{ids, store};
 use serde::{Deserialize, Serialize};
 use std::{collections, str};
 
@@ -50,6 +50,15 @@
     pub services: collections::BTreeMap<String, collections::BTreeMap<String, State>>,
 }
 
+/// A record with its position in the store's history.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// The position of the record.
+    pub position: store::Position,
+    /// The record.
+    pub record: Record,
+}
+
 /// Why a record cannot be used.
 #[derive(Debug, snafu::Snafu)]
 #[allow(missing_docs)]
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -218,6 +218,13 @@
         self.confirmed_ms.max(self.last_failed_ms)
     }
 
+    /// Whether the store may be out of this router's reach: a poll has failed since the copy was last confirmed, or the
+    /// copy is older than polls let it become.
+    pub fn may_be_out_of_reach(&self, now_ms: u64) -> bool {
+        let has_failed = self.last_failed_ms.is_some_and(|at_ms| self.confirmed_ms < Some(at_ms));
+        has_failed || self.age_ms(now_ms).is_none_or(|age_ms| age_ms > self.bound_ms)
+    }
+
     /// Returns the age from which the copy is stale, in milliseconds.
     pub fn stale_after_ms(&self) -> u64 {
         self.bound_ms * STALE_PERCENT / 100
--- a/core/tests/wire_format.rs
+++ b/core/tests/wire_format.rs
@@ -5,7 +5,7 @@
 
 use doorswitch_core::{
     config, evacuation, ids, leaving_servers, log_index, members, message, quarantine, servers,
-    store, streams, watch,
+    store, streams, version_record, watch,
 };
 use std::collections;
 
@@ -76,6 +76,12 @@
     streams::Origin { service: "a".to_owned(), version: "b".to_owned() }
 }
 
+fn record() -> version_record::Record {
+    let mut record = version_record::Record::new(2);
+    record.set("a", "b", version_record::State::Retiring);
+    record
+}
+
 fn limit() -> servers::LimitUpdate {
     servers::LimitUpdate {
         vm: "a".to_owned(),
@@ -295,6 +301,11 @@
         number: 1,
         reply: streams::Reply::Unknown { candidates: vec![origin()], complete: true },
     } => "0101021b0101010161016201";
+    version_record_request_keeps_its_bytes: message::Message::VersionRecordRequest { number: 1 } => "0101021e01";
+    version_record_reply_keeps_its_bytes: message::Message::VersionRecordReply {
+        number: 1,
+        copy: Some(version_record::Copy { position: store::Position::new(2, 3), record: record() }),
+    } => "0101021f0101020301020001016101016201";
     seat_request_keeps_its_bytes: message::Message::SeatRequest {
         brittle: brittle(),
         requested: servers::SeatsRequested {
