Send the origin of a stream to other routers with its first event

A stream held events of two versions: it was placed at a server that failed before it wrote anything, placed again at another version, and then taken up at a router that had a copy of the first placement and was cut off when the second one was sent.

Cause: copies were sent as a stream was placed, when its origin could still change, and a router with a copy took it for the last word after 50 ms.

Change: the origin is sent with the first event, after which it cannot change; a stream that is continued has a known version and is sent at once. A copy is then right however old it is.

The tests that place streams now also begin them.

--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -361,15 +361,17 @@
 
     /// Handles the first event of the answer to a dispatched request: the server has processed the prompt, and the rest
     /// of the answer must come from the same software version.
-    pub fn answer_started(&mut self, slot: ids::RequestSlot) {
+    pub fn answer_started(&mut self, slot: ids::RequestSlot, now_ms: u64) {
         let Some(request) = self.requests.get_mut(slot) else { return };
         let Stage::Running { server, sent_ms, .. } = &request.stage else { return };
         let tokens = std::mem::take(&mut request.unread_tokens);
         if request.version.is_none() {
             request.version = self.servers.get(*server).map(|server| server.vm.version.clone());
         }
-        self.servers.record_prompt_processed(*server, tokens);
-        self.servers.record_answer(*server, *sent_ms);
+        let (server, sent_ms) = (*server, *sent_ms);
+        self.servers.record_prompt_processed(server, tokens);
+        self.servers.record_answer(server, sent_ms);
+        self.record_stream_origin(slot, server, now_ms);
     }
 
     /// Stores the load that a server reported on an answer, if it is the current incarnation of the server.
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -250,7 +250,8 @@
         }
     }
 
-    /// Records the version at which a stream is placed, if its client may continue it.
+    /// Records the version at which a stream is placed, if its client may continue it. Other routers get it with the first
+    /// event: a copy that they have is then the last word, also if they are cut off.
     pub(super) fn record_stream_origin(
         &mut self,
         slot: ids::RequestSlot,
@@ -264,12 +265,12 @@
             service: server.vm.service.clone(),
             version: server.vm.version.clone(),
         };
-        let (stream, kept_ms) = (stream.id, stream.kept_ms);
+        let (stream, kept_ms, begun) = (stream.id, stream.kept_ms, request.version.is_some());
         let expires_ms = now_ms + kept_ms.min(streams::KEPT_MAX_MS);
-        let changed = self.stream_origins.table.record_own(stream, &origin, expires_ms);
-        if changed && self.stream_origins.mixed_services.contains(&origin.service) {
+        let changed = self.stream_origins.table.record_own(stream, &origin, expires_ms, begun);
+        if changed && begun && self.stream_origins.mixed_services.contains(&origin.service) {
             self.stream_origins.unsent.insert(stream);
-            // The first event may reach the client before the next tick.
+            // The first event reaches the client before the next tick.
             self.send_unsent_origins(now_ms);
         }
     }
--- a/core/src/streams.rs
+++ b/core/src/streams.rs
@@ -59,8 +59,9 @@
 /// From where a router has the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
-    /// It placed the stream at a server itself.
-    Own,
+    /// It placed the stream at a server itself; `begun` is whether the server wrote the first event. Before that, the
+    /// stream may be placed elsewhere.
+    Own { begun: bool },
     /// Another router sent it, in the message with this number.
     Router { router: ids::Incarnation, number: u64 },
     /// Several routers placed a stream with this id at different origins, of which none can be told from the others.
@@ -114,7 +115,7 @@
     pub fn placement(&self, stream: ids::StreamId, own: ids::Incarnation) -> Option<Placement> {
         let origin = self.origin(stream)?.clone();
         let (router, number) = match self.entries.get(&stream)?.source {
-            Source::Own => (own, None),
+            Source::Own { .. } => (own, None),
             Source::Router { router, number } => (router, Some(number)),
             Source::Conflicting => return None,
         };
@@ -126,27 +127,37 @@
         self.entries.get(&stream).map(|entry| entry.expires_ms)
     }
 
-    /// Iterates over all streams whose origin is kept.
+    /// Iterates over all streams that have begun and whose origin is kept.
     pub fn streams(&self) -> impl Iterator<Item = ids::StreamId> {
-        self.entries.keys().copied()
+        let begun =
+            self.entries.iter().filter(|(_, entry)| entry.source != Source::Own { begun: false });
+        begun.map(|(stream, _)| *stream)
     }
 
-    /// Iterates over the streams that this router placed itself, with their origins.
+    /// Iterates over the streams that have begun at this router, with their origins.
     pub fn own_streams(&self) -> impl Iterator<Item = (ids::StreamId, &Origin)> {
-        let own = self.entries.iter().filter(|(_, entry)| entry.source == Source::Own);
+        let own =
+            self.entries.iter().filter(|(_, entry)| entry.source == Source::Own { begun: true });
         own.filter_map(|(stream, entry)| Some((*stream, &self.origins.get(entry.origin)?.origin)))
     }
 
-    /// Records the origin of a stream that this router places at a server. Returns whether other routers may have
-    /// another origin of it, or none.
-    pub fn record_own(&mut self, stream: ids::StreamId, origin: &Origin, expires_ms: u64) -> bool {
+    /// Records the origin of a stream that this router places at a server, or that has begun there. Returns whether other
+    /// routers may have another origin of it, or none.
+    pub fn record_own(
+        &mut self,
+        stream: ids::StreamId,
+        origin: &Origin,
+        expires_ms: u64,
+        begun: bool,
+    ) -> bool {
         let known = self.entries.get(&stream).map(|entry| (entry.source, entry.expires_ms));
         let unchanged = self.origin(stream) == Some(origin)
-            && known
-                .is_some_and(|(source, known_ms)| source == Source::Own && known_ms >= expires_ms);
+            && known.is_some_and(|(source, known_ms)| {
+                source == Source::Own { begun } && known_ms >= expires_ms
+            });
         if !unchanged {
             let expires_ms = known.map_or(expires_ms, |(_, known_ms)| known_ms.max(expires_ms));
-            self.insert(stream, origin, expires_ms, Source::Own);
+            self.insert(stream, origin, expires_ms, Source::Own { begun });
         }
         !unchanged
     }
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -187,7 +187,7 @@
 #[test]
 fn an_origin_expires() {
     let mut table = streams::Table::default();
-    table.record_own(stream(1), &origin("v1"), 1_000);
+    table.record_own(stream(1), &origin("v1"), 1_000, true);
     table.expire(999);
     assert_eq!(table.origin(stream(1)), Some(&origin("v1")));
     table.expire(1_000);
@@ -201,7 +201,7 @@
     for number in 0..streams::STREAMS_MAX as u64 + 10 {
         let mut id = [0; 16];
         id[..8].copy_from_slice(&number.to_be_bytes());
-        table.record_own(ids::StreamId(id), &origin("v1"), 1_000 + number);
+        table.record_own(ids::StreamId(id), &origin("v1"), 1_000 + number, true);
     }
     assert_eq!(table.len(), streams::STREAMS_MAX);
     assert_eq!(table.origin(stream(0)), None, "the origin that expires first was kept");
@@ -271,14 +271,15 @@
     }
 }
 
-/// Places streams at a router, with these numbers.
+/// Begins streams at a router, with these numbers.
 fn place(traffic: &mut Traffic, router: usize, numbers: std::ops::Range<u8>) {
     for number in numbers {
         let mut request = traffic.next_request();
         request.stream =
             Some(node::StreamRequest { id: stream(number), version: None, kept_ms: KEPT_MS });
         let now_ms = traffic.fleet.now_ms;
-        traffic.fleet.routers[router].node.admit(request, now_ms);
+        let slot = traffic.fleet.routers[router].node.admit(request, now_ms);
+        traffic.fleet.routers[router].node.answer_started(slot, now_ms);
         traffic.fleet.perform_actions(router);
     }
 }
--- a/core/tests/stream_version_schedules.rs
+++ b/core/tests/stream_version_schedules.rs
@@ -667,7 +667,8 @@
         stream.versions.insert(self.servers[server].version);
         let whole = stream.events >= stream.events_max;
         if first {
-            self.traffic.fleet.routers[handle.0].node.answer_started(handle.2);
+            self.traffic.fleet.routers[handle.0].node.answer_started(handle.2, now_ms);
+            self.traffic.fleet.perform_actions(handle.0);
         }
         if whole {
             self.streams[index].stage = Stage::Ended;
--- a/core/tests/streams_taken_up_out_of_touch.rs
+++ b/core/tests/streams_taken_up_out_of_touch.rs
@@ -82,6 +82,7 @@
                 Some(node::StreamRequest { id: stream, version: None, kept_ms: KEPT_MS });
             let fleet = &mut self.traffic.fleet;
             let slot = fleet.routers[router].node.admit(request, fleet.now_ms);
+            fleet.routers[router].node.answer_started(slot, fleet.now_ms);
             fleet.perform_actions(router);
             let dispatched = fleet.answers.iter().rev().find_map(|(_, _, other, answer)| {
                 let node::Answer::Dispatch { vm, .. } = answer else { return None };
@@ -286,3 +287,39 @@
         assert_eq!(after.continued, world.begun.len(), "silent for {away_ms} ms: {after:?}");
     }
 }
+
+/// Guards against a stream that goes on at the version of its first placement: it was placed again before its first event,
+/// while the routers with copies of its origin were cut off.
+#[test]
+fn a_stream_that_was_placed_again_goes_on_at_its_last_version() {
+    const PLACING: usize = 3;
+    let cut = Cut { routers: 4, together: 3, store: true, others: true, healed: false };
+    let mut mixed = 0;
+    for number in 0..STREAMS {
+        let mut world = fleet(cut.routers, NEW_FLEET_MS, u64::from(number));
+        put(&mut world.traffic, "new-0", "v2");
+        world.traffic.fleet.remove_server("old-1");
+        world.traffic.fleet.run_ms(3_000);
+        let stream = ids::StreamId([number; 16]);
+        let mut request = world.traffic.next_request();
+        request.stream = Some(node::StreamRequest { id: stream, version: None, kept_ms: KEPT_MS });
+        let fleet = &mut world.traffic.fleet;
+        let slot = fleet.routers[PLACING].node.admit(request, fleet.now_ms);
+        fleet.perform_actions(PLACING);
+        fleet.run_ms(100);
+        world.set_cut(&cut, true);
+        let fleet = &mut world.traffic.fleet;
+        let node = &mut fleet.routers[PLACING].node;
+        node.retry(slot, node::AttemptFailure::MayHaveRun, fleet.now_ms);
+        node.answer_started(slot, fleet.now_ms);
+        fleet.perform_actions(PLACING);
+        let placed = fleet.answers.iter().rev().find_map(|(_, _, other, answer)| match answer {
+            node::Answer::Dispatch { version, .. } if *other == slot => Some(version.clone()),
+            _ => None,
+        });
+        world.begun = vec![(stream, placed.unwrap())];
+        fleet.run_ms(200);
+        mixed += world.take_up(0..cut.together).mixed;
+    }
+    assert_eq!(mixed, 0, "of {STREAMS} streams");
+}
--- a/src/control/handlers.rs
+++ b/src/control/handlers.rs
@@ -222,8 +222,10 @@
 impl Handler<messages::AnswerStarted> for Control {
     type Result = ();
 
-    fn handle(&mut self, started: messages::AnswerStarted, _: &mut Self::Context) {
-        self.node.answer_started(started.0);
+    fn handle(&mut self, started: messages::AnswerStarted, context: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        self.node.answer_started(started.0, now_ms);
+        self.perform_actions(context);
     }
 }
 
