Stop sending origins once the store is back

Routers went on sending the origin of each stream, in services of one version too, after an outage during which a client had taken up an unknown stream.

Cause: the failed read of the record counted until another one succeeded, and none begins without an unknown stream. Now it counts for 5 s; polls tell whether the outage lasts.

--- a/core/src/node/record_reads.rs
+++ b/core/src/node/record_reads.rs
@@ -17,6 +17,8 @@
 const PEER_DELAY_MS: u64 = 80;
 /// Time after which a request to a peer that has not replied is repeated.
 const REQUEST_REPEAT_MS: u64 = 60;
+/// Time for which the store may be out of reach after a read has failed. Polls tell if it lasts.
+const FAILURE_REMEMBERED_MS: u64 = 5_000;
 /// Number of peers that are asked.
 const PEERS_ASKED_MAX: usize = 3;
 
@@ -66,6 +68,7 @@
     last_begun_ms: Option<u64>,
     last_succeeded: ReadNumber,
     last_failed: ReadNumber,
+    last_failed_ms: u64,
     reads: collections::BTreeMap<ReadNumber, Read>,
     waiting_peers: Vec<WaitingPeer>,
 }
@@ -97,9 +100,10 @@
         self.last_failed > read
     }
 
-    /// Whether the last read that ended did not reach the store.
-    pub(super) fn is_out_of_reach(&self) -> bool {
+    /// Whether the store may be out of reach, as the last read that ended has just failed.
+    pub(super) fn may_be_out_of_reach(&self, now_ms: u64) -> bool {
         self.last_failed > self.last_succeeded
+            && now_ms < self.last_failed_ms + FAILURE_REMEMBERED_MS
     }
 
     fn is_covered(&self, after: ReadNumber) -> bool {
@@ -225,6 +229,7 @@
         }
         state.reads.remove(&number);
         state.last_failed = state.last_failed.max(number);
+        state.last_failed_ms = now_ms;
         self.refuse_waiting_peers(number);
         self.conclude_answered_searches(now_ms);
     }
@@ -245,7 +250,7 @@
 
     /// Asks peers for a read that searches of this router wait for, if its own call has failed or takes long.
     fn ask_peers_to_read(&mut self, number: ReadNumber, now_ms: u64) {
-        let out_of_reach = self.record_reads.is_out_of_reach();
+        let out_of_reach = self.record_reads.may_be_out_of_reach(now_ms);
         let Some(read) = self.record_reads.reads.get(&number) else { return };
         let is_slow = now_ms >= read.begun_ms + PEER_DELAY_MS;
         let is_due = out_of_reach || read.own_call == OwnCall::Failed || is_slow;
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -614,7 +614,7 @@
     /// Whether the store may be out of this router's reach, according to its polls and reads.
     fn store_may_be_out_of_reach(&self, now_ms: u64) -> bool {
         let watching = self.watching.as_ref();
-        self.record_reads.is_out_of_reach()
+        self.record_reads.may_be_out_of_reach(now_ms)
             || watching.is_some_and(|watching| watching.may_be_out_of_reach(now_ms))
     }
 
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -184,6 +184,21 @@
     assert_eq!(traffic.fleet.origin_messages, (0, 0));
 }
 
+/// Guards against origins that are sent for good after a read of the record has failed once.
+#[test]
+fn nothing_is_sent_about_streams_of_a_single_version_once_the_store_is_back() {
+    let mut traffic = fleet(3, &[("vm-1", "v1")], 60);
+    traffic.fleet.set_store(watch_fleet::StoreMode::Rejecting);
+    traffic.fleet.run_ms(1_000);
+    search(&mut traffic, 0, 99);
+    traffic.fleet.set_store(watch_fleet::StoreMode::Available);
+    traffic.fleet.run_ms(10_000);
+    let sent = traffic.fleet.origin_messages;
+    place(&mut traffic, 0, 0..8);
+    traffic.fleet.run_ms(2_000);
+    assert_eq!(traffic.fleet.origin_messages, sent);
+}
+
 #[test]
 fn an_origin_expires() {
     let mut table = streams::Table::default();
