Take no record for complete for two minutes after a restore of the store

Streams held events of two versions: a version joined while a router was cut off, a restore of the store lost it from the record, the routers that had begun streams at it were killed, and the router that was left wrote the record anew, called it complete and continued the streams at the only version that it knew.

Cause: a router that had read a complete record once, or had run for 120 s, answered for the era after a restore as well, of which it had seen nothing. Change: both count anew from the era's beginning; until the record is complete, origins are sent to other routers in services of one version too.

Cost: for 120 s after a restore a stream that nobody knows is refused.

--- a/core/src/node/eras.rs
+++ b/core/src/node/eras.rs
@@ -339,6 +339,11 @@
         now_ms >= self.eras.restored_ms.unwrap_or(self.started_ms) + LEDGER_RECOVERY_MS
     }
 
+    /// When this router learned of the store's present era; 0 before the first.
+    pub(super) fn era_since_ms(&self) -> u64 {
+        self.eras.current_since_ms
+    }
+
     /// Whether the store was restored while this router ran.
     pub(super) fn detected_restore(&self) -> bool {
         self.eras.restored_ms.is_some()
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -622,8 +622,8 @@
     pub(super) fn update_mixed_services(&mut self, now_ms: u64) {
         let several = self.servers.services_of_several_versions(now_ms).map(str::to_owned);
         let mut mixed: collections::BTreeSet<String> = several.collect();
-        if self.store_may_be_out_of_reach(now_ms) {
-            // Without a read of the record, other routers need the origin to continue a stream of any service.
+        if self.store_may_be_out_of_reach(now_ms) || !self.knows_recent_versions(now_ms) {
+            // Where the record proves nothing, other routers need the origin to continue a stream of any service.
             let services = self.config.iter().flat_map(|config| &config.document.services);
             mixed.extend(services.map(|service| service.name.clone()));
         }
--- a/core/src/node/version_record.rs
+++ b/core/src/node/version_record.rs
@@ -66,7 +66,7 @@
     not_before_ms: u64,
     /// When this router writes a change that another one should have written.
     turn_ms: Option<u64>,
-    /// Whether this router has read or written a complete record in the era that it ran in.
+    /// Whether this router has read or written a complete record in the store's present era.
     was_complete: bool,
     /// Whether the record that was last read could be decoded.
     is_readable: bool,
@@ -139,7 +139,9 @@
     }
 
     fn has_seen_all_versions(&self, now_ms: u64) -> bool {
-        self.is_among_first_routers() || now_ms >= self.started_ms + streams::KEPT_MAX_MS
+        // A restore may have lost versions at which streams began that other routers saw.
+        let since_ms = self.started_ms.max(self.era_since_ms());
+        self.is_among_first_routers() || now_ms >= since_ms + streams::KEPT_MAX_MS
     }
 
     /// Whether no router ran before this one and those that started with it, except such as have written the record since.
@@ -150,7 +152,8 @@
         let found_nothing =
             state.was_missing == Some(true) && state.traces_read == self.traces().len();
         let first_of_store = found_nothing || (self.had_no_ledger() && state.read_ms.is_some());
-        self.is_first_start || (first_of_store && !state.trace_found && self.store_era() == 0)
+        let is_first_start = self.is_first_start && !self.detected_restore();
+        is_first_start || (first_of_store && !state.trace_found && self.store_era() == 0)
     }
 
     /// Whether the ledger had never been written when this router first read it.
@@ -511,6 +514,7 @@
     pub(super) fn reset_version_record(&mut self) {
         let state = &mut self.version_record;
         state.is_current = false;
+        state.was_complete = false;
         state.stored = None;
         state.index = store::Position::START;
         state.turn_ms = None;
--- a/core/tests/streams_taken_up_out_of_touch.rs
+++ b/core/tests/streams_taken_up_out_of_touch.rs
@@ -323,3 +323,26 @@
     }
     assert_eq!(mixed, 0, "of {STREAMS} streams");
 }
+
+/// Guards against streams that go on at another version because a restore of the store lost the version that began them,
+/// and the only router that is left was cut off when it joined.
+#[test]
+fn streams_of_a_version_that_a_restore_lost_do_not_go_on_at_another() {
+    for age_ms in [NEW_FLEET_MS, OLD_FLEET_MS] {
+        for passed_ms in [100, 2_000, 20_000] {
+            let mut world = fleet(3, age_ms, passed_ms);
+            let backup = world.traffic.fleet.back_up();
+            let cut = Cut { routers: 3, together: 1, store: true, others: true, healed: true };
+            world.set_cut(&cut, true);
+            put(&mut world.traffic, "new-0", "v2");
+            world.traffic.fleet.run_ms(3_000);
+            world.begin(&cut);
+            world.traffic.fleet.restore(&backup);
+            (1..3).for_each(|router| world.traffic.fleet.kill(router));
+            world.set_cut(&cut, false);
+            world.traffic.fleet.run_ms(passed_ms);
+            let counts = world.take_up(0..1);
+            assert_eq!(counts.mixed, 0, "fleet of {age_ms} ms, {passed_ms} ms after: {counts:?}");
+        }
+    }
+}
