Count a version that the record names as current, though it was away for long

Callers saw streams of two versions: a version left, returned 120 s later, streams began at it at routers in touch, and a router that was cut off when it returned continued them at the other version right after the cut had healed.

Cause: the read at the take-up named the version, as it is removed only 150 s after it left. Its record had not changed, so this router did not count it as recent, and dropped it from the candidates, by its own list, on which it was last seen 120 s before.

Change: each version that the record names as current is a candidate.

--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -399,17 +399,20 @@
         false
     }
 
-    /// The origins that a stream of these services may have, as far as this router has seen.
+    /// The origins that a stream of these services may have, as far as this router has seen. A version at which streams
+    /// may begin counts even if this router has not listed it for long: it may have returned since.
     fn possible_origins(
         &self,
         services: &[String],
         now_ms: u64,
     ) -> impl Iterator<Item = streams::Origin> {
         services.iter().flat_map(move |service| {
-            let versions = match self.record_names_all_versions(now_ms) {
+            let seen = match self.record_names_all_versions(now_ms) {
                 true => self.servers.recorded_versions(service, now_ms),
                 false => self.servers.recent_versions(service, now_ms),
             };
+            let current = self.version_record.current_versions(service);
+            let versions: collections::BTreeSet<&str> = seen.into_iter().chain(current).collect();
             versions.into_iter().map(|version| streams::Origin {
                 service: service.clone(),
                 version: version.to_owned(),
--- a/core/src/node/version_record.rs
+++ b/core/src/node/version_record.rs
@@ -105,6 +105,16 @@
         self.read_ms.map(|read_ms| now_ms.saturating_sub(read_ms))
     }
 
+    /// The versions of a service at which streams may begin, according to this router's copy of the record.
+    pub(super) fn current_versions(&self, service: &str) -> impl Iterator<Item = &str> {
+        let versions = self.stored.as_ref().and_then(|record| record.services.get(service));
+        let current = versions
+            .into_iter()
+            .flatten()
+            .filter(|(_, state)| **state == version_record::State::Current);
+        current.map(|(version, _)| version.as_str())
+    }
+
     pub(super) fn peer_lacks_record(&self) -> bool {
         self.peer_lacks_record
     }
