--- a/core/tests/streams_taken_up_after_changes_unseen.rs
+++ b/core/tests/streams_taken_up_after_changes_unseen.rs
@@ -52,6 +52,12 @@
     servers.iter().any(|(_, server)| server.vm.version == version)
 }
 
+/// The service to which the route leads in the configuration that a router has.
+fn route_service(traffic: &Traffic, router: usize) -> String {
+    let config = traffic.fleet.routers[router].node.config().expect("a configuration");
+    config.document.routes[0].targets[0].service.clone()
+}
+
 fn request(traffic: &mut Traffic, number: u8) -> node::AdmissionRequest {
     let mut request = traffic.next_request();
     request.parts = Vec::new();
@@ -75,7 +81,8 @@
     let mut begun = Vec::new();
     for number in 0..STREAMS {
         let router = routers.start + usize::from(number) % routers.len();
-        let request = request(traffic, number);
+        let mut request = request(traffic, number);
+        request.service = route_service(traffic, router);
         traffic.fleet.answers.clear();
         let now_ms = traffic.fleet.now_ms;
         let slot = traffic.fleet.routers[router].node.admit(request, now_ms);
@@ -89,11 +96,13 @@
 /// Takes streams up at routers in turn.
 fn take_up(traffic: &mut Traffic, begun: &[(u8, String)], routers: ops::Range<usize>) -> Counts {
     let mut counts = Counts::default();
+    let services: Vec<String> =
+        routers.clone().map(|router| route_service(traffic, router)).collect();
     let fleet = &mut traffic.fleet;
     let mut waiting = Vec::new();
     for (index, (number, version)) in begun.iter().enumerate() {
         let router = routers.start + index % routers.len();
-        let services = vec!["service".to_owned()];
+        let services = vec![services[index % routers.len()].clone()];
         let search = node::OriginSearch { stream: Some(stream(*number)), services };
         let slot = fleet.routers[router].node.find_stream_origin(search, fleet.now_ms);
         fleet.perform_actions(router);
@@ -141,6 +150,29 @@
     }
 }
 
+/// Guards against streams that go on at another service because the route led there when the router was cut off.
+#[test]
+fn a_route_that_leads_to_another_service_since_the_cut() {
+    for (seed, healed) in [false, true].into_iter().enumerate() {
+        let mut traffic = fleet(3, &[("old-0", "v1")], seed as u64);
+        set_cut(&mut traffic, 0, true);
+        traffic.fleet.server_services.insert("other-0".to_owned(), "other".to_owned());
+        put(&mut traffic, "other-0", "v2");
+        traffic.fleet.publish_route_to("other");
+        traffic.fleet.run_ms(8_000);
+        assert_eq!(route_service(&traffic, 1), "other");
+        let begun = begin(&mut traffic, 1..3);
+        assert!(begun.iter().all(|(_, version)| version == "v2"));
+        traffic.fleet.run_ms(500);
+        if healed {
+            set_cut(&mut traffic, 0, false);
+        }
+        assert_eq!(route_service(&traffic, 0), "service");
+        let counts = take_up(&mut traffic, &begun, 0..1);
+        assert_eq!(counts.mixed, 0, "healed: {healed}: {counts:?}");
+    }
+}
+
 /// Guards against streams that go on at another version because the store was restored to a state before theirs joined.
 fn check_restore(routers: usize, age_ms: u64, others_end: bool) {
     let mut traffic = fleet(routers, &[("old-0", "v1")], 5);
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -150,6 +150,8 @@
     pub origin_messages: (u64, u64),
     /// The software version in the records of each server; empty for the others.
     pub server_versions: BTreeMap<String, String>,
+    /// The service of each server; `service` for the others.
+    pub server_services: BTreeMap<String, String>,
     rng: StdRng,
     /// A separate generator for delays of value calls, so that the schedule of a seed does not depend on these calls.
     value_rng: StdRng,
@@ -203,6 +205,7 @@
             origins_found: Vec::new(),
             origin_messages: (0, 0),
             server_versions: BTreeMap::new(),
+            server_services: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
             value_rng: StdRng::seed_from_u64(!seed),
         };
@@ -238,6 +241,17 @@
         self.record_change(watch::Topic::Configuration, None);
     }
 
+    /// Publishes a configuration in which the route leads to this service.
+    pub fn publish_route_to(&mut self, service: &str) {
+        let document = &mut self.published.document;
+        document.routes[0].targets[0].service = service.to_owned();
+        if document.services.iter().all(|known| known.name != service) {
+            let name = service.to_owned();
+            document.services.push(config::Service { name, ..self::service() });
+        }
+        self.publish();
+    }
+
     /// Writes a key that no router watches.
     pub fn write_unwatched_key(&mut self) {
         self.revision += 1;
--- a/core/tests/watch_fleet/store.rs
+++ b/core/tests/watch_fleet/store.rs
@@ -14,7 +14,11 @@
     pub fn put_server_with_slots(&mut self, name: &str, state: servers::VmState, slots: u64) {
         let vm = servers::Vm {
             vm: name.to_owned(),
-            service: "service".to_owned(),
+            service: self
+                .server_services
+                .get(name)
+                .cloned()
+                .unwrap_or_else(|| "service".to_owned()),
             address: "10.9.0.1:1".to_owned(),
             class: String::new(),
             version: self.server_versions.get(name).cloned().unwrap_or_default(),
