--- a/core/tests/streams_taken_up_after_changes_unseen.rs
+++ b/core/tests/streams_taken_up_after_changes_unseen.rs
@@ -150,6 +150,25 @@
     }
 }
 
+/// Guards against streams that begin at a version which the others have removed from the record while their router was
+/// cut off from the store and the others, but not from its servers.
+#[test]
+fn a_version_that_was_removed_from_the_record_during_a_cut() {
+    for cut_ms in [20_000, 100_000, 160_000, 200_000] {
+        let mut traffic = fleet(3, &[("old-0", "v1")], cut_ms);
+        set_cut(&mut traffic, 0, true);
+        put(&mut traffic, "new-0", "v2");
+        traffic.fleet.run_ms(3_000);
+        traffic.fleet.remove_server("old-0");
+        traffic.fleet.run_ms(cut_ms);
+        let begun = begin(&mut traffic, 0..1);
+        assert!(begun.iter().all(|(_, version)| version == "v1"));
+        traffic.fleet.run_ms(1_000);
+        let counts = take_up(&mut traffic, &begun, 1..3);
+        assert_eq!(counts.mixed, 0, "cut off for {cut_ms} ms: {counts:?}");
+    }
+}
+
 /// Guards against streams that go on at another service because the route led there when the router was cut off.
 #[test]
 fn a_route_that_leads_to_another_service_since_the_cut() {
