--- a/core/tests/streams_taken_up_after_changes_unseen.rs
+++ b/core/tests/streams_taken_up_after_changes_unseen.rs
@@ -86,6 +86,7 @@
         traffic.fleet.answers.clear();
         let now_ms = traffic.fleet.now_ms;
         let slot = traffic.fleet.routers[router].node.admit(request, now_ms);
+        traffic.fleet.routers[router].node.answer_started(slot, now_ms);
         traffic.fleet.perform_actions(router);
         begun.extend(version_placed(traffic, slot).map(|version| (number, version)));
     }
@@ -281,6 +282,7 @@
         let now_ms = traffic.fleet.now_ms;
         let node = &mut traffic.fleet.routers[0].node;
         node.retry(slot, node::AttemptFailure::MayHaveRun, now_ms);
+        node.answer_started(slot, now_ms);
         traffic.fleet.perform_actions(0);
         let second = version_placed(&traffic, slot);
         begun.extend(second.filter(|second| *second != first).map(|second| (number, second)));
