Soak: cut routers off from store and peers while a version joins

The incident (streams of two versions, taken up at routers that had missed a version) was out of the soak's reach, for two reasons. By counting 600 schedules (eight routers, 20 s, with writers, restores and server cuts): 104 join a fault of the store and a cut of peers for one router for 0.3 s or more, but 4 leave another router in touch with the store, and only 1 of these cuts the peers both ways (`PeersCut` drops what goes to a router, not what it sends). A router that has seen two versions refuses an unknown stream anyway, so the schedules could not have shown the failure.

Change: `--partitions` adds two to four cuts of one router, a few, half or all but one from the store and from all others but each other, silently or by resets, for 0.3 to 9 s. Each has a service of its own that has one version until servers of a second one join during the cut, and replace the first or not. Clients begin streams at routers in touch and take broken ones up at those cut off, also for 1 s after. `streams` holds what `versions` and `partitions` share.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,9 +1,10 @@
 //! A fleet of real router processes in front of stand-ins: how they are started, and the faults that can be injected
 //! from outside.
 
-use crate::servers;
+use crate::{schedule, servers};
 use doorswitch_standins::{backend, network, ports, store, wire};
 use snafu::ResultExt;
+use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -36,6 +37,13 @@
 pub const VERSIONS_SERVICE: &str = "released";
 /// The path of the route to [`VERSIONS_SERVICE`].
 pub const VERSIONS_PATH: &str = "/released/";
+/// The services that get a second version during partitions, and the paths of their routes.
+pub const PARTITION_SERVICES: [(&str, &str); schedule::PARTITIONS_MAX] = [
+    ("partitioned-0", "/partitioned-0/"),
+    ("partitioned-1", "/partitioned-1/"),
+    ("partitioned-2", "/partitioned-2/"),
+    ("partitioned-3", "/partitioned-3/"),
+];
 /// The service whose servers send late copies of their answers.
 pub const LATE_COPIES_SERVICE: &str = "copying";
 /// The path of its calls that must run at most once.
@@ -85,6 +93,15 @@
     store_network: network::Proxy,
 }
 
+/// Routers that reach neither the store nor other routers, except each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Partition {
+    /// The routers.
+    pub routers: schedule::Routers,
+    /// What happens to open connections.
+    pub open: network::OpenConnections,
+}
+
 /// Router processes, their store and their backend servers.
 pub struct Fleet {
     binary: PathBuf,
@@ -96,6 +113,8 @@
     cut_from_servers: Vec<usize>,
     routers: Vec<Router>,
     version: u64,
+    /// Whether configurations contain [`PARTITION_SERVICES`].
+    has_partitions: bool,
 }
 
 impl Fleet {
@@ -119,6 +138,7 @@
             cut_from_servers: Vec::new(),
             routers: Vec::new(),
             version: 0,
+            has_partitions: false,
         };
         for index in 0..routers {
             let router = fleet.new_router(index, net).context(start_context("a network"))?;
@@ -129,6 +149,34 @@
         Ok(fleet)
     }
 
+    /// Adds [`PARTITION_SERVICES`] to the configurations that are published from now on.
+    pub fn add_partition_services(&mut self) {
+        self.has_partitions = true;
+    }
+
+    /// Sets the partitions that are in force, which may overlap.
+    pub fn set_partitions(&self, partitions: &[Partition]) {
+        for (index, router) in self.routers.iter().enumerate() {
+            let separated_from = |other: usize| {
+                let separates = |partition: &&Partition| {
+                    partition.routers.contains(&index) != partition.routers.contains(&other)
+                };
+                Some((self.ip(other), partitions.iter().find(separates)?.open))
+            };
+            let dropped: HashMap<IpAddr, network::OpenConnections> =
+                (0..self.routers.len()).filter_map(separated_from).collect();
+            router.peer_network.change(|faults| {
+                faults.dropped_datagrams = dropped.keys().copied().collect();
+                faults.dropped = dropped;
+            });
+            let separated = partitions.iter().find(|partition| partition.routers.contains(&index));
+            router.store_network.change(|faults| {
+                faults.dropped =
+                    separated.map(|partition| (router.ip, partition.open)).into_iter().collect();
+            });
+        }
+    }
+
     /// Starts a server, or another incarnation if one of this name was started before. Returns the number that its
     /// answers contain.
     pub fn start_server(&mut self, name: &str) -> Result<usize, Error> {
@@ -241,7 +289,15 @@
             let kind = wire::RouteKind::Repeatable;
             wire::Route { path, service, kind, attempts_max: 1 }
         };
-        let routes = plain_routes.map(route).chain(routes_with_several_attempts());
+        let partition_services: &[(&'static str, &str)] = match self.has_partitions {
+            true => &PARTITION_SERVICES,
+            false => &[],
+        };
+        let partition_routes = partition_services.iter().map(|(service, path)| {
+            route_with_several_attempts(path, service, wire::RouteKind::ResumableStream)
+        });
+        let routes =
+            plain_routes.map(route).chain(routes_with_several_attempts()).chain(partition_routes);
         let services = [
             SERVICE,
             FRAGILE_SERVICE,
@@ -251,6 +307,10 @@
             VERSIONS_SERVICE,
             LATE_COPIES_SERVICE,
         ];
+        let services: Vec<&str> = services
+            .into_iter()
+            .chain(partition_services.iter().map(|(service, _)| *service))
+            .collect();
         self.store.publish(&wire::configuration(self.version, HOST, &services, routes));
         self.version
     }
@@ -381,12 +441,15 @@
         (LATE_COPIES_REPEATABLE_PATH, LATE_COPIES_SERVICE, RouteKind::Repeatable),
         (LATE_COPIES_STREAMS_PATH, LATE_COPIES_SERVICE, RouteKind::Stream),
     ];
-    routes.into_iter().map(|(path, service, kind)| wire::Route {
-        path: path.to_owned(),
-        service,
-        kind,
-        attempts_max: 2,
-    })
+    routes.into_iter().map(|(path, service, kind)| route_with_several_attempts(path, service, kind))
+}
+
+fn route_with_several_attempts(
+    path: &str,
+    service: &'static str,
+    kind: wire::RouteKind,
+) -> wire::Route<'static> {
+    wire::Route { path: path.to_owned(), service, kind, attempts_max: 2 }
 }
 
 /// The path of the route that a configuration version adds.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -45,6 +45,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Add cuts between routers and servers"),
         )
+        .arg(
+            Arg::new("partitions")
+                .long("partitions")
+                .action(ArgAction::SetTrue)
+                .help("Add cuts of routers from the store and from other routers, beside releases"),
+        )
         .arg(Arg::new("named").long("named").help("Run a predefined schedule"))
         .arg(
             Arg::new("only")
@@ -114,6 +120,9 @@
     if matches.get_flag("cuts") {
         schedule = schedule.with_server_cuts(seed, routers, number(matches, "for") * 1_000);
     }
+    if matches.get_flag("partitions") {
+        schedule = schedule.with_partitions(seed, routers, number(matches, "for") * 1_000);
+    }
     if let Some(only) = matches.get_many::<usize>("only") {
         schedule = schedule.only(&only.copied().collect::<Vec<_>>());
     }
@@ -150,6 +159,9 @@
         report.versions,
         report.late_copies,
     )];
+    if let Some(partitions) = &report.partitions {
+        lines[0] = format!("{} {partitions}", lines[0]);
+    }
     if !sound {
         lines.extend(schedule.steps.iter().map(ToString::to_string));
         lines.extend(summaries(report));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,11 +1,14 @@
 //! Runs a schedule against a fleet and reports the results.
 
-use crate::{directives, fleet, late_copies, limited, observe, poison, prober, schedule, versions};
+use crate::{
+    directives, fleet, late_copies, limited, observe, partitions, poison, prober, schedule,
+    versions,
+};
 use doorswitch_standins::{network, store};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -51,6 +54,8 @@
     pub versions: versions::Summary,
     /// Results of the servers that send late copies of their answers.
     pub late_copies: late_copies::Summary,
+    /// Results of the streams that are taken up at separated routers; `None` if the schedule has no partitions.
+    pub partitions: Option<partitions::Summary>,
 }
 
 /// A timed event of a run.
@@ -72,6 +77,10 @@
     backups: HashMap<usize, store::Backup>,
     /// The store's state before and after the latest restore, kept until the lost writes are repeated.
     pending_rewrite: Option<(store::Backup, store::Backup)>,
+    /// The partitions that are in force.
+    active_partitions: Vec<fleet::Partition>,
+    /// The servers and clients for partitions, if the schedule has any.
+    partitions: Option<partitions::Partitions>,
     rng: StdRng,
 }
 
@@ -80,13 +89,24 @@
     let Options { binary, folder, routers, net, seed } = options;
     let mut fleet = fleet::Fleet::prepare(binary, folder, *routers, *net)?;
     let shared = prober::Shared::new(observe::Observations::new(*routers));
+    if schedule.has_partitions() {
+        fleet.add_partition_services();
+    }
     let version = fleet.publish();
     shared.observations().acknowledge(version);
     // The first incarnations of the servers have the numbers 0 and 1.
     let rng = StdRng::seed_from_u64(*seed);
     let backups = HashMap::new();
-    let mut run =
-        Run { fleet, second_server_incarnation: 1, shared, backups, pending_rewrite: None, rng };
+    let mut run = Run {
+        fleet,
+        second_server_incarnation: 1,
+        shared,
+        backups,
+        pending_rewrite: None,
+        active_partitions: Vec::new(),
+        partitions: None,
+        rng,
+    };
     run.start_all()?;
     let probers: Vec<thread::JoinHandle<()>> = (0..*routers)
         .map(|index| prober::start(index, run.fleet.clients_address(index), run.shared.clone()))
@@ -98,6 +118,10 @@
     let directives = directives::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
     let versions = versions::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
     let late_copies = late_copies::start(&store, clients.clone(), run.shared.clone(), *seed)?;
+    if schedule.has_partitions() {
+        let started = partitions::start(store.clone(), clients.clone(), run.shared.clone(), *seed)?;
+        run.partitions = Some(started);
+    }
     let poison_parts = poison::Poison::Part;
     let poison_parts =
         poison::start(poison_parts, store.clone(), clients.clone(), run.shared.clone())?;
@@ -114,6 +138,7 @@
     let directives = directives.join().unwrap_or_default();
     let versions = versions.join().unwrap_or_default();
     let late_copies = late_copies.join().unwrap_or_default();
+    let partitions = run.partitions.take().map(partitions::Partitions::join);
     let ended = run.fleet.unexpectedly_ended().into_iter().collect();
     executed?;
     let observations = run.shared.observations();
@@ -128,6 +153,7 @@
         directives,
         versions,
         late_copies,
+        partitions,
     })
 }
 
@@ -262,6 +288,17 @@
                 self.begin_fault(routers);
                 self.fleet.cut_from_servers(routers);
             }
+            Action::Partition { routers, open, .. } => {
+                self.begin_fault(routers);
+                let partition = fleet::Partition { routers: routers.clone(), open: *open };
+                self.active_partitions.push(partition);
+                self.apply_partitions();
+            }
+            Action::VersionJoins { service, replaces } => {
+                if let Some(partitions) = &mut self.partitions {
+                    partitions.release(*service, *replaces)?;
+                }
+            }
             Action::DatagramsLost { routers, percent, .. } => {
                 self.begin_fault(routers);
                 self.change_peer_network(routers, |faults| {
@@ -341,7 +378,8 @@
             | Action::UnreadableEntries
             | Action::ServerRestarts
             | Action::ServerLeaves
-            | Action::ServerRecordCorrupted => {}
+            | Action::ServerRecordCorrupted
+            | Action::VersionJoins { .. } => {}
             Action::StoreHidesChanges { .. } => {
                 self.fleet.store().discard_history();
                 self.end_fault(&self.all_routers());
@@ -379,6 +417,15 @@
                 self.fleet.reconnect_to_servers(routers);
                 self.end_fault(routers);
             }
+            Action::Partition { routers, open, .. } => {
+                let ended = fleet::Partition { routers: routers.clone(), open: *open };
+                let mut active = self.active_partitions.iter();
+                if let Some(index) = active.position(|partition| *partition == ended) {
+                    self.active_partitions.remove(index);
+                }
+                self.apply_partitions();
+                self.end_fault(routers);
+            }
             Action::DatagramsLost { routers, .. } => {
                 self.change_peer_network(routers, |faults| faults.lose_datagrams_percent = 0);
                 self.end_fault(routers);
@@ -414,6 +461,15 @@
         self.fleet.start(index)
     }
 
+    fn apply_partitions(&self) {
+        self.fleet.set_partitions(&self.active_partitions);
+        if let Some(partitions) = &self.partitions {
+            let routers = self.active_partitions.iter().flat_map(|partition| &partition.routers);
+            let separated: BTreeSet<usize> = routers.copied().collect();
+            partitions.set_separated(&separated.into_iter().collect::<Vec<_>>());
+        }
+    }
+
     fn change_store_network(&self, routers: &[usize], change: impl Fn(&mut network::Faults)) {
         routers.iter().for_each(|index| self.fleet.store_network(*index).change(&change));
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -1,5 +1,6 @@
 //! Schedules of faults and changes: a list of timed steps, generated from a seed.
 
+use doorswitch_standins::network;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -11,6 +12,12 @@
 const OBSERVATION_MS: u64 = 8_000;
 /// The longest duration of a fault.
 const FAULT_DURATION_MAX_MS: u64 = 5_000;
+/// The number of partitions that are added to a schedule. Each has a service of its own, at most [`PARTITIONS_MAX`].
+const PARTITIONS: std::ops::RangeInclusive<usize> = 2..=PARTITIONS_MAX;
+/// The largest number of partitions of a schedule.
+pub const PARTITIONS_MAX: usize = 4;
+/// How long a partition lasts, in milliseconds.
+const PARTITION_DURATION_MS: std::ops::RangeInclusive<u64> = 300..=9_000;
 
 /// Routers by their indexes in the fleet.
 pub type Routers = Vec<usize>;
@@ -134,6 +141,22 @@
         /// How long the fault lasts, in milliseconds.
         for_ms: u64,
     },
+    /// These routers reach neither the store nor other routers, except each other. Clients and servers are unaffected.
+    Partition {
+        /// The routers that the fault affects.
+        routers: Routers,
+        /// What happens to open connections.
+        open: network::OpenConnections,
+        /// How long the fault lasts, in milliseconds.
+        for_ms: u64,
+    },
+    /// Servers of a second version join a service that had one version until then.
+    VersionJoins {
+        /// The index of the service among those of partitions.
+        service: usize,
+        /// Whether the servers of the first version leave the list at the same time.
+        replaces: bool,
+    },
     /// Some datagrams to these routers are lost.
     DatagramsLost {
         /// The routers that the fault affects.
@@ -178,6 +201,7 @@
             | Self::StoreDelayed { for_ms, .. }
             | Self::PeersCut { for_ms, .. }
             | Self::ServersCut { for_ms, .. }
+            | Self::Partition { for_ms, .. }
             | Self::DatagramsLost { for_ms, .. }
             | Self::Suspend { for_ms, .. } => *for_ms,
             Self::StoreRestored { outage_ms, rewrite_delay_ms, .. } => outage_ms + rewrite_delay_ms,
@@ -189,6 +213,7 @@
             | Self::ServerRestarts
             | Self::ServerLeaves
             | Self::ServerRecordCorrupted
+            | Self::VersionJoins { .. }
             | Self::StoreConnectionsFail { .. }
             | Self::PeerConnectionsFail { .. } => 0,
         }
@@ -250,6 +275,15 @@
                 let mut text = out.debug_struct("ServersCut");
                 text.field("routers", routers).field("for_ms", for_ms).finish()
             }
+            Self::Partition { routers, open, for_ms } => {
+                let mut text = out.debug_struct("Partition");
+                text.field("routers", routers).field("open", open);
+                text.field("for_ms", for_ms).finish()
+            }
+            Self::VersionJoins { service, replaces } => {
+                let mut text = out.debug_struct("VersionJoins");
+                text.field("service", service).field("replaces", replaces).finish()
+            }
             Self::DatagramsLost { routers, percent, for_ms } => {
                 let mut text = out.debug_struct("DatagramsLost");
                 text.field("routers", routers).field("percent", percent);
@@ -363,6 +397,37 @@
         Self::from_actions(steps.chain(generator.actions).collect())
     }
 
+    /// Adds partitions over `for_ms`, drawn from a separate generator, and during each of them servers of a second
+    /// version of one service. They may overlap.
+    pub fn with_partitions(self, seed: u64, routers: usize, for_ms: u64) -> Self {
+        let rng = StdRng::seed_from_u64(seed ^ 0x9a7);
+        let mut generator = Generator { rng, routers, actions: Vec::new() };
+        let count = generator.rng.random_range(PARTITIONS);
+        for service in 0..count {
+            let share_ms = for_ms / count as u64;
+            let first_ms = STARTUP_MS + service as u64 * share_ms;
+            let at_ms = generator.rng.random_range(first_ms..first_ms + share_ms);
+            let for_ms = generator.rng.random_range(PARTITION_DURATION_MS);
+            let routers = generator.random_partition();
+            let open = match generator.rng.random_bool(0.5) {
+                true => network::OpenConnections::Silent,
+                false => network::OpenConnections::Reset,
+            };
+            generator.push_with_publishes(at_ms, Action::Partition { routers, open, for_ms });
+            let joins_ms = at_ms + generator.rng.random_range(0..=for_ms / 2);
+            let replaces = generator.rng.random_bool(0.5);
+            generator.actions.push((joins_ms, Action::VersionJoins { service, replaces }));
+        }
+        let steps = self.steps.into_iter().map(|step| (step.at_ms, step.action));
+        Self::from_actions(steps.chain(generator.actions).collect())
+    }
+
+    /// Whether servers of a second version join during a partition.
+    pub fn has_partitions(&self) -> bool {
+        let mut actions = self.steps.iter().map(|step| &step.action);
+        actions.any(|action| matches!(action, Action::VersionJoins { .. }))
+    }
+
     /// Adds restores of the store over `for_ms`, drawn from a separate generator. They may overlap.
     pub fn with_restores(self, seed: u64, for_ms: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ 0xe7a);
@@ -463,6 +528,19 @@
         all_routers.sample(&mut self.rng, count).copied().collect()
     }
 
+    /// Draws the routers of a partition: one, a few, half, or all but one.
+    fn random_partition(&mut self) -> Routers {
+        let all_routers: Routers = (0..self.routers).collect();
+        let count = match self.rng.random_range(0..4) {
+            0 => 1,
+            1 => self.rng.random_range(2..=3),
+            2 => self.routers / 2,
+            _ => self.routers - 1,
+        };
+        let count = count.min(self.routers - 1).max(1);
+        all_routers.sample(&mut self.rng, count).copied().collect()
+    }
+
     fn random_connection_fault(&mut self) -> ConnectionFault {
         match self.rng.random_bool(0.5) {
             true => ConnectionFault::Blackholed,
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -2,12 +2,11 @@
 //! streams through any router. Each event names the version that wrote it. In some runs all servers have one version, and
 //! are replaced together while no router runs.
 
-use crate::{fleet, observe, prober, servers};
+use crate::{fleet, observe, prober, servers, streams};
 use doorswitch_standins::{backend, store, wire};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -19,9 +18,6 @@
 const SERVERS: usize = 4;
 /// The number of clients, each of which follows one stream after the other.
 const CLIENTS: usize = 6;
-/// The number of events of a whole stream.
-const EVENTS: u64 = 8;
-const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 /// One in this many streams is broken off by its server.
 const BROKEN_EVERY: u64 = 3;
 /// How long a server runs until one of another version replaces it, in milliseconds.
@@ -30,8 +26,6 @@
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 /// How long a client waits for a whole stream.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(4);
-/// The time after which a client gives an answer up that says nothing.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The time between two attempts to continue a stream.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The Unix millisecond before the start of the first server.
@@ -142,7 +136,7 @@
                 }
                 stays
             });
-            thread::sleep(EVENT_INTERVAL);
+            thread::sleep(streams::EVENT_INTERVAL);
         }
     }
 
@@ -179,7 +173,7 @@
     }
 
     fn start_server(&mut self, version: &'static str) -> Result<(), fleet::Error> {
-        let backend = servers::start(script(version))?;
+        let backend = servers::start(streams::script(version, BROKEN_EVERY))?;
         self.started += 1;
         let (name, number) = (format!("i-version-{}", self.started), self.started);
         let server = Server { name, number, backend, version };
@@ -200,26 +194,6 @@
     }
 }
 
-/// A server that continues any stream, and breaks some of them off.
-fn script(version: &'static str) -> backend::Script {
-    Box::new(move |number, received| {
-        let continued = received.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
-        let breaks = (number as u64).is_multiple_of(BROKEN_EVERY);
-        let mut steps = vec![backend::Step::Write(wire::STREAM_HEAD.to_owned())];
-        for event in continued.map_or(1, |last| last + 1)..=EVENTS {
-            steps.push(backend::Step::Pause(EVENT_INTERVAL));
-            let text = format!("id: {event}\ndata: {version}\n\n");
-            steps.push(backend::Step::Write(format!("{:x}\r\n{text}\r\n", text.len())));
-            if breaks && event == EVENTS / 2 {
-                steps.push(backend::Step::Reset);
-                return steps;
-            }
-        }
-        steps.push(backend::Step::Write("0\r\n\r\n".to_owned()));
-        steps
-    })
-}
-
 struct Client<'a> {
     number: usize,
     routers: &'a [SocketAddr],
@@ -228,22 +202,13 @@
     rng: StdRng,
 }
 
-/// What a client has received of one stream.
-#[derive(Default)]
-struct Received {
-    /// The id of the request whose answer brought the first event.
-    first: String,
-    last_id: u64,
-    versions: BTreeSet<String>,
-}
-
 impl Client<'_> {
     fn run(mut self) {
         let mut streams = 0;
         while !self.shared.ended() {
             streams += 1;
             self.follow_stream(streams);
-            thread::sleep(EVENT_INTERVAL);
+            thread::sleep(streams::EVENT_INTERVAL);
         }
     }
 
@@ -253,13 +218,14 @@
 
     /// Receives one stream, and continues it through other routers when it breaks.
     fn follow_stream(&mut self, number: usize) {
-        let (mut received, started) = (Received::default(), Instant::now());
+        let (mut received, started) = (streams::Received::default(), Instant::now());
+        let path = format!("{}x", fleet::VERSIONS_PATH);
         let mut broke = false;
         for attempt in 0.. {
             let router = self.rng.random_range(0..self.routers.len());
             let id = format!("stream-{}-{number}-{attempt}", self.number);
-            self.receive(&mut received, router, &id);
-            let whole = received.last_id == EVENTS;
+            received.request(self.routers[router], &path, &id);
+            let whole = received.is_whole();
             broke |= !whole && received.last_id > 0;
             if received.versions.len() > 1 {
                 self.summary().mixed += 1;
@@ -275,7 +241,7 @@
         if received.last_id == 0 {
             return;
         }
-        let whole = usize::from(received.last_id == EVENTS);
+        let whole = usize::from(received.is_whole());
         let mut summary = self.summary();
         summary.streams.0 += 1;
         summary.streams.1 += whole;
@@ -284,25 +250,4 @@
             summary.broken.1 += whole;
         }
     }
-
-    /// Sends one request, and adds the events that arrive.
-    fn receive(&self, received: &mut Received, router: usize, id: &str) {
-        let continuation = (received.last_id > 0)
-            .then(|| wire::Continuation { last_id: received.last_id, first: &received.first });
-        let address = self.routers[router];
-        let path = format!("{}x", fleet::VERSIONS_PATH);
-        // What arrived before the connection broke counts.
-        let answer =
-            wire::get_stream(address, fleet::HOST, &path, id, continuation, SILENCE_TIMEOUT);
-        for event in wire::events(&answer) {
-            if event.number != received.last_id + 1 {
-                return;
-            }
-            received.last_id = event.number;
-            received.versions.insert(event.data);
-            if received.first.is_empty() {
-                received.first = id.to_owned();
-            }
-        }
-    }
 }
--- a/soak/tests/printed_texts.rs
+++ b/soak/tests/printed_texts.rs
@@ -4,6 +4,7 @@
 
 use doorswitch_soak::observe::ViolationKind;
 use doorswitch_soak::schedule::{Action, ConnectionFault, Schedule};
+use doorswitch_standins::network::OpenConnections;
 
 fn printed(action: Action) -> String {
     let schedule = Schedule::from_actions(vec![(5, action)]);
@@ -60,6 +61,14 @@
             Action::PeersCut { routers: routers(), for_ms },
             "PeersCut { routers: [0, 2], for_ms: 7 }",
         ),
+        (
+            Action::Partition { routers: routers(), open: OpenConnections::Reset, for_ms },
+            "Partition { routers: [0, 2], open: Reset, for_ms: 7 }",
+        ),
+        (
+            Action::VersionJoins { service: 1, replaces: true },
+            "VersionJoins { service: 1, replaces: true }",
+        ),
         (
             Action::DatagramsLost { routers: routers(), percent: 40, for_ms },
             "DatagramsLost { routers: [0, 2], percent: 40, for_ms: 7 }",
--- a/tests/soaks/mod.rs
+++ b/tests/soaks/mod.rs
@@ -20,7 +20,7 @@
 }
 
 /// Runs a schedule and checks that no router ended by itself and that no answer violates the guarantees of the soak.
-pub fn check_no_violations(name: &str, seed: u64, schedule: &schedule::Schedule) {
+pub fn check_no_violations(name: &str, seed: u64, schedule: &schedule::Schedule) -> run::Report {
     let report = run(name, seed, schedule);
     let steps: Vec<String> = schedule.steps.iter().map(ToString::to_string).collect();
     assert!(report.ended.is_empty(), "routers that ended by themselves: {:?}", report.ended);
@@ -31,4 +31,5 @@
         report.violations.first(),
         steps.join("\n")
     );
+    report
 }
