Test of left clients: wait until the router has read all requests

Seen: the last request, after 1800 whose clients had left, was refused with 429 in a run beside load, although no tokens were reserved or consumed.

Cause: the test's precondition. Requests that the router has not read reserve nothing, so the check for reserved tokens passed at once, and the last request came in the middle of the others: by the router's log it was refused as overloaded between those of clients 291 and 292 of the last round, which had filled the queue. That is allowed.

Change: the test first waits until the router has closed all connections of clients, also those that it has not accepted (by the kernel's list of sockets). The checks after it are the same, and the first of them now sees the tokens of all requests.

--- a/tests/clients_that_leave.rs
+++ b/tests/clients_that_leave.rs
@@ -166,6 +166,8 @@
         let reserved = budgets.as_object().unwrap().values();
         reserved.map(|budget| budget["reserved_tokens"].as_u64().unwrap()).sum::<u64>()
     };
+    // Before that, requests that the router has not read reserve no tokens.
+    eventually("all requests are read", || world.open_client_connections(0) == 0);
     eventually("no tokens are reserved", || reserved() == 0);
     let answer = world.call(0, &metered("/read/x", "last"));
     assert_eq!(answer.status, 200, "{}", budgets());
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -359,6 +359,19 @@
         line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() << 10
     }
 
+    /// The number of clients' connections that a router has not closed, with those that it has not accepted yet.
+    pub fn open_client_connections(&self, index: usize) -> usize {
+        /// The states SYN_RECV, ESTABLISHED and CLOSE_WAIT, as the kernel lists them.
+        const OPEN: [&str; 3] = ["03", "01", "08"];
+        let port = format!(":{:04X}", self.routers[index].clients.port());
+        let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let is_open = |line: &&str| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            fields[1].ends_with(&port) && OPEN.contains(&fields[3])
+        };
+        sockets.lines().skip(1).filter(is_open).count()
+    }
+
     /// The address of a router for operators and health checks.
     pub fn operators(&self, index: usize) -> SocketAddr {
         self.routers[index].operators
