--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -3,12 +3,13 @@
 //! While the servers of a service have several software versions, each router sends the origins of the streams that it
 //! places to two other routers, which rendezvous hashing over the stream names. Whichever router a client turns to asks
 //! those that may have been named, so that the origin is found after the router that placed the stream has ended.
-//! Nothing is sent while a service has one version.
+//! Nothing is sent while a service has one version, unless the store may be out of reach: without a read of its record of
+//! versions, streams go on only where their origin is known.
 
 use super::{
     Action, Lifecycle, Node, Notice, Reason, UnknownOrigin, admit, record_reads, watching,
 };
-use crate::{ids, members, message, rendezvous, streams};
+use crate::{ids, members, message, rendezvous, streams, watch};
 use std::collections;
 
 /// Number of other routers to which the origin of a stream is sent.
@@ -434,8 +435,7 @@
         self.stream_origins.searches.values().any(|search| search.last_read < number)
     }
 
-    /// Ends a search for a stream whose origin no router knows. The stream can go on if only one version can have written
-    /// it, according to a read of the store's record that began after the client took the stream up.
+    /// Ends a search whose routers have replied or are not waited for any longer.
     fn conclude_search(&mut self, slot: ids::OriginSearchSlot, now_ms: u64) {
         let Some(running) = self.stream_origins.searches.get(slot) else { return };
         // A router that has just started may not know of all others that have copies.
@@ -447,10 +447,15 @@
             }
             return;
         }
+        self.conclude_unknown(slot, knows_routers, now_ms);
+    }
+
+    /// Ends the search for a stream whose origin no router knows. The stream can go on if only one version can have written
+    /// it, according to a read of the store's record that began after the client took the stream up.
+    fn conclude_unknown(&mut self, slot: ids::OriginSearchSlot, knows_routers: bool, now_ms: u64) {
+        let Some(running) = self.stream_origins.searches.get(slot) else { return };
         let mut candidates = running.candidates.clone();
         candidates.extend(self.possible_origins(&running.search.services, now_ms));
-        let list_age_ms =
-            self.watching.as_ref().and_then(|watching| watching.servers.age_ms(now_ms));
         let complete = running.complete || self.knows_recent_versions(now_ms);
         let is_read = self.record_reads.has_succeeded_after(running.last_read);
         let last_read = running.last_read;
@@ -464,7 +469,7 @@
             asked: running.asked.len(),
             unanswered: running.unanswered.len(),
             live_routers: self.members.live_count(),
-            list_age_ms,
+            list_age_ms: self.age_ms(watch::Topic::Servers, now_ms),
             record_age_ms: self.version_record.age_ms(now_ms),
         };
         match (candidates.pop_first(), candidates.is_empty()) {
--- a/core/src/node/version_record.rs
+++ b/core/src/node/version_record.rs
@@ -185,7 +185,8 @@
         ledger.into_iter().chain([version_record::MARKER_KEY.to_owned()]).collect()
     }
 
-    /// Applies the store's reply to a read of the record for streams of unknown origin. Returns whether it contained a record.
+    /// Applies the store's reply to a read of the record for streams of unknown origin. Returns whether it contained a
+    /// record.
     pub(super) fn apply_record_reply(
         &mut self,
         reply: store::Reply,
