Ask at most 32 routers for an origin while the store does not answer

A searching router asked up to 128 others as soon as a read of the record took 80 ms, and routers that had just started, without a copy of the store's topics, counted as such that do not reach it. After a loss of all routers of a large fleet each take-up then cost some 250 datagrams that nobody could answer with an origin. Now 32 are asked, and a copy that was never confirmed says nothing of the store's reach; a failed poll does.

The tests of cuts and outages, up to thirty routers, pass as before.

--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -20,7 +20,7 @@
 /// are kept in different failure domains.
 const ROUTERS_ASKED_MAX: usize = 8;
 /// Number of routers that are asked for an origin while the store does not answer.
-const ROUTERS_ASKED_WITHOUT_STORE_MAX: usize = 128;
+const ROUTERS_ASKED_WITHOUT_STORE_MAX: usize = 32;
 /// Time after which a read of the record of versions makes a search ask more routers.
 const SLOW_READ_MS: u64 = 80;
 /// Time after which a router that has not replied is not waited for.
--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -222,7 +222,7 @@
     /// copy is older than polls let it become.
     pub fn may_be_out_of_reach(&self, now_ms: u64) -> bool {
         let has_failed = self.last_failed_ms.is_some_and(|at_ms| self.confirmed_ms < Some(at_ms));
-        has_failed || self.age_ms(now_ms).is_none_or(|age_ms| age_ms > self.bound_ms)
+        has_failed || self.age_ms(now_ms).is_some_and(|age_ms| age_ms > self.bound_ms)
     }
 
     /// Returns the age from which the copy is stale, in milliseconds.
