Name what is copied, and count take-ups in one place

Found by reading the whole change as a newcomer; no change of behaviour. - The time after which a read counts as slow stood twice under two names, with the same value and for the same event; one constant now. An alias of the read's time-out is gone. - The set of "mixed" services has also held services of one version since origins are sent while the store is away: it is named after what follows from it. - Two comments told what happens less than why: when copies are sent, and which reads a finished one answers. - Counting what becomes of streams that are taken up stood in both new suites of the core; it is a part of the simulated fleet now. Not taken up: rows that are alike by shape only (soak's summaries, macros of cases).

--- a/core/src/node/config_and_vms.rs
+++ b/core/src/node/config_and_vms.rs
@@ -112,7 +112,7 @@
         self.members.add_seeds(routers.map(|vm| vm.address.clone()));
         self.servers.apply_list(&self.backends(&vms), now_ms);
         self.merge_early_statements(now_ms);
-        self.update_mixed_services(now_ms);
+        self.update_copied_services(now_ms);
         self.mark_recorded_versions();
         self.version_record.schedule_check();
         self.tick_version_record(now_ms);
--- a/core/src/node/record_reads.rs
+++ b/core/src/node/record_reads.rs
@@ -13,8 +13,8 @@
 pub(super) const READ_TIMEOUT_MS: u64 = 400;
 /// Minimum interval between the beginnings of reads.
 const READ_INTERVAL_MS: u64 = 20;
-/// Time after which peers are asked to read as well.
-const PEER_DELAY_MS: u64 = 80;
+/// Time after which a read counts as slow: peers are asked to read as well, and more routers for the origin.
+pub(super) const SLOW_READ_MS: u64 = 80;
 /// Time after which a request to a peer that has not replied is repeated.
 const REQUEST_REPEAT_MS: u64 = 60;
 /// Time for which the store may be out of reach after a read has failed. Polls tell if it lasts.
@@ -212,7 +212,7 @@
         let copy = self.version_record_copy();
         let state = &mut self.record_reads;
         state.record_success(Some(number));
-        // Later reads that are under way show the same and may be waited for.
+        // This read answers all that began before it. Searches that arrived since wait for the later ones.
         state.reads.retain(|other, _| *other > number);
         let waiting = std::mem::take(&mut state.waiting_peers);
         let (served, waiting) = waiting.into_iter().partition(|peer| number > peer.after);
@@ -252,7 +252,7 @@
     fn ask_peers_to_read(&mut self, number: ReadNumber, now_ms: u64) {
         let out_of_reach = self.record_reads.may_be_out_of_reach(now_ms);
         let Some(read) = self.record_reads.reads.get(&number) else { return };
-        let is_slow = now_ms >= read.begun_ms + PEER_DELAY_MS;
+        let is_slow = now_ms >= read.begun_ms + SLOW_READ_MS;
         let is_due = out_of_reach || read.own_call == OwnCall::Failed || is_slow;
         if !is_due || !self.awaits_record_read(number) {
             return;
--- a/core/src/node/stream_origins.rs
+++ b/core/src/node/stream_origins.rs
@@ -21,8 +21,6 @@
 const ROUTERS_ASKED_MAX: usize = 8;
 /// Number of routers that are asked for an origin while the store does not answer.
 const ROUTERS_ASKED_WITHOUT_STORE_MAX: usize = 32;
-/// Time after which a read of the record of versions makes a search ask more routers.
-const SLOW_READ_MS: u64 = 80;
 /// Time after which a router that has not replied is not waited for.
 const SEARCH_TIMEOUT_MS: u64 = 200;
 /// Time for which a search waits until this router is ready.
@@ -41,8 +39,6 @@
 const CANDIDATES_MAX: usize = 2;
 /// Interval between checks whether the routers that keep copies are still live.
 const COPIES_CHECK_INTERVAL_MS: u64 = 500;
-/// Time after which a search that waits for a read of the record of versions is refused.
-const RECORD_TIMEOUT_MS: u64 = record_reads::READ_TIMEOUT_MS;
 
 /// A search for the origin of a stream that a client continues.
 #[derive(Clone, Debug)]
@@ -147,8 +143,9 @@
     searches: slotmap::SlotMap<ids::OriginSearchSlot, RunningSearch>,
     /// The number of the last message that is repeated until it is answered.
     last_number: u64,
-    /// The services with several recent versions, and all others while the store may be out of reach.
-    mixed_services: collections::BTreeSet<String>,
+    /// The services whose origins are sent to other routers: those with several recent versions, and all of them while the
+    /// store may be out of reach or its record is not complete.
+    copied_services: collections::BTreeSet<String>,
 }
 
 impl RunningSearch {
@@ -233,7 +230,9 @@
         // Without the stream's id nobody can know its origin.
         let Some(stream) = running.search.stream else { return };
         let limit = match self.store_may_be_out_of_reach(now_ms)
-            || running.read_wanted_ms.is_some_and(|at_ms| now_ms >= at_ms + SLOW_READ_MS)
+            || running
+                .read_wanted_ms
+                .is_some_and(|at_ms| now_ms >= at_ms + record_reads::SLOW_READ_MS)
         {
             // The stream can have begun at routers that have sent no copies yet.
             true => ROUTERS_ASKED_WITHOUT_STORE_MAX,
@@ -251,8 +250,8 @@
         }
     }
 
-    /// Records the version at which a stream is placed, if its client may continue it. Other routers get it with the first
-    /// event: a copy that they have is then the last word, also if they are cut off.
+    /// Records the version at which a stream is placed, if its client may continue it. Copies are sent with the first event.
+    /// From then on the origin cannot change, so that the copy of a router that is cut off is not outdated.
     pub(super) fn record_stream_origin(
         &mut self,
         slot: ids::RequestSlot,
@@ -269,7 +268,7 @@
         let (stream, kept_ms, begun) = (stream.id, stream.kept_ms, request.version.is_some());
         let expires_ms = now_ms + kept_ms.min(streams::KEPT_MAX_MS);
         let changed = self.stream_origins.table.record_own(stream, &origin, expires_ms, begun);
-        if changed && begun && self.stream_origins.mixed_services.contains(&origin.service) {
+        if changed && begun && self.stream_origins.copied_services.contains(&origin.service) {
             self.stream_origins.unsent.insert(stream);
             // The first event reaches the client before the next tick.
             self.send_unsent_origins(now_ms);
@@ -279,7 +278,7 @@
     /// Sends origins to other routers, repeats what is not answered, and ends searches.
     pub(super) fn tick_stream_origins(&mut self, now_ms: u64) {
         self.stream_origins.table.expire(now_ms);
-        self.update_mixed_services(now_ms);
+        self.update_copied_services(now_ms);
         self.check_copies(now_ms);
         self.repeat_unacknowledged_origins(now_ms);
         self.tick_searches(now_ms);
@@ -288,11 +287,11 @@
     /// Hands the origins that this router keeps for others over to routers that go on.
     pub(super) fn hand_over_stream_origins(&mut self, now_ms: u64) {
         let state = &mut self.stream_origins;
-        let in_mixed_service = |stream: &ids::StreamId| {
+        let in_copied_service = |stream: &ids::StreamId| {
             let origin = state.table.origin(*stream);
-            origin.is_some_and(|origin| state.mixed_services.contains(&origin.service))
+            origin.is_some_and(|origin| state.copied_services.contains(&origin.service))
         };
-        let streams = state.table.streams().filter(in_mixed_service).collect();
+        let streams = state.table.streams().filter(in_copied_service).collect();
         state.unsent = streams;
         self.send_unsent_origins(now_ms);
     }
@@ -461,7 +460,7 @@
         let last_read = running.last_read;
         let awaits_read = !is_read
             && !self.record_reads.has_failed_after(last_read)
-            && now_ms < running.started_ms + RECORD_TIMEOUT_MS;
+            && now_ms < running.started_ms + record_reads::READ_TIMEOUT_MS;
         let expired = running.is_expired(now_ms);
         let mut unknown = UnknownOrigin {
             continued: false,
@@ -627,25 +626,25 @@
     }
 
     /// Sends the origins of all streams of a service as soon as it has several versions, or the store may be out of reach.
-    pub(super) fn update_mixed_services(&mut self, now_ms: u64) {
+    pub(super) fn update_copied_services(&mut self, now_ms: u64) {
         let several = self.servers.services_of_several_versions(now_ms).map(str::to_owned);
-        let mut mixed: collections::BTreeSet<String> = several.collect();
+        let mut copied: collections::BTreeSet<String> = several.collect();
         if self.store_may_be_out_of_reach(now_ms) || !self.knows_recent_versions(now_ms) {
             // Where the record proves nothing, other routers need the origin to continue a stream of any service.
             let services = self.config.iter().flat_map(|config| &config.document.services);
-            mixed.extend(services.map(|service| service.name.clone()));
+            copied.extend(services.map(|service| service.name.clone()));
         }
         let state = &mut self.stream_origins;
-        if mixed == state.mixed_services {
+        if copied == state.copied_services {
             return;
         }
-        let is_newly_mixed =
-            |service: &String| mixed.contains(service) && !state.mixed_services.contains(service);
+        let is_newly_copied =
+            |service: &String| copied.contains(service) && !state.copied_services.contains(service);
         let streams = state.table.own_streams();
-        let newly_mixed = streams.filter(|(_, origin)| is_newly_mixed(&origin.service));
-        let unsent: Vec<ids::StreamId> = newly_mixed.map(|(stream, _)| stream).collect();
+        let newly_copied = streams.filter(|(_, origin)| is_newly_copied(&origin.service));
+        let unsent: Vec<ids::StreamId> = newly_copied.map(|(stream, _)| stream).collect();
         state.unsent.extend(unsent);
-        state.mixed_services = mixed;
+        state.copied_services = copied;
         self.send_unsent_origins(now_ms);
     }
 
--- a/core/tests/streams_taken_up_after_changes_unseen.rs
+++ b/core/tests/streams_taken_up_after_changes_unseen.rs
@@ -7,23 +7,15 @@
 
 use doorswitch_core::{ids, node, servers, streams};
 use std::ops;
+use watch_fleet::take_ups;
 use watch_fleet::traffic::Traffic;
 
 const SLOTS: u64 = 64;
 const KEPT_MS: u64 = 100_000;
-/// The time within which a search ends.
-const SEARCH_MAX_MS: u64 = 450;
 /// How long routers run before anything changes.
 const RUN_MS: u64 = 6_000;
 const STREAMS: u8 = 20;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Counts {
-    continued: usize,
-    refused: usize,
-    mixed: usize,
-}
-
 fn stream(number: u8) -> ids::StreamId {
     ids::StreamId([number; 16])
 }
@@ -95,33 +87,22 @@
 }
 
 /// Takes streams up at routers in turn.
-fn take_up(traffic: &mut Traffic, begun: &[(u8, String)], routers: ops::Range<usize>) -> Counts {
-    let mut counts = Counts::default();
-    let services: Vec<String> =
-        routers.clone().map(|router| route_service(traffic, router)).collect();
-    let fleet = &mut traffic.fleet;
-    let mut waiting = Vec::new();
-    for (index, (number, version)) in begun.iter().enumerate() {
+fn take_up(
+    traffic: &mut Traffic,
+    begun: &[(u8, String)],
+    routers: ops::Range<usize>,
+) -> take_ups::Counts {
+    let take_up = |(index, (number, version)): (usize, &(u8, String))| {
         let router = routers.start + index % routers.len();
-        let services = vec![services[index % routers.len()].clone()];
-        let search = node::OriginSearch { stream: Some(stream(*number)), services };
-        let slot = fleet.routers[router].node.find_stream_origin(search, fleet.now_ms);
-        fleet.perform_actions(router);
-        waiting.push((router, slot, version));
-    }
-    fleet.run_ms(SEARCH_MAX_MS);
-    for (router, slot, version) in waiting {
-        let mut found = fleet.origins_found.iter();
-        let found = found.find(|(at, _, other, _)| (*at, *other) == (router, slot));
-        match &found.expect("the search has ended").3 {
-            node::OriginFound::Origin { origin, .. } if origin.version == *version => {
-                counts.continued += 1;
-            }
-            node::OriginFound::Origin { .. } => counts.mixed += 1,
-            node::OriginFound::Refused { .. } => counts.refused += 1,
+        take_ups::TakeUp {
+            stream: stream(*number),
+            version: version.clone(),
+            router,
+            services: vec![route_service(traffic, router)],
         }
-    }
-    counts
+    };
+    let take_ups = begun.iter().enumerate().map(take_up).collect();
+    traffic.fleet.take_up(take_ups)
 }
 
 /// Guards against streams that go on at another version because theirs has been away for long at a router that was cut
@@ -211,7 +192,7 @@
         (1..routers).for_each(|router| traffic.fleet.kill(router));
     }
     set_cut(&mut traffic, 0, false);
-    let mut all = Counts::default();
+    let mut all = take_ups::Counts::default();
     for _ in 0..6 {
         let counts = take_up(&mut traffic, &begun, 0..1);
         all.mixed += counts.mixed;
--- a/core/tests/streams_taken_up_out_of_touch.rs
+++ b/core/tests/streams_taken_up_out_of_touch.rs
@@ -6,6 +6,7 @@
 mod watch_fleet;
 
 use doorswitch_core::{ids, node, servers, streams};
+use watch_fleet::take_ups;
 use watch_fleet::traffic::Traffic;
 
 const STREAMS: u8 = 40;
@@ -16,8 +17,6 @@
 const OLD_FLEET_MS: u64 = streams::KEPT_MAX_MS + 6_000;
 /// The least share of the streams that go on at routers that were not cut off, in percent.
 const CONTINUED_PERCENT_MIN: usize = 95;
-/// The time within which a search ends.
-const SEARCH_MAX_MS: u64 = 450;
 
 /// The routers that are cut off, and from what.
 #[derive(Clone, Copy, Debug)]
@@ -32,13 +31,6 @@
     healed: bool,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Counts {
-    continued: usize,
-    refused: usize,
-    mixed: usize,
-}
-
 struct World {
     traffic: Traffic,
     /// The version at which each stream began.
@@ -95,40 +87,26 @@
     }
 
     /// Takes all streams up at routers, one after the other.
-    fn take_up(&mut self, routers: std::ops::Range<usize>) -> Counts {
-        let mut counts = Counts::default();
-        let fleet = &mut self.traffic.fleet;
-        let mut waiting = Vec::new();
-        for (number, (stream, version)) in self.begun.iter().enumerate() {
+    fn take_up(&mut self, routers: std::ops::Range<usize>) -> take_ups::Counts {
+        let take_up = |(number, (stream, version)): (usize, &(ids::StreamId, String))| {
             let router = routers.start + number % routers.len();
             let services = vec!["service".to_owned()];
-            let search = node::OriginSearch { stream: Some(*stream), services };
-            let slot = fleet.routers[router].node.find_stream_origin(search, fleet.now_ms);
-            fleet.perform_actions(router);
-            waiting.push((router, slot, version));
-        }
-        fleet.run_ms(SEARCH_MAX_MS);
-        for (router, slot, version) in waiting {
-            let found = fleet
-                .origins_found
-                .iter()
-                .find(|(at, _, other, _)| (*at, *other) == (router, slot));
-            let (_, _, _, found) = found.expect("the search has ended");
-            match found {
-                node::OriginFound::Origin { origin, .. } if origin.version == *version => {
-                    counts.continued += 1
-                }
-                node::OriginFound::Origin { .. } => counts.mixed += 1,
-                node::OriginFound::Refused { .. } => counts.refused += 1,
-            }
-        }
-        counts
+            take_ups::TakeUp { stream: *stream, version: version.clone(), router, services }
+        };
+        let take_ups = self.begun.iter().enumerate().map(take_up).collect();
+        self.traffic.fleet.take_up(take_ups)
     }
 }
 
 /// Servers of a second version join while routers are cut off, and streams begin at the others. Clients take them up at
 /// the routers that were cut off, and then at the others.
-fn play(cut: Cut, cut_ms: u64, old_leave: bool, age_ms: u64, seed: u64) -> (Counts, Counts) {
+fn play(
+    cut: Cut,
+    cut_ms: u64,
+    old_leave: bool,
+    age_ms: u64,
+    seed: u64,
+) -> (take_ups::Counts, take_ups::Counts) {
     let mut world = fleet(cut.routers, age_ms, seed);
     world.set_cut(&cut, true);
     let cut_from_ms = world.traffic.fleet.now_ms;
@@ -217,7 +195,7 @@
     store: watch_fleet::StoreMode,
     away_ms: u64,
     killed: bool,
-) -> Counts {
+) -> take_ups::Counts {
     let mut world = fleet(routers, NEW_FLEET_MS, away_ms);
     for version in versions {
         put(&mut world.traffic, &format!("more-{version}"), version);
--- a/core/tests/watch_fleet/mod.rs
+++ b/core/tests/watch_fleet/mod.rs
@@ -9,6 +9,7 @@
 mod checks;
 #[path = "store.rs"]
 mod fake_store;
+pub mod take_ups;
 pub mod traffic;
 
 #[allow(unused_imports)]
